--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+BUILD := build
+JOBS := $(shell nproc)
+
+.PHONY: demo test build install format format-check lint bench soak clean
+
+install:
+	@./tools/install.sh
+
+build: install
+	@cmake -S . -B $(BUILD) -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo >$(BUILD).log 2>&1 || (cat $(BUILD).log; exit 1)
+	@rm -f $(BUILD).log
+	@cmake --build $(BUILD) -j $(JOBS)
+
+demo: build
+	@python3 tools/demo.py
+
+test: build
+	@./tools/test.sh $(BUILD)
+
+bench: build
+	@$(BUILD)/almondgate-bench
+
+soak: build
+	@$(BUILD)/almondgate-soak
+
+format:
+	@./tools/sources.sh | xargs clang-format -i
+
+format-check:
+	@./tools/sources.sh | xargs clang-format --dry-run -Werror
+
+lint: build
+	@./tools/sources.sh | grep '\.cpp$$' | xargs -P $(JOBS) -n 2 clang-tidy --quiet -p $(BUILD)
+
+clean:
+	@cmake -E rm -rf $(BUILD)
--- /dev/null
+++ b/cmake/programs.cmake
@@ -0,0 +1,11 @@
+function(almondgate_program name source)
+  add_executable(${name} ${CMAKE_SOURCE_DIR}/${source})
+  target_link_libraries(${name} PRIVATE ${ARGN})
+endfunction()
+
+almondgate_program(almondgate-entry apps/entry_main.cpp almondgate_entry)
+almondgate_program(almondgate-placer apps/placer_main.cpp almondgate_placer
+                   almondgate_http)
+almondgate_program(almondgate-control apps/control_main.cpp almondgate_control
+                   almondgate_http)
+almondgate_program(fake-endpoint tools/fake_endpoint.cpp almondgate_http)
--- /dev/null
+++ b/include/almondgate/consensus/durable_state.hpp
@@ -0,0 +1,24 @@
+#ifndef ALMONDGATE_CONSENSUS_DURABLE_STATE_HPP
+#define ALMONDGATE_CONSENSUS_DURABLE_STATE_HPP
+
+#include "almondgate/consensus/log_entry.hpp"
+#include "almondgate/consensus/snapshot.hpp"
+#include "almondgate/consensus/vote.hpp"
+
+#include <vector>
+
+namespace almondgate::consensus {
+
+/// What a member finds on its disk when it starts.
+struct DurableState {
+  Vote Voted;
+  Snapshot Base;
+  /// The entries after Base, without a gap.
+  std::vector<LogEntry> Entries;
+
+  bool operator==(const DurableState &) const = default;
+};
+
+} // namespace almondgate::consensus
+
+#endif
--- /dev/null
+++ b/include/almondgate/consensus/log.hpp
@@ -0,0 +1,50 @@
+#ifndef ALMONDGATE_CONSENSUS_LOG_HPP
+#define ALMONDGATE_CONSENSUS_LOG_HPP
+
+#include "almondgate/consensus/durable_state.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <vector>
+
+namespace almondgate::consensus {
+
+/// The part of the log that a member keeps in memory: a base and the entries
+/// after it.
+class Log {
+public:
+  explicit Log(const DurableState &state);
+
+  uint64_t baseIndex() const { return BaseIndex; }
+  uint64_t lastIndex() const { return BaseIndex + Entries.size(); }
+  uint64_t lastTerm() const { return termAt(lastIndex()); }
+
+  /// Tells whether termAt(index) is known.
+  bool covers(uint64_t index) const;
+  uint64_t termAt(uint64_t index) const;
+  const LogEntry &at(uint64_t index) const;
+
+  void append(LogEntry entry);
+
+  /// Forgets the entries from `index` on.
+  void truncateFrom(uint64_t index);
+
+  /// Forgets the entries up to `index`, which becomes the base.
+  void dropUpTo(uint64_t index);
+
+  /// Forgets everything; the log goes on after this entry.
+  void reset(uint64_t index, uint64_t term);
+
+  /// Entries from `from` to `to`, ending early once `max_bytes` are passed.
+  std::vector<LogEntry> slice(uint64_t from, uint64_t to,
+                              size_t max_bytes) const;
+
+private:
+  uint64_t BaseIndex;
+  uint64_t BaseTerm;
+  std::deque<LogEntry> Entries;
+};
+
+} // namespace almondgate::consensus
+
+#endif
--- /dev/null
+++ b/include/almondgate/consensus/snapshot.hpp
@@ -0,0 +1,23 @@
+#ifndef ALMONDGATE_CONSENSUS_SNAPSHOT_HPP
+#define ALMONDGATE_CONSENSUS_SNAPSHOT_HPP
+
+#include "almondgate/consensus/membership.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace almondgate::consensus {
+
+/// The replicated state after the entry at Index.
+struct Snapshot {
+  uint64_t Index = 0;
+  uint64_t Term = 0;
+  Membership Voters;
+  std::string Data;
+
+  bool operator==(const Snapshot &) const = default;
+};
+
+} // namespace almondgate::consensus
+
+#endif
--- /dev/null
+++ b/include/almondgate/core/size.hpp
@@ -0,0 +1,44 @@
+#ifndef ALMONDGATE_CORE_SIZE_HPP
+#define ALMONDGATE_CORE_SIZE_HPP
+
+#include <compare>
+#include <cstdint>
+
+namespace almondgate::core {
+
+/// An amount of each resource: what a VM has or what a request takes.
+struct Size {
+  int64_t Slots = 0;
+  int64_t MilliCpus = 0;
+  int64_t MemoryMb = 0;
+  int64_t Accelerators = 0;
+
+  bool operator==(const Size &) const = default;
+};
+
+/// Adds each resource.
+constexpr Size operator+(const Size &a, const Size &b) {
+  return {a.Slots + b.Slots, a.MilliCpus + b.MilliCpus, a.MemoryMb + b.MemoryMb,
+          a.Accelerators + b.Accelerators};
+}
+
+/// Subtracts each resource; may fall below zero.
+constexpr Size operator-(const Size &a, const Size &b) {
+  return {a.Slots - b.Slots, a.MilliCpus - b.MilliCpus, a.MemoryMb - b.MemoryMb,
+          a.Accelerators - b.Accelerators};
+}
+
+/// Tells whether each resource of `need` is at most that of `room`.
+constexpr bool fits(const Size &need, const Size &room) {
+  return need.Slots <= room.Slots && need.MilliCpus <= room.MilliCpus &&
+         need.MemoryMb <= room.MemoryMb &&
+         need.Accelerators <= room.Accelerators;
+}
+
+/// The largest fraction that `part` takes of any resource of `whole`.
+/// Source: Ghodsi et al., Dominant Resource Fairness, NSDI 2011.
+double dominantFraction(const Size &part, const Size &whole);
+
+} // namespace almondgate::core
+
+#endif
--- /dev/null
+++ b/include/almondgate/entry/admin_api.hpp
@@ -0,0 +1,60 @@
+#ifndef ALMONDGATE_ENTRY_ADMIN_API_HPP
+#define ALMONDGATE_ENTRY_ADMIN_API_HPP
+
+#include "almondgate/consensus/membership.hpp"
+#include "almondgate/core/result.hpp"
+#include "almondgate/http/request.hpp"
+#include "almondgate/http/response.hpp"
+#include "almondgate/model/view.hpp"
+#include "almondgate/state/audit_entry.hpp"
+#include "almondgate/state/change.hpp"
+#include "almondgate/state/change_result.hpp"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace almondgate::entry {
+
+/// What the AdminApi asks of the world around it.
+struct AdminHooks {
+  template <class T> using On = std::function<void(core::Result<T>)>;
+
+  std::function<const model::View &()> View;
+  std::function<bool()> IsFresh;
+  std::function<int64_t()> WallClock;
+  std::function<void(const state::Change &, On<state::ChangeResult>)> Propose;
+  std::function<void(On<std::vector<state::AuditEntry>>)> Audit;
+  std::function<void(On<consensus::Membership>)> Members;
+  std::function<void(const consensus::MemberReplacement &, On<void>)> Replace;
+};
+
+/// The operators' HTTP API, see docs/API.md.
+class AdminApi {
+public:
+  using Respond = std::function<void(const http::Response &)>;
+
+  /// `operators` maps the SHA-256 of a key to its operator.
+  AdminApi(std::map<std::string, core::OperatorId> operators, AdminHooks hooks);
+
+  /// Answers a request whose target starts with AdminPrefix.
+  void handle(const http::Request &request, Respond respond);
+
+private:
+  core::Result<core::OperatorId> authenticate(const http::Request &r) const;
+  void get(const std::string &path, const Respond &respond);
+  void post(const core::OperatorId &who, const std::string &path,
+            const std::string &body, const Respond &respond);
+  void change(const core::OperatorId &who, const std::string &body,
+              bool dry_run, const Respond &respond);
+
+  const std::map<std::string, core::OperatorId> Operators;
+  const AdminHooks Hooks;
+};
+
+inline constexpr const char *AdminPrefix = "/admin/v1/";
+
+} // namespace almondgate::entry
+
+#endif
--- /dev/null
+++ b/include/almondgate/http/endpoint_call.hpp
@@ -0,0 +1,24 @@
+#ifndef ALMONDGATE_HTTP_ENDPOINT_CALL_HPP
+#define ALMONDGATE_HTTP_ENDPOINT_CALL_HPP
+
+#include "almondgate/core/address.hpp"
+#include "almondgate/core/duration_ms.hpp"
+#include "almondgate/http/request.hpp"
+
+namespace almondgate::http {
+
+/// A request to an endpoint.
+struct EndpointCall {
+  core::Address To;
+  http::Request Request;
+  /// Use a connection on which nothing was sent before, so that the request
+  /// can't meet the end of an idle one.
+  bool FreshConnection = false;
+  core::DurationMs Timeout{60000};
+
+  bool operator==(const EndpointCall &) const = default;
+};
+
+} // namespace almondgate::http
+
+#endif
--- /dev/null
+++ b/include/almondgate/http/server.hpp
@@ -0,0 +1,57 @@
+#ifndef ALMONDGATE_HTTP_SERVER_HPP
+#define ALMONDGATE_HTTP_SERVER_HPP
+
+#include "almondgate/core/result.hpp"
+#include "almondgate/http/exchange.hpp"
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+
+namespace almondgate::core {
+struct Address;
+} // namespace almondgate::core
+
+namespace almondgate::task {
+class Loop;
+} // namespace almondgate::task
+
+namespace almondgate::http {
+
+/// Settings of a Server.
+struct ServerOptions {
+  size_t MaxBodyBytes = 16u << 20;
+
+  bool operator==(const ServerOptions &) const = default;
+};
+
+/// An HTTP/1.1 and h2c server by h2o.
+class Server {
+public:
+  using Handler = std::function<void(Exchange)>;
+
+  Server(task::Loop &loop, ServerOptions options, Handler handler);
+  ~Server();
+  Server(const Server &) = delete;
+  Server &operator=(const Server &) = delete;
+
+  core::Status listen(const core::Address &address);
+
+  /// Asks the callers on open connections to go elsewhere after their next
+  /// response.
+  void drain();
+
+  /// Accepts no further connection.
+  void stopAccepting();
+
+  /// Requests that wait for their response.
+  size_t openRequests() const;
+
+private:
+  struct State;
+  std::unique_ptr<State> S;
+};
+
+} // namespace almondgate::http
+
+#endif
--- /dev/null
+++ b/include/almondgate/model/announcement.hpp
@@ -0,0 +1,35 @@
+#ifndef ALMONDGATE_MODEL_ANNOUNCEMENT_HPP
+#define ALMONDGATE_MODEL_ANNOUNCEMENT_HPP
+
+#include "almondgate/model/vm.hpp"
+
+#include <vector>
+
+namespace almondgate::model {
+
+/// A request that an endpoint says it runs.
+struct RunningRequest {
+  core::RequestId Id;
+  core::TeamId Team;
+
+  bool operator==(const RunningRequest &) const = default;
+};
+
+/// What an endpoint says of itself, every second and at each change.
+struct Announcement {
+  core::VmId Vm;
+  core::Address Endpoint;
+  core::ZoneId Zone;
+  core::RackId Rack;
+  std::string BootId;
+  core::Size Capacity;
+  bool Ready = true;
+  bool Leaving = false;
+  std::vector<RunningRequest> Running;
+
+  bool operator==(const Announcement &) const = default;
+};
+
+} // namespace almondgate::model
+
+#endif
--- /dev/null
+++ b/include/almondgate/model/inventory.hpp
@@ -0,0 +1,44 @@
+#ifndef ALMONDGATE_MODEL_INVENTORY_HPP
+#define ALMONDGATE_MODEL_INVENTORY_HPP
+
+#include "almondgate/core/id.hpp"
+#include "almondgate/core/size.hpp"
+#include "almondgate/model/work_class.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace almondgate::model {
+
+/// A new owner asks an entry what it runs on a pool. From then on the entry
+/// refuses grants of an older epoch.
+struct InventoryRequest {
+  core::PoolId Pool;
+  uint64_t Epoch = 0;
+
+  bool operator==(const InventoryRequest &) const = default;
+};
+
+/// One grant in use.
+struct InventoryItem {
+  core::RequestId Id;
+  core::TeamId Team;
+  core::QueueId Queue;
+  core::VmId Vm;
+  core::Size Need;
+
+  bool operator==(const InventoryItem &) const = default;
+};
+
+/// What one entry runs on a pool.
+struct Inventory {
+  core::ProcessId Entry;
+  core::PoolId Pool;
+  std::vector<InventoryItem> Items;
+
+  bool operator==(const Inventory &) const = default;
+};
+
+} // namespace almondgate::model
+
+#endif
--- /dev/null
+++ b/include/almondgate/placer/pool_options.hpp
@@ -0,0 +1,28 @@
+#ifndef ALMONDGATE_PLACER_POOL_OPTIONS_HPP
+#define ALMONDGATE_PLACER_POOL_OPTIONS_HPP
+
+#include "almondgate/core/duration_ms.hpp"
+#include "almondgate/policy/vm_choice.hpp"
+
+#include <cstddef>
+
+namespace almondgate::placer {
+
+/// Settings of a PoolBook, and the choices that may vary.
+struct PoolOptions {
+  /// An endpoint that has not announced itself for longer gets no work.
+  core::DurationMs ReportFor{4000};
+  /// How long a grant that was given back may still be in an endpoint's report.
+  core::DurationMs ReleasedFor{5000};
+  core::DurationMs FirstEjection{2000};
+  core::DurationMs LongestEjection{30000};
+  /// A request that has waited longer is no longer passed by later ones.
+  core::DurationMs PassedFor{5000};
+  /// Later requests of a team that are tried when its first does not fit.
+  size_t LookAhead = 8;
+  policy::VmChoice Choose = policy::leastLoaded;
+};
+
+} // namespace almondgate::placer
+
+#endif
--- /dev/null
+++ b/include/almondgate/protocol/method.hpp
@@ -0,0 +1,46 @@
+#ifndef ALMONDGATE_PROTOCOL_METHOD_HPP
+#define ALMONDGATE_PROTOCOL_METHOD_HPP
+
+#include "almondgate/core/result.hpp"
+
+#include <string>
+
+namespace almondgate::protocol {
+
+/// The calls between the system's own processes. See docs/PROTOCOL.md.
+enum class Method {
+  /// WatchRequest to WatchReply; any process to the control leader.
+  Watch,
+  /// Change to ChangeResult; any process to the control leader.
+  Propose,
+  /// Nothing to a list of AuditEntry; entry to the control leader.
+  Audit,
+  /// Message to nothing; between control members.
+  Consensus,
+  /// MemberReplacement to nothing; entry to the control leader.
+  ReplaceMember,
+  /// Nothing to Membership; entry to the control leader.
+  ListMembers,
+  /// Nothing to the member's id; control leader to a joining member.
+  Identity,
+  /// GrantRequest to Grant; entry to placer.
+  Grant,
+  /// Release to nothing; entry to placer.
+  Release,
+  /// Announcement to nothing; entry to placer.
+  Report,
+  /// InventoryRequest to Inventory; placer to entry.
+  Inventory,
+  /// Request id to nothing; between entries.
+  Cancel,
+};
+
+/// The method's name in a path, such as "watch".
+const char *methodName(Method method);
+
+/// Reads methodName(). Errors: NotFound.
+core::Result<Method> parseMethod(const std::string &name);
+
+} // namespace almondgate::protocol
+
+#endif
--- /dev/null
+++ b/include/almondgate/state/change_result.hpp
@@ -0,0 +1,23 @@
+#ifndef ALMONDGATE_STATE_CHANGE_RESULT_HPP
+#define ALMONDGATE_STATE_CHANGE_RESULT_HPP
+
+#include "almondgate/core/error.hpp"
+
+#include <cstdint>
+
+namespace almondgate::state {
+
+/// The answer to a change.
+struct ChangeResult {
+  bool Accepted = false;
+  /// The state's revision after the change.
+  uint64_t Revision = 0;
+  /// Why it was refused.
+  core::Error Refusal;
+
+  bool operator==(const ChangeResult &) const = default;
+};
+
+} // namespace almondgate::state
+
+#endif
--- /dev/null
+++ b/include/almondgate/state/recorded_change.hpp
@@ -0,0 +1,21 @@
+#ifndef ALMONDGATE_STATE_RECORDED_CHANGE_HPP
+#define ALMONDGATE_STATE_RECORDED_CHANGE_HPP
+
+#include "almondgate/state/change_result.hpp"
+
+#include <string>
+
+namespace almondgate::state {
+
+/// The first answer to an operator's change number.
+struct RecordedChange {
+  /// SHA-256 of the change's content.
+  std::string Digest;
+  ChangeResult Result;
+
+  bool operator==(const RecordedChange &) const = default;
+};
+
+} // namespace almondgate::state
+
+#endif
--- /dev/null
+++ b/include/almondgate/task/tcp_stream.hpp
@@ -0,0 +1,59 @@
+#ifndef ALMONDGATE_TASK_TCP_STREAM_HPP
+#define ALMONDGATE_TASK_TCP_STREAM_HPP
+
+#include "almondgate/core/result.hpp"
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+struct uv_tcp_s;
+struct uv_stream_s;
+
+namespace almondgate::core {
+struct Address;
+} // namespace almondgate::core
+
+namespace almondgate::task {
+
+class Loop;
+
+/// What a task does with a connection's events.
+struct TcpStreamHooks {
+  std::function<void(std::string_view)> OnData;
+  /// The peer ended the stream, or it broke. Called at most once.
+  std::function<void(const core::Error &)> OnClose;
+};
+
+/// A TCP connection owned by one task. Destroying it closes it; no hook is
+/// called after that.
+class TcpStream {
+public:
+  using OnConnect = std::function<void(core::Status)>;
+
+  TcpStream(Loop &loop, TcpStreamHooks hooks);
+  ~TcpStream();
+  TcpStream(const TcpStream &) = delete;
+  TcpStream &operator=(const TcpStream &) = delete;
+
+  void connect(const core::Address &address, OnConnect done);
+
+  /// Takes a connection that waits at a listener and starts to read.
+  core::Status accept(uv_stream_s *listener);
+
+  /// Queues bytes; they are written in order.
+  void write(std::string data);
+
+  /// Bytes queued that the kernel has not taken yet.
+  size_t pendingBytes() const;
+
+private:
+  struct State;
+  std::shared_ptr<State> S;
+};
+
+} // namespace almondgate::task
+
+#endif
--- /dev/null
+++ b/include/almondgate/task/thread.hpp
@@ -0,0 +1,38 @@
+#ifndef ALMONDGATE_TASK_THREAD_HPP
+#define ALMONDGATE_TASK_THREAD_HPP
+
+#include <functional>
+#include <memory>
+#include <thread>
+
+namespace almondgate::task {
+
+class Loop;
+class Wakeup;
+
+/// Runs a Loop on a thread of its own until destroyed.
+class Thread {
+public:
+  Thread();
+  ~Thread();
+  Thread(const Thread &) = delete;
+  Thread &operator=(const Thread &) = delete;
+
+  /// The loop to build tasks on, before start().
+  Loop &loop() { return *Owned; }
+
+  /// Starts the thread.
+  void start();
+
+  /// Ends the loop and waits for the thread; then its tasks may be destroyed.
+  void stop();
+
+private:
+  std::unique_ptr<Loop> Owned;
+  std::unique_ptr<Wakeup> StopRequest;
+  std::thread Runner;
+};
+
+} // namespace almondgate::task
+
+#endif
--- /dev/null
+++ b/src/almondgate/consensus/election.cpp
@@ -0,0 +1,163 @@
+#include "almondgate/consensus/node.hpp"
+
+namespace almondgate::consensus {
+
+void Node::setTerm(uint64_t term, const MemberId &voted_for) {
+  if (Voted.Term == term && Voted.For == voted_for)
+    return;
+  Voted = {term, voted_for};
+  VoteChanged = true;
+}
+
+void Node::resetElectionDeadline() {
+  const int64_t spread = Options.ElectionTimeout.Count;
+  const core::DurationMs wait{spread + Hooks.Random(spread + 1)};
+  ElectionDeadline = Hooks.Now() + wait;
+}
+
+bool Node::heardLeaderLately() const {
+  if (Role == NodeRole::Leader)
+    return true;
+  return HeardAny && !Leader.empty() &&
+         Hooks.Now() - HeardLeader < Options.ElectionTimeout;
+}
+
+bool Node::logIsUpToDate(const Message &message) const {
+  if (message.LogTerm != Entries.lastTerm())
+    return message.LogTerm > Entries.lastTerm();
+  return message.LogIndex >= Entries.lastIndex();
+}
+
+void Node::becomeFollower(uint64_t term, const MemberId &leader) {
+  const bool was_leader = Role == NodeRole::Leader;
+  Role = NodeRole::Follower;
+  PreVoting = false;
+  Votes.clear();
+  Leader = leader;
+  if (term > Voted.Term)
+    setTerm(term, MemberId());
+  if (was_leader)
+    resetElectionDeadline();
+}
+
+void Node::becomeLeader() {
+  Role = NodeRole::Leader;
+  Leader = Options.Self;
+  LeaderSince = Hooks.Now();
+  HeartbeatDue = Hooks.Now();
+  PreVoting = false;
+  Votes.clear();
+  Peers.clear();
+  syncProgress();
+  appendOwn(EntryKind::Empty, {});
+  broadcast();
+}
+
+void Node::startPreVote() {
+  Role = NodeRole::Candidate;
+  Leader = MemberId();
+  PreVoting = true;
+  Votes = {Options.Self};
+  if (Votes.size() >= quorumOf(membership())) {
+    startElection(false);
+    return;
+  }
+  requestVotes(MessageKind::PreVote, Voted.Term + 1, false);
+}
+
+void Node::startElection(bool forced) {
+  Role = NodeRole::Candidate;
+  Leader = MemberId();
+  PreVoting = false;
+  setTerm(Voted.Term + 1, Options.Self);
+  Votes = {Options.Self};
+  if (Votes.size() >= quorumOf(membership())) {
+    becomeLeader();
+    return;
+  }
+  requestVotes(MessageKind::RequestVote, Voted.Term, forced);
+}
+
+void Node::requestVotes(MessageKind kind, uint64_t term, bool forced) {
+  for (const auto &member : membership().Members) {
+    if (member.Id == Options.Self || !member.Voter)
+      continue;
+    Message message;
+    message.Kind = kind;
+    message.From = Options.Self;
+    message.To = member.Id;
+    message.Term = term;
+    message.LogIndex = Entries.lastIndex();
+    message.LogTerm = Entries.lastTerm();
+    message.Granted = forced;
+    // The own vote must be on disk before others are asked for theirs.
+    Deferred.push_back(std::move(message));
+  }
+}
+
+Message Node::reply(const Message &to, MessageKind kind, bool granted) const {
+  Message message;
+  message.Kind = kind;
+  message.From = Options.Self;
+  message.To = to.From;
+  message.Term = Voted.Term;
+  message.Granted = granted;
+  message.Sent = to.Sent;
+  return message;
+}
+
+void Node::onPreVote(const Message &message) {
+  const bool granted = message.Term > Voted.Term && logIsUpToDate(message) &&
+                       !heardLeaderLately();
+  Message answer = reply(message, MessageKind::PreVoteReply, granted);
+  if (granted)
+    answer.Term = message.Term;
+  Deferred.push_back(std::move(answer));
+}
+
+void Node::onRequestVote(const Message &message) {
+  // A member that still hears its leader does not help to replace it, unless
+  // the leader asked for that.
+  if (!message.Granted && heardLeaderLately())
+    return;
+  if (message.Term > Voted.Term)
+    becomeFollower(message.Term, MemberId());
+  const bool free = Voted.For.empty() || Voted.For == message.From;
+  const bool granted = message.Term == Voted.Term && free &&
+                       Role == NodeRole::Follower && logIsUpToDate(message);
+  if (granted) {
+    setTerm(Voted.Term, message.From);
+    resetElectionDeadline();
+  }
+  Deferred.push_back(reply(message, MessageKind::RequestVoteReply, granted));
+}
+
+void Node::onVoteReply(const Message &message) {
+  const bool pre = message.Kind == MessageKind::PreVoteReply;
+  if (!message.Granted) {
+    if (message.Term > Voted.Term)
+      becomeFollower(message.Term, MemberId());
+    return;
+  }
+  const uint64_t asked = pre ? Voted.Term + 1 : Voted.Term;
+  if (Role != NodeRole::Candidate || PreVoting != pre || message.Term != asked)
+    return;
+  if (!isVoter(membership(), message.From))
+    return;
+  Votes.insert(message.From);
+  if (Votes.size() < quorumOf(membership()))
+    return;
+  if (pre)
+    startElection(false);
+  else
+    becomeLeader();
+}
+
+void Node::onTimeoutNow(const Message &message) {
+  if (message.Term != Voted.Term || message.From != Leader)
+    return;
+  if (isVoter(membership(), Options.Self))
+    startElection(true);
+}
+
+} // namespace almondgate::consensus
--- /dev/null
+++ b/src/almondgate/consensus/log.cpp
@@ -0,0 +1,69 @@
+#include "almondgate/consensus/log.hpp"
+#include "almondgate/core/invariant.hpp"
+
+#include <algorithm>
+
+namespace almondgate::consensus {
+
+Log::Log(const DurableState &state)
+    : BaseIndex(state.Base.Index), BaseTerm(state.Base.Term) {
+  for (const auto &entry : state.Entries)
+    append(entry);
+}
+
+bool Log::covers(uint64_t index) const {
+  return index >= BaseIndex && index <= lastIndex();
+}
+
+uint64_t Log::termAt(uint64_t index) const {
+  if (index == BaseIndex)
+    return BaseTerm;
+  return at(index).Term;
+}
+
+const LogEntry &Log::at(uint64_t index) const {
+  core::invariant(index > BaseIndex && index <= lastIndex(),
+                  "log index out of range");
+  return Entries[index - BaseIndex - 1];
+}
+
+void Log::append(LogEntry entry) {
+  core::invariant(entry.Index == lastIndex() + 1, "gap in the log");
+  Entries.push_back(std::move(entry));
+}
+
+void Log::truncateFrom(uint64_t index) {
+  core::invariant(index > BaseIndex, "truncation of what was compacted");
+  while (lastIndex() >= index)
+    Entries.pop_back();
+}
+
+void Log::dropUpTo(uint64_t index) {
+  if (index <= BaseIndex)
+    return;
+  BaseTerm = termAt(index);
+  const auto n = static_cast<std::ptrdiff_t>(index - BaseIndex);
+  Entries.erase(Entries.begin(), Entries.begin() + n);
+  BaseIndex = index;
+}
+
+void Log::reset(uint64_t index, uint64_t term) {
+  Entries.clear();
+  BaseIndex = index;
+  BaseTerm = term;
+}
+
+std::vector<LogEntry> Log::slice(uint64_t from, uint64_t to,
+                                 size_t max_bytes) const {
+  std::vector<LogEntry> out;
+  size_t bytes = 0;
+  for (uint64_t i = from; i <= std::min(to, lastIndex()); ++i) {
+    out.push_back(at(i));
+    bytes += at(i).Data.size();
+    if (bytes >= max_bytes)
+      break;
+  }
+  return out;
+}
+
+} // namespace almondgate::consensus
--- /dev/null
+++ b/src/almondgate/consensus/node.cpp
@@ -0,0 +1,193 @@
+#include "almondgate/consensus/node.hpp"
+#include "almondgate/core/invariant.hpp"
+
+#include <algorithm>
+
+namespace almondgate::consensus {
+
+using core::Error;
+using core::ErrorCode;
+
+Node::Node(NodeOptions options, NodeHooks hooks, const DurableState &state)
+    : Options(std::move(options)), Hooks(std::move(hooks)), Voted(state.Voted),
+      Base(state.Base), Entries(state) {
+  Memberships.emplace_back(Base.Index, Base.Voters);
+  for (const auto &entry : state.Entries)
+    noteMembership(entry);
+  Commit = Base.Index;
+  Delivered = Base.Index;
+  Durable = Entries.lastIndex();
+  HeardLeader = Hooks.Now();
+  resetElectionDeadline();
+}
+
+void Node::tick() {
+  const auto now = Hooks.Now();
+  if (Role == NodeRole::Leader) {
+    const auto known = std::max(confirmedAt(), LeaderSince);
+    if (now - known > Options.ElectionTimeout * 2) {
+      becomeFollower(Voted.Term, MemberId());
+      return;
+    }
+    if (now >= HeartbeatDue) {
+      HeartbeatDue = now + Options.HeartbeatInterval;
+      for (const auto &[id, progress] : Peers)
+        sendAppend(id, true);
+    }
+    return;
+  }
+  if (now < ElectionDeadline)
+    return;
+  resetElectionDeadline();
+  if (!isVoter(membership(), Options.Self))
+    return;
+  if (Options.UsePreVote)
+    startPreVote();
+  else
+    startElection(false);
+}
+
+void Node::receive(const Message &message) {
+  switch (message.Kind) {
+  case MessageKind::PreVote:
+    return onPreVote(message);
+  case MessageKind::RequestVote:
+    return onRequestVote(message);
+  case MessageKind::PreVoteReply:
+  case MessageKind::RequestVoteReply:
+    return onVoteReply(message);
+  case MessageKind::Append:
+    return onAppend(message);
+  case MessageKind::AppendReply:
+    return onAppendReply(message);
+  case MessageKind::InstallSnapshot:
+    return onInstallSnapshot(message);
+  case MessageKind::TimeoutNow:
+    return onTimeoutNow(message);
+  }
+}
+
+core::Result<uint64_t> Node::propose(std::string data) {
+  if (Role != NodeRole::Leader)
+    return Error{ErrorCode::NotLeader, "not the leader"};
+  appendOwn(EntryKind::Command, std::move(data));
+  broadcast();
+  return Entries.lastIndex();
+}
+
+core::Result<uint64_t> Node::changeMembership(const Membership &next) {
+  if (Role != NodeRole::Leader || !isReady())
+    return Error{ErrorCode::NotLeader, "not the leader"};
+  if (Memberships.back().first > Commit)
+    return Error{ErrorCode::Conflict, "another membership change is open"};
+  if (!isSingleStep(membership(), next))
+    return Error{ErrorCode::InvalidArgument, "change one voter at a time"};
+  appendOwn(EntryKind::Membership, Hooks.EncodeMembership(next));
+  broadcast();
+  return Entries.lastIndex();
+}
+
+core::Status Node::transferLeadership() {
+  if (Role != NodeRole::Leader)
+    return Error{ErrorCode::NotLeader, "not the leader"};
+  const MemberId *best = nullptr;
+  uint64_t match = 0;
+  for (const auto &[id, progress] : Peers) {
+    if (!isVoter(membership(), id) || progress.Match < match)
+      continue;
+    best = &id;
+    match = progress.Match;
+  }
+  if (!best)
+    return Error{ErrorCode::Unavailable, "no other voter"};
+  Message message;
+  message.Kind = MessageKind::TimeoutNow;
+  message.From = Options.Self;
+  message.To = *best;
+  message.Term = Voted.Term;
+  Immediate.push_back(std::move(message));
+  return core::ok();
+}
+
+void Node::compact(uint64_t index, std::string data) {
+  core::invariant(index <= Delivered, "snapshot of what is not applied");
+  if (index <= Base.Index)
+    return;
+  Membership at_index = Memberships.front().second;
+  for (const auto &[from, members] : Memberships)
+    if (from <= index)
+      at_index = members;
+  Base = {index, Entries.termAt(index), at_index, std::move(data)};
+  BaseChanged = true;
+  const uint64_t keep = Options.KeepBehindSnapshot;
+  if (index > keep)
+    Entries.dropUpTo(std::max(Entries.baseIndex(), index - keep));
+  while (Memberships.size() > 1 && Memberships[1].first <= index)
+    Memberships.erase(Memberships.begin());
+}
+
+Effects Node::take() {
+  Effects out;
+  out.Now = std::exchange(Immediate, {});
+  out.Restore = std::exchange(ToRestore, std::nullopt);
+  if (!Writing) {
+    out.AfterSync = std::exchange(Deferred, {});
+    if (std::exchange(VoteChanged, false))
+      out.Batch.Voted = Voted;
+    if (std::exchange(BaseChanged, false)) {
+      out.Batch.Base = Base;
+      ChangedFrom = Base.Index + 1;
+    }
+    if (ChangedFrom) {
+      out.Batch.ReplaceFrom = *ChangedFrom;
+      out.Batch.Entries =
+          Entries.slice(*ChangedFrom, Entries.lastIndex(), SIZE_MAX);
+      ChangedFrom.reset();
+    }
+    Writing = !out.Batch.empty();
+    WritingLast = Entries.lastIndex();
+  }
+  out.Committed = Entries.slice(Delivered + 1, Commit, SIZE_MAX);
+  Delivered = Commit;
+  return out;
+}
+
+void Node::persisted() {
+  core::invariant(Writing, "no batch was being written");
+  Writing = false;
+  Durable = ChangedFrom ? std::min(WritingLast, *ChangedFrom - 1) : WritingLast;
+  if (Role == NodeRole::Leader)
+    advanceCommit();
+}
+
+bool Node::isReady() const {
+  return Role == NodeRole::Leader && Entries.covers(Commit) &&
+         Entries.termAt(Commit) == Voted.Term;
+}
+
+core::TimeMs Node::confirmedAt() const {
+  if (Role != NodeRole::Leader)
+    return {INT64_MIN / 2};
+  std::vector<int64_t> times;
+  for (const auto &member : membership().Members) {
+    if (!member.Voter)
+      continue;
+    if (member.Id == Options.Self) {
+      times.push_back(Hooks.Now().Count);
+      continue;
+    }
+    const auto *progress = progressOf(member.Id);
+    times.push_back(progress ? progress->AnsweredSent : INT64_MIN / 2);
+  }
+  std::sort(times.rbegin(), times.rend());
+  const size_t quorum = quorumOf(membership());
+  const int64_t at = times.size() < quorum ? INT64_MIN / 2 : times[quorum - 1];
+  return {std::max(at, INT64_MIN / 2)};
+}
+
+const Progress *Node::progressOf(const MemberId &id) const {
+  const auto it = Peers.find(id);
+  return it == Peers.end() ? nullptr : &it->second;
+}
+
+} // namespace almondgate::consensus
--- /dev/null
+++ b/src/almondgate/consensus/replication.cpp
@@ -0,0 +1,226 @@
+#include "almondgate/consensus/node.hpp"
+#include "almondgate/core/invariant.hpp"
+
+#include <algorithm>
+
+namespace almondgate::consensus {
+
+void Node::markChanged(uint64_t index) {
+  ChangedFrom = ChangedFrom ? std::min(*ChangedFrom, index) : index;
+  Durable = std::min(Durable, index - 1);
+}
+
+void Node::noteMembership(const LogEntry &entry) {
+  if (entry.Kind != EntryKind::Membership)
+    return;
+  Memberships.emplace_back(entry.Index, Hooks.DecodeMembership(entry.Data));
+  if (Role == NodeRole::Leader)
+    syncProgress();
+}
+
+void Node::dropMembershipsFrom(uint64_t index) {
+  while (Memberships.size() > 1 && Memberships.back().first >= index)
+    Memberships.pop_back();
+}
+
+void Node::syncProgress() {
+  for (const auto &member : membership().Members)
+    if (member.Id != Options.Self)
+      Peers.try_emplace(member.Id, Progress{.Next = Entries.lastIndex() + 1});
+  std::erase_if(Peers, [&](const auto &row) {
+    return !findMember(membership(), row.first);
+  });
+}
+
+void Node::appendOwn(EntryKind kind, std::string data) {
+  const uint64_t index = Entries.lastIndex() + 1;
+  Entries.append({Voted.Term, index, kind, std::move(data)});
+  markChanged(index);
+  noteMembership(Entries.at(index));
+}
+
+void Node::broadcast() {
+  for (const auto &[id, progress] : Peers)
+    sendAppend(id, false);
+}
+
+void Node::sendSnapshot(const MemberId &to) {
+  Progress &progress = Peers.at(to);
+  const int64_t now = Hooks.Now().Count;
+  const bool waiting =
+      progress.SnapshotSent != INT64_MIN &&
+      now - progress.SnapshotSent < Options.ElectionTimeout.Count * 4;
+  if (waiting)
+    return;
+  progress.SnapshotSent = now;
+  Message message;
+  message.Kind = MessageKind::InstallSnapshot;
+  message.From = Options.Self;
+  message.To = to;
+  message.Term = Voted.Term;
+  message.Sent = now;
+  message.Image = Base;
+  Immediate.push_back(std::move(message));
+}
+
+void Node::sendAppend(const MemberId &to, bool heartbeat) {
+  Progress &progress = Peers.at(to);
+  if (!Entries.covers(progress.Next - 1)) {
+    sendSnapshot(to);
+    return;
+  }
+  const bool room = progress.Inflight < Options.MaxInflight;
+  const bool more = progress.Next <= Entries.lastIndex();
+  if (!heartbeat && !(room && more))
+    return;
+  Message message;
+  message.Kind = MessageKind::Append;
+  message.From = Options.Self;
+  message.To = to;
+  message.Term = Voted.Term;
+  message.LogIndex = progress.Next - 1;
+  message.LogTerm = Entries.termAt(progress.Next - 1);
+  message.Commit = Commit;
+  message.Sent = Hooks.Now().Count;
+  if (room && more) {
+    message.Entries = Entries.slice(progress.Next, Entries.lastIndex(),
+                                    Options.MaxAppendBytes);
+    progress.Next += message.Entries.size();
+  }
+  ++progress.Inflight;
+  Immediate.push_back(std::move(message));
+}
+
+void Node::onAppend(const Message &message) {
+  if (message.Term < Voted.Term) {
+    Deferred.push_back(reply(message, MessageKind::AppendReply, false));
+    return;
+  }
+  becomeFollower(message.Term, message.From);
+  HeardLeader = Hooks.Now();
+  HeardAny = true;
+  resetElectionDeadline();
+  Message answer = reply(message, MessageKind::AppendReply, false);
+  const uint64_t before = message.LogIndex;
+  const bool compacted = before < Entries.baseIndex();
+  const bool matches =
+      Entries.covers(before) && Entries.termAt(before) == message.LogTerm;
+  if (compacted || !matches) {
+    // Ask again from what is surely shared, or from the end of a short log.
+    const uint64_t guess = compacted ? Commit : before - 1;
+    answer.LogIndex = std::min(Entries.lastIndex(), guess);
+    Deferred.push_back(std::move(answer));
+    return;
+  }
+  storeEntries(message);
+  const uint64_t last = before + message.Entries.size();
+  Commit = std::max(Commit, std::min(message.Commit, last));
+  answer.Granted = true;
+  answer.LogIndex = last;
+  Deferred.push_back(std::move(answer));
+}
+
+void Node::storeEntries(const Message &message) {
+  for (const auto &entry : message.Entries) {
+    if (Entries.covers(entry.Index)) {
+      if (Entries.termAt(entry.Index) == entry.Term)
+        continue;
+      core::invariant(entry.Index > Commit, "a committed entry is replaced");
+      Entries.truncateFrom(entry.Index);
+      dropMembershipsFrom(entry.Index);
+    }
+    Entries.append(entry);
+    markChanged(entry.Index);
+    noteMembership(entry);
+  }
+}
+
+void Node::onAppendReply(const Message &message) {
+  if (message.Term > Voted.Term) {
+    becomeFollower(message.Term, MemberId());
+    return;
+  }
+  const auto it = Peers.find(message.From);
+  if (Role != NodeRole::Leader || message.Term != Voted.Term ||
+      it == Peers.end())
+    return;
+  Progress &progress = it->second;
+  progress.Inflight -= progress.Inflight > 0 ? 1 : 0;
+  progress.AnsweredSent = std::max(progress.AnsweredSent, message.Sent);
+  if (!message.Granted) {
+    progress.Next = std::max(progress.Match, message.LogIndex) + 1;
+    progress.Inflight = 0;
+    sendAppend(message.From, false);
+    return;
+  }
+  progress.SnapshotSent = INT64_MIN;
+  progress.Match = std::max(progress.Match, message.LogIndex);
+  progress.Next = std::max(progress.Next, progress.Match + 1);
+  // Everything sent has been answered; a lost reply leaves no count behind.
+  if (progress.Match + 1 == progress.Next)
+    progress.Inflight = 0;
+  advanceCommit();
+  if (Role == NodeRole::Leader && Peers.contains(message.From))
+    sendAppend(message.From, false);
+}
+
+void Node::onInstallSnapshot(const Message &message) {
+  if (message.Term < Voted.Term) {
+    Deferred.push_back(reply(message, MessageKind::AppendReply, false));
+    return;
+  }
+  becomeFollower(message.Term, message.From);
+  HeardLeader = Hooks.Now();
+  HeardAny = true;
+  resetElectionDeadline();
+  Message answer = reply(message, MessageKind::AppendReply, true);
+  if (message.Image.Index <= Commit) {
+    answer.LogIndex = Commit;
+    Deferred.push_back(std::move(answer));
+    return;
+  }
+  const bool held = Entries.covers(message.Image.Index) &&
+                    Entries.termAt(message.Image.Index) == message.Image.Term;
+  if (held) {
+    // The entries after it may have been acknowledged: they stay.
+    Commit = message.Image.Index;
+    answer.LogIndex = Commit;
+    Deferred.push_back(std::move(answer));
+    return;
+  }
+  Base = message.Image;
+  Entries.reset(Base.Index, Base.Term);
+  Memberships = {{Base.Index, Base.Voters}};
+  Commit = Base.Index;
+  Delivered = Base.Index;
+  ToRestore = Base;
+  BaseChanged = true;
+  ChangedFrom = Base.Index + 1;
+  Durable = Base.Index;
+  answer.LogIndex = Base.Index;
+  Deferred.push_back(std::move(answer));
+}
+
+void Node::advanceCommit() {
+  std::vector<uint64_t> matches;
+  for (const auto &member : membership().Members) {
+    if (!member.Voter)
+      continue;
+    const auto *progress = progressOf(member.Id);
+    const bool self = member.Id == Options.Self;
+    matches.push_back(self ? Durable : (progress ? progress->Match : 0));
+  }
+  std::sort(matches.rbegin(), matches.rend());
+  const size_t quorum = quorumOf(membership());
+  if (matches.size() < quorum)
+    return;
+  const uint64_t index = matches[quorum - 1];
+  if (index <= Commit || Entries.termAt(index) != Voted.Term)
+    return;
+  Commit = index;
+  if (!findMember(membership(), Options.Self) &&
+      Memberships.back().first <= Commit)
+    becomeFollower(Voted.Term, MemberId());
+}
+
+} // namespace almondgate::consensus
--- /dev/null
+++ b/src/almondgate/control/control_core.cpp
@@ -0,0 +1,435 @@
+#include "almondgate/control/control_core.hpp"
+#include "almondgate/control/leader_duties.hpp"
+#include "almondgate/core/digest.hpp"
+#include "almondgate/core/invariant.hpp"
+
+#include <algorithm>
+
+namespace almondgate::control {
+
+using consensus::EntryKind;
+using consensus::LogEntry;
+using consensus::Membership;
+using core::DurationMs;
+using core::Error;
+using core::ErrorCode;
+
+namespace {
+
+constexpr DurationMs ExpiryInterval{10000};
+constexpr DurationMs ReplacementTimeout{30000};
+// A learner this close to the leader's log may vote.
+constexpr uint64_t CaughtUpEntries = 100;
+
+Error notLeader() { return {ErrorCode::NotLeader, "not the control leader"}; }
+
+Error outcomeUnknown() {
+  return {ErrorCode::Unavailable,
+          "leadership was lost; the change may have been accepted"};
+}
+
+Membership without(const Membership &members, const consensus::MemberId &id) {
+  Membership out;
+  for (const auto &member : members.Members)
+    if (member.Id != id)
+      out.Members.push_back(member);
+  return out;
+}
+
+Membership with(const Membership &members, const consensus::Member &member) {
+  Membership out = without(members, member.Id);
+  out.Members.push_back(member);
+  return out;
+}
+
+std::string contentDigest(const ControlHooks &hooks, state::Change change) {
+  if (change.Operator.empty())
+    return {};
+  change.AtWallMs = 0;
+  return core::sha256Hex(hooks.EncodeChange(change));
+}
+
+} // namespace
+
+ControlCore::ControlCore(ControlOptions options,
+                         consensus::NodeOptions node_options,
+                         ControlHooks hooks,
+                         const consensus::DurableState &found)
+    : Options(options), Hooks(std::move(hooks)),
+      Node(std::move(node_options), Hooks.Node, found) {
+  if (found.Base.Index > 0)
+    restore(found.Base);
+  CompactedIndex = found.Base.Index;
+}
+
+void ControlCore::receive(const consensus::Message &message) {
+  Node.receive(message);
+  runEffects();
+}
+
+void ControlCore::persisted() {
+  Node.persisted();
+  for (const auto &message : std::exchange(AfterSync, {}))
+    Hooks.Send(message);
+  runEffects();
+}
+
+void ControlCore::tick() {
+  Node.tick();
+  runEffects();
+  if (!Leading)
+    return;
+  const auto now = Hooks.Node.Now();
+  answerWatches(false);
+  if (now < DutiesDue)
+    return;
+  DutiesDue = now + Options.DutyInterval;
+  runDuties();
+  continueReplacement();
+  runEffects();
+}
+
+// --- consensus
+
+void ControlCore::runEffects() {
+  noteLeadership();
+  while (true) {
+    auto effects = Node.take();
+    const bool idle = effects.Batch.empty() && effects.AfterSync.empty() &&
+                      effects.Now.empty() && !effects.Restore &&
+                      effects.Committed.empty();
+    if (idle)
+      break;
+    for (const auto &message : effects.Now)
+      Hooks.Send(message);
+    if (effects.Restore)
+      restore(*effects.Restore);
+    for (const auto &entry : effects.Committed)
+      apply(entry);
+    // AfterSync belongs to this batch: it leaves when the batch is on disk.
+    if (effects.Batch.empty()) {
+      for (const auto &message : effects.AfterSync)
+        Hooks.Send(message);
+    } else {
+      AfterSync = std::move(effects.AfterSync);
+      Hooks.Persist(std::move(effects.Batch));
+    }
+    maybeCompact();
+  }
+  noteLeadership();
+  if (Leading)
+    answerWatches(true);
+}
+
+void ControlCore::restore(const consensus::Snapshot &snapshot) {
+  const auto decoded = Hooks.DecodeState(snapshot.Data);
+  core::invariant(bool(decoded), "a snapshot can't be decoded");
+  State = decoded.value();
+  AppliedIndex = snapshot.Index;
+  CompactedIndex = snapshot.Index;
+  Updates.clear();
+  DeltasFrom = State.View.Revision;
+}
+
+void ControlCore::apply(const LogEntry &entry) {
+  AppliedIndex = entry.Index;
+  const auto it = Pending.find(entry.Index);
+  OnChange done;
+  if (it != Pending.end()) {
+    if (it->second.Term == entry.Term)
+      done = std::move(it->second.Done);
+    else
+      it->second.Done(outcomeUnknown());
+    Pending.erase(it);
+  }
+  if (entry.Kind != EntryKind::Command)
+    return;
+  const auto change = Hooks.DecodeChange(entry.Data);
+  core::invariant(bool(change), "a log entry can't be decoded");
+  auto applied = state::applyChange(State, change.value(),
+                                    contentDigest(Hooks, change.value()));
+  if (!change.value().Operator.empty())
+    Hooks.Log("revision " + std::to_string(applied.Result.Revision) + " " +
+              state::kindName(change.value().What) + " by " +
+              change.value().Operator.str() +
+              (applied.Result.Accepted
+                   ? " accepted"
+                   : " refused: " + applied.Result.Refusal.Text));
+  keepUpdates(std::move(applied.Updates));
+  if (done)
+    done(applied.Result);
+}
+
+void ControlCore::keepUpdates(std::vector<model::Update> updates) {
+  for (auto &update : updates)
+    Updates.push_back(std::move(update));
+  while (Updates.size() > Options.KeptUpdates) {
+    DeltasFrom = Updates.front().Revision;
+    Updates.pop_front();
+  }
+}
+
+void ControlCore::maybeCompact() {
+  if (AppliedIndex - CompactedIndex < Options.SnapshotEvery)
+    return;
+  CompactedIndex = AppliedIndex;
+  Node.compact(AppliedIndex, Hooks.EncodeState(State));
+}
+
+// --- leadership
+
+void ControlCore::noteLeadership() {
+  const bool ready = Node.isReady();
+  if (ready == Leading)
+    return;
+  if (!ready) {
+    loseLeadership();
+    return;
+  }
+  Leading = true;
+  LeadingSince = Hooks.Node.Now();
+  DutiesDue = LeadingSince;
+  ExpiryDue = LeadingSince + ExpiryInterval;
+  Hooks.Log("leads in term " + std::to_string(Node.term()));
+}
+
+void ControlCore::loseLeadership() {
+  Leading = false;
+  Live.clear();
+  Returns.clear();
+  OwnPending = 0;
+  Hooks.Log("no longer leads");
+  for (const auto &waiting : std::exchange(Watches, {}))
+    waiting.Done(notLeader());
+  for (const auto &[index, pending] : std::exchange(Pending, {}))
+    pending.Done(outcomeUnknown());
+  finishReplacement(notLeader());
+}
+
+void ControlCore::stepDown() {
+  if (Node.transferLeadership())
+    runEffects();
+}
+
+// --- watches
+
+void ControlCore::watch(const model::WatchRequest &request, OnWatch done) {
+  if (!Leading) {
+    done(notLeader());
+    return;
+  }
+  const auto now = Hooks.Node.Now();
+  Live.note(request, now);
+  Watches.push_back({request, std::move(done), now + Options.WatchHold});
+  // A demand or a stop is acted on at once.
+  const bool urgent =
+      request.Stopping ||
+      std::any_of(request.Demands.begin(), request.Demands.end(),
+                  [](const model::Demand &d) { return d.Waiting > 0; });
+  if (urgent) {
+    runDuties();
+    runEffects();
+  }
+  answerWatches(true);
+}
+
+bool ControlCore::hasNews(const WaitingWatch &waiting) const {
+  if (waiting.Request.Revision < State.View.Revision)
+    return true;
+  return std::any_of(Returns.begin(), Returns.end(), [&](const auto &portion) {
+    const auto *owner = model::find(State.View.Owners, portion.Pool);
+    return owner && owner->Owner == waiting.Request.From.Id;
+  });
+}
+
+void ControlCore::answerWatches(bool all) {
+  const auto now = Hooks.Node.Now();
+  std::vector<WaitingWatch> due;
+  for (auto it = Watches.begin(); it != Watches.end();) {
+    const bool answer = now >= it->Until || (all && hasNews(*it));
+    if (!answer) {
+      ++it;
+      continue;
+    }
+    due.push_back(std::move(*it));
+    it = Watches.erase(it);
+  }
+  for (const auto &waiting : due)
+    answerWatch(waiting);
+}
+
+void ControlCore::answerWatch(const WaitingWatch &waiting) {
+  const auto &request = waiting.Request;
+  const auto now = Hooks.Node.Now();
+  Live.note(request, now);
+  model::WatchReply reply;
+  reply.Revision = State.View.Revision;
+  reply.ConfirmedAgeMs = (now - Node.confirmedAt()).Count;
+  reply.Processes = Live.processes();
+  // Revision 0 asks for everything; deltas need the update after the caller's.
+  reply.Snapshot = request.Revision == 0 || request.Revision < DeltasFrom ||
+                   request.Revision > State.View.Revision;
+  if (reply.Snapshot) {
+    reply.Updates = model::snapshotOf(State.View);
+  } else {
+    const auto from = std::partition_point(
+        Updates.begin(), Updates.end(),
+        [&](const model::Update &u) { return u.Revision <= request.Revision; });
+    reply.Updates.assign(from, Updates.end());
+  }
+  for (const auto &portion : Returns) {
+    const auto *owner = model::find(State.View.Owners, portion.Pool);
+    if (owner && owner->Owner == request.From.Id)
+      reply.Returns.push_back(portion);
+  }
+  std::erase_if(Returns, [&](const auto &portion) {
+    return std::find(reply.Returns.begin(), reply.Returns.end(), portion) !=
+           reply.Returns.end();
+  });
+  waiting.Done(std::move(reply));
+}
+
+// --- changes
+
+void ControlCore::propose(const state::Change &change, OnChange done) {
+  if (!Leading) {
+    done(notLeader());
+    return;
+  }
+  const auto index = Node.propose(Hooks.EncodeChange(change));
+  if (!index) {
+    done(index.error());
+    return;
+  }
+  Pending.emplace(index.value(), PendingChange{Node.term(), std::move(done)});
+  runEffects();
+}
+
+void ControlCore::proposeOwn(const state::Command &command) {
+  state::Change change;
+  change.AtWallMs = Hooks.WallClock();
+  change.What = command;
+  const auto index = Node.propose(Hooks.EncodeChange(change));
+  if (!index)
+    return;
+  ++OwnPending;
+  Pending.emplace(index.value(),
+                  PendingChange{Node.term(), [this](const auto &) {
+                                  OwnPending -= OwnPending > 0 ? 1 : 0;
+                                }});
+}
+
+// --- duties
+
+void ControlCore::runDuties() {
+  // Plans are made from a state that holds all that was decided before.
+  if (!Leading || OwnPending > 0)
+    return;
+  const auto now = Hooks.Node.Now();
+  const DurationMs lapse = Options.LeaseTtl + Options.LeaseMargin;
+  Live.expire(now - lapse);
+  const auto &view = State.View;
+  // Until every live process has had time to call, silence means nothing.
+  const bool settled = now - LeadingSince > lapse;
+  for (const auto &command : planOwners(view, Live)) {
+    const auto &assign = std::get<state::AssignPool>(command);
+    const auto *owner = model::find(view.Owners, assign.Pool);
+    const auto *session = owner ? Live.find(owner->Owner) : nullptr;
+    if (!owner || settled || (session && session->Stopping))
+      proposeOwn(command);
+  }
+  if (settled)
+    for (const auto &command : planWaves(view, Live))
+      proposeOwn(command);
+  const auto portions = planAllPortions(view, Live);
+  Returns = portions.Returns;
+  for (const auto &command : portions.Commands)
+    proposeOwn(command);
+  if (now < ExpiryDue)
+    return;
+  ExpiryDue = now + ExpiryInterval;
+  const int64_t before = Hooks.WallClock() - Options.IntentLifeMs;
+  const bool any = std::any_of(
+      State.Intents.begin(), State.Intents.end(),
+      [&](const auto &row) { return row.second->AtWallMs < before; });
+  if (any)
+    proposeOwn(state::ExpireIntents{before});
+}
+
+// --- members
+
+void ControlCore::replaceMember(const consensus::MemberReplacement &replacement,
+                                OnDone done) {
+  if (!Leading) {
+    done(notLeader());
+    return;
+  }
+  if (Replacing) {
+    done(Error{ErrorCode::Conflict, "another replacement is under way"});
+    return;
+  }
+  Hooks.AskIdentity(
+      replacement.Inner, [this, replacement, done](const auto &identity) {
+        if (!identity) {
+          done(identity.error());
+          return;
+        }
+        if (!Leading || Replacing) {
+          done(notLeader());
+          return;
+        }
+        Replacing = Replacement{replacement.Old,
+                                {identity.value(), replacement.Inner, false},
+                                done,
+                                Hooks.Node.Now() + ReplacementTimeout};
+        Hooks.Log("member " + identity.value().str() + " joins for " +
+                  replacement.Old.str());
+        continueReplacement();
+        runEffects();
+      });
+}
+
+// One voter at a time: learn, catch up, remove the old one, then vote.
+void ControlCore::continueReplacement() {
+  if (!Replacing)
+    return;
+  if (Hooks.Node.Now() > Replacing->Until) {
+    finishReplacement(
+        Error{ErrorCode::DeadlineExceeded,
+              "the replacement did not finish; send it again to go on"});
+    return;
+  }
+  const auto &members = Node.membership();
+  const auto *joined = consensus::findMember(members, Replacing->New.Id);
+  const bool old_there =
+      consensus::findMember(members, Replacing->Old) != nullptr;
+  if (joined && joined->Voter && !old_there) {
+    Hooks.Log("member " + Replacing->New.Id.str() + " votes");
+    finishReplacement(core::ok());
+    return;
+  }
+  if (!joined) {
+    (void)Node.changeMembership(with(members, Replacing->New));
+    return;
+  }
+  const auto *progress = Node.progressOf(Replacing->New.Id);
+  if (!progress || progress->Match + CaughtUpEntries < Node.commitIndex())
+    return;
+  if (old_there) {
+    (void)Node.changeMembership(without(members, Replacing->Old));
+    return;
+  }
+  consensus::Member voter = *joined;
+  voter.Voter = true;
+  (void)Node.changeMembership(with(members, voter));
+}
+
+void ControlCore::finishReplacement(const core::Status &status) {
+  if (!Replacing)
+    return;
+  const OnDone done = std::move(Replacing->Done);
+  Replacing.reset();
+  done(status);
+}
+
+} // namespace almondgate::control
--- /dev/null
+++ b/src/almondgate/control/sessions.cpp
@@ -0,0 +1,51 @@
+#include "almondgate/control/sessions.hpp"
+
+#include <algorithm>
+
+namespace almondgate::control {
+
+void Sessions::note(const model::WatchRequest &request, core::TimeMs now) {
+  Session &session = Known[request.From.Id];
+  session.Process = request.From;
+  session.AnsweredAt = now;
+  session.Revision = request.Revision;
+  session.Stopping = session.Stopping || request.Stopping;
+  session.Demands = request.Demands;
+  session.Vms = request.Vms;
+}
+
+bool Sessions::expire(core::TimeMs before) {
+  return std::erase_if(Known, [&](const auto &row) {
+           return row.second.AnsweredAt < before;
+         }) > 0;
+}
+
+const Session *Sessions::find(const core::ProcessId &id) const {
+  const auto it = Known.find(id);
+  return it == Known.end() ? nullptr : &it->second;
+}
+
+std::vector<model::ProcessInfo> Sessions::processes() const {
+  std::vector<model::ProcessInfo> out;
+  for (const auto &[id, session] : Known)
+    out.push_back(session.Process);
+  return out;
+}
+
+policy::VmStatuses Sessions::vmStatuses() const {
+  policy::VmStatuses out;
+  for (const auto &[id, session] : Known)
+    for (const auto &vm : session.Vms)
+      out.insert_or_assign(vm.Vm, vm);
+  return out;
+}
+
+uint64_t Sessions::oldestPlacerRevision() const {
+  uint64_t oldest = UINT64_MAX;
+  for (const auto &[id, session] : Known)
+    if (session.Process.Kind == model::Role::Placer && !session.Stopping)
+      oldest = std::min(oldest, session.Revision);
+  return oldest;
+}
+
+} // namespace almondgate::control
--- /dev/null
+++ b/src/almondgate/entry/announcer.cpp
@@ -0,0 +1,63 @@
+#include "almondgate/entry/announcer.hpp"
+
+namespace almondgate::entry {
+
+using core::Error;
+using core::ErrorCode;
+
+namespace {
+
+bool isKnown(const model::Vm &vm, const model::Announcement &a) {
+  return vm.Endpoint == a.Endpoint && vm.Zone == a.Zone && vm.Rack == a.Rack &&
+         vm.BootId == a.BootId && vm.Capacity == a.Capacity &&
+         vm.Leaving == a.Leaving;
+}
+
+core::Status check(const model::Announcement &a) {
+  if (a.Vm.empty() || a.BootId.empty() || a.Endpoint.Ip.empty())
+    return Error{ErrorCode::InvalidArgument,
+                 "an announcement needs Vm, BootId and Endpoint"};
+  if (a.Capacity.Slots < 1)
+    return Error{ErrorCode::InvalidArgument, "a VM needs at least one slot"};
+  return core::ok();
+}
+
+} // namespace
+
+Announcer::Announcer(AnnouncerHooks hooks) : Hooks(std::move(hooks)) {}
+
+void Announcer::announce(const model::Announcement &announcement,
+                         AnnouncerHooks::OnDone done) {
+  if (auto good = check(announcement); !good) {
+    done(good);
+    return;
+  }
+  const auto *vm = model::find(Hooks.View().Vms, announcement.Vm);
+  if (vm && isKnown(*vm, announcement)) {
+    report(announcement, done);
+    return;
+  }
+  state::Change change;
+  change.What = state::RegisterVm{announcement};
+  Hooks.Propose(change, [this, announcement, done](const core::Status &status) {
+    if (status)
+      report(announcement, done);
+    else
+      done(status);
+  });
+}
+
+void Announcer::report(const model::Announcement &announcement,
+                       const AnnouncerHooks::OnDone &done) {
+  const auto &view = Hooks.View();
+  const auto *vm = model::find(view.Vms, announcement.Vm);
+  const auto *owner = vm ? model::find(view.Owners, vm->Pool) : nullptr;
+  if (!owner) {
+    // A VM in no pool, or in a pool between owners, has nobody to tell.
+    done(core::ok());
+    return;
+  }
+  Hooks.Report(owner->Placer, announcement, done);
+}
+
+} // namespace almondgate::entry
--- /dev/null
+++ b/src/almondgate/entry/front_task.cpp
@@ -0,0 +1,51 @@
+#include "almondgate/entry/front_task.hpp"
+
+namespace almondgate::entry {
+
+namespace {
+
+constexpr size_t InboxCapacity = 100000;
+
+http::Response overloaded() {
+  return http::problemResponse(
+      {core::ErrorCode::Overloaded, "too many requests wait here"});
+}
+
+} // namespace
+
+FrontTask::FrontTask(task::Loop &loop, Post post)
+    : Send(std::move(post)), Http(loop, {},
+                                  [this](http::Exchange exchange) {
+                                    onExchange(std::move(exchange));
+                                  }),
+      Inbox(loop, InboxCapacity,
+            [this](const Answered &answer) { onAnswer(answer); }) {}
+
+core::Status FrontTask::listen(const core::Address &address) {
+  return Http.listen(address);
+}
+
+void FrontTask::onExchange(http::Exchange exchange) {
+  const uint64_t id = NextExchange++;
+  if (!Send(Arrived{id, std::move(exchange.Request)})) {
+    exchange.Respond(overloaded());
+    return;
+  }
+  Open.emplace(id, std::move(exchange.Respond));
+  exchange.OnGone([this, id] {
+    Open.erase(id);
+    // A lost notice only lets the request run to its own end.
+    (void)Send(Gone{id});
+  });
+}
+
+void FrontTask::onAnswer(const Answered &answer) {
+  const auto it = Open.find(answer.Exchange);
+  if (it == Open.end())
+    return;
+  const auto respond = std::move(it->second);
+  Open.erase(it);
+  respond(answer.Response);
+}
+
+} // namespace almondgate::entry
--- /dev/null
+++ b/src/almondgate/entry/route_task.cpp
@@ -0,0 +1,344 @@
+#include "almondgate/entry/route_task.hpp"
+#include "almondgate/core/digest.hpp"
+#include "almondgate/encoding/codec.hpp"
+#include "almondgate/entry/front_end.hpp"
+#include "almondgate/model/cancel_request.hpp"
+
+#include <cstring>
+
+namespace almondgate::entry {
+
+using core::DurationMs;
+using core::Error;
+using core::ErrorCode;
+using core::Result;
+using core::Status;
+using protocol::Method;
+
+namespace {
+
+constexpr size_t InboxCapacity = 100000;
+constexpr DurationMs TickInterval{10};
+constexpr DurationMs GrantSlack{1000};
+constexpr DurationMs ReleaseTimeout{1000};
+constexpr DurationMs ReportTimeout{1000};
+constexpr DurationMs ProposeTimeout{5000};
+constexpr DurationMs ReadTimeout{3000};
+constexpr DurationMs ReplaceTimeout{40000};
+constexpr int ProcessIdBytes = 6;
+constexpr const char *AnnouncePath = "/announce";
+
+bool startsWith(const std::string &text, const char *prefix) {
+  return text.rfind(prefix, 0) == 0;
+}
+
+model::ProcessInfo selfOf(const config::EntrySettings &settings) {
+  return {core::ProcessId("entry-" + core::randomHex(ProcessIdBytes)),
+          model::Role::Entry, settings.Common.Inner, settings.Common.Zone};
+}
+
+template <class T> Result<T> decoded(const Result<std::string> &reply) {
+  if (!reply)
+    return reply.error();
+  return encoding::decode<T>(reply.value());
+}
+
+Status statusOf(const Result<std::string> &reply) {
+  if (!reply)
+    return reply.error();
+  return core::ok();
+}
+
+} // namespace
+
+RouteTask::RouteTask(task::Loop &loop, const config::EntrySettings &settings,
+                     Post post)
+    : Settings(settings), Self(selfOf(settings)), Send(std::move(post)),
+      Rpc(loop, {settings.Common.Secret}),
+      Inner(loop, {settings.Common.Secret}, serverHooks()),
+      Control(loop, Rpc, settings.Common.Control),
+      Watch(loop, Control, Self, watcherHooks()), Endpoints(loop, {}),
+      Core({.Self = Self.Id, .FreshFor = settings.FreshFor}, coreHooks()),
+      Releases(releaseHooks()), Announcements(announcerHooks()),
+      Admin(settings.OperatorKeys, adminHooks()), Ticker(loop),
+      Inbox(loop, InboxCapacity,
+            [this](const FrontEvent &event) { onEvent(event); }) {}
+
+Status RouteTask::start() {
+  if (auto listening = Inner.listen(Settings.Common.Inner); !listening)
+    return listening;
+  Watch.start();
+  Ticker.every(TickInterval, [this] {
+    Core.tick();
+    Releases.tick();
+  });
+  return core::ok();
+}
+
+std::string RouteTask::notReady() const {
+  return Core.isFresh() ? "" : "no word from the control members";
+}
+
+bool RouteTask::isIdle() const {
+  return Core.openRequests() == 0 && Releases.pending() == 0;
+}
+
+std::string RouteTask::metricsText() {
+  Metrics.set("open_requests", double(Core.openRequests()));
+  Metrics.set("pending_releases", double(Releases.pending()));
+  Metrics.set("revision", double(Watch.view().Revision));
+  return Metrics.text();
+}
+
+// --- hooks
+
+void RouteTask::propose(const state::Change &change,
+                        EntryHooks::OnChange done) {
+  Control.call(Method::Propose, encoding::encode(change), ProposeTimeout,
+               [done = std::move(done)](const auto &reply) {
+                 done(decoded<state::ChangeResult>(reply));
+               });
+}
+
+EntryHooks RouteTask::coreHooks() {
+  EntryHooks hooks;
+  hooks.Now = core::monotonicNow;
+  hooks.WallClock = core::wallClockMs;
+  hooks.Grant = [this](const core::Address &to,
+                       const model::GrantRequest &request,
+                       EntryHooks::OnGrant done) {
+    Rpc.call(to, Method::Grant, encoding::encode(request),
+             DurationMs{request.WaitMs} + GrantSlack,
+             [done = std::move(done)](const auto &reply) {
+               done(decoded<model::Grant>(reply));
+             });
+  };
+  hooks.Release = [this](const model::Release &release) {
+    Releases.send(release);
+  };
+  hooks.Propose = [this](const state::Change &change,
+                         EntryHooks::OnChange done) {
+    propose(change, std::move(done));
+  };
+  hooks.Dispatch = [this](http::EndpointCall call, EntryHooks::OnAnswer done) {
+    return Endpoints.send(std::move(call), std::move(done));
+  };
+  hooks.Abort = [this](uint64_t call) { Endpoints.abort(call); };
+  hooks.Log = observe::infoLine("route");
+  return hooks;
+}
+
+ReleaseSenderHooks RouteTask::releaseHooks() {
+  ReleaseSenderHooks hooks;
+  hooks.Now = core::monotonicNow;
+  hooks.Send = [this](const model::Release &release, auto done) {
+    const auto *owner = model::find(Watch.view().Owners, release.Pool);
+    if (!owner) {
+      done(Error{ErrorCode::NotLeader, "the pool has no owner"});
+      return;
+    }
+    Rpc.call(owner->Placer, Method::Release, encoding::encode(release),
+             ReleaseTimeout,
+             [done](const auto &reply) { done(statusOf(reply)); });
+  };
+  return hooks;
+}
+
+AnnouncerHooks RouteTask::announcerHooks() {
+  AnnouncerHooks hooks;
+  hooks.View = [this]() -> const model::View & { return Watch.view(); };
+  hooks.Propose = [this](const state::Change &change, auto done) {
+    propose(change, [done](const Result<state::ChangeResult> &result) {
+      if (!result)
+        done(result.error());
+      else if (!result.value().Accepted)
+        done(result.value().Refusal);
+      else
+        done(core::ok());
+    });
+  };
+  hooks.Report = [this](const core::Address &to,
+                        const model::Announcement &announcement, auto done) {
+    Rpc.call(to, Method::Report, encoding::encode(announcement), ReportTimeout,
+             [done](const auto &reply) { done(statusOf(reply)); });
+  };
+  return hooks;
+}
+
+AdminHooks RouteTask::adminHooks() {
+  AdminHooks hooks;
+  hooks.View = [this]() -> const model::View & { return Watch.view(); };
+  hooks.IsFresh = [this] { return Core.isFresh(); };
+  hooks.WallClock = core::wallClockMs;
+  hooks.Propose = [this](const state::Change &change, auto done) {
+    propose(change, std::move(done));
+  };
+  hooks.Audit = [this](auto done) {
+    Control.call(Method::Audit, "", ReadTimeout, [done](const auto &reply) {
+      done(decoded<std::vector<state::AuditEntry>>(reply));
+    });
+  };
+  hooks.Members = [this](auto done) {
+    Control.call(Method::ListMembers, "", ReadTimeout,
+                 [done](const auto &reply) {
+                   done(decoded<consensus::Membership>(reply));
+                 });
+  };
+  hooks.Replace = [this](const consensus::MemberReplacement &r, auto done) {
+    Control.call(Method::ReplaceMember, encoding::encode(r), ReplaceTimeout,
+                 [done](const auto &reply) { done(statusOf(reply)); });
+  };
+  return hooks;
+}
+
+watch::WatcherHooks RouteTask::watcherHooks() {
+  return {[](model::WatchRequest &) {},
+          [this] { Core.setView(Watch.view(), Watch.confirmedAt()); }};
+}
+
+protocol::RpcServerHooks RouteTask::serverHooks() {
+  return {[this](Method method, const std::string &body,
+                 const protocol::Responder &respond) {
+            onCall(method, body, respond);
+          },
+          [](const std::string &why) {
+            observe::logWarn("inner", "call refused: " + why);
+          }};
+}
+
+void RouteTask::onCall(Method method, const std::string &body,
+                       const protocol::Responder &respond) {
+  if (method == Method::Inventory) {
+    const auto request = encoding::decode<model::InventoryRequest>(body);
+    if (request)
+      respond(encoding::encode(Core.inventory(request.value())));
+    else
+      respond(request.error());
+    return;
+  }
+  if (method == Method::Cancel) {
+    const auto request = encoding::decode<model::CancelRequest>(body);
+    const bool done =
+        request && Core.cancelFor(request.value().Id, request.value().Key);
+    if (done)
+      respond(std::string());
+    else
+      respond(Error{ErrorCode::NotFound, "no such request here"});
+    return;
+  }
+  respond(Error{ErrorCode::NotFound, "not served by an entry"});
+}
+
+// --- the front
+
+void RouteTask::onEvent(const FrontEvent &event) {
+  if (const auto *arrived = std::get_if<Arrived>(&event))
+    onArrived(*arrived);
+  else
+    onGone(std::get<Gone>(event));
+}
+
+void RouteTask::onArrived(const Arrived &arrived) {
+  const std::string &target = arrived.Request.Target;
+  const uint64_t exchange = arrived.Exchange;
+  if (startsWith(target, QueuePrefix)) {
+    serveCaller(exchange, arrived.Request);
+  } else if (target == AnnouncePath && arrived.Request.Method == "POST") {
+    serveAnnouncement(exchange, arrived.Request);
+  } else if (startsWith(target, CancelPrefix)) {
+    serveCancel(exchange, arrived.Request);
+  } else if (startsWith(target, AdminPrefix)) {
+    Admin.handle(arrived.Request, [this, exchange](const http::Response &r) {
+      answer(exchange, r);
+    });
+  } else {
+    answer(exchange,
+           http::problemResponse({ErrorCode::NotFound, "nothing here"}));
+  }
+}
+
+void RouteTask::onGone(const Gone &gone) {
+  const auto it = Callers.find(gone.Exchange);
+  if (it == Callers.end())
+    return;
+  const core::RequestId id = it->second;
+  Callers.erase(it);
+  Core.callerGone(id);
+}
+
+void RouteTask::answer(uint64_t exchange, const http::Response &response) {
+  Callers.erase(exchange);
+  Metrics.count("responses", "status", std::to_string(response.Status));
+  // The front's mailbox holds more than can be open; a full one would be a
+  // caller that waits until its own limit.
+  (void)Send(Answered{exchange, response});
+}
+
+void RouteTask::serveCaller(uint64_t exchange, const http::Request &request) {
+  const std::string fallback = Self.Id.str() + "-" + std::to_string(exchange);
+  auto parsed = readCallerRequest(request, fallback);
+  if (!parsed) {
+    answer(exchange, http::problemResponse(parsed.error()));
+    return;
+  }
+  const core::RequestId id = parsed.value().Id;
+  const auto arrived = core::monotonicNow();
+  Callers.emplace(exchange, id);
+  Core.submit(std::move(parsed.value()), [this, exchange, id, arrived](
+                                             Result<http::Response> result) {
+    Metrics.time("request", double((core::monotonicNow() - arrived).Count));
+    http::Response response = result ? std::move(result.value())
+                                     : http::problemResponse(result.error());
+    response.Headers = http::withoutHopByHop(response.Headers);
+    response.Headers.push_back({"almondgate-request-id", id.str()});
+    answer(exchange, response);
+  });
+}
+
+void RouteTask::serveAnnouncement(uint64_t exchange,
+                                  const http::Request &request) {
+  const auto parsed = encoding::fromJson<model::Announcement>(request.Body);
+  if (!parsed) {
+    answer(exchange, http::problemResponse(parsed.error()));
+    return;
+  }
+  Announcements.announce(
+      parsed.value(), [this, exchange](const Status &status) {
+        answer(exchange, status ? http::jsonResponse(200, "{}")
+                                : http::problemResponse(status.error()));
+      });
+}
+
+void RouteTask::serveCancel(uint64_t exchange, const http::Request &request) {
+  const model::CancelRequest asked{
+      core::RequestId(request.Target.substr(std::strlen(CancelPrefix))),
+      bearerKey(request.Headers)};
+  if (Core.cancelFor(asked.Id, asked.Key)) {
+    answer(exchange, http::jsonResponse(200, "{}"));
+    return;
+  }
+  // The request may be at any entry: ask them all, and answer with the first
+  // that has it, or when all have answered.
+  const auto left = std::make_shared<size_t>(1);
+  const auto settle = [this, exchange, left](bool found) {
+    if (*left == 0)
+      return;
+    *left = found ? 0 : *left - 1;
+    if (*left > 0)
+      return;
+    const Error missing{ErrorCode::NotFound, "no such request"};
+    answer(exchange, found ? http::jsonResponse(200, "{}")
+                           : http::problemResponse(missing));
+  };
+  for (const auto &process : Watch.processes()) {
+    if (process.Kind != model::Role::Entry || process.Id == Self.Id)
+      continue;
+    ++*left;
+    Rpc.call(process.Inner, Method::Cancel, encoding::encode(asked),
+             ReleaseTimeout,
+             [settle](const auto &reply) { settle(bool(reply)); });
+  }
+  settle(false);
+}
+
+} // namespace almondgate::entry
--- /dev/null
+++ b/src/almondgate/http/endpoint_client.cpp
@@ -0,0 +1,234 @@
+#include "almondgate/http/endpoint_client.hpp"
+#include "almondgate/core/time_ms.hpp"
+#include "almondgate/task/loop.hpp"
+#include "almondgate/task/tcp_stream.hpp"
+#include "almondgate/task/timer.hpp"
+
+#include "answer_parser.hpp"
+
+#include <map>
+#include <vector>
+
+namespace almondgate::http {
+
+using core::Address;
+using core::Error;
+using core::ErrorCode;
+using core::RunOutcome;
+using core::TimeMs;
+
+namespace {
+
+std::string serialize(const EndpointCall &call) {
+  const Request &request = call.Request;
+  std::string out = request.Method + " " + request.Target + " HTTP/1.1\r\n";
+  bool host = false;
+  for (const auto &header : request.Headers) {
+    host = host || header.Name == "host";
+    out += header.Name + ": " + header.Text + "\r\n";
+  }
+  if (!host)
+    out += "host: " + core::toString(call.To) + "\r\n";
+  if (!request.Body.empty() || !isIdempotentMethod(request.Method))
+    out += "content-length: " + std::to_string(request.Body.size()) + "\r\n";
+  return out + "\r\n" + request.Body;
+}
+
+/// A connection that carries one call at a time.
+struct Connection {
+  Address To;
+  std::unique_ptr<task::TcpStream> Socket;
+  std::unique_ptr<AnswerParser> Parser;
+  EndpointClient::OnAnswer Done;
+  std::unique_ptr<task::Timer> Timeout;
+  bool Sent = false;
+  /// 0 while the connection is idle.
+  uint64_t CallId = 0;
+};
+
+} // namespace
+
+struct EndpointClient::State {
+  task::Loop &Loop;
+  const EndpointClientOptions Options;
+  std::map<uint64_t, std::unique_ptr<Connection>> Busy;
+  std::map<Address, std::vector<std::unique_ptr<Connection>>> Idle;
+  uint64_t NextId = 1;
+
+  void start(uint64_t id, EndpointCall call, OnAnswer done);
+  std::unique_ptr<Connection> takeIdle(const Address &to);
+  void open(uint64_t id, EndpointCall call);
+  void write(uint64_t id, const EndpointCall &call);
+  void onData(uint64_t id, std::string_view data);
+  void finish(uint64_t id);
+  void keep(std::unique_ptr<Connection> connection);
+  void dropIdle(const Connection *connection);
+  void fail(uint64_t id, const Error &error);
+  void discard(std::unique_ptr<Connection> connection);
+};
+
+// A connection is freed on a later turn: its own callback may ask for it.
+void EndpointClient::State::discard(std::unique_ptr<Connection> connection) {
+  const std::shared_ptr<Connection> held = std::move(connection);
+  Loop.defer([held] {});
+}
+
+std::unique_ptr<Connection> EndpointClient::State::takeIdle(const Address &to) {
+  const auto it = Idle.find(to);
+  if (it == Idle.end())
+    return nullptr;
+  auto out = std::move(it->second.back());
+  it->second.pop_back();
+  if (it->second.empty())
+    Idle.erase(it);
+  return out;
+}
+
+void EndpointClient::State::start(uint64_t id, EndpointCall call,
+                                  OnAnswer done) {
+  auto connection = call.FreshConnection ? nullptr : takeIdle(call.To);
+  const bool reused = connection != nullptr;
+  if (!reused) {
+    connection = std::make_unique<Connection>();
+    connection->To = call.To;
+    connection->Timeout = std::make_unique<task::Timer>(Loop);
+  }
+  connection->Done = std::move(done);
+  connection->Sent = false;
+  connection->Parser = std::make_unique<AnswerParser>(
+      call.Request.Method == "HEAD", Options.MaxAnswerBytes);
+  connection->CallId = id;
+  Busy.emplace(id, std::move(connection));
+  if (reused)
+    write(id, call);
+  else
+    open(id, std::move(call));
+}
+
+void EndpointClient::State::open(uint64_t id, EndpointCall call) {
+  Connection *connection = Busy.at(id).get();
+  task::TcpStreamHooks hooks;
+  hooks.OnData = [this, connection](std::string_view data) {
+    if (connection->CallId)
+      onData(connection->CallId, data);
+    else
+      dropIdle(connection);
+  };
+  hooks.OnClose = [this, connection](const Error &error) {
+    if (connection->CallId)
+      fail(connection->CallId, error);
+    else
+      dropIdle(connection);
+  };
+  connection->Socket =
+      std::make_unique<task::TcpStream>(Loop, std::move(hooks));
+  connection->Timeout->once(Options.ConnectTimeout, [this, id] {
+    fail(id, {ErrorCode::EndpointFailed, "connect timed out"});
+  });
+  const Address to = call.To;
+  connection->Socket->connect(
+      to, [this, id, call = std::move(call)](const core::Status &status) {
+        if (status)
+          write(id, call);
+        else
+          fail(id, status.error());
+      });
+}
+
+void EndpointClient::State::write(uint64_t id, const EndpointCall &call) {
+  Connection &connection = *Busy.at(id);
+  connection.Sent = true;
+  connection.Socket->write(serialize(call));
+  connection.Timeout->once(call.Timeout, [this, id] {
+    fail(id, {ErrorCode::DeadlineExceeded, "the endpoint did not answer"});
+  });
+}
+
+void EndpointClient::State::onData(uint64_t id, std::string_view data) {
+  Connection &connection = *Busy.at(id);
+  const auto status = connection.Parser->receive(data);
+  if (!status)
+    fail(id, status.error());
+  else if (connection.Parser->complete())
+    finish(id);
+}
+
+void EndpointClient::State::finish(uint64_t id) {
+  auto connection = std::move(Busy.at(id));
+  Busy.erase(id);
+  connection->Timeout->stop();
+  const auto done = std::move(connection->Done);
+  connection->CallId = 0;
+  Response answer = connection->Parser->take();
+  if (connection->Parser->reusable())
+    keep(std::move(connection));
+  else
+    discard(std::move(connection));
+  done(std::move(answer));
+}
+
+void EndpointClient::State::keep(std::unique_ptr<Connection> connection) {
+  auto &idle = Idle[connection->To];
+  if (idle.size() >= Options.MaxIdle) {
+    discard(std::move(connection));
+    return;
+  }
+  const Connection *raw = connection.get();
+  connection->Timeout->once(Options.IdleTimeout,
+                            [this, raw] { dropIdle(raw); });
+  idle.push_back(std::move(connection));
+}
+
+void EndpointClient::State::dropIdle(const Connection *connection) {
+  const auto it = Idle.find(connection->To);
+  if (it == Idle.end())
+    return;
+  auto &held = it->second;
+  for (auto at = held.begin(); at != held.end(); ++at) {
+    if (at->get() != connection)
+      continue;
+    discard(std::move(*at));
+    held.erase(at);
+    break;
+  }
+  if (held.empty())
+    Idle.erase(it);
+}
+
+void EndpointClient::State::fail(uint64_t id, const Error &error) {
+  const auto it = Busy.find(id);
+  if (it == Busy.end())
+    return;
+  auto connection = std::move(it->second);
+  Busy.erase(it);
+  connection->Timeout->stop();
+  Error told = error;
+  told.Outcome = connection->Sent ? RunOutcome::Unknown : RunOutcome::NotRun;
+  if (told.Code == ErrorCode::Io)
+    told.Code = ErrorCode::EndpointFailed;
+  const auto done = std::move(connection->Done);
+  discard(std::move(connection));
+  done(told);
+}
+
+EndpointClient::EndpointClient(task::Loop &loop, EndpointClientOptions options)
+    : S(new State{loop, options, {}, {}, 1}) {}
+
+EndpointClient::~EndpointClient() = default;
+
+uint64_t EndpointClient::send(EndpointCall call, OnAnswer done) {
+  const uint64_t id = S->NextId++;
+  S->start(id, std::move(call), std::move(done));
+  return id;
+}
+
+void EndpointClient::abort(uint64_t call) {
+  const auto it = S->Busy.find(call);
+  if (it == S->Busy.end())
+    return;
+  it->second->Timeout->stop();
+  S->discard(std::move(it->second));
+  S->Busy.erase(it);
+}
+
+} // namespace almondgate::http
--- /dev/null
+++ b/src/almondgate/placer/pool_book.cpp
@@ -0,0 +1,434 @@
+#include "almondgate/placer/pool_book.hpp"
+#include "almondgate/policy/ejection.hpp"
+
+#include <algorithm>
+
+namespace almondgate::placer {
+
+using core::DurationMs;
+using core::Error;
+using core::ErrorCode;
+using core::RequestId;
+using core::Size;
+using core::TeamId;
+using core::TimeMs;
+using core::VmId;
+using model::DefaultField;
+using model::GrantRequest;
+using model::RunEnd;
+using model::WorkClass;
+
+namespace {
+
+constexpr Size OneSlot{1, 0, 0, 0};
+constexpr int64_t MeanWeight = 16;
+
+bool excludes(const GrantRequest &request, const VmId &vm) {
+  const auto &list = request.Exclude;
+  return std::find(list.begin(), list.end(), vm) != list.end();
+}
+
+} // namespace
+
+PoolBook::PoolBook(core::PoolId pool, uint64_t epoch, TimeMs now,
+                   PoolOptions options, observe::LogLine log)
+    : Pool(std::move(pool)), Epoch(epoch), TakenOverAt(now),
+      Options(std::move(options)), Log(std::move(log)) {}
+
+// --- the view
+
+void PoolBook::setView(const model::View &view, TimeMs now) {
+  MaxWaiting = model::settingOf(view, Pool, DefaultField::MaxWaiting);
+  for (const auto &[id, vm] : view.Vms) {
+    if (vm->Pool != Pool)
+      continue;
+    const auto [it, added] = Vms.try_emplace(id);
+    it->second.Facts = *vm;
+    if (added)
+      it->second.UsableFrom = now;
+  }
+  std::erase_if(Vms, [&](const auto &row) {
+    const auto *vm = model::find(view.Vms, row.first);
+    return !vm || vm->Pool != Pool;
+  });
+  Capacity = {};
+  for (const auto &[id, vm] : Vms)
+    Capacity = Capacity + vm.Facts.Capacity;
+  for (const auto &[id, team] : view.Teams)
+    Teams[id].Share = team->Share;
+  for (auto &[id, team] : Teams) {
+    const auto *portion = model::find(view.Portions, std::pair(id, Pool));
+    const int64_t amount = portion ? portion->Amount : 0;
+    if (team.Cap && amount <= *team.Cap)
+      team.Cap.reset();
+    team.Portion = amount;
+  }
+}
+
+void PoolBook::adopt(const model::Inventory &inventory, TimeMs now) {
+  for (const auto &item : inventory.Items)
+    startRun(item.Id, {item.Team, item.Queue, item.Vm, item.Need, now});
+  recountOrphans();
+}
+
+// --- VMs
+
+bool PoolBook::isHealthy(const VmBook &vm, TimeMs now) const {
+  return vm.Reported && vm.Last.Ready && !vm.Last.Leaving && !vm.Ejected &&
+         vm.ReportedAt >= TakenOverAt &&
+         now - vm.ReportedAt <= Options.ReportFor;
+}
+
+bool PoolBook::mayTake(const VmBook &vm, const GrantRequest &request,
+                       TimeMs now) const {
+  if (vm.Facts.Phase != model::VmPhase::Active || vm.Facts.Leaving ||
+      now < vm.UsableFrom)
+    return false;
+  if (!vm.Ejected)
+    return isHealthy(vm, now);
+  VmBook trial = vm;
+  trial.Ejected = false;
+  const bool may_probe =
+      request.Idempotent && now >= vm.ProbeFrom && vm.Runs == 0;
+  return may_probe && isHealthy(trial, now);
+}
+
+Size PoolBook::freeOf(const VmBook &vm) const {
+  Size free = vm.Facts.Capacity - vm.Used;
+  free.Slots -= int64_t(vm.Orphans.size());
+  return free;
+}
+
+int64_t PoolBook::allSlots() const { return Capacity.Slots; }
+
+int64_t PoolBook::freeSlots(TimeMs now) const {
+  int64_t n = 0;
+  for (const auto &[id, vm] : Vms)
+    if (mayTake(vm, GrantRequest{}, now))
+      n += std::max<int64_t>(0, freeOf(vm).Slots);
+  return n;
+}
+
+void PoolBook::report(const model::Announcement &announcement, TimeMs now) {
+  const auto it = Vms.find(announcement.Vm);
+  if (it == Vms.end())
+    return;
+  VmBook &vm = it->second;
+  vm.Last = announcement;
+  vm.Reported = true;
+  vm.ReportedAt = now;
+  recountOrphans();
+}
+
+void PoolBook::recountOrphans() {
+  for (auto &[id, team] : Teams)
+    team.Orphans = 0;
+  for (auto &[id, vm] : Vms) {
+    vm.Orphans.clear();
+    for (const auto &request : vm.Last.Running) {
+      if (Runs.contains(request.Id) || Released.contains(request.Id))
+        continue;
+      vm.Orphans.push_back(request);
+      ++Teams[request.Team].Orphans;
+    }
+  }
+}
+
+void PoolBook::noteOutcome(VmBook &vm, bool success, TimeMs now) {
+  vm.Outcomes = vm.Outcomes.withOutcome(now, success);
+  if (!vm.Ejected) {
+    if (!success)
+      considerEjection(vm, now);
+    return;
+  }
+  if (success) {
+    vm.Ejected = false;
+    vm.Ejections = 0;
+    vm.Outcomes = {};
+    Log("vm " + vm.Facts.Id.str() + " back: its probe succeeded");
+    return;
+  }
+  const DurationMs wait = Options.FirstEjection * (int64_t{1} << vm.Ejections);
+  vm.ProbeFrom = now + std::min(wait, Options.LongestEjection);
+  vm.Ejections = std::min<int64_t>(vm.Ejections + 1, 10);
+}
+
+void PoolBook::considerEjection(VmBook &vm, TimeMs now) {
+  policy::EjectionCase c;
+  c.PoolSize = int64_t(Vms.size());
+  c.Runs = vm.Outcomes.count(now);
+  c.Failures = vm.Outcomes.failures(now);
+  for (const auto &[id, other] : Vms) {
+    c.EjectedAlready += other.Ejected ? 1 : 0;
+    if (id == vm.Facts.Id)
+      continue;
+    c.OtherRuns += other.Outcomes.count(now);
+    c.OtherFailures += other.Outcomes.failures(now);
+  }
+  if (!policy::mustEject(c))
+    return;
+  vm.Ejected = true;
+  vm.Ejections = 1;
+  vm.ProbeFrom = now + Options.FirstEjection;
+  Log("vm " + vm.Facts.Id.str() + " ejected: " + std::to_string(c.Failures) +
+      " of " + std::to_string(c.Runs) + " runs failed");
+}
+
+// --- runs
+
+void PoolBook::startRun(const RequestId &id, Running run) {
+  const auto [it, added] = Runs.emplace(id, std::move(run));
+  if (!added)
+    return;
+  TeamBook &team = Teams[it->second.Team];
+  ++team.Running;
+  team.Held = team.Held + it->second.Need;
+  const auto vm = Vms.find(it->second.Vm);
+  if (vm == Vms.end())
+    return;
+  vm->second.Used = vm->second.Used + it->second.Need;
+  ++vm->second.Runs;
+}
+
+void PoolBook::endRun(const RequestId &id) {
+  const auto it = Runs.find(id);
+  if (it == Runs.end())
+    return;
+  TeamBook &team = Teams[it->second.Team];
+  --team.Running;
+  team.Held = team.Held - it->second.Need;
+  const auto vm = Vms.find(it->second.Vm);
+  if (vm != Vms.end()) {
+    vm->second.Used = vm->second.Used - it->second.Need;
+    --vm->second.Runs;
+  }
+  Runs.erase(it);
+}
+
+void PoolBook::dropWaiting(const RequestId &id) {
+  for (auto &[name, team] : Teams) {
+    for (auto *queue : {&team.Urgent, &team.Batch}) {
+      const auto gone = std::erase_if(
+          *queue, [&](const Waiting &w) { return w.Request.Id == id; });
+      Waits -= int64_t(gone);
+    }
+  }
+}
+
+void PoolBook::release(const model::Release &release, TimeMs now) {
+  const auto it = Runs.find(release.Id);
+  if (it == Runs.end()) {
+    dropWaiting(release.Id);
+    // A request that arrives after its release must not be granted.
+    Released.emplace(release.Id, now);
+    return;
+  }
+  const auto vm = Vms.find(it->second.Vm);
+  const bool judged =
+      release.End == RunEnd::Succeeded || release.End == RunEnd::Failed;
+  if (release.End == RunEnd::Succeeded)
+    MeanRun =
+        (MeanRun * (MeanWeight - 1) + DurationMs{release.RunMs}) / MeanWeight;
+  endRun(release.Id);
+  Released.emplace(release.Id, now);
+  if (judged && vm != Vms.end())
+    noteOutcome(vm->second, release.End == RunEnd::Succeeded, now);
+}
+
+// --- waiting
+
+void PoolBook::enqueue(const GrantRequest &request, OnGrant done, TimeMs now) {
+  if (Released.contains(request.Id)) {
+    done(Error{ErrorCode::Cancelled, "the request was withdrawn"});
+    return;
+  }
+  if (Waits >= MaxWaiting) {
+    Log("request " + request.Id.str() + " refused: " + std::to_string(Waits) +
+        " wait in " + Pool.str());
+    done(Error{ErrorCode::Overloaded, "too many requests wait for the pool"});
+    return;
+  }
+  if (request.Class == WorkClass::Urgent)
+    Headroom = Headroom.withArrival(now);
+  TeamBook &team = Teams[request.Team];
+  auto &queue = request.Class == WorkClass::Urgent ? team.Urgent : team.Batch;
+  queue.push_back(
+      {request, std::move(done), now, now + DurationMs{request.WaitMs}});
+  ++Waits;
+}
+
+void PoolBook::expire(TimeMs now) {
+  std::vector<Waiting> late;
+  for (auto &[id, team] : Teams) {
+    for (auto *queue : {&team.Urgent, &team.Batch}) {
+      for (auto &waiting : *queue)
+        if (now >= waiting.Until)
+          late.push_back(std::move(waiting));
+      std::erase_if(*queue, [&](const Waiting &w) { return now >= w.Until; });
+    }
+  }
+  Waits -= int64_t(late.size());
+  for (const auto &waiting : late) {
+    Log("request " + waiting.Request.Id.str() + " refused: no slot in time");
+    waiting.Done(Error{ErrorCode::NoCapacity, "no slot came free in time"});
+  }
+  std::erase_if(Released, [&](const auto &row) {
+    return now - row.second > Options.ReleasedFor;
+  });
+}
+
+void PoolBook::refuseAll(const Error &error) {
+  std::vector<Waiting> all;
+  for (auto &[id, team] : Teams) {
+    for (auto *queue : {&team.Urgent, &team.Batch}) {
+      for (auto &waiting : *queue)
+        all.push_back(std::move(waiting));
+      queue->clear();
+    }
+  }
+  Waits = 0;
+  for (const auto &waiting : all)
+    waiting.Done(error);
+}
+
+// --- grants
+
+std::vector<policy::TeamLoad> PoolBook::teamLoads() const {
+  std::vector<policy::TeamLoad> out;
+  for (const auto &[id, team] : Teams) {
+    if (team.waiting() == 0)
+      continue;
+    policy::TeamLoad load;
+    load.Team = id;
+    load.Share = team.Share;
+    load.Held = core::dominantFraction(team.Held, Capacity);
+    load.Running = team.Running + team.Orphans;
+    load.MayRun = team.mayRun();
+    load.HasUrgent = !team.Urgent.empty();
+    const auto &first = team.Urgent.empty() ? team.Batch : team.Urgent;
+    load.OldestMs = first.front().Arrived.Count;
+    out.push_back(std::move(load));
+  }
+  return out;
+}
+
+std::vector<policy::VmLoad> PoolBook::loadsFor(const GrantRequest &request,
+                                               TimeMs now) const {
+  std::vector<policy::VmLoad> out;
+  std::vector<policy::VmLoad> excluded;
+  for (const auto &[id, vm] : Vms) {
+    if (!mayTake(vm, request, now))
+      continue;
+    auto &list = excludes(request, id) ? excluded : out;
+    list.push_back({id, vm.Facts.Capacity, freeOf(vm)});
+  }
+  // Where a request has failed on every VM it may go to any again.
+  return out.empty() ? excluded : out;
+}
+
+bool PoolBook::leavesHeadroom(const GrantRequest &request, TimeMs now) const {
+  if (request.Class == WorkClass::Urgent)
+    return true;
+  const int64_t keep =
+      Headroom.slots(now, int64_t(Runs.size()), MeanRun, allSlots());
+  return keep == 0 || freeSlots(now) - request.Need.Slots >= keep;
+}
+
+bool PoolBook::placeFrom(std::deque<Waiting> &queue, TimeMs now) {
+  size_t looked = 0;
+  for (auto it = queue.begin(); it != queue.end(); ++it) {
+    if (!leavesHeadroom(it->Request, now))
+      return false;
+    const auto vm =
+        Options.Choose(loadsFor(it->Request, now), it->Request.Need);
+    if (vm) {
+      Waiting chosen = std::move(*it);
+      queue.erase(it);
+      --Waits;
+      grant(std::move(chosen), *vm, now);
+      return true;
+    }
+    const bool too_old = now - it->Arrived > Options.PassedFor;
+    if (too_old || ++looked >= Options.LookAhead)
+      return false;
+  }
+  return false;
+}
+
+bool PoolBook::placeOne(TeamBook &team, TimeMs now) {
+  return placeFrom(team.Urgent, now) || placeFrom(team.Batch, now);
+}
+
+void PoolBook::grantAll(TimeMs now) {
+  bool placed = Waits > 0;
+  while (placed) {
+    placed = false;
+    for (const auto &id : policy::teamOrder(teamLoads())) {
+      placed = placeOne(Teams[id], now);
+      if (placed)
+        break;
+    }
+  }
+}
+
+void PoolBook::grant(Waiting waiting, const VmId &vm, TimeMs now) {
+  const auto &request = waiting.Request;
+  const VmBook &book = Vms.at(vm);
+  startRun(request.Id, {request.Team, request.Queue, vm, request.Need, now});
+  Log("request " + request.Id.str() + " team " + request.Team.str() + " -> " +
+      vm.str() + " (" + (book.Ejected ? "probe" : "least loaded") + ", " +
+      std::to_string(book.Used.Slots) + "/" +
+      std::to_string(book.Facts.Capacity.Slots) + " slots, " +
+      std::to_string(Waits) + " wait)");
+  model::Grant out;
+  out.Id = request.Id;
+  out.Pool = Pool;
+  out.Vm = vm;
+  out.Endpoint = book.Facts.Endpoint;
+  out.Epoch = Epoch;
+  out.WaitedMs = (now - waiting.Arrived).Count;
+  waiting.Done(out);
+}
+
+// --- portions and reports
+
+int64_t PoolBook::capPortion(const TeamId &team, int64_t amount) {
+  TeamBook &book = Teams[team];
+  const int64_t cap =
+      std::min(book.mayRun(), std::max(amount, book.Running + book.Orphans));
+  book.Cap = cap;
+  return cap;
+}
+
+int64_t PoolBook::runningOf(const TeamId &team) const {
+  const auto it = Teams.find(team);
+  return it == Teams.end() ? 0 : it->second.Running + it->second.Orphans;
+}
+
+std::vector<model::Demand> PoolBook::demands() const {
+  std::vector<model::Demand> out;
+  for (const auto &[id, team] : Teams) {
+    const int64_t running = team.Running + team.Orphans;
+    if (running > 0 || team.waiting() > 0)
+      out.push_back({Pool, id, running, team.waiting()});
+  }
+  return out;
+}
+
+std::vector<model::VmStatus> PoolBook::vmStatuses(TimeMs now) const {
+  std::vector<model::VmStatus> out;
+  for (const auto &[id, vm] : Vms)
+    if (vm.Reported && vm.ReportedAt >= TakenOverAt)
+      out.push_back(
+          {id, vm.Runs + int64_t(vm.Orphans.size()), isHealthy(vm, now)});
+  return out;
+}
+
+bool PoolBook::needsPortion() const {
+  return std::any_of(Teams.begin(), Teams.end(), [](const auto &row) {
+    const TeamBook &team = row.second;
+    return team.waiting() > 0 && team.Running + team.Orphans >= team.mayRun();
+  });
+}
+
+} // namespace almondgate::placer
--- /dev/null
+++ b/src/almondgate/protocol/http2_session.cpp
@@ -0,0 +1,185 @@
+#include "http2_session.hpp"
+
+#include "almondgate/core/invariant.hpp"
+
+#include <nghttp2/nghttp2.h>
+
+#include <algorithm>
+#include <array>
+#include <cstring>
+
+namespace almondgate::protocol {
+
+namespace {
+
+constexpr uint32_t MaxStreams = 100000;
+constexpr int32_t StreamWindowBytes = 16 << 20;
+constexpr int32_t ConnectionWindowBytes = 128 << 20;
+
+std::vector<nghttp2_nv> toRaw(const std::vector<HeaderField> &headers) {
+  std::vector<nghttp2_nv> out;
+  out.reserve(headers.size());
+  for (const auto &field : headers) {
+    auto *name = reinterpret_cast<uint8_t *>(
+        const_cast<char *>(field.Name.data())); // NOLINT
+    auto *text = reinterpret_cast<uint8_t *>(
+        const_cast<char *>(field.Text.data())); // NOLINT
+    out.push_back({name, text, field.Name.size(), field.Text.size(),
+                   NGHTTP2_NV_FLAG_NONE});
+  }
+  return out;
+}
+
+} // namespace
+
+struct SessionCallbacks {
+  static Http2Session &self(void *user) {
+    return *static_cast<Http2Session *>(user);
+  }
+
+  static int onHeader(nghttp2_session *, const nghttp2_frame *frame,
+                      const uint8_t *name, size_t name_size,
+                      const uint8_t *text, size_t text_size, uint8_t,
+                      void *user) {
+    auto &stream = self(user).Incoming[frame->hd.stream_id];
+    stream.Headers.push_back(
+        {std::string(reinterpret_cast<const char *>(name), name_size),
+         std::string(reinterpret_cast<const char *>(text), text_size)});
+    return 0;
+  }
+
+  static int onData(nghttp2_session *raw, uint8_t, int32_t id,
+                    const uint8_t *data, size_t n, void *user) {
+    auto &body = self(user).Incoming[id].Body;
+    if (body.size() + n > self(user).MaxBodyBytes)
+      return nghttp2_submit_rst_stream(raw, NGHTTP2_FLAG_NONE, id,
+                                       NGHTTP2_CANCEL);
+    body.append(reinterpret_cast<const char *>(data), n);
+    return 0;
+  }
+
+  static int onFrame(nghttp2_session *, const nghttp2_frame *frame,
+                     void *user) {
+    const bool ends = (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0;
+    const bool carries =
+        frame->hd.type == NGHTTP2_DATA || frame->hd.type == NGHTTP2_HEADERS;
+    if (!ends || !carries)
+      return 0;
+    auto &session = self(user);
+    const auto it = session.Incoming.find(frame->hd.stream_id);
+    if (it == session.Incoming.end())
+      return 0;
+    IncomingStream message = std::move(it->second);
+    session.Incoming.erase(it);
+    session.Hooks.OnMessage(frame->hd.stream_id, message);
+    return 0;
+  }
+
+  static int onClose(nghttp2_session *, int32_t id, uint32_t, void *user) {
+    auto &session = self(user);
+    session.Incoming.erase(id);
+    session.Bodies.erase(id);
+    session.Hooks.OnStreamClosed(id);
+    return 0;
+  }
+
+  static ssize_t readBody(nghttp2_session *, int32_t id, uint8_t *buf,
+                          size_t size, uint32_t *flags,
+                          nghttp2_data_source *source, void *) {
+    auto &session = self(source->ptr);
+    const auto it = session.Bodies.find(id);
+    if (it == session.Bodies.end())
+      return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
+    auto &out = it->second;
+    const size_t n = std::min(size, out.Body.size() - out.Sent);
+    std::memcpy(buf, out.Body.data() + out.Sent, n);
+    out.Sent += n;
+    if (out.Sent == out.Body.size())
+      *flags |= NGHTTP2_DATA_FLAG_EOF;
+    return ssize_t(n);
+  }
+};
+
+std::string_view IncomingStream::header(std::string_view name) const {
+  const auto it =
+      std::find_if(Headers.begin(), Headers.end(),
+                   [&](const HeaderField &f) { return f.Name == name; });
+  return it == Headers.end() ? std::string_view() : it->Text;
+}
+
+Http2Session::Http2Session(bool server, size_t max_body_bytes,
+                           Http2SessionHooks hooks)
+    : MaxBodyBytes(max_body_bytes), Hooks(std::move(hooks)) {
+  nghttp2_session_callbacks *callbacks = nullptr;
+  core::invariant(nghttp2_session_callbacks_new(&callbacks) == 0, "no memory");
+  nghttp2_session_callbacks_set_on_header_callback(callbacks,
+                                                   SessionCallbacks::onHeader);
+  nghttp2_session_callbacks_set_on_data_chunk_recv_callback(
+      callbacks, SessionCallbacks::onData);
+  nghttp2_session_callbacks_set_on_frame_recv_callback(
+      callbacks, SessionCallbacks::onFrame);
+  nghttp2_session_callbacks_set_on_stream_close_callback(
+      callbacks, SessionCallbacks::onClose);
+  const int code = server ? nghttp2_session_server_new(&Raw, callbacks, this)
+                          : nghttp2_session_client_new(&Raw, callbacks, this);
+  nghttp2_session_callbacks_del(callbacks);
+  core::invariant(code == 0, "nghttp2 session");
+  const std::array<nghttp2_settings_entry, 2> settings = {{
+      {NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, MaxStreams},
+      {NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, StreamWindowBytes},
+  }};
+  nghttp2_submit_settings(Raw, NGHTTP2_FLAG_NONE, settings.data(),
+                          settings.size());
+  nghttp2_session_set_local_window_size(Raw, NGHTTP2_FLAG_NONE, 0,
+                                        ConnectionWindowBytes);
+}
+
+Http2Session::~Http2Session() { nghttp2_session_del(Raw); }
+
+bool Http2Session::receive(std::string_view data) {
+  const auto *bytes = reinterpret_cast<const uint8_t *>(data.data());
+  return nghttp2_session_mem_recv(Raw, bytes, data.size()) >= 0;
+}
+
+int32_t Http2Session::request(const std::vector<HeaderField> &headers,
+                              std::string body) {
+  const auto raw = toRaw(headers);
+  nghttp2_data_provider provider{};
+  provider.source.ptr = this;
+  provider.read_callback = SessionCallbacks::readBody;
+  const int32_t id = nghttp2_submit_request(Raw, nullptr, raw.data(),
+                                            raw.size(), &provider, nullptr);
+  if (id >= 0)
+    Bodies.emplace(id, Outgoing{std::move(body), 0});
+  return id;
+}
+
+void Http2Session::respond(int32_t stream,
+                           const std::vector<HeaderField> &headers,
+                           std::string body) {
+  const auto raw = toRaw(headers);
+  nghttp2_data_provider provider{};
+  provider.source.ptr = this;
+  provider.read_callback = SessionCallbacks::readBody;
+  Bodies[stream] = Outgoing{std::move(body), 0};
+  nghttp2_submit_response(Raw, stream, raw.data(), raw.size(), &provider);
+}
+
+void Http2Session::reset(int32_t stream) {
+  nghttp2_submit_rst_stream(Raw, NGHTTP2_FLAG_NONE, stream, NGHTTP2_CANCEL);
+}
+
+void Http2Session::flush() {
+  std::string out;
+  while (true) {
+    const uint8_t *data = nullptr;
+    const ssize_t n = nghttp2_session_mem_send(Raw, &data);
+    if (n <= 0)
+      break;
+    out.append(reinterpret_cast<const char *>(data), size_t(n));
+  }
+  if (!out.empty())
+    Hooks.Send(std::move(out));
+}
+
+} // namespace almondgate::protocol
--- /dev/null
+++ b/src/almondgate/protocol/method.cpp
@@ -0,0 +1,23 @@
+#include "almondgate/protocol/method.hpp"
+
+#include <array>
+
+namespace almondgate::protocol {
+
+static constexpr std::array MethodNames = {
+    "watch",          "propose",      "audit",     "consensus",
+    "replace-member", "list-members", "identity",  "grant",
+    "release",        "report",       "inventory", "cancel"};
+
+const char *methodName(Method method) {
+  return MethodNames[static_cast<size_t>(method)];
+}
+
+core::Result<Method> parseMethod(const std::string &name) {
+  for (size_t i = 0; i < MethodNames.size(); ++i)
+    if (name == MethodNames[i])
+      return static_cast<Method>(i);
+  return core::Error{core::ErrorCode::NotFound, "no method '" + name + "'"};
+}
+
+} // namespace almondgate::protocol
--- /dev/null
+++ b/src/almondgate/storage/store.cpp
@@ -0,0 +1,268 @@
+#include "almondgate/storage/store.hpp"
+#include "almondgate/encoding/codec.hpp"
+#include "almondgate/storage/frame.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cstring>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <set>
+#include <sstream>
+#include <sys/file.h>
+#include <unistd.h>
+
+namespace almondgate::storage {
+
+using consensus::DurableBatch;
+using consensus::DurableState;
+using core::Error;
+using core::ErrorCode;
+using core::Result;
+using core::Status;
+
+namespace {
+
+constexpr const char *IdentityName = "identity";
+constexpr const char *LockName = "lock";
+constexpr const char *LogPrefix = "log-";
+constexpr const char *SnapshotPrefix = "snapshot-";
+constexpr const char *FormatLine = "almondgate-data 1\n";
+
+std::string join(const std::string &folder, const std::string &name) {
+  return folder + "/" + name;
+}
+
+Result<std::string> readFile(const std::string &path) {
+  std::ifstream in(path, std::ios::binary);
+  if (!in)
+    return Error{ErrorCode::Io, "can't open " + path};
+  std::ostringstream out;
+  out << in.rdbuf();
+  return std::move(out).str();
+}
+
+Status replaceFile(const std::string &folder, const std::string &name,
+                   std::string_view data, const FileOps &ops) {
+  const std::string temporary = join(folder, name + ".tmp");
+  const int fd =
+      ::open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+  if (fd < 0)
+    return Error{ErrorCode::Io, "can't create " + temporary};
+  Status done = ops.Write(fd, data);
+  if (done)
+    done = ops.Sync(fd);
+  ::close(fd);
+  if (done)
+    done = ops.Rename(temporary, join(folder, name));
+  if (done)
+    done = ops.SyncFolder(folder);
+  return done;
+}
+
+// The numbers of the files named `prefix` + number.
+std::set<uint64_t> generations(const std::string &folder,
+                               const std::string &prefix) {
+  std::set<uint64_t> out;
+  for (const auto &file : std::filesystem::directory_iterator(folder)) {
+    const std::string name = file.path().filename().string();
+    if (name.rfind(prefix, 0) != 0)
+      continue;
+    uint64_t n = 0;
+    const char *end = name.data() + name.size();
+    const auto [ptr, ec] = std::from_chars(name.data() + prefix.size(), end, n);
+    if (ec == std::errc() && ptr == end)
+      out.insert(n);
+  }
+  return out;
+}
+
+void applyBatch(DurableState &state, const DurableBatch &batch) {
+  if (batch.Voted)
+    state.Voted = *batch.Voted;
+  if (!batch.ReplaceFrom)
+    return;
+  auto &entries = state.Entries;
+  while (!entries.empty() && entries.back().Index >= *batch.ReplaceFrom)
+    entries.pop_back();
+  entries.insert(entries.end(), batch.Entries.begin(), batch.Entries.end());
+}
+
+Status checkEntries(const DurableState &state) {
+  uint64_t expected = state.Base.Index + 1;
+  for (const auto &entry : state.Entries)
+    if (entry.Index != expected++)
+      return Error{ErrorCode::Corrupt, "the log has a gap before entry " +
+                                           std::to_string(entry.Index)};
+  return core::ok();
+}
+
+Error withAdvice(const Error &error, const std::string &file) {
+  return {error.Code,
+          file + ": " + error.Text +
+              "; replace this member (docs/OPERATIONS.md, Lost disk)"};
+}
+
+} // namespace
+
+Store::Store(std::string folder, FileOps ops)
+    : Folder(std::move(folder)), Ops(std::move(ops)) {}
+
+Store::~Store() {
+  if (LogFd >= 0)
+    ::close(LogFd);
+  if (LockFd >= 0)
+    ::close(LockFd);
+}
+
+std::string Store::path(const std::string &name) const {
+  return join(Folder, name);
+}
+
+Status Store::format(const std::string &folder, const consensus::MemberId &id,
+                     const consensus::Membership &first, const FileOps &ops) {
+  std::error_code ec;
+  std::filesystem::create_directories(folder, ec);
+  if (ec)
+    return Error{ErrorCode::Io, "can't create " + folder + ": " + ec.message()};
+  if (std::filesystem::exists(join(folder, IdentityName)))
+    return Error{ErrorCode::Conflict, folder + " has an identity already"};
+  DurableBatch empty;
+  empty.ReplaceFrom = 1;
+  const consensus::Snapshot base{0, 0, first, {}};
+  const std::string snapshot = encodeFrame(encoding::encode(base));
+  const std::string log = encodeFrame(encoding::encode(empty));
+  Status done =
+      replaceFile(folder, std::string(SnapshotPrefix) + "0", snapshot, ops);
+  if (done)
+    done = replaceFile(folder, std::string(LogPrefix) + "0", log, ops);
+  // The identity comes last: a folder without one is not formatted.
+  if (done)
+    done = replaceFile(folder, IdentityName, FormatLine + id.str(), ops);
+  return done;
+}
+
+Result<std::unique_ptr<Store>> Store::open(const std::string &folder,
+                                           FileOps ops) {
+  std::unique_ptr<Store> store(new Store(folder, std::move(ops)));
+  const auto identity = readFile(store->path(IdentityName));
+  if (!identity)
+    return Error{ErrorCode::NotFound, folder + " is not formatted"};
+  if (identity.value().rfind(FormatLine, 0) != 0)
+    return Error{ErrorCode::Corrupt,
+                 folder + ": identity of an unknown format version"};
+  store->Identity =
+      consensus::MemberId(identity.value().substr(std::strlen(FormatLine)));
+  const std::string lock = store->path(LockName);
+  store->LockFd = ::open(lock.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+  if (store->LockFd < 0 || ::flock(store->LockFd, LOCK_EX | LOCK_NB) != 0)
+    return Error{ErrorCode::Conflict, folder + " is in use by another process"};
+  if (auto loaded = store->load(); !loaded)
+    return loaded.error();
+  return store;
+}
+
+Status Store::load() {
+  const auto snapshots = generations(Folder, SnapshotPrefix);
+  const auto logs = generations(Folder, LogPrefix);
+  for (auto it = logs.rbegin(); it != logs.rend(); ++it) {
+    if (!snapshots.contains(*it))
+      continue;
+    if (auto loaded = loadGeneration(*it); !loaded)
+      return loaded;
+    removeOtherGenerations(*it);
+    return core::ok();
+  }
+  return Error{ErrorCode::Corrupt, Folder + ": no snapshot with its log"};
+}
+
+Status Store::loadGeneration(uint64_t base) {
+  const std::string number = std::to_string(base);
+  const std::string snapshot_path = path(SnapshotPrefix + number);
+  const std::string log_path = path(LogPrefix + number);
+  const auto snapshot_file = readFile(snapshot_path);
+  if (!snapshot_file)
+    return snapshot_file.error();
+  const auto snapshot = decodeFrames(snapshot_file.value());
+  if (!snapshot || snapshot.value().Payloads.size() != 1)
+    return withAdvice({ErrorCode::Corrupt, "damaged"}, snapshot_path);
+  const auto decoded =
+      encoding::decode<consensus::Snapshot>(snapshot.value().Payloads.front());
+  if (!decoded)
+    return withAdvice(decoded.error(), snapshot_path);
+  Found.Base = decoded.value();
+
+  const auto log_file = readFile(log_path);
+  if (!log_file)
+    return log_file.error();
+  const auto frames = decodeFrames(log_file.value());
+  if (!frames)
+    return withAdvice(frames.error(), log_path);
+  // The first frame was synced before the file got its name.
+  if (frames.value().Payloads.empty())
+    return withAdvice({ErrorCode::Corrupt, "damaged at byte 0"}, log_path);
+  for (const auto &payload : frames.value().Payloads) {
+    const auto batch = encoding::decode<DurableBatch>(payload);
+    if (!batch)
+      return withAdvice(batch.error(), log_path);
+    applyBatch(Found, batch.value());
+  }
+  if (auto good = checkEntries(Found); !good)
+    return withAdvice(good.error(), log_path);
+  LastVote = Found.Voted;
+  LogFd = ::open(log_path.c_str(), O_WRONLY | O_APPEND | O_CLOEXEC);
+  const auto good_bytes = static_cast<off_t>(frames.value().GoodBytes);
+  if (LogFd < 0 || ::ftruncate(LogFd, good_bytes) != 0)
+    return Error{ErrorCode::Io, "can't cut the torn tail of " + log_path};
+  return Ops.Sync(LogFd);
+}
+
+void Store::removeOtherGenerations(uint64_t keep) {
+  std::error_code ec;
+  for (const char *prefix : {LogPrefix, SnapshotPrefix})
+    for (const uint64_t n : generations(Folder, prefix))
+      if (n != keep)
+        std::filesystem::remove(path(prefix + std::to_string(n)), ec);
+}
+
+Status Store::startGeneration(const DurableBatch &batch) {
+  const std::string number = std::to_string(batch.Base->Index);
+  DurableBatch first = batch;
+  first.Base.reset();
+  first.Voted = LastVote;
+  Status done = replaceFile(Folder, SnapshotPrefix + number,
+                            encodeFrame(encoding::encode(*batch.Base)), Ops);
+  if (done)
+    done = replaceFile(Folder, LogPrefix + number,
+                       encodeFrame(encoding::encode(first)), Ops);
+  if (!done)
+    return done;
+  const std::string log_path = path(LogPrefix + number);
+  const int fd = ::open(log_path.c_str(), O_WRONLY | O_APPEND | O_CLOEXEC);
+  if (fd < 0)
+    return Error{ErrorCode::Io, "can't open " + log_path};
+  ::close(LogFd);
+  LogFd = fd;
+  removeOtherGenerations(batch.Base->Index);
+  return core::ok();
+}
+
+Status Store::write(const DurableBatch &batch) {
+  if (Failed)
+    return Error{ErrorCode::Io, "an earlier write failed"};
+  if (batch.Voted)
+    LastVote = *batch.Voted;
+  Status done = core::ok();
+  if (batch.Base) {
+    done = startGeneration(batch);
+  } else {
+    done = Ops.Write(LogFd, encodeFrame(encoding::encode(batch)));
+    if (done)
+      done = Ops.Sync(LogFd);
+  }
+  Failed = !done;
+  return done;
+}
+
+} // namespace almondgate::storage
--- /dev/null
+++ b/src/almondgate/task/tcp.cpp
@@ -0,0 +1,211 @@
+#include "almondgate/core/address.hpp"
+#include "almondgate/task/loop.hpp"
+#include "almondgate/task/tcp_listener.hpp"
+#include "almondgate/task/tcp_stream.hpp"
+
+#include "uv_handle.hpp"
+
+#include <array>
+#include <optional>
+#include <vector>
+
+namespace almondgate::task {
+
+namespace {
+
+constexpr int ListenBacklog = 511;
+constexpr size_t ReadBufferBytes = 64 * 1024;
+
+core::Error ioError(const std::string &what, int code) {
+  return {core::ErrorCode::Io, what + ": " + uv_strerror(code)};
+}
+
+core::Result<sockaddr_storage> toSockaddr(const core::Address &address) {
+  sockaddr_storage out{};
+  auto *four = reinterpret_cast<sockaddr_in *>(&out);
+  if (uv_ip4_addr(address.Ip.c_str(), address.Port, four) == 0)
+    return out;
+  auto *six = reinterpret_cast<sockaddr_in6 *>(&out);
+  if (uv_ip6_addr(address.Ip.c_str(), address.Port, six) == 0)
+    return out;
+  return core::Error{core::ErrorCode::InvalidArgument,
+                     "not an IP number: " + address.Ip};
+}
+
+// One buffer a thread is enough: OnData runs before the next read.
+char *readBuffer() {
+  thread_local std::array<char, ReadBufferBytes> buf;
+  return buf.data();
+}
+
+} // namespace
+
+struct TcpStream::State : std::enable_shared_from_this<TcpStream::State> {
+  uv_tcp_t *Handle = nullptr;
+  TcpStreamHooks Hooks;
+  OnConnect Connected;
+
+  void startReading();
+  void writeQueued(std::string data);
+  void fail(const core::Error &error);
+  bool open() const { return Handle != nullptr; }
+};
+
+namespace {
+
+struct WriteRequest {
+  uv_write_t Raw;
+  std::string Data;
+};
+
+} // namespace
+
+void TcpStream::State::fail(const core::Error &error) {
+  if (!open())
+    return;
+  closeHandle(Handle);
+  const auto done = std::exchange(Connected, nullptr);
+  if (done) {
+    done(error);
+    return;
+  }
+  const auto closed = std::exchange(Hooks.OnClose, nullptr);
+  if (closed)
+    closed(error);
+}
+
+void TcpStream::State::startReading() {
+  const auto alloc = [](uv_handle_t *, size_t, uv_buf_t *buf) {
+    *buf = uv_buf_init(readBuffer(), ReadBufferBytes);
+  };
+  const auto read = [](uv_stream_t *h, ssize_t n, const uv_buf_t *buf) {
+    if (!h->data || n == 0)
+      return;
+    const auto self = static_cast<State *>(h->data)->shared_from_this();
+    if (n < 0) {
+      self->fail(ioError("read", int(n)));
+      return;
+    }
+    // A copy: the hook may destroy the stream, and with it the hooks.
+    const auto on_data = self->Hooks.OnData;
+    if (on_data)
+      on_data(std::string_view(buf->base, size_t(n)));
+  };
+  uv_read_start(reinterpret_cast<uv_stream_t *>(Handle), alloc, read);
+}
+
+void TcpStream::State::writeQueued(std::string data) {
+  auto *request = new WriteRequest{{}, std::move(data)};
+  request->Raw.data = request;
+  uv_buf_t buf = uv_buf_init(request->Data.data(), request->Data.size());
+  const auto done = [](uv_write_t *raw, int code) {
+    auto *finished = static_cast<WriteRequest *>(raw->data);
+    uv_stream_t *stream = raw->handle;
+    delete finished;
+    if (code < 0 && code != UV_ECANCELED && stream->data) {
+      const auto self = static_cast<State *>(stream->data)->shared_from_this();
+      self->fail(ioError("write", code));
+    }
+  };
+  auto *stream = reinterpret_cast<uv_stream_t *>(Handle);
+  if (uv_write(&request->Raw, stream, &buf, 1, done) != 0)
+    delete request;
+}
+
+TcpStream::TcpStream(Loop &loop, TcpStreamHooks hooks)
+    : S(std::make_shared<State>()) {
+  S->Hooks = std::move(hooks);
+  S->Handle = new uv_tcp_t;
+  uv_tcp_init(loop.raw(), S->Handle);
+  S->Handle->data = S.get();
+}
+
+TcpStream::~TcpStream() {
+  S->Connected = nullptr;
+  S->Hooks = {};
+  closeHandle(S->Handle);
+}
+
+void TcpStream::connect(const core::Address &address, OnConnect done) {
+  const auto target = toSockaddr(address);
+  if (!target) {
+    done(target.error());
+    return;
+  }
+  S->Connected = std::move(done);
+  auto *request = new uv_connect_t;
+  const auto connected = [](uv_connect_t *req, int code) {
+    uv_stream_t *stream = req->handle;
+    delete req;
+    if (!stream->data)
+      return;
+    const auto self = static_cast<State *>(stream->data)->shared_from_this();
+    if (code < 0) {
+      self->fail(ioError("connect", code));
+      return;
+    }
+    uv_tcp_nodelay(self->Handle, 1);
+    self->startReading();
+    const auto told = std::exchange(self->Connected, nullptr);
+    if (told)
+      told(core::ok());
+  };
+  const auto *raw = reinterpret_cast<const sockaddr *>(&target.value());
+  const int code = uv_tcp_connect(request, S->Handle, raw, connected);
+  if (code == 0)
+    return;
+  delete request;
+  S->fail(ioError("connect", code));
+}
+
+core::Status TcpStream::accept(uv_stream_s *listener) {
+  auto *stream = reinterpret_cast<uv_stream_t *>(S->Handle);
+  const int code = uv_accept(listener, stream);
+  if (code < 0)
+    return ioError("accept", code);
+  uv_tcp_nodelay(S->Handle, 1);
+  S->startReading();
+  return core::ok();
+}
+
+void TcpStream::write(std::string data) {
+  if (S->open() && !data.empty())
+    S->writeQueued(std::move(data));
+}
+
+size_t TcpStream::pendingBytes() const {
+  if (!S->open())
+    return 0;
+  return uv_stream_get_write_queue_size(
+      reinterpret_cast<const uv_stream_t *>(S->Handle));
+}
+
+TcpListener::TcpListener(Loop &loop, OnConnection fn)
+    : Handle(new uv_tcp_t), Fn(std::move(fn)) {
+  uv_tcp_init(loop.raw(), Handle);
+  Handle->data = this;
+}
+
+TcpListener::~TcpListener() { close(); }
+
+core::Status TcpListener::listen(const core::Address &address) {
+  const auto target = toSockaddr(address);
+  if (!target)
+    return target.error();
+  const auto *raw = reinterpret_cast<const sockaddr *>(&target.value());
+  int code = uv_tcp_bind(Handle, raw, 0);
+  const auto incoming = [](uv_stream_t *listener, int status) {
+    if (status == 0 && listener->data)
+      static_cast<TcpListener *>(listener->data)->Fn(listener);
+  };
+  if (code == 0)
+    code = uv_listen(reinterpret_cast<uv_stream_t *>(Handle), ListenBacklog,
+                     incoming);
+  if (code < 0)
+    return ioError("listen on " + core::toString(address), code);
+  return core::ok();
+}
+
+void TcpListener::close() { closeHandle(Handle); }
+
+} // namespace almondgate::task
--- /dev/null
+++ b/src/almondgate/watch/watcher.cpp
@@ -0,0 +1,81 @@
+#include "almondgate/watch/watcher.hpp"
+#include "almondgate/encoding/codec.hpp"
+
+namespace almondgate::watch {
+
+using core::DurationMs;
+
+namespace {
+
+constexpr DurationMs PollTimeout{4000};
+constexpr DurationMs RetryDelay{50};
+
+} // namespace
+
+Watcher::Watcher(task::Loop &loop, ControlClient &control,
+                 model::ProcessInfo self, WatcherHooks hooks)
+    : Control(control), Self(std::move(self)), Hooks(std::move(hooks)),
+      Retry(loop) {}
+
+void Watcher::start() { poll(true); }
+
+void Watcher::pollNow() { poll(false); }
+
+void Watcher::setStopping() {
+  Stopping = true;
+  poll(false);
+}
+
+void Watcher::poll(bool again) {
+  model::WatchRequest request;
+  request.From = Self;
+  request.Revision = View.Revision;
+  request.Stopping = Stopping;
+  Hooks.Fill(request);
+  // Freshness counts from the sending, so a poll that was tried again at
+  // another member only looks older than it is.
+  const auto sent = core::monotonicNow();
+  Control.call(protocol::Method::Watch, encoding::encode(request), PollTimeout,
+               [this, again, sent](const core::Result<std::string> &reply) {
+                 onReply(reply, sent);
+                 if (!again)
+                   return;
+                 if (reply)
+                   poll(true);
+                 else
+                   Retry.once(RetryDelay, [this] { poll(true); });
+               });
+}
+
+void Watcher::onReply(const core::Result<std::string> &reply,
+                      core::TimeMs sent) {
+  if (!reply)
+    return;
+  const auto decoded = encoding::decode<model::WatchReply>(reply.value());
+  if (!decoded)
+    return;
+  apply(decoded.value());
+  const auto confirmed = sent - DurationMs{decoded.value().ConfirmedAgeMs};
+  ConfirmedAt = std::max(ConfirmedAt, confirmed);
+  Returns = decoded.value().Returns;
+  Processes = decoded.value().Processes;
+  Hooks.OnReply();
+}
+
+void Watcher::apply(const model::WatchReply &reply) {
+  if (reply.Revision <= View.Revision)
+    return;
+  if (reply.Snapshot) {
+    View = model::withUpdates(model::View{}, reply.Updates);
+    View.Revision = reply.Revision;
+    return;
+  }
+  // Polls may overlap: what came with an earlier answer is passed over.
+  const uint64_t have = View.Revision;
+  for (const auto &update : reply.Updates)
+    if (update.Revision > have)
+      View.apply(update);
+  View.Revision = reply.Revision;
+}
+
+} // namespace almondgate::watch
--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,322 @@
+"""A local fleet of almondgate processes on loopback, for tests and the demo."""
+
+import hashlib
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import tempfile
+import time
+
+BUILD = os.environ.get(
+    "ALMONDGATE_BUILD",
+    os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "build"),
+)
+SECRET = "a-secret-of-the-local-fleet"
+OPERATOR_KEYS = {"alice": "alice-operator-key", "bob": "bob-operator-key"}
+START_SECONDS = 15
+
+
+def free_port():
+    """A port that no other process listens on now."""
+    with socket.socket() as s:
+        s.bind(("127.0.0.1", 0))
+        return s.getsockname()[1]
+
+
+def sha256(text):
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+def wait_until(check, seconds, what):
+    """Calls `check` until it gives something true; fails after `seconds`."""
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        found = check()
+        if found:
+            return found
+        time.sleep(0.02)
+    raise AssertionError(f"{what}: not within {seconds} s")
+
+
+def http_call(port, method, path, body=None, headers=None, timeout=30):
+    """One request on a connection of its own: (status, headers, body)."""
+    conn = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout)
+    try:
+        conn.request(method, path, body, headers or {})
+        answer = conn.getresponse()
+        return answer.status, dict(answer.getheaders()), answer.read()
+    finally:
+        conn.close()
+
+
+class Process:
+    """One process of the fleet, which can be stopped and started again."""
+
+    def __init__(self, name, args, folder):
+        self.name = name
+        self.args = args
+        self.log = os.path.join(folder, name + ".log")
+        self.popen = None
+
+    def start(self):
+        with open(self.log, "ab") as out:
+            self.popen = subprocess.Popen(self.args, stderr=out, stdout=out)
+
+    def signal(self, number):
+        self.popen.send_signal(number)
+
+    def kill(self):
+        if self.popen and self.popen.poll() is None:
+            self.popen.kill()
+        if self.popen:
+            self.popen.wait()
+
+    def stop(self, seconds=30):
+        """Planned stop; gives the exit code."""
+        self.popen.terminate()
+        return self.popen.wait(seconds)
+
+    def alive(self):
+        return self.popen is not None and self.popen.poll() is None
+
+    def log_text(self):
+        with open(self.log, errors="replace") as f:
+            return f.read()
+
+
+class Fleet:
+    """Control members, placers, entries and fake endpoints."""
+
+    def __init__(self, members=3, placers=2, entries=2, stop_delay_ms=300):
+        self.folder = tempfile.mkdtemp(prefix="almondgate-")
+        self.stop_delay_ms = stop_delay_ms
+        self.processes = {}
+        self.status_ports = {}
+        self.public_ports = {}
+        self.next_number = int(time.time() * 1000)
+        self.member_ports = [free_port() for _ in range(members)]
+        self.control = ",".join(f"127.0.0.1:{p}" for p in self.member_ports)
+        self.first = ",".join(
+            f"c{i}=127.0.0.1:{p}" for i, p in enumerate(self.member_ports)
+        )
+        for i in range(members):
+            self.add_member(f"c{i}", self.member_ports[i], init_as=f"c{i}")
+        for i in range(placers):
+            self.add_placer(f"placer{i}")
+        for i in range(entries):
+            self.add_entry(f"entry{i}")
+
+    # -- making processes
+
+    def _common(self, name, zone, inner=None):
+        status = free_port()
+        self.status_ports[name] = status
+        return [
+            f"--secret={SECRET}",
+            f"--inner=127.0.0.1:{inner or free_port()}",
+            f"--status=127.0.0.1:{status}",
+            f"--zone={zone}",
+            f"--control={self.control}",
+            f"--stop-delay-ms={self.stop_delay_ms}",
+        ]
+
+    def _add(self, name, program, args):
+        args = [os.path.join(BUILD, program)] + args
+        self.processes[name] = Process(name, args, self.folder)
+        return self.processes[name]
+
+    def data_folder(self, name):
+        return os.path.join(self.folder, "data-" + name)
+
+    def add_member(self, name, port, init_as=None):
+        zone = f"z{len(self.processes) % 3}"
+        args = self._common(name, zone, port) + [
+            f"--data={self.data_folder(name)}"
+        ]
+        process = self._add(name, "almondgate-control", args)
+        if init_as:
+            subprocess.run(
+                process.args
+                + [f"--init-as={init_as}", f"--first-members={self.first}"],
+                check=True,
+                capture_output=True,
+            )
+        return process
+
+    def add_placer(self, name):
+        zone = f"z{len(self.processes) % 3}"
+        return self._add(name, "almondgate-placer", self._common(name, zone))
+
+    def add_entry(self, name):
+        zone = f"z{len(self.processes) % 3}"
+        public = free_port()
+        self.public_ports[name] = public
+        keys = ",".join(f"{n}={sha256(k)}" for n, k in OPERATOR_KEYS.items())
+        args = self._common(name, zone) + [
+            f"--public=127.0.0.1:{public}",
+            f"--operator-keys={keys}",
+        ]
+        return self._add(name, "almondgate-entry", args)
+
+    def add_endpoint(self, name, pool=None, zone="z0", rack="r0", slots=8, extra=()):
+        """Starts a fake endpoint and, with `pool`, places its VM there."""
+        port = free_port()
+        self.public_ports[name] = port
+        entries = ",".join(
+            f"127.0.0.1:{p}"
+            for n, p in self.public_ports.items()
+            if n.startswith("entry")
+        )
+        args = [
+            f"--name={name}",
+            f"--listen=127.0.0.1:{port}",
+            f"--entries={entries}",
+            f"--zone={zone}",
+            f"--rack={rack}",
+            f"--slots={slots}",
+        ] + list(extra)
+        process = self._add(name, "fake-endpoint", args)
+        process.start()
+        if pool:
+            self.change("move-vm", {"Vm": name, "From": "", "To": pool})
+        return process
+
+    # -- running
+
+    def start(self):
+        for name, process in self.processes.items():
+            if not process.alive():
+                process.start()
+        for name in self.status_ports:
+            self.wait_ready(name)
+
+    def wait_ready(self, name, seconds=START_SECONDS):
+        wait_until(lambda: self.is_ready(name), seconds, name + " ready")
+
+    def is_ready(self, name):
+        try:
+            return http_call(self.status_ports[name], "GET", "/readyz")[0] == 200
+        except OSError:
+            return False
+
+    def metric(self, name, metric):
+        text = http_call(self.status_ports[name], "GET", "/metrics")[2].decode()
+        for line in text.splitlines():
+            if line.startswith(metric + " "):
+                return float(line.split()[1])
+        return None
+
+    def leader(self):
+        """The name of the control member that leads now, or None."""
+        for name in self.processes:
+            if not name.startswith("c") or not self.processes[name].alive():
+                continue
+            try:
+                if self.metric(name, "almondgate_control_leads") == 1:
+                    return name
+            except OSError:
+                pass
+        return None
+
+    def wait_leader(self, seconds=10):
+        return wait_until(self.leader, seconds, "a leader")
+
+    def close(self):
+        for process in self.processes.values():
+            if process.alive():
+                process.signal(signal.SIGCONT)
+            process.kill()
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.close()
+
+    # -- operators
+
+    def admin(self, method, path, body=None, operator="alice", entry="entry0"):
+        headers = {"authorization": "Bearer " + OPERATOR_KEYS[operator]}
+        data = None if body is None else json.dumps(body)
+        status, _, answer = http_call(
+            self.public_ports[entry], method, "/admin/v1/" + path, data, headers
+        )
+        return status, json.loads(answer)
+
+    def try_change(self, kind, body, number=None, operator="alice", expected=0,
+                   reason="test", entry="entry0"):
+        if number is None:
+            self.next_number += 1
+            number = self.next_number
+        change = {
+            "Number": number,
+            "ExpectedRevision": expected,
+            "Reason": reason,
+            "What": {"Kind": kind, "Body": body},
+        }
+        return self.admin("POST", "changes", change, operator, entry)
+
+    def change(self, kind, body, **options):
+        status, answer = self.try_change(kind, body, **options)
+        assert status == 200, (kind, status, answer)
+        return answer
+
+    def put(self, *records):
+        """Each record is (kind, body)."""
+        return self.change(
+            "put", {"Records": [{"Kind": k, "Body": b} for k, b in records]}
+        )
+
+    def table(self, name, entry="entry0"):
+        status, answer = self.admin("GET", name, entry=entry)
+        assert status == 200, answer
+        return [item["Body"] for item in answer["Items"]]
+
+    def grant_key(self, team, key):
+        body = {"Granted": {"Hash": sha256(key), "Team": team, "Note": ""}}
+        return self.change("grant-key", body)
+
+    def simple_pool(self, pool="p", team="t", queue="q", key="key-t", vms=2,
+                    slots=8, limit=100, queue_class="batch"):
+        """A pool with its team, queue, key and running endpoints."""
+        self.put(
+            ("pool", {"Id": pool}),
+            ("team", {"Id": team, "Share": 1, "Limit": limit}),
+            ("queue", {"Id": queue, "Pool": pool, "Team": team,
+                       "Class": queue_class}),
+        )
+        self.grant_key(team, key)
+        for i in range(vms):
+            self.add_endpoint(f"{pool}-vm{i}", pool, zone=f"z{i % 3}",
+                              rack=f"r{i % 2}", slots=slots)
+        self.wait_serving(queue, key)
+
+    def wait_serving(self, queue, key, seconds=START_SECONDS):
+        for entry in [n for n in self.public_ports if n.startswith("entry")]:
+            wait_until(
+                lambda e=entry: self.call(queue, key, entry=e)[0] == 200,
+                seconds, f"{queue} served by {entry}")
+
+    # -- callers
+
+    def call(self, queue, key, path="/work", method="GET", body=None,
+             headers=None, entry="entry0", timeout=60):
+        headers = dict(headers or {})
+        if key:
+            headers["authorization"] = "Bearer " + key
+        return http_call(self.public_ports[entry], method,
+                         f"/q/{queue}{path}", body, headers, timeout)
+
+    def ran(self):
+        """How often each id ran, over all endpoints that live."""
+        out = {}
+        for name, process in self.processes.items():
+            if "fake-endpoint" not in process.args[0] or not process.alive():
+                continue
+            body = http_call(self.public_ports[name], "GET", "/ran")[2]
+            for request, n in json.loads(body).items():
+                out[request] = out.get(request, 0) + n
+        return out
