--- a/src/almondgate/config/read_settings.cpp
+++ b/src/almondgate/config/read_settings.cpp
@@ -51,7 +51,7 @@
 /// The flags of one program.
 class Flags {
 public:
-  explicit Flags(const std::string &about) : Line(about, ' ', Version) {
+  explicit Flags(const std::string &about) : Line(about, '=', Version) {
     Line.setExceptionHandling(false);
     Line.add(Check);
   }
--- a/src/almondgate/observe/log.cpp
+++ b/src/almondgate/observe/log.cpp
@@ -16,7 +16,7 @@
   if (format == LogFormat::Json)
     return std::make_shared<log4cxx::JSONLayout>();
   return std::make_shared<log4cxx::PatternLayout>(
-      "%d{yyyy-MM-dd'T'HH:mm:ss.SSS} %p %c: %m%n");
+      "%d{yyyy-MM-dd HH:mm:ss.SSS} %p %c: %m%n");
 }
 
 log4cxx::LoggerPtr loggerOf(const char *part) {
--- a/src/almondgate/protocol/rpc_client.cpp
+++ b/src/almondgate/protocol/rpc_client.cpp
@@ -149,6 +149,7 @@
   const std::string path = std::string(PathPrefix) + methodName(call.What);
   const int32_t id = Session->request({{":method", "POST"},
                                        {":scheme", "http"},
+                                       {":authority", "almondgate"},
                                        {":path", path},
                                        {SecretHeader, Options.Secret}},
                                       std::move(call.Body));
--- a/tools/fake_endpoint.cpp
+++ b/tools/fake_endpoint.cpp
@@ -175,7 +175,7 @@
 }
 
 Options readOptions(int argc, char **argv) {
-  TCLAP::CmdLine line("A stand-in for a worker's endpoint");
+  TCLAP::CmdLine line("A stand-in for a worker's endpoint", '=');
   using Text = TCLAP::ValueArg<std::string>;
   using Number = TCLAP::ValueArg<int>;
   Text name("", "name", "VM id", true, "", "name", line);
