Prove the consensus core by seeded fault schedules in virtual time

Cause: nothing showed that the core keeps its promises under crashes, stalls, cuts, drops, delays, duplicates and lost unsynced writes. The checks have teeth: a disk that forgets what it synced is found, and without pre-vote a member behind a one-way cut raises the term.

--- /dev/null
+++ b/src/almondgate/consensus/node_test.cpp
@@ -0,0 +1,271 @@
+#include "test_cluster.hpp"
+
+#include "almondgate/core/invariant.hpp"
+
+#include <doctest/doctest.h>
+
+#include <cstdlib>
+#include <stdexcept>
+
+using namespace almondgate;
+using namespace almondgate::consensus;
+
+namespace {
+
+bool sameApplied(TestCluster &cluster) {
+  const std::vector<LogEntry> *longest = nullptr;
+  for (const auto &id : cluster.ids())
+    if (!longest || cluster.applied(id).size() > longest->size())
+      longest = &cluster.applied(id);
+  for (const auto &id : cluster.ids()) {
+    const auto &own = cluster.applied(id);
+    if (!std::equal(own.begin(), own.end(), longest->begin()))
+      return false;
+  }
+  return true;
+}
+
+// One random fault.
+void disturb(TestCluster &cluster) {
+  const auto ids = cluster.ids();
+  const auto pick = [&] {
+    return ids[size_t(cluster.random(int64_t(ids.size())))];
+  };
+  switch (cluster.random(6)) {
+  case 0:
+    cluster.crash(pick());
+    break;
+  case 1:
+  case 2:
+    for (const auto &id : ids)
+      cluster.restart(id);
+    break;
+  case 3:
+    cluster.stall(pick(), 200 + cluster.random(3000));
+    break;
+  case 4:
+    cluster.cut(pick(), pick());
+    break;
+  default:
+    cluster.heal();
+  }
+}
+
+std::string joined(const std::vector<std::string> &lines) {
+  std::string out;
+  for (const auto &line : lines)
+    out += line + "\n";
+  return out;
+}
+
+std::vector<std::string> schedule(uint64_t seed, Roughness rough,
+                                  int members = 3) {
+  TestCluster cluster(seed, members, rough);
+  cluster.run(1500);
+  for (int round = 0; round < 25; ++round) {
+    disturb(cluster);
+    for (int i = 0; i < 4; ++i) {
+      cluster.propose("r" + std::to_string(round) + "." + std::to_string(i));
+      cluster.run(20 + cluster.random(120));
+    }
+  }
+  cluster.heal();
+  cluster.setRoughness({});
+  for (const auto &id : cluster.ids())
+    cluster.restart(id);
+  cluster.run(8000);
+  auto out = cluster.violations();
+  if (!cluster.leader())
+    out.push_back("no leader after the faults ended");
+  if (!sameApplied(cluster))
+    out.push_back("members applied different entries");
+  return out;
+}
+
+constexpr Roughness Rough{15, 10, 40, false};
+
+uint64_t seedCount() {
+  const char *given = std::getenv("ALMONDGATE_SEEDS");
+  return given ? std::strtoull(given, nullptr, 10) : 300;
+}
+
+// Replaces `old` by a joiner, one step at a time, as control does.
+void replaceMember(TestCluster &cluster, const MemberId &old,
+                   const MemberId &joiner) {
+  for (int i = 0; i < 400; ++i) {
+    cluster.run(25);
+    Node *leader = cluster.leader();
+    if (!leader)
+      continue;
+    Membership next = leader->membership();
+    const auto *joined = findMember(next, joiner);
+    if (joined && joined->Voter && !findMember(next, old))
+      return;
+    std::erase_if(next.Members,
+                  [&](const Member &m) { return m.Id == joiner; });
+    const auto *progress = leader->progressOf(joiner);
+    const bool caught_up =
+        progress && progress->Match >= leader->commitIndex();
+    if (joined && !caught_up)
+      continue;
+    if (joined && findMember(next, old)) {
+      next.Members.push_back({joiner, {}, false});
+      std::erase_if(next.Members,
+                    [&](const Member &m) { return m.Id == old; });
+    } else {
+      next.Members.push_back({joiner, {}, joined != nullptr});
+    }
+    (void)leader->changeMembership(next);
+  }
+}
+
+} // namespace
+
+TEST_CASE("a leader is elected and commits") {
+  TestCluster cluster(1, 3, {});
+  cluster.run(2500);
+  REQUIRE(cluster.leader());
+  CHECK(cluster.propose("a"));
+  cluster.run(300);
+  CHECK(cluster.acknowledged().size() == 1);
+  CHECK(sameApplied(cluster));
+}
+
+TEST_CASE("random faults break no promise") {
+  const uint64_t n = seedCount();
+  for (uint64_t seed = 1; seed <= n; ++seed) {
+    CAPTURE(seed);
+    const auto found = schedule(seed, Rough, seed % 3 == 0 ? 5 : 3);
+    CHECK(joined(found) == "");
+  }
+}
+
+TEST_CASE("the checks see a disk that forgets what it synced") {
+  core::setInvariantHandler(
+      [](const char *text) { throw std::runtime_error(text); });
+  size_t found = 0;
+  for (uint64_t seed = 1; seed <= 40; ++seed) {
+    try {
+      found += schedule(seed, {15, 10, 40, true}).size();
+    } catch (const std::runtime_error &) {
+      ++found;
+    }
+  }
+  core::setInvariantHandler(nullptr);
+  CHECK(found > 0);
+}
+
+TEST_CASE("a frozen leader confirms nothing when it wakes") {
+  TestCluster cluster(7, 3, {});
+  cluster.run(2500);
+  Node *old = cluster.leader();
+  REQUIRE(old);
+  cluster.stall(old->self(), 5000);
+  cluster.run(4990);
+  Node *next = cluster.leader();
+  REQUIRE(next);
+  CHECK(next != old);
+  CHECK(old->confirmedAt().Count < cluster.now() - 4500);
+  cluster.run(200);
+  CHECK(old->role() == NodeRole::Follower);
+}
+
+TEST_CASE("a member behind a one-way cut does not depose the leader") {
+  TestCluster cluster(9, 3, {});
+  cluster.run(2500);
+  Node *leader = cluster.leader();
+  REQUIRE(leader);
+  const uint64_t term = leader->term();
+  for (const auto &id : cluster.ids())
+    if (id != leader->self()) {
+      cluster.cut(leader->self(), id);
+      break;
+    }
+  cluster.run(5000);
+  REQUIRE(cluster.leader());
+  CHECK(cluster.leader()->term() == term);
+}
+
+TEST_CASE("without pre-vote such a member would depose it") {
+  NodeOptions options;
+  options.UsePreVote = false;
+  TestCluster cluster(9, 3, {}, options);
+  cluster.run(2500);
+  Node *leader = cluster.leader();
+  REQUIRE(leader);
+  const uint64_t term = leader->term();
+  for (const auto &id : cluster.ids())
+    if (id != leader->self()) {
+      cluster.cut(leader->self(), id);
+      break;
+    }
+  cluster.run(5000);
+  uint64_t highest = 0;
+  for (const auto &id : cluster.ids())
+    highest = std::max(highest, cluster.node(id).term());
+  CHECK(highest > term);
+}
+
+TEST_CASE("a replaced disk joins by a snapshot, and a second loss is survived") {
+  NodeOptions options;
+  options.KeepBehindSnapshot = 5;
+  TestCluster cluster(11, 3, {5, 5, 20, false}, options);
+  cluster.run(2500);
+  for (int i = 0; i < 200; ++i) {
+    cluster.propose("c" + std::to_string(i));
+    cluster.run(10);
+  }
+  cluster.run(1000);
+  for (const auto &id : cluster.ids())
+    cluster.node(id).compact(cluster.applied(id).back().Index, "state");
+  cluster.run(500);
+  REQUIRE(cluster.leader());
+  const MemberId leader = cluster.leader()->self();
+  const auto ids = cluster.ids();
+  const MemberId lost = ids[0] == leader ? ids[1] : ids[0];
+  cluster.crash(lost);
+  const MemberId joiner = cluster.addJoiner();
+  replaceMember(cluster, lost, joiner);
+  REQUIRE(cluster.leader());
+  CHECK(isVoter(cluster.leader()->membership(), joiner));
+  CHECK(!findMember(cluster.leader()->membership(), lost));
+  // Right after the repair a second member is lost.
+  cluster.crash(cluster.leader()->self());
+  cluster.run(5000);
+  REQUIRE(cluster.leader());
+  CHECK(cluster.propose("after"));
+  cluster.run(1000);
+  CHECK(cluster.violations() == std::vector<std::string>{});
+  CHECK(cluster.acknowledged().rbegin()->second == "after");
+}
+
+TEST_CASE("leadership moves on request without a wait") {
+  TestCluster cluster(13, 3, {});
+  cluster.run(2500);
+  Node *old = cluster.leader();
+  REQUIRE(old);
+  CHECK(old->transferLeadership());
+  cluster.run(150);
+  REQUIRE(cluster.leader());
+  CHECK(cluster.leader() != old);
+}
+
+TEST_CASE("only one voter may change at a time") {
+  const auto member = [](const char *id) {
+    return Member{MemberId(id), {}, true};
+  };
+  const Membership three{{member("a"), member("b"), member("c")}};
+  struct Case {
+    Membership To;
+    bool Allowed;
+  };
+  const std::vector<Case> cases = {
+      {{{member("a"), member("b")}}, true},
+      {{{member("a"), member("b"), member("c"), member("d")}}, true},
+      {{{member("a"), member("b"), member("d")}}, false},
+      {{{member("a")}}, false},
+      {{}, false},
+  };
+  for (const auto &c : cases)
+    CHECK(isSingleStep(three, c.To) == c.Allowed);
+}
--- a/src/almondgate/core/core.cpp
+++ b/src/almondgate/core/core.cpp
@@ -38,6 +38,11 @@
          inet_pton(AF_INET6, ip.c_str(), buf) == 1;
 }
 
+std::function<void(const char *)> &invariantHandler() {
+  static std::function<void(const char *)> handler;
+  return handler;
+}
+
 double fraction(int64_t part, int64_t whole) {
   return whole > 0 ? double(part) / double(whole) : 0.0;
 }
@@ -116,10 +121,16 @@
 void invariant(bool holds, const char *text) {
   if (holds)
     return;
+  if (invariantHandler())
+    invariantHandler()(text);
   std::fprintf(stderr, "invariant: broken: %s\n", text);
   std::abort();
 }
 
+void setInvariantHandler(std::function<void(const char *)> handler) {
+  invariantHandler() = std::move(handler);
+}
+
 std::string toString(const Address &address) {
   const bool six = address.Ip.find(':') != std::string::npos;
   const std::string host = six ? "[" + address.Ip + "]" : address.Ip;
