--- /dev/null
+++ b/src/almondgate/storage/store_test.cpp
@@ -0,0 +1,202 @@
+#include "almondgate/storage/store.hpp"
+#include "almondgate/storage/frame.hpp"
+
+#include <doctest/doctest.h>
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+using namespace almondgate;
+using namespace almondgate::storage;
+using consensus::DurableBatch;
+using consensus::EntryKind;
+using consensus::MemberId;
+using core::ErrorCode;
+
+namespace {
+
+/// A data folder that is removed at the end of a test.
+class Folder {
+public:
+  Folder() {
+    static int next = 0;
+    Path = (std::filesystem::temp_directory_path() /
+            ("almondgate-store-" + std::to_string(getpid()) + "-" +
+             std::to_string(next++)))
+               .string();
+    std::filesystem::remove_all(Path);
+  }
+  ~Folder() { std::filesystem::remove_all(Path); }
+
+  std::string Path;
+};
+
+DurableBatch batchOf(uint64_t index, uint64_t term = 1) {
+  DurableBatch out;
+  out.ReplaceFrom = index;
+  out.Entries = {{term, index, EntryKind::Command,
+                  "entry " + std::to_string(index)}};
+  return out;
+}
+
+std::unique_ptr<Store> openGood(const std::string &path,
+                                const FileOps &ops = systemFileOps()) {
+  auto store = Store::open(path, ops);
+  REQUIRE(bool(store));
+  return std::move(store.value());
+}
+
+void formatWith(const std::string &path, uint64_t entries) {
+  REQUIRE(bool(Store::format(path, MemberId("m1"), {}, systemFileOps())));
+  auto store = openGood(path);
+  for (uint64_t i = 1; i <= entries; ++i)
+    REQUIRE(bool(store->write(batchOf(i))));
+}
+
+std::string readAll(const std::string &path) {
+  std::ifstream in(path, std::ios::binary);
+  std::ostringstream out;
+  out << in.rdbuf();
+  return out.str();
+}
+
+void writeAll(const std::string &path, const std::string &data) {
+  std::ofstream(path, std::ios::binary | std::ios::trunc) << data;
+}
+
+} // namespace
+
+TEST_CASE("what was written is found again") {
+  Folder folder;
+  formatWith(folder.Path, 3);
+  auto store = openGood(folder.Path);
+  DurableBatch replace = batchOf(2, 5);
+  replace.Voted = consensus::Vote{5, MemberId("m2")};
+  REQUIRE(bool(store->write(replace)));
+  store.reset();
+  const auto state = openGood(folder.Path)->takeState();
+  REQUIRE(state.Entries.size() == 2);
+  CHECK(state.Entries[1].Term == 5);
+  CHECK(state.Voted == consensus::Vote{5, MemberId("m2")});
+}
+
+TEST_CASE("a snapshot starts a new log and keeps the vote") {
+  Folder folder;
+  formatWith(folder.Path, 5);
+  auto store = openGood(folder.Path);
+  DurableBatch vote;
+  vote.Voted = consensus::Vote{3, MemberId("m9")};
+  REQUIRE(bool(store->write(vote)));
+  DurableBatch snapshot = batchOf(5);
+  snapshot.Base = consensus::Snapshot{4, 1, {}, "state"};
+  REQUIRE(bool(store->write(snapshot)));
+  REQUIRE(bool(store->write(batchOf(6))));
+  store.reset();
+  const auto state = openGood(folder.Path)->takeState();
+  CHECK(state.Base.Index == 4);
+  CHECK(state.Base.Data == "state");
+  CHECK(state.Entries.size() == 2);
+  CHECK(state.Voted.Term == 3);
+  CHECK(!std::filesystem::exists(folder.Path + "/log-0"));
+}
+
+TEST_CASE("a log cut at any byte of its last record loses only that record") {
+  Folder folder;
+  formatWith(folder.Path, 3);
+  const std::string log = folder.Path + "/log-0";
+  const std::string whole = readAll(log);
+  const auto frames = decodeFrames(whole);
+  REQUIRE(bool(frames));
+  const size_t last =
+      encodeFrame(frames.value().Payloads.back()).size();
+  for (size_t cut = 1; cut <= last; ++cut) {
+    CAPTURE(cut);
+    writeAll(log, whole.substr(0, whole.size() - cut));
+    auto store = openGood(folder.Path);
+    CHECK(store->takeState().Entries.size() == 2);
+    // The tail is gone from the file too: what follows can be read.
+    REQUIRE(bool(store->write(batchOf(3, 2))));
+    store.reset();
+    CHECK(openGood(folder.Path)->takeState().Entries.back().Term == 2);
+  }
+}
+
+TEST_CASE("a flipped byte in the middle is refused with advice") {
+  Folder folder;
+  formatWith(folder.Path, 4);
+  const std::string log = folder.Path + "/log-0";
+  const std::string whole = readAll(log);
+  const auto frames = decodeFrames(whole);
+  REQUIRE(bool(frames));
+  const size_t last =
+      encodeFrame(frames.value().Payloads.back()).size();
+  for (size_t at = 0; at < whole.size() - last; ++at) {
+    CAPTURE(at);
+    std::string damaged = whole;
+    damaged[at] = char(damaged[at] ^ 0x20);
+    writeAll(log, damaged);
+    const auto store = Store::open(folder.Path, systemFileOps());
+    REQUIRE(!store);
+    CHECK(store.error().Code == ErrorCode::Corrupt);
+    CHECK(store.error().Text.find("Lost disk") != std::string::npos);
+  }
+}
+
+TEST_CASE("after a failed write or sync nothing more is written") {
+  enum class Fails { Write, Sync, Rename, SyncFolder };
+  for (const auto fails :
+       {Fails::Write, Fails::Sync, Fails::Rename, Fails::SyncFolder}) {
+    CAPTURE(int(fails));
+    Folder folder;
+    formatWith(folder.Path, 2);
+    bool failing = false;
+    const FileOps real = systemFileOps();
+    const core::Status full = core::Error{ErrorCode::Io, "no space left"};
+    FileOps ops;
+    ops.Write = [&](int fd, std::string_view data) {
+      return failing && fails == Fails::Write ? full : real.Write(fd, data);
+    };
+    ops.Sync = [&](int fd) {
+      return failing && fails == Fails::Sync ? full : real.Sync(fd);
+    };
+    ops.Rename = [&](const std::string &a, const std::string &b) {
+      return failing && fails == Fails::Rename ? full : real.Rename(a, b);
+    };
+    ops.SyncFolder = [&](const std::string &f) {
+      return failing && fails == Fails::SyncFolder ? full : real.SyncFolder(f);
+    };
+    auto store = openGood(folder.Path, ops);
+    failing = true;
+    DurableBatch batch = batchOf(3);
+    batch.Base = consensus::Snapshot{2, 1, {}, "state"};
+    CHECK(!store->write(batch));
+    failing = false;
+    CHECK(!store->write(batchOf(3)));
+    store.reset();
+    // Before or after the switch, but never in between.
+    const auto state = openGood(folder.Path)->takeState();
+    const uint64_t last = state.Base.Index + state.Entries.size();
+    CHECK(last >= 2);
+  }
+}
+
+TEST_CASE("a folder belongs to one process and one identity") {
+  Folder folder;
+  formatWith(folder.Path, 1);
+  const auto held = openGood(folder.Path);
+  const auto second = Store::open(folder.Path, systemFileOps());
+  REQUIRE(!second);
+  CHECK(second.error().Code == ErrorCode::Conflict);
+  const auto again =
+      Store::format(folder.Path, MemberId("m2"), {}, systemFileOps());
+  REQUIRE(!again);
+  CHECK(again.error().Code == ErrorCode::Conflict);
+}
+
+TEST_CASE("an emptied folder has no identity") {
+  Folder folder;
+  const auto store = Store::open(folder.Path, systemFileOps());
+  REQUIRE(!store);
+  CHECK(store.error().Code == ErrorCode::NotFound);
+}
--- /dev/null
+++ b/tests/failure_test.py
@@ -0,0 +1,385 @@
+"""What must always hold, through kills, freezes, cuts, lost disks and races."""
+
+import concurrent.futures
+import json
+import shutil
+import signal
+import time
+
+import pytest
+
+from fleet import Fleet, http_call, wait_until
+from load import Load
+
+BOUND_SECONDS = 3.0
+# The bound, one heartbeat, and what the test itself takes to ask.
+BOUND_WITH_SLACK = BOUND_SECONDS + 1.5
+
+
+@pytest.fixture
+def fleet():
+    with Fleet() as f:
+        f.start()
+        f.simple_pool()
+        yield f
+
+
+def assert_clean(load, ran, allowed=("answered",)):
+    """Nothing lost, doubled or cut; every refusal true."""
+    bad = {r: o for r, o in load.outcomes.items() if o not in allowed}
+    assert not bad, bad
+    assert load.count("answered") > 50
+    for request, outcome in load.outcomes.items():
+        if outcome == "answered":
+            assert ran.get(request, 0) >= 1, request
+        elif outcome.endswith("not-run"):
+            assert ran.get(request, 0) == 0, request
+    doubled = {r: n for r, n in ran.items() if n > 1 and r.startswith("POST")}
+    assert not doubled, doubled
+
+
+# --- planned stops
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_planned_stops_cut_no_request(fleet, method):
+    load = Load(fleet, "q", "key-t", method=method, ms=20)
+    try:
+        for name in ["entry0", "placer0", "c0", "entry1", "placer1", "c1", "c2"]:
+            assert fleet.processes[name].stop() == 0, name
+            fleet.processes[name].start()
+            fleet.wait_ready(name)
+            time.sleep(0.3)
+    finally:
+        load.stop()
+    assert_clean(load, fleet.ran())
+
+
+def test_stops_within_a_second_of_each_other_cut_no_request(fleet):
+    load = Load(fleet, "q", "key-t", method="POST", ms=20)
+    try:
+        time.sleep(0.5)
+        for name in ["entry0", "placer0", "c0"]:
+            fleet.processes[name].signal(signal.SIGTERM)
+            time.sleep(0.3)
+        for name in ["entry0", "placer0", "c0"]:
+            assert fleet.processes[name].popen.wait(30) == 0, name
+            fleet.processes[name].start()
+            fleet.wait_ready(name)
+        time.sleep(0.5)
+    finally:
+        load.stop()
+    assert_clean(load, fleet.ran())
+
+
+def test_an_endpoint_that_leaves_gets_no_new_work(fleet):
+    load = Load(fleet, "q", "key-t", method="POST", ms=20)
+    try:
+        time.sleep(0.5)
+        assert fleet.processes["p-vm0"].stop() == 0
+        time.sleep(0.5)
+    finally:
+        load.stop()
+    bad = {r: o for r, o in load.outcomes.items() if o != "answered"}
+    assert not bad, bad
+
+
+# --- kills
+
+
+def test_a_killed_placer_cuts_and_doubles_nothing(fleet):
+    owner = fleet.table("owners")[0]["Placer"]["Port"]
+    name = next(n for n, p in fleet.processes.items() if n.startswith("placer")
+                and f"--inner=127.0.0.1:{owner}" in p.args)
+    load = Load(fleet, "q", "key-t", method="POST", ms=20)
+    try:
+        time.sleep(0.5)
+        fleet.processes[name].kill()
+        time.sleep(6)
+    finally:
+        load.stop()
+    assert_clean(load, fleet.ran())
+
+
+def test_a_killed_control_leader_stops_no_request(fleet):
+    load = Load(fleet, "q", "key-t", method="POST", ms=20)
+    try:
+        time.sleep(0.5)
+        name = fleet.wait_leader()
+        fleet.processes[name].kill()
+        began = time.monotonic()
+        fleet.wait_leader()
+        leaderless = time.monotonic() - began
+        time.sleep(2)
+    finally:
+        load.stop()
+    assert leaderless < 2.0
+    assert_clean(load, fleet.ran())
+
+
+def test_a_killed_entry_dooms_only_what_it_held(fleet):
+    load = Load(fleet, "q", "key-t", method="POST", ms=30)
+    try:
+        time.sleep(0.5)
+        fleet.processes["entry1"].kill()
+        time.sleep(2)
+        fleet.processes["entry1"].start()
+        fleet.wait_ready("entry1")
+        time.sleep(4)
+    finally:
+        load.stop()
+    cut = [o for o in load.outcomes.values() if o.startswith("cut")]
+    assert len(cut) <= 8
+    others = {o for o in load.outcomes.values() if not o.startswith("cut")}
+    assert others == {"answered"}
+    assert not [r for r, n in fleet.ran().items() if n > 1]
+
+
+@pytest.mark.parametrize("first", [0, 1, 2])
+def test_each_member_killed_in_turn_loses_no_change(fleet, first):
+    names = []
+    for i in range(3):
+        victim = f"c{(first + i) % 3}"
+        fleet.processes[victim].kill()
+        wait_until(fleet.leader, 5, "a leader")
+        for n in range(5):
+            team = f"t{first}-{i}-{n}"
+            fleet.put(("team", {"Id": team, "Share": 1, "Limit": 1}))
+            names.append(team)
+        fleet.processes[victim].start()
+        fleet.wait_ready(victim)
+    assert set(names) <= {t["Id"] for t in fleet.table("teams")}
+
+
+def test_hundreds_of_changes_survive_a_restart_of_all(fleet):
+    for n in range(300):
+        fleet.put(("team", {"Id": f"many-{n}", "Share": 1, "Limit": n}))
+    revision = fleet.admin("GET", "teams")[1]["Revision"]
+    for i in range(3):
+        fleet.processes[f"c{i}"].kill()
+    for i in range(3):
+        fleet.processes[f"c{i}"].start()
+    fleet.wait_leader()
+    fleet.wait_serving("q", "key-t")
+    status, answer = fleet.admin("GET", "teams")
+    assert answer["Revision"] >= revision
+    teams = {t["Body"]["Id"]: t["Body"]["Limit"] for t in answer["Items"]}
+    assert all(teams[f"many-{n}"] == n for n in range(300))
+
+
+# --- lost disks
+
+
+def test_a_lost_disk_is_replaced_and_a_second_loss_survived(fleet):
+    for n in range(20):
+        fleet.put(("team", {"Id": f"before-{n}", "Share": 1, "Limit": 1}))
+    victim = next(n for n in ("c0", "c1", "c2") if n != fleet.wait_leader())
+    process = fleet.processes[victim]
+    process.kill()
+    shutil.rmtree(fleet.data_folder(victim))
+    process.start()
+    time.sleep(1)
+    # Under its new identity it has no vote, and says so.
+    assert not fleet.is_ready(victim)
+    port = int(next(a for a in process.args if a.startswith("--inner="))
+               .rsplit(":", 1)[1])
+    status, answer = fleet.admin(
+        "POST", "members/replace",
+        {"Old": victim, "Inner": {"Ip": "127.0.0.1", "Port": port}})
+    assert status == 200, answer
+    fleet.wait_ready(victim)
+    members = [m["Id"] for m in fleet.admin("GET", "members")[1]["Members"]]
+    assert victim not in members and len(members) == 3
+    # Right after the repair a second member is lost for good.
+    second = next(n for n in ("c0", "c1", "c2") if n != victim)
+    fleet.processes[second].kill()
+    shutil.rmtree(fleet.data_folder(second))
+    fleet.wait_leader()
+    fleet.put(("team", {"Id": "after", "Share": 1, "Limit": 1}))
+    teams = {t["Id"] for t in fleet.table("teams")}
+    assert {f"before-{n}" for n in range(20)} | {"after"} <= teams
+
+
+# --- freezes
+
+
+def test_a_frozen_leader_wakes_and_takes_nothing_back(fleet):
+    name = fleet.wait_leader()
+    fleet.processes[name].signal(signal.SIGSTOP)
+    wait_until(lambda: fleet_leader_other(fleet, name), 5, "another leader")
+    fleet.put(("team", {"Id": "while-frozen", "Share": 1, "Limit": 1}))
+    time.sleep(5)
+    fleet.processes[name].signal(signal.SIGCONT)
+    time.sleep(1)
+    assert "while-frozen" in {t["Id"] for t in fleet.table("teams")}
+    fleet.put(("team", {"Id": "after-wake", "Share": 1, "Limit": 1}))
+    assert fleet.leader() is not None
+
+
+def fleet_leader_other(fleet, frozen):
+    for name in ("c0", "c1", "c2"):
+        if name != frozen and fleet.metric(name, "almondgate_control_leads") == 1:
+            return name
+    return None
+
+
+def test_a_frozen_placer_wakes_and_grants_nothing(fleet):
+    owner = fleet.table("owners")[0]["Placer"]["Port"]
+    name = next(n for n, p in fleet.processes.items() if n.startswith("placer")
+                and f"--inner=127.0.0.1:{owner}" in p.args)
+    load = Load(fleet, "q", "key-t", method="POST", ms=20)
+    try:
+        time.sleep(0.5)
+        fleet.processes[name].signal(signal.SIGSTOP)
+        time.sleep(7)
+        fleet.processes[name].signal(signal.SIGCONT)
+        time.sleep(2)
+    finally:
+        load.stop()
+    assert_clean(load, fleet.ran())
+    new_owner = fleet.table("owners")[0]["Placer"]["Port"]
+    assert new_owner != owner
+
+
+# --- cuts
+
+
+def test_a_withdrawn_key_stops_at_an_entry_that_is_cut_off(fleet):
+    fleet.add_entry("entry9", relayed=True)
+    fleet.processes["entry9"].start()
+    fleet.wait_ready("entry9")
+    wait_until(lambda: fleet.call("q", "key-t", entry="entry9")[0] == 200, 5,
+               "the new entry serves")
+    for relay in fleet.relays["entry9"]:
+        relay.cut("both")
+    fleet.change("withdraw-key", {"Hash": sha("key-t")})
+    withdrawn = time.monotonic()
+    time.sleep(BOUND_WITH_SLACK)
+    status, headers, _ = fleet.call("q", "key-t", entry="entry9")
+    assert (status, headers["almondgate-outcome"]) == (503, "not-run")
+    assert fleet.call("q", "key-t", entry="entry0")[0] == 401
+    assert time.monotonic() - withdrawn < 2 * BOUND_WITH_SLACK
+    for relay in fleet.relays["entry9"]:
+        relay.heal()
+    wait_until(lambda: fleet.call("q", "key-t", entry="entry9")[0] == 401, 10,
+               "the key is gone after the cut")
+
+
+def sha(text):
+    from fleet import sha256
+    return sha256(text)
+
+
+def test_a_leader_that_is_cut_off_confirms_nothing():
+    with Fleet(relay_members=True) as fleet:
+        fleet.start()
+        fleet.simple_pool()
+        old = fleet.wait_leader()
+        # Nobody hears the leader and it hears nobody, but it lives.
+        for name, relay in fleet.relays.items():
+            relay.cut("both") if name == old else None
+        fleet.processes[old].signal(signal.SIGSTOP)
+        wait_until(lambda: fleet_leader_other(fleet, old), 5, "another leader")
+        fleet.processes[old].signal(signal.SIGCONT)
+        fleet.put(("team", {"Id": "behind-cut", "Share": 1, "Limit": 1}))
+        fleet.relays[old].heal()
+        time.sleep(1.5)
+        assert "behind-cut" in {t["Id"] for t in fleet.table("teams")}
+        assert fleet.call("q", "key-t")[0] == 200
+
+
+# --- races of operators
+
+
+def test_equal_numbers_and_resends(fleet):
+    body = {"Records": [{"Kind": "team", "Body": {"Id": "raced", "Limit": 1}}]}
+    first = fleet.try_change("put", body, number=42)
+    assert first[0] == 200
+    # A resend through another entry, after a kill of the leader.
+    fleet.processes[fleet.wait_leader()].kill()
+    fleet.wait_leader()
+    assert fleet.try_change("put", body, number=42, entry="entry1") == first
+    other = {"Records": [{"Kind": "team", "Body": {"Id": "raced", "Limit": 2}}]}
+    assert fleet.try_change("put", other, number=42)[0] == 409
+    assert fleet.try_change("put", other, number=42, operator="bob")[0] == 200
+
+
+def test_one_of_two_racing_operators_wins(fleet):
+    for n in range(10):
+        revision = fleet.admin("GET", "teams")[1]["Revision"]
+
+        def change(who):
+            body = {"Records": [{"Kind": "team",
+                                 "Body": {"Id": f"race-{n}", "Limit": 1}}]}
+            return fleet.try_change("put", body, operator=who, number=1000 + n,
+                                    expected=revision)[0]
+
+        with concurrent.futures.ThreadPoolExecutor(2) as pool:
+            results = sorted(pool.map(change, ["alice", "bob"]))
+        assert results == [200, 409]
+
+
+def test_a_raced_move_leaves_the_vm_in_one_pool(fleet):
+    fleet.put(("pool", {"Id": "x"}), ("pool", {"Id": "y"}))
+
+    def move(target):
+        return fleet.try_change(
+            "move-vm", {"Vm": "p-vm0", "From": "p", "To": target},
+            operator="alice" if target == "x" else "bob", number=77)[0]
+
+    with concurrent.futures.ThreadPoolExecutor(2) as pool:
+        results = sorted(pool.map(move, ["x", "y"]))
+    assert results == [200, 409]
+    assert [v["Pool"] for v in fleet.table("vms")].count("p") == 1
+
+
+# --- non-idempotent requests
+
+
+def test_a_resent_request_with_a_key_runs_once(fleet):
+    headers = {"idempotency-key": "order-1"}
+    first = fleet.call("q", "key-t", "/work?id=order-1", "POST", b"x", headers)
+    assert first[0] == 200
+    again = fleet.call("q", "key-t", "/work?id=order-1", "POST", b"x", headers,
+                       entry="entry1")
+    assert again[0] == 409 and again[1]["almondgate-outcome"] == "unknown"
+    assert "status 200" in json.loads(again[2])["detail"]
+    other = fleet.call("q", "key-t", "/work?id=order-2", "POST", b"y", headers)
+    assert other[0] == 409
+    assert fleet.ran() .get("order-1") == 1 and "order-2" not in fleet.ran()
+
+
+@pytest.mark.parametrize("victim", ["entry0", "placer", "leader"])
+@pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGSTOP])
+def test_a_request_with_a_key_runs_once_through_faults(fleet, victim, number):
+    """Sent while a process dies or freezes, then resent until it is settled."""
+    name = victim
+    if victim == "leader":
+        name = fleet.wait_leader()
+    if victim == "placer":
+        owner = fleet.table("owners")[0]["Placer"]["Port"]
+        name = next(n for n, p in fleet.processes.items()
+                    if n.startswith("placer")
+                    and f"--inner=127.0.0.1:{owner}" in p.args)
+
+    def send(i, entry):
+        headers = {"idempotency-key": f"k{i}"}
+        try:
+            return fleet.call("q", "key-t", f"/work?id=once-{i}&ms=100", "POST",
+                              b"x", headers, entry=entry, timeout=3)[0]
+        except OSError:
+            return 0
+
+    with concurrent.futures.ThreadPoolExecutor(12) as pool:
+        sent = [pool.submit(send, i, "entry0") for i in range(12)]
+        time.sleep(0.05)
+        fleet.processes[name].signal(number)
+        [s.result() for s in sent]
+        time.sleep(5)
+        results = list(pool.map(lambda i: send(i, "entry1"), range(12)))
+    if number == signal.SIGSTOP:
+        fleet.processes[name].signal(signal.SIGCONT)
+        time.sleep(1)
+    assert all(r in (200, 409) for r in results), results
+    ran = fleet.ran()
+    assert all(ran.get(f"once-{i}", 0) <= 1 for i in range(12)), ran
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -10,6 +10,8 @@
 import tempfile
 import time
 
+from relay import Relay
+
 BUILD = os.environ.get(
     "ALMONDGATE_BUILD",
     os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "build"),
@@ -90,7 +92,8 @@
 class Fleet:
     """Control members, placers, entries and fake endpoints."""
 
-    def __init__(self, members=3, placers=2, entries=2, stop_delay_ms=300):
+    def __init__(self, members=3, placers=2, entries=2, stop_delay_ms=300,
+                 relay_members=False):
         self.folder = tempfile.mkdtemp(prefix="almondgate-")
         self.stop_delay_ms = stop_delay_ms
         self.processes = {}
@@ -98,9 +101,15 @@
         self.public_ports = {}
         self.next_number = int(time.time() * 1000)
         self.member_ports = [free_port() for _ in range(members)]
+        self.relays = {}
+        self.seen_ports = list(self.member_ports)
+        if relay_members:
+            for i, port in enumerate(self.member_ports):
+                self.relays[f"c{i}"] = Relay(port)
+                self.seen_ports[i] = self.relays[f"c{i}"].port
         self.control = ",".join(f"127.0.0.1:{p}" for p in self.member_ports)
         self.first = ",".join(
-            f"c{i}=127.0.0.1:{p}" for i, p in enumerate(self.member_ports)
+            f"c{i}=127.0.0.1:{p}" for i, p in enumerate(self.seen_ports)
         )
         for i in range(members):
             self.add_member(f"c{i}", self.member_ports[i], init_as=f"c{i}")
@@ -111,7 +120,7 @@
 
     # -- making processes
 
-    def _common(self, name, zone, inner=None):
+    def _common(self, name, zone, inner=None, control=None):
         status = free_port()
         self.status_ports[name] = status
         return [
@@ -119,7 +128,7 @@
             f"--inner=127.0.0.1:{inner or free_port()}",
             f"--status=127.0.0.1:{status}",
             f"--zone={zone}",
-            f"--control={self.control}",
+            f"--control={control or self.control}",
             f"--stop-delay-ms={self.stop_delay_ms}",
         ]
 
@@ -146,16 +155,25 @@
             )
         return process
 
-    def add_placer(self, name):
+    def relayed_control(self, name):
+        """Control addresses for one process, each behind a relay of its own."""
+        relays = [Relay(port) for port in self.member_ports]
+        self.relays[name] = relays
+        return ",".join(f"127.0.0.1:{r.port}" for r in relays)
+
+    def add_placer(self, name, relayed=False):
         zone = f"z{len(self.processes) % 3}"
-        return self._add(name, "almondgate-placer", self._common(name, zone))
+        control = self.relayed_control(name) if relayed else None
+        args = self._common(name, zone, control=control)
+        return self._add(name, "almondgate-placer", args)
 
-    def add_entry(self, name):
+    def add_entry(self, name, relayed=False):
         zone = f"z{len(self.processes) % 3}"
+        control = self.relayed_control(name) if relayed else None
         public = free_port()
         self.public_ports[name] = public
         keys = ",".join(f"{n}={sha256(k)}" for n, k in OPERATOR_KEYS.items())
-        args = self._common(name, zone) + [
+        args = self._common(name, zone, control=control) + [
             f"--public=127.0.0.1:{public}",
             f"--operator-keys={keys}",
         ]
@@ -229,6 +247,9 @@
             if process.alive():
                 process.signal(signal.SIGCONT)
             process.kill()
+        for held in self.relays.values():
+            for relay in held if isinstance(held, list) else [held]:
+                relay.close()
 
     def __enter__(self):
         return self
