--- a/include/almondgate/consensus/node_options.hpp
+++ b/include/almondgate/consensus/node_options.hpp
@@ -16,7 +16,7 @@
   /// The shortest wait for a leader; the longest is twice this.
   core::DurationMs ElectionTimeout{500};
   /// Bytes of entries in one message.
-  size_t MaxAppendBytes = 256 * 1024;
+  size_t MaxAppendBytes = size_t{256} * 1024;
   /// Append messages to one member that may be unanswered.
   size_t MaxInflight = 16;
   /// Entries kept in memory behind a snapshot, for members that lag.
--- a/include/almondgate/control/control_options.hpp
+++ b/include/almondgate/control/control_options.hpp
@@ -19,7 +19,7 @@
   /// How often the leader looks at pools, waves and portions.
   core::DurationMs DutyInterval{50};
   /// Records of non-idempotent requests are kept this long.
-  int64_t IntentLifeMs = 15 * 60 * 1000;
+  int64_t IntentLifeMs = int64_t{15} * 60 * 1000;
   /// A snapshot is taken after this many applied entries.
   uint64_t SnapshotEvery = 4096;
   /// Updates kept for watchers that lag a little.
--- a/include/almondgate/entry/admin_api.hpp
+++ b/include/almondgate/entry/admin_api.hpp
@@ -41,7 +41,7 @@
   AdminApi(std::map<std::string, core::OperatorId> operators, AdminHooks hooks);
 
   /// Answers a request whose target starts with AdminPrefix.
-  void handle(const http::Request &request, Respond respond);
+  void handle(const http::Request &request, const Respond &respond);
 
 private:
   core::Result<core::OperatorId> authenticate(const http::Request &r) const;
--- a/include/almondgate/entry/announcer.hpp
+++ b/include/almondgate/entry/announcer.hpp
@@ -32,7 +32,7 @@
   /// `done` is called once both have it. Errors given: InvalidArgument,
   /// Unavailable.
   void announce(const model::Announcement &announcement,
-                AnnouncerHooks::OnDone done);
+                const AnnouncerHooks::OnDone &done);
 
 private:
   void report(const model::Announcement &announcement,
--- a/include/almondgate/placer/pool_book.hpp
+++ b/include/almondgate/placer/pool_book.hpp
@@ -125,7 +125,7 @@
   bool placeFrom(std::deque<Waiting> &queue, core::TimeMs now);
   bool leavesHeadroom(const model::GrantRequest &request,
                       core::TimeMs now) const;
-  void grant(Waiting waiting, const core::VmId &vm, core::TimeMs now);
+  void grant(const Waiting &waiting, const core::VmId &vm, core::TimeMs now);
   void startRun(const core::RequestId &id, Running run);
   void endRun(const core::RequestId &id);
   void dropWaiting(const core::RequestId &id);
--- a/src/almondgate/core/core.cpp
+++ b/src/almondgate/core/core.cpp
@@ -22,7 +22,7 @@
 namespace {
 
 std::string toHex(const unsigned char *data, size_t n) {
-  static const char Digits[] = "0123456789abcdef";
+  static constexpr char Digits[] = "0123456789abcdef";
   std::string out;
   out.reserve(n * 2);
   for (size_t i = 0; i < n; ++i) {
--- a/src/almondgate/encoding/codec.cpp
+++ b/src/almondgate/encoding/codec.cpp
@@ -53,7 +53,7 @@
     const auto it = known.find(name);
     if (it == known.end())
       return at + name;
-    const std::string inner = unknownMember(value, *it, at + name + ".");
+    std::string inner = unknownMember(value, *it, at + name + ".");
     if (!inner.empty())
       return inner;
   }
--- a/src/almondgate/entry/admin_api.cpp
+++ b/src/almondgate/entry/admin_api.cpp
@@ -48,7 +48,7 @@
   return it->second;
 }
 
-void AdminApi::handle(const http::Request &request, Respond respond) {
+void AdminApi::handle(const http::Request &request, const Respond &respond) {
   const auto who = authenticate(request);
   if (!who) {
     respond(http::problemResponse(who.error()));
--- a/src/almondgate/entry/announcer.cpp
+++ b/src/almondgate/entry/announcer.cpp
@@ -27,7 +27,7 @@
 Announcer::Announcer(AnnouncerHooks hooks) : Hooks(std::move(hooks)) {}
 
 void Announcer::announce(const model::Announcement &announcement,
-                         AnnouncerHooks::OnDone done) {
+                         const AnnouncerHooks::OnDone &done) {
   if (auto good = check(announcement); !good) {
     done(good);
     return;
--- a/src/almondgate/http/endpoint_client.cpp
+++ b/src/almondgate/http/endpoint_client.cpp
@@ -15,7 +15,6 @@
 using core::Error;
 using core::ErrorCode;
 using core::RunOutcome;
-using core::TimeMs;
 
 namespace {
 
--- a/src/almondgate/placer/pool_book.cpp
+++ b/src/almondgate/placer/pool_book.cpp
@@ -345,7 +345,7 @@
       Waiting chosen = std::move(*it);
       queue.erase(it);
       --Waits;
-      grant(std::move(chosen), *vm, now);
+      grant(chosen, *vm, now);
       return true;
     }
     const bool too_old = now - it->Arrived > Options.PassedFor;
@@ -371,7 +371,7 @@
   }
 }
 
-void PoolBook::grant(Waiting waiting, const VmId &vm, TimeMs now) {
+void PoolBook::grant(const Waiting &waiting, const VmId &vm, TimeMs now) {
   const auto &request = waiting.Request;
   const VmBook &book = Vms.at(vm);
   startRun(request.Id, {request.Team, request.Queue, vm, request.Need, now});
--- a/src/almondgate/policy/fair_share.cpp
+++ b/src/almondgate/policy/fair_share.cpp
@@ -34,6 +34,7 @@
            std::tie(b.Later, b.Ratio, b.OldestMs, b.Team);
   });
   std::vector<core::TeamId> out;
+  out.reserve(ranks.size());
   for (auto &rank : ranks)
     out.push_back(std::move(rank.Team));
   return out;
--- a/src/almondgate/protocol/http2_session.cpp
+++ b/src/almondgate/protocol/http2_session.cpp
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cstring>
 
 namespace almondgate::protocol {
 
@@ -92,7 +91,7 @@
       return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
     auto &out = it->second;
     const size_t n = std::min(size, out.Body.size() - out.Sent);
-    std::memcpy(buf, out.Body.data() + out.Sent, n);
+    std::copy_n(out.Body.data() + out.Sent, n, buf);
     out.Sent += n;
     if (out.Sent == out.Body.size())
       *flags |= NGHTTP2_DATA_FLAG_EOF;
--- a/src/almondgate/protocol/rpc_server.cpp
+++ b/src/almondgate/protocol/rpc_server.cpp
@@ -29,7 +29,7 @@
                    const RpcServerHooks &hooks)
       : Options(options), Hooks(hooks), Loop(loop) {}
 
-  core::Status start(uv_stream_s *listener, std::function<void()> gone);
+  core::Status start(uv_stream_s *listener, const std::function<void()> &gone);
   void respond(int32_t stream, const core::Result<std::string> &answer);
 
 private:
@@ -47,7 +47,7 @@
 };
 
 core::Status ServerConnection::start(uv_stream_s *listener,
-                                     std::function<void()> gone) {
+                                     const std::function<void()> &gone) {
   task::TcpStreamHooks socket_hooks;
   socket_hooks.OnData = [this, gone](std::string_view data) {
     Receiving = true;
--- a/src/almondgate/state/state.cpp
+++ b/src/almondgate/state/state.cpp
@@ -162,7 +162,7 @@
 
 Status run(Draft &draft, const PutRecords &command) {
   for (const auto &record : command.Records) {
-    const Status done =
+    Status done =
         std::visit([&](const auto &r) { return put(draft, r); }, record);
     if (!done)
       return done;
--- a/src/almondgate/task/tcp.cpp
+++ b/src/almondgate/task/tcp.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 constexpr int ListenBacklog = 511;
-constexpr size_t ReadBufferBytes = 64 * 1024;
+constexpr size_t ReadBufferBytes = size_t{64} * 1024;
 
 core::Error ioError(const std::string &what, int code) {
   return {core::ErrorCode::Io, what + ": " + uv_strerror(code)};
--- a/tools/fake_endpoint.cpp
+++ b/tools/fake_endpoint.cpp
@@ -52,7 +52,7 @@
 public:
   FakeEndpoint(task::Loop &loop, Options options)
       : Loop(loop), Opts(std::move(options)), Boot(core::randomHex(4)),
-        Http(loop, {}, [this](http::Exchange e) { serve(std::move(e)); }),
+        Http(loop, {}, [this](const http::Exchange &e) { serve(e); }),
         Client(loop, {}), Beat(loop), Ending(loop) {}
 
   core::Status start() {
@@ -81,7 +81,7 @@
     std::unique_ptr<task::Timer> End;
   };
 
-  void serve(http::Exchange exchange) {
+  void serve(const http::Exchange &exchange) {
     const std::string &target = exchange.Request.Target;
     if (target == "/ran") {
       exchange.Respond(http::jsonResponse(200, nlohmann::json(Ran).dump()));
@@ -93,10 +93,10 @@
       exchange.Respond(http::jsonResponse(200, "{}"));
       return;
     }
-    run(std::move(exchange));
+    run(exchange);
   }
 
-  void run(http::Exchange exchange) {
+  void run(const http::Exchange &exchange) {
     const auto &request = exchange.Request;
     const std::string id = queryValue(request.Target, "id");
     ++Ran[id];
