--- a/include/almondgate/placer/pool_book.hpp
+++ b/include/almondgate/placer/pool_book.hpp
@@ -12,6 +12,7 @@
 #include "almondgate/model/view.hpp"
 #include "almondgate/observe/log.hpp"
 #include "almondgate/placer/pool_options.hpp"
+#include "almondgate/policy/ejection.hpp"
 #include "almondgate/policy/fair_share.hpp"
 #include "almondgate/policy/outcome_window.hpp"
 #include "almondgate/policy/urgent_headroom.hpp"
@@ -130,6 +131,8 @@
   void endRun(const core::RequestId &id);
   void dropWaiting(const core::RequestId &id);
   void noteOutcome(VmBook &vm, bool success, core::TimeMs now);
+  policy::EjectionCase ejectionCase(const VmBook &vm, core::TimeMs now) const;
+  void returnIfAllFail(core::TimeMs now);
   void considerEjection(VmBook &vm, core::TimeMs now);
   void recountOrphans();
   int64_t allSlots() const;
--- a/include/almondgate/policy/ejection.hpp
+++ b/include/almondgate/policy/ejection.hpp
@@ -22,6 +22,10 @@
 /// ejected; at most three tenths of a pool are, but always one may be.
 bool mustEject(const EjectionCase &c);
 
+/// Tells whether the rest of the pool fails so much that keeping an endpoint
+/// ejected helps nobody.
+bool restFailsToo(const EjectionCase &c);
+
 } // namespace almondgate::policy
 
 #endif
--- a/include/almondgate/policy/vm_choice.hpp
+++ b/include/almondgate/policy/vm_choice.hpp
@@ -15,6 +15,8 @@
   core::VmId Vm;
   core::Size Capacity;
   core::Size Free;
+  /// Requests that ended on it lately.
+  int64_t RecentRuns = 0;
 
   bool operator==(const VmLoad &) const = default;
 };
@@ -23,7 +25,8 @@
 using VmChoice = std::function<std::optional<core::VmId>(
     const std::vector<VmLoad> &, const core::Size &need)>;
 
-/// The VM on which the request leaves the smallest dominant fraction in use.
+/// The VM on which the request leaves the smallest dominant fraction in use;
+/// of equals the one with the fewest recent runs.
 std::optional<core::VmId> leastLoaded(const std::vector<VmLoad> &vms,
                                       const core::Size &need);
 
--- a/src/almondgate/placer/pool_book.cpp
+++ b/src/almondgate/placer/pool_book.cpp
@@ -136,6 +136,8 @@
 
 void PoolBook::noteOutcome(VmBook &vm, bool success, TimeMs now) {
   vm.Outcomes = vm.Outcomes.withOutcome(now, success);
+  if (!success)
+    returnIfAllFail(now);
   if (!vm.Ejected) {
     if (!success)
       considerEjection(vm, now);
@@ -153,7 +155,8 @@
   vm.Ejections = std::min<int64_t>(vm.Ejections + 1, 10);
 }
 
-void PoolBook::considerEjection(VmBook &vm, TimeMs now) {
+policy::EjectionCase PoolBook::ejectionCase(const VmBook &vm,
+                                            TimeMs now) const {
   policy::EjectionCase c;
   c.PoolSize = int64_t(Vms.size());
   c.Runs = vm.Outcomes.count(now);
@@ -165,6 +168,21 @@
     c.OtherRuns += other.Outcomes.count(now);
     c.OtherFailures += other.Outcomes.failures(now);
   }
+  return c;
+}
+
+void PoolBook::returnIfAllFail(TimeMs now) {
+  for (auto &[id, vm] : Vms) {
+    if (!vm.Ejected || !policy::restFailsToo(ejectionCase(vm, now)))
+      continue;
+    vm.Ejected = false;
+    vm.Ejections = 0;
+    Log("vm " + id.str() + " back: the rest of the pool fails too");
+  }
+}
+
+void PoolBook::considerEjection(VmBook &vm, TimeMs now) {
+  const auto c = ejectionCase(vm, now);
   if (!policy::mustEject(c))
     return;
   vm.Ejected = true;
@@ -320,7 +338,8 @@
     if (!mayTake(vm, request, now))
       continue;
     auto &list = excludes(request, id) ? excluded : out;
-    list.push_back({id, vm.Facts.Capacity, freeOf(vm)});
+    list.push_back(
+        {id, vm.Facts.Capacity, freeOf(vm), vm.Outcomes.count(now)});
   }
   // Where a request has failed on every VM it may go to any again.
   return out.empty() ? excluded : out;
--- a/src/almondgate/policy/ejection.cpp
+++ b/src/almondgate/policy/ejection.cpp
@@ -29,4 +29,9 @@
   return c.PoolSize > 1 && c.EjectedAlready < most;
 }
 
+bool restFailsToo(const EjectionCase &c) {
+  return c.OtherRuns >= FewestRuns &&
+         rate(c.OtherFailures, c.OtherRuns) >= EjectionRate;
+}
+
 } // namespace almondgate::policy
