--- /dev/null
+++ b/src/almondgate/http/answer_parser_test.cpp
@@ -0,0 +1,109 @@
+#include "answer_parser.hpp"
+
+#include <doctest/doctest.h>
+
+#include <random>
+
+using namespace almondgate;
+using namespace almondgate::http;
+
+namespace {
+
+enum class Verdict { Whole, Open, Refused };
+
+Verdict read(const std::string &bytes, size_t piece, bool head,
+             AnswerParser &parser) {
+  for (size_t at = 0; at < bytes.size(); at += piece) {
+    if (!parser.receive(std::string_view(bytes).substr(at, piece)))
+      return Verdict::Refused;
+    if (parser.complete())
+      return Verdict::Whole;
+  }
+  (void)head;
+  return Verdict::Open;
+}
+
+struct Case {
+  const char *Name;
+  std::string Bytes;
+  Verdict Expected;
+  const char *Body = "";
+  bool Head = false;
+};
+
+const std::vector<Case> Cases = {
+    {"whole by length", "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nabc",
+     Verdict::Whole, "abc"},
+    {"short of its length", "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nabc",
+     Verdict::Open},
+    {"whole by chunks",
+     "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+     Verdict::Whole, "abc"},
+    {"cut before the last chunk",
+     "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n",
+     Verdict::Open},
+    {"cut in the last chunk's end",
+     "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n",
+     Verdict::Open},
+    {"neither length nor chunks", "HTTP/1.1 200 OK\r\n\r\nabc",
+     Verdict::Refused},
+    {"half a head", "HTTP/1.1 200 OK\r\ncontent-le", Verdict::Open},
+    {"no HTTP", "SSH-2.0-OpenSSH\r\n", Verdict::Refused},
+    {"a bad chunk size",
+     "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nzz\r\nabc\r\n",
+     Verdict::Refused},
+    {"too large",
+     "HTTP/1.1 200 OK\r\ncontent-length: 200\r\n\r\n" + std::string(200, 'x'),
+     Verdict::Refused},
+    {"no content", "HTTP/1.1 204 No Content\r\n\r\n", Verdict::Whole},
+    {"an answer to HEAD", "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n",
+     Verdict::Whole, "", true},
+    {"after an interim answer",
+     "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nz",
+     Verdict::Whole, "z"},
+};
+
+constexpr size_t MaxBytes = 100;
+
+} // namespace
+
+TEST_CASE("which answers are whole, however they are cut into reads") {
+  for (const auto &c : Cases) {
+    for (size_t piece = 1; piece <= c.Bytes.size(); ++piece) {
+      CAPTURE(c.Name);
+      CAPTURE(piece);
+      AnswerParser parser(c.Head, MaxBytes);
+      REQUIRE(read(c.Bytes, piece, c.Head, parser) == c.Expected);
+      if (c.Expected == Verdict::Whole)
+        CHECK(parser.take().Body == c.Body);
+    }
+  }
+}
+
+TEST_CASE("bytes after an answer end the connection's use") {
+  const std::string whole = "HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nz";
+  AnswerParser clean(false, MaxBytes);
+  CHECK(clean.receive(whole));
+  CHECK(clean.reusable());
+  AnswerParser extra(false, MaxBytes);
+  CHECK(extra.receive(whole + "HTTP/1.1 200 OK\r\n"));
+  CHECK(extra.complete());
+  CHECK(!extra.reusable());
+  AnswerParser closing(false, MaxBytes);
+  CHECK(closing.receive("HTTP/1.1 200 OK\r\nconnection: close\r\n"
+                        "content-length: 0\r\n\r\n"));
+  CHECK(!closing.reusable());
+}
+
+TEST_CASE("random bytes never make the parser crash or claim a whole answer") {
+  std::mt19937_64 dice(4);
+  for (int i = 0; i < 20000; ++i) {
+    const auto &c = Cases[dice() % Cases.size()];
+    std::string bytes = c.Bytes;
+    for (int n = 0; n < 3; ++n)
+      bytes[dice() % bytes.size()] = char(dice());
+    AnswerParser parser(false, MaxBytes);
+    (void)read(bytes, 1 + dice() % 9, false, parser);
+    CHECK(parser.take().Body.size() <= MaxBytes);
+  }
+}
--- /dev/null
+++ b/src/almondgate/http/endpoint_client_test.cpp
@@ -0,0 +1,188 @@
+#include "almondgate/http/endpoint_client.hpp"
+#include "almondgate/task/loop.hpp"
+#include "almondgate/task/tcp_listener.hpp"
+#include "almondgate/task/tcp_stream.hpp"
+#include "almondgate/task/timer.hpp"
+
+#include <doctest/doctest.h>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <list>
+#include <optional>
+
+using namespace almondgate;
+using namespace almondgate::http;
+using core::Address;
+using core::ErrorCode;
+using core::Result;
+using core::RunOutcome;
+
+namespace {
+
+Address freeAddress() {
+  const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in in{};
+  in.sin_family = AF_INET;
+  in.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  ::bind(fd, reinterpret_cast<sockaddr *>(&in), sizeof(in));
+  socklen_t n = sizeof(in);
+  ::getsockname(fd, reinterpret_cast<sockaddr *>(&in), &n);
+  ::close(fd);
+  return {"127.0.0.1", ntohs(in.sin_port)};
+}
+
+/// An endpoint that answers each connection's requests by a script.
+class Scripted {
+public:
+  using Script = std::function<void(task::TcpStream &, int request,
+                                    std::function<void()> close)>;
+
+  Scripted(task::Loop &loop, Script script)
+      : Loop(loop), At(freeAddress()), Run(std::move(script)),
+        Listener(loop, [this](uv_stream_s *l) { accept(l); }) {
+    REQUIRE(bool(Listener.listen(At)));
+  }
+
+  const Address &address() const { return At; }
+  int connections() const { return Connections; }
+  int requests() const { return Requests; }
+
+private:
+  void accept(uv_stream_s *listener) {
+    ++Connections;
+    auto it = Streams.insert(Streams.end(), nullptr);
+    task::TcpStreamHooks hooks;
+    hooks.OnData = [this, it](std::string_view) {
+      Run(**it, Requests++, [this, it] {
+        Loop.defer([this, it] { it->reset(); });
+      });
+    };
+    *it = std::make_unique<task::TcpStream>(Loop, std::move(hooks));
+    REQUIRE(bool((*it)->accept(listener)));
+  }
+
+  task::Loop &Loop;
+  const Address At;
+  const Script Run;
+  std::list<std::unique_ptr<task::TcpStream>> Streams;
+  int Connections = 0;
+  int Requests = 0;
+  task::TcpListener Listener;
+};
+
+struct Bench {
+  task::Loop Loop;
+  EndpointClient Client{Loop, {.MaxAnswerBytes = 1000}};
+
+  Result<Response> send(const Address &to, bool fresh = false,
+                        int64_t timeout_ms = 2000) {
+    EndpointCall call;
+    call.To = to;
+    call.Request = {"POST", "/x", {}, "body"};
+    call.FreshConnection = fresh;
+    call.Timeout = {timeout_ms};
+    std::optional<Result<Response>> out;
+    Client.send(call, [&](const Result<Response> &answer) {
+      out = answer;
+      Loop.stop();
+    });
+    Loop.run();
+    return *out;
+  }
+};
+
+const std::string Whole = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+
+} // namespace
+
+TEST_CASE("what a caller is told of a failed endpoint") {
+  struct Case {
+    const char *Name;
+    Scripted::Script Script;
+    ErrorCode Code;
+  };
+  const std::vector<Case> cases = {
+      {"closed at once",
+       [](auto &, int, auto close) { close(); }, ErrorCode::EndpointFailed},
+      {"short length",
+       [](task::TcpStream &s, int, auto close) {
+         s.write("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nok");
+         close();
+       },
+       ErrorCode::EndpointFailed},
+      {"cut chunks",
+       [](task::TcpStream &s, int, auto close) {
+         s.write("HTTP/1.1 200 OK\r\ntransfer-encoding: "
+                 "chunked\r\n\r\n2\r\nok\r\n");
+         close();
+       },
+       ErrorCode::EndpointFailed},
+      {"no provable end",
+       [](task::TcpStream &s, int, auto close) {
+         s.write("HTTP/1.1 200 OK\r\n\r\nok");
+         close();
+       },
+       ErrorCode::EndpointFailed},
+      {"silent", [](auto &, int, auto) {}, ErrorCode::DeadlineExceeded},
+  };
+  for (const auto &c : cases) {
+    CAPTURE(c.Name);
+    Bench bench;
+    Scripted endpoint(bench.Loop, c.Script);
+    const auto answer = bench.send(endpoint.address(), false, 100);
+    REQUIRE(!answer);
+    CHECK(answer.error().Code == c.Code);
+    CHECK(answer.error().Outcome == RunOutcome::Unknown);
+    CHECK(endpoint.requests() == 1);
+  }
+}
+
+TEST_CASE("a refused connection is no run") {
+  Bench bench;
+  const auto answer = bench.send(freeAddress());
+  REQUIRE(!answer);
+  CHECK(answer.error().Outcome == RunOutcome::NotRun);
+}
+
+TEST_CASE("an idle connection is used again, but not for a fresh call") {
+  Bench bench;
+  Scripted endpoint(bench.Loop, [](task::TcpStream &s, int, auto) {
+    s.write(Whole);
+  });
+  CHECK(bench.send(endpoint.address()).value().Body == "ok");
+  CHECK(bench.send(endpoint.address()).value().Body == "ok");
+  CHECK(endpoint.connections() == 1);
+  CHECK(bench.send(endpoint.address(), true).value().Body == "ok");
+  CHECK(endpoint.connections() == 2);
+}
+
+TEST_CASE("a second answer is never taken for the next request's") {
+  Bench bench;
+  Scripted endpoint(bench.Loop, [](task::TcpStream &s, int request, auto) {
+    s.write(request == 0 ? Whole + "HTTP/1.1 200 OK\r\ncontent-length: "
+                                   "5\r\n\r\nwrong"
+                         : Whole);
+  });
+  CHECK(bench.send(endpoint.address()).value().Body == "ok");
+  CHECK(bench.send(endpoint.address()).value().Body == "ok");
+  CHECK(endpoint.connections() == 2);
+}
+
+TEST_CASE("a late second answer closes the idle connection") {
+  Bench bench;
+  task::Timer late(bench.Loop);
+  Scripted endpoint(bench.Loop, [&](task::TcpStream &s, int request, auto) {
+    s.write(Whole);
+    if (request == 0)
+      late.once({20}, [&s] { s.write(Whole); });
+  });
+  CHECK(bench.send(endpoint.address()).value().Body == "ok");
+  task::Timer wait(bench.Loop);
+  wait.once({100}, [&] { bench.Loop.stop(); });
+  bench.Loop.run();
+  CHECK(bench.send(endpoint.address()).value().Body == "ok");
+  CHECK(endpoint.connections() == 2);
+}
