Add almondgate-ctl, make demo and waves through the real processes

Found by the ctl tests: a wave's steps were written as a list of pairs, since the JSON library takes only string keys for objects, and ctl stopped with an exception on them.

--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -48,3 +48,4 @@
 almondgate_package(placer almondgate_watch almondgate_policy almondgate_config)
 almondgate_package(control almondgate_protocol almondgate_storage
                    almondgate_policy almondgate_config)
+almondgate_package(ctl almondgate_http almondgate_core)
--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -9,3 +9,4 @@
 almondgate_program(almondgate-control apps/control_main.cpp almondgate_control
                    almondgate_http)
 almondgate_program(fake-endpoint tools/fake_endpoint.cpp almondgate_http)
+almondgate_program(almondgate-ctl apps/ctl_main.cpp almondgate_ctl)
--- /dev/null
+++ b/src/almondgate/ctl/run.cpp
@@ -0,0 +1,359 @@
+#include "almondgate/ctl/run.hpp"
+#include "almondgate/core/digest.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <map>
+
+namespace almondgate::ctl {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr int ConflictStatus = 409;
+constexpr int FirstErrorStatus = 400;
+constexpr int Indent = 2;
+
+std::string cellText(const json &value) {
+  if (value.is_string())
+    return value.get<std::string>();
+  if (value.is_object() && value.contains("Ip"))
+    return value["Ip"].get<std::string>() + ":" + value["Port"].dump();
+  if (value.is_object() && value.contains("Slots"))
+    return value["Slots"].dump() + " slots";
+  return value.dump();
+}
+
+/// Rows of equal width, with a head.
+std::string tableText(const std::vector<std::vector<std::string>> &rows) {
+  std::vector<size_t> widths;
+  for (const auto &row : rows) {
+    widths.resize(std::max(widths.size(), row.size()));
+    for (size_t i = 0; i < row.size(); ++i)
+      widths[i] = std::max(widths[i], row[i].size());
+  }
+  std::string out;
+  for (const auto &row : rows) {
+    std::string line;
+    for (size_t i = 0; i < row.size(); ++i) {
+      line += row[i];
+      if (i + 1 < row.size())
+        line += std::string(widths[i] - row[i].size() + 2, ' ');
+    }
+    out += line + "\n";
+  }
+  return out;
+}
+
+// Objects of one shape as a table; long members are left to describe.
+std::string objectsText(const json &objects) {
+  if (objects.empty())
+    return "nothing\n";
+  std::vector<std::string> names;
+  for (const auto &[name, value] : objects.front().items())
+    if (name != "Steps" && name != "ReleasedBoot")
+      names.push_back(name);
+  std::vector<std::vector<std::string>> rows = {names};
+  for (const auto &object : objects) {
+    std::vector<std::string> row;
+    for (const auto &name : names)
+      row.push_back(cellText(object.at(name)));
+    rows.push_back(std::move(row));
+  }
+  return tableText(rows);
+}
+
+/// One command on its way.
+class Runner {
+public:
+  Runner(const CommandLine &line, const RunHooks &hooks)
+      : Line(line), Hooks(hooks) {}
+
+  ExitCode run();
+
+private:
+  const std::string &word(size_t i) const {
+    static const std::string None;
+    return i < Line.Words.size() ? Line.Words[i] : None;
+  }
+
+  ExitCode usage(const std::string &why) const {
+    Hooks.PrintError(why + "; see almondgate-ctl --help");
+    return BadUsage;
+  }
+
+  ExitCode fetch(const std::string &path, json &out) const;
+  ExitCode failed(const http::Response &response) const;
+  ExitCode change(const std::string &kind, const json &body) const;
+  ExitCode get() const;
+  ExitCode describe() const;
+  ExitCode list(const std::string &path) const;
+  ExitCode apply() const;
+  ExitCode removeRecord() const;
+  ExitCode grant() const;
+  ExitCode withdraw() const;
+  ExitCode move() const;
+  ExitCode setPhase() const;
+  ExitCode replaceMember() const;
+  ExitCode wave() const;
+  ExitCode waveStatus() const;
+  void printWave(const json &wave) const;
+
+  const CommandLine &Line;
+  const RunHooks &Hooks;
+};
+
+ExitCode Runner::failed(const http::Response &response) const {
+  const auto body = json::parse(response.Body, nullptr, false);
+  std::string why = response.Body;
+  if (body.is_object() && body.contains("detail"))
+    why = body["detail"].get<std::string>();
+  else if (body.is_object() && body.contains("Refusal"))
+    why = body["Refusal"]["Text"].get<std::string>();
+  Hooks.PrintError("refused (" + std::to_string(response.Status) + "): " + why);
+  return response.Status == ConflictStatus ? Conflicted : Refused;
+}
+
+ExitCode Runner::fetch(const std::string &path, json &out) const {
+  const auto answer = Hooks.Call("GET", path, "");
+  if (!answer) {
+    Hooks.PrintError("no entry answers: " + answer.error().Text);
+    return Unreachable;
+  }
+  if (answer.value().Status >= FirstErrorStatus)
+    return failed(answer.value());
+  out = json::parse(answer.value().Body, nullptr, false);
+  return Good;
+}
+
+ExitCode Runner::change(const std::string &kind, const json &body) const {
+  const uint64_t number = Line.Number ? Line.Number : Hooks.NewNumber();
+  const json asked = {{"Number", number},
+                      {"ExpectedRevision", Line.Expected},
+                      {"Reason", Line.Reason},
+                      {"What", {{"Kind", kind}, {"Body", body}}}};
+  const auto answer = Hooks.Call(
+      "POST", Line.DryRun ? "changes?dry-run" : "changes", asked.dump());
+  if (!answer) {
+    Hooks.PrintError(
+        "not known whether it was accepted; resend with --number=" +
+        std::to_string(number) + ": " + answer.error().Text);
+    return Unreachable;
+  }
+  if (answer.value().Status >= FirstErrorStatus)
+    return failed(answer.value());
+  const auto result = json::parse(answer.value().Body, nullptr, false);
+  if (Line.Json)
+    Hooks.Print(result.dump(Indent) + "\n");
+  else
+    Hooks.Print((Line.DryRun ? "would be accepted at revision "
+                             : "accepted at revision ") +
+                result["Revision"].dump() + "\n");
+  return Good;
+}
+
+ExitCode Runner::get() const {
+  json found;
+  if (const auto code = fetch(word(1), found); code != Good)
+    return code;
+  if (Line.Json) {
+    Hooks.Print(found.dump(Indent) + "\n");
+    return Good;
+  }
+  json bodies = json::array();
+  for (const auto &item : found["Items"])
+    bodies.push_back(item["Body"]);
+  Hooks.Print(objectsText(bodies) + "revision " + found["Revision"].dump() +
+              "\n");
+  return Good;
+}
+
+ExitCode Runner::describe() const {
+  json found;
+  if (const auto code = fetch(word(1), found); code != Good)
+    return code;
+  for (const auto &item : found["Items"]) {
+    if (item["Body"].value("Id", "") != word(2))
+      continue;
+    Hooks.Print(item["Body"].dump(Indent) + "\n");
+    return Good;
+  }
+  Hooks.PrintError("nothing named '" + word(2) + "' in " + word(1));
+  return Refused;
+}
+
+ExitCode Runner::list(const std::string &path) const {
+  json found;
+  if (const auto code = fetch(path, found); code != Good)
+    return code;
+  if (found.is_object())
+    found = found["Members"];
+  Hooks.Print(Line.Json ? found.dump(Indent) + "\n" : objectsText(found));
+  return Good;
+}
+
+ExitCode Runner::apply() const {
+  const auto text = Hooks.ReadFile(Line.File);
+  if (!text) {
+    Hooks.PrintError("--file '" + Line.File + "': " + text.error().Text);
+    return BadUsage;
+  }
+  const auto records = json::parse(text.value(), nullptr, false);
+  if (!records.is_array())
+    return usage("--file '" + Line.File + "' must hold a JSON list of records");
+  return change("put", {{"Records", records}});
+}
+
+ExitCode Runner::removeRecord() const {
+  static const std::map<std::string, std::string> Names = {
+      {"team", "Id"}, {"pool", "Id"}, {"queue", "Id"}};
+  const auto it = Names.find(word(1));
+  if (it == Names.end() || word(2).empty())
+    return usage("remove team|pool|queue ID");
+  return change(
+      "remove",
+      {{"Content", {{"Kind", word(1)}, {"Body", {{it->second, word(2)}}}}}});
+}
+
+ExitCode Runner::grant() const {
+  if (word(1).empty())
+    return usage("grant TEAM");
+  const std::string key = Hooks.NewKey();
+  const auto code = change("grant-key", {{"Granted",
+                                          {{"Hash", core::sha256Hex(key)},
+                                           {"Team", word(1)},
+                                           {"Note", Line.Reason}}}});
+  if (code == Good && !Line.DryRun)
+    Hooks.Print("key (shown once): " + key + "\n");
+  return code;
+}
+
+ExitCode Runner::withdraw() const {
+  constexpr size_t HashDigits = 64;
+  if (word(1).empty())
+    return usage("withdraw KEY or its SHA-256");
+  const bool is_hash = word(1).size() == HashDigits;
+  return change("withdraw-key",
+                {{"Hash", is_hash ? word(1) : core::sha256Hex(word(1))}});
+}
+
+ExitCode Runner::move() const {
+  if (word(1).empty())
+    return usage("move VM --from=POOL --to=POOL");
+  return change("move-vm",
+                {{"Vm", word(1)}, {"From", Line.From}, {"To", Line.To}});
+}
+
+ExitCode Runner::setPhase() const {
+  if (word(2).empty())
+    return usage("vm active|draining|released VM");
+  return change("set-vm-phase", {{"Vm", word(2)}, {"Phase", word(1)}});
+}
+
+ExitCode Runner::replaceMember() const {
+  const auto at = core::parseAddress(word(2));
+  if (!at)
+    return usage("replace-member OLD IP:PORT");
+  const json asked = {
+      {"Old", word(1)},
+      {"Inner", {{"Ip", at.value().Ip}, {"Port", at.value().Port}}}};
+  const auto answer = Hooks.Call("POST", "members/replace", asked.dump());
+  if (!answer) {
+    Hooks.PrintError("send it again to go on: " + answer.error().Text);
+    return Unreachable;
+  }
+  if (answer.value().Status >= FirstErrorStatus)
+    return failed(answer.value());
+  Hooks.Print("replaced\n");
+  return Good;
+}
+
+void Runner::printWave(const json &wave) const {
+  std::map<std::string, int> counts;
+  for (const auto &[vm, phase] : wave["Steps"].items())
+    ++counts[phase.get<std::string>()];
+  std::string line =
+      wave["Id"].get<std::string>() + " " + wave["Status"].get<std::string>();
+  for (const auto &[phase, n] : counts)
+    line += ", " + std::to_string(n) + " " + phase;
+  Hooks.Print(line + "\n");
+}
+
+ExitCode Runner::waveStatus() const {
+  while (true) {
+    json found;
+    if (const auto code = fetch("waves", found); code != Good)
+      return code;
+    json wave;
+    for (const auto &item : found["Items"])
+      if (item["Body"]["Id"] == word(2))
+        wave = item["Body"];
+    if (wave.is_null()) {
+      Hooks.PrintError("no wave '" + word(2) + "'");
+      return Refused;
+    }
+    printWave(wave);
+    const auto status = wave["Status"].get<std::string>();
+    if (!Line.Watch || status == "done" || status == "cancelled")
+      return Good;
+    Hooks.Pause();
+  }
+}
+
+ExitCode Runner::wave() const {
+  const std::string &verb = word(1);
+  if (word(2).empty())
+    return usage("wave create|pause|resume|cancel|status ID");
+  if (verb == "status")
+    return waveStatus();
+  if (verb == "create")
+    return change("create-wave", {{"Created",
+                                   {{"Id", word(2)},
+                                    {"Kind", Line.Kind},
+                                    {"Pool", Line.Pool},
+                                    {"Rack", Line.Rack},
+                                    {"Zone", Line.Zone}}}});
+  static const std::map<std::string, std::string> Statuses = {
+      {"pause", "paused"}, {"resume", "running"}, {"cancel", "cancelled"}};
+  const auto it = Statuses.find(verb);
+  if (it == Statuses.end())
+    return usage("wave create|pause|resume|cancel|status ID");
+  return change("set-wave-status", {{"Wave", word(2)}, {"Status", it->second}});
+}
+
+ExitCode Runner::run() {
+  const std::string &verb = word(0);
+  if (verb == "get")
+    return get();
+  if (verb == "describe")
+    return describe();
+  if (verb == "audit" || verb == "members")
+    return list(verb);
+  if (verb == "apply")
+    return apply();
+  if (verb == "remove")
+    return removeRecord();
+  if (verb == "grant")
+    return grant();
+  if (verb == "withdraw")
+    return withdraw();
+  if (verb == "move")
+    return move();
+  if (verb == "vm")
+    return setPhase();
+  if (verb == "wave")
+    return wave();
+  if (verb == "replace-member")
+    return replaceMember();
+  return usage("unknown command '" + verb + "'");
+}
+
+} // namespace
+
+ExitCode run(const CommandLine &line, const RunHooks &hooks) {
+  return Runner(line, hooks).run();
+}
+
+} // namespace almondgate::ctl
--- a/src/almondgate/encoding/json_types.hpp
+++ b/src/almondgate/encoding/json_types.hpp
@@ -34,6 +34,27 @@
 
 } // namespace almondgate::core
 
+namespace nlohmann {
+
+/// A map from names is a JSON object.
+template <class Tag, class T>
+struct adl_serializer<std::map<almondgate::core::Id<Tag>, T>> {
+  using Map = std::map<almondgate::core::Id<Tag>, T>;
+
+  static void to_json(json &j, const Map &map) {
+    j = json::object();
+    for (const auto &[id, value] : map)
+      j[id.str()] = value;
+  }
+  static void from_json(const json &j, Map &map) {
+    map.clear();
+    for (const auto &[name, value] : j.items())
+      map.emplace(almondgate::core::Id<Tag>(name), value.template get<T>());
+  }
+};
+
+} // namespace nlohmann
+
 namespace almondgate::model {
 
 NLOHMANN_JSON_SERIALIZE_ENUM(WorkClass, {{WorkClass::Batch, "batch"},
--- a/src/almondgate/entry/entry_core_test.cpp
+++ b/src/almondgate/entry/entry_core_test.cpp
@@ -1,5 +1,5 @@
-#include "almondgate/entry/entry_core.hpp"
 #include "almondgate/core/digest.hpp"
+#include "almondgate/entry/entry_core.hpp"
 
 #include <doctest/doctest.h>
 
@@ -26,9 +26,9 @@
   view.apply({1, false, model::Team{Team, 1, 10}});
   view.apply({1, false, model::Queue{core::QueueId("q"), Pool, Team}});
   view.apply({1, false, model::Key{core::KeyHash(core::sha256Hex("k")), Team}});
-  view.apply({1, false,
-              model::PoolOwner{Pool, core::ProcessId("placer"),
-                               {"127.0.0.1", 1}, 3}});
+  view.apply(
+      {1, false,
+       model::PoolOwner{Pool, core::ProcessId("placer"), {"127.0.0.1", 1}, 3}});
   return view;
 }
 
@@ -209,9 +209,13 @@
   };
   const std::vector<Case> cases = {
       {"after a freeze",
-       [](Bench &b, model::Grant &) { b.Now = b.Now + core::DurationMs{2500}; }},
+       [](Bench &b, model::Grant &) {
+         b.Now = b.Now + core::DurationMs{2500};
+       }},
       {"from an earlier owner",
-       [](Bench &b, model::Grant &) { (void)b.Core.inventory({Pool, 4}); }},
+       [](Bench &b, model::Grant &) {
+         (void)b.Core.inventory({Pool, 4});
+       }},
       {"after the caller went",
        [](Bench &b, model::Grant &) { b.Core.callerGone(RequestId("r")); }},
   };
--- a/src/almondgate/http/answer_parser_test.cpp
+++ b/src/almondgate/http/answer_parser_test.cpp
@@ -37,7 +37,8 @@
     {"short of its length", "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nabc",
      Verdict::Open},
     {"whole by chunks",
-     "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+     "HTTP/1.1 200 OK\r\ntransfer-encoding: "
+     "chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
      Verdict::Whole, "abc"},
     {"cut before the last chunk",
      "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n",
@@ -59,7 +60,8 @@
     {"an answer to HEAD", "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n",
      Verdict::Whole, "", true},
     {"after an interim answer",
-     "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nz",
+     "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: "
+     "1\r\n\r\nz",
      Verdict::Whole, "z"},
 };
 
--- a/src/almondgate/http/endpoint_client_test.cpp
+++ b/src/almondgate/http/endpoint_client_test.cpp
@@ -56,9 +56,8 @@
     auto it = Streams.insert(Streams.end(), nullptr);
     task::TcpStreamHooks hooks;
     hooks.OnData = [this, it](std::string_view) {
-      Run(**it, Requests++, [this, it] {
-        Loop.defer([this, it] { it->reset(); });
-      });
+      Run(**it, Requests++,
+          [this, it] { Loop.defer([this, it] { it->reset(); }); });
     };
     *it = std::make_unique<task::TcpStream>(Loop, std::move(hooks));
     REQUIRE(bool((*it)->accept(listener)));
@@ -105,8 +104,8 @@
     ErrorCode Code;
   };
   const std::vector<Case> cases = {
-      {"closed at once",
-       [](auto &, int, auto close) { close(); }, ErrorCode::EndpointFailed},
+      {"closed at once", [](auto &, int, auto close) { close(); },
+       ErrorCode::EndpointFailed},
       {"short length",
        [](task::TcpStream &s, int, auto close) {
          s.write("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nok");
@@ -149,9 +148,8 @@
 
 TEST_CASE("an idle connection is used again, but not for a fresh call") {
   Bench bench;
-  Scripted endpoint(bench.Loop, [](task::TcpStream &s, int, auto) {
-    s.write(Whole);
-  });
+  Scripted endpoint(bench.Loop,
+                    [](task::TcpStream &s, int, auto) { s.write(Whole); });
   CHECK(bench.send(endpoint.address()).value().Body == "ok");
   CHECK(bench.send(endpoint.address()).value().Body == "ok");
   CHECK(endpoint.connections() == 1);
--- a/src/almondgate/placer/placer_core_test.cpp
+++ b/src/almondgate/placer/placer_core_test.cpp
@@ -103,9 +103,8 @@
     request.Need = {1, 100, 10, 0};
     request.WaitMs = 30000;
     request.Idempotent = idempotent;
-    Core.grant(request, [this, id](const auto &grant) {
-      Grants.emplace(id, grant);
-    });
+    Core.grant(request,
+               [this, id](const auto &grant) { Grants.emplace(id, grant); });
   }
 
   bool granted(const std::string &id) const {
--- a/src/almondgate/placer/pool_book.cpp
+++ b/src/almondgate/placer/pool_book.cpp
@@ -338,8 +338,7 @@
     if (!mayTake(vm, request, now))
       continue;
     auto &list = excludes(request, id) ? excluded : out;
-    list.push_back(
-        {id, vm.Facts.Capacity, freeOf(vm), vm.Outcomes.count(now)});
+    list.push_back({id, vm.Facts.Capacity, freeOf(vm), vm.Outcomes.count(now)});
   }
   // Where a request has failed on every VM it may go to any again.
   return out.empty() ? excluded : out;
--- a/src/almondgate/policy/policy_test.cpp
+++ b/src/almondgate/policy/policy_test.cpp
@@ -169,8 +169,8 @@
       const int64_t portion = int64_t(dice() % uint64_t(left + 1));
       left -= portion;
       const int64_t running = int64_t(dice() % uint64_t(portion + 1));
-      claims.push_back({PoolId(std::to_string(i)), portion, running,
-                        int64_t(dice() % 30)});
+      claims.push_back(
+          {PoolId(std::to_string(i)), portion, running, int64_t(dice() % 30)});
     }
     int64_t sum = limit - left;
     for (const auto &step : planPortions(limit, claims).Grow)
@@ -229,11 +229,11 @@
       {"two tenths of ten", [](Fleet &) {}, 2},
       {"one is draining for another reason",
        phase("vj", model::VmPhase::Draining), 2},
-      {"one has failed", [](Fleet &f) { f.Statuses[VmId("vi")].Healthy = false; },
-       2},
+      {"one has failed",
+       [](Fleet &f) { f.Statuses[VmId("vi")].Healthy = false; }, 2},
       {"one is not known", [](Fleet &f) { f.Statuses.erase(VmId("vi")); }, 2},
-      {"paused",
-       [](Fleet &f) { f.Wave.Status = model::WaveStatus::Paused; }, 0},
+      {"paused", [](Fleet &f) { f.Wave.Status = model::WaveStatus::Paused; },
+       0},
   };
   for (const auto &c : cases) {
     CAPTURE(c.Name);
@@ -277,8 +277,9 @@
   fleet.Wave.ReleasedBoot[VmId("va")] = "1";
   const auto done = [&] {
     const auto plan = planWave(fleet.View, fleet.Wave, fleet.Statuses);
-    return std::any_of(plan.Steps.begin(), plan.Steps.end(),
-                       [](const WaveStep &s) { return s.To == StepPhase::Done; });
+    return std::any_of(
+        plan.Steps.begin(), plan.Steps.end(),
+        [](const WaveStep &s) { return s.To == StepPhase::Done; });
   };
   CHECK(!done());
   model::Vm copy;
@@ -341,7 +342,7 @@
     if (!got)
       CHECK(got.error().Code == *c.Refused);
   }
-  const auto large = admit(view, {core::QueueId("open"), "", {},
-                                  core::Size{9, 0, 0, 0}});
+  const auto large =
+      admit(view, {core::QueueId("open"), "", {}, core::Size{9, 0, 0, 0}});
   CHECK(large.error().Code == core::ErrorCode::NeverFits);
 }
--- a/src/almondgate/policy/vm_choice.cpp
+++ b/src/almondgate/policy/vm_choice.cpp
@@ -11,9 +11,8 @@
       continue;
     const core::Size used = vm.Capacity - vm.Free + need;
     const double load = core::dominantFraction(used, vm.Capacity);
-    const bool better =
-        !best || load < least ||
-        (load == least && vm.RecentRuns < best->RecentRuns);
+    const bool better = !best || load < least ||
+                        (load == least && vm.RecentRuns < best->RecentRuns);
     if (!better)
       continue;
     best = &vm;
--- a/src/almondgate/protocol/rpc_test.cpp
+++ b/src/almondgate/protocol/rpc_test.cpp
@@ -46,8 +46,7 @@
   std::unique_ptr<RpcServer> Server;
   RpcClient Client;
 
-  explicit Bench(const std::string &secret = Secret)
-      : Client(Loop, {secret}) {
+  explicit Bench(const std::string &secret = Secret) : Client(Loop, {secret}) {
     startServer();
   }
 
@@ -152,8 +151,8 @@
   std::mt19937_64 dice(3);
   std::list<std::unique_ptr<task::TcpStream>> streams;
   for (int i = 0; i < 50; ++i) {
-    auto &stream = streams.emplace_back(std::make_unique<task::TcpStream>(
-        bench.Loop, task::TcpStreamHooks{}));
+    auto &stream = streams.emplace_back(
+        std::make_unique<task::TcpStream>(bench.Loop, task::TcpStreamHooks{}));
     std::string bytes =
         i % 2 ? "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" : std::string();
     for (int n = 0; n < 400; ++n)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -229,8 +229,8 @@
 
     def leader(self):
         """The name of the control member that leads now, or None."""
-        for name in self.processes:
-            if not name.startswith("c") or not self.processes[name].alive():
+        for name, process in self.processes.items():
+            if "almondgate-control" not in process.args[0] or not process.alive():
                 continue
             try:
                 if self.metric(name, "almondgate_control_leads") == 1:
--- a/tests/load.py
+++ b/tests/load.py
@@ -14,11 +14,12 @@
     """
 
     def __init__(self, fleet, queue, key, threads=8, method="GET", ms=5,
-                 headers=None, pause=0.0):
+                 headers=None, pause=0.0, name=None):
         self.fleet = fleet
         self.queue = queue
         self.key = key
         self.method = method
+        self.name = name or method
         self.ms = ms
         self.headers = headers or {}
         self.pause = pause
@@ -46,7 +47,7 @@
     def _run(self, thread):
         turn = thread
         while self.running:
-            request = f"{self.method}-{next(self.numbers)}"
+            request = f"{self.name}-{next(self.numbers)}"
             began = time.monotonic()
             self.outcomes[request] = self._send(request, turn)
             self.latencies.append(time.monotonic() - began)
--- /dev/null
+++ b/tools/demo.py
@@ -0,0 +1,120 @@
+"""The main job on a local fleet: two firms' queues, a mixed load, a killed
+placer, a killed control leader and a drained rack. Exits 0 only where nothing
+was lost, doubled or cut."""
+
+import os
+import sys
+import time
+
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
+                                "..", "tests"))
+
+from fleet import Fleet  # noqa: E402
+from load import Load  # noqa: E402
+
+POOLS = ["counter", "police", "ledger", "price", "settle"]
+VMS_PER_POOL = 4
+LOAD_SECONDS = 12
+# (queue, pool, team, class, limit)
+QUEUES = [
+    ("counter-checks", "counter", "inspectors", "urgent", 200),
+    ("stolen-jewellery", "police", "police-liaison", "urgent", 100),
+    ("ledger-nightly", "ledger", "registry", "batch", 50),
+    ("price-checks", "price", "outlets", "urgent", 200),
+    ("settlements", "settle", "finance", "batch", 60),
+]
+
+
+def configure(fleet):
+    fleet.put(*[("pool", {"Id": p}) for p in POOLS])
+    for queue, pool, team, work_class, limit in QUEUES:
+        fleet.put(("team", {"Id": team, "Share": 1, "Limit": limit}),
+                  ("queue", {"Id": queue, "Pool": pool, "Team": team,
+                             "Class": work_class}))
+        fleet.grant_key(team, "key-" + team)
+    for p, pool in enumerate(POOLS):
+        for i in range(VMS_PER_POOL):
+            fleet.add_endpoint(f"{pool}-{i}", pool, zone=f"z{i % 3}",
+                               rack=f"rack{p}{i // 2}")
+    for queue, _, team, _, _ in QUEUES:
+        fleet.wait_serving(queue, "key-" + team)
+
+
+def start_loads(fleet):
+    loads = []
+    for queue, _, team, work_class, _ in QUEUES:
+        method = "POST" if queue == "settlements" else "GET"
+        ms = 10 if work_class == "urgent" else 60
+        loads.append(Load(fleet, queue, "key-" + team, threads=4, ms=ms,
+                          method=method, name=queue))
+    return loads
+
+
+def say(text):
+    print(text, flush=True)
+
+
+def disturb(fleet):
+    time.sleep(LOAD_SECONDS / 4)
+    say("killing placer0")
+    fleet.processes["placer0"].kill()
+    time.sleep(LOAD_SECONDS / 4)
+    leader = fleet.wait_leader()
+    say(f"killing the control leader, {leader}")
+    fleet.processes[leader].kill()
+    fleet.wait_leader()
+    say("draining rack00")
+    fleet.change("create-wave", {"Created": {"Id": "demo", "Kind": "drain",
+                                             "Rack": "rack00"}})
+    time.sleep(LOAD_SECONDS / 2)
+
+
+def percentile(sorted_list, part):
+    return sorted_list[min(len(sorted_list) - 1, int(part * len(sorted_list)))]
+
+
+def report(fleet, loads):
+    ran = fleet.ran()
+    say(f"{'queue':18}{'asked':>7}{'answered':>9}{'refused':>8}{'lost':>6}"
+        f"{'doubled':>8}{'cut':>5}{'p50 ms':>8}{'p99 ms':>8}{'most ms':>9}")
+    bad = 0
+    for load in loads:
+        answered = load.count("answered")
+        refused = sum(o.endswith("not-run") for o in load.outcomes.values())
+        cut = len(load.outcomes) - answered - refused
+        lost = sum(o == "answered" and ran.get(r, 0) == 0
+                   for r, o in load.outcomes.items())
+        doubled = 0
+        if load.method == "POST":
+            doubled = sum(ran.get(r, 0) > 1 for r in load.outcomes)
+        times = sorted(load.latencies)
+        say(f"{load.queue:18}{len(load.outcomes):7}{answered:9}{refused:8}"
+            f"{lost:6}{doubled:8}{cut:5}{percentile(times, 0.5) * 1000:8.1f}"
+            f"{percentile(times, 0.99) * 1000:8.1f}{times[-1] * 1000:9.1f}")
+        bad += lost + doubled + cut
+    wave = next(w for w in fleet.table("waves") if w["Id"] == "demo")
+    say("wave demo: " + ", ".join(f"{vm} {phase}"
+                                  for vm, phase in wave["Steps"].items()))
+    return bad
+
+
+def main():
+    say("starting 3 control members, 3 placers, 3 entries, 20 endpoints")
+    with Fleet(members=3, placers=3, entries=3) as fleet:
+        fleet.start()
+        configure(fleet)
+        say(f"logs in {fleet.folder}")
+        loads = start_loads(fleet)
+        try:
+            disturb(fleet)
+        finally:
+            for load in loads:
+                load.stop()
+        bad = report(fleet, loads)
+    say("nothing was lost, doubled or cut" if bad == 0
+        else f"{bad} requests were lost, doubled or cut")
+    return 1 if bad else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
