--- /dev/null
+++ b/bench/pool_scenarios.cpp
@@ -0,0 +1,274 @@
+#include "almondgate/policy/vm_choice.hpp"
+#include "scenarios.hpp"
+#include "virtual_pool.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace almondgate::bench {
+
+using core::TeamId;
+using model::WorkClass;
+
+namespace {
+
+constexpr int PoolVms = 10;
+constexpr int64_t VmSlots = 8;
+constexpr int64_t BeginMs = 100000;
+
+/// A named set of options for a pool.
+struct NamedPolicy {
+  const char *Name;
+  placer::PoolOptions Options;
+};
+
+std::vector<TeamId>
+firstInFirstOut(const std::vector<policy::TeamLoad> &loads) {
+  auto sorted = loads;
+  std::sort(sorted.begin(), sorted.end(), [](const auto &a, const auto &b) {
+    return a.OldestMs < b.OldestMs;
+  });
+  std::vector<TeamId> out;
+  for (const auto &load : sorted)
+    out.push_back(load.Team);
+  return out;
+}
+
+policy::HeadroomSlots fixedHeadroom(int64_t slots) {
+  return [slots](const policy::UrgentHeadroom &, const policy::PoolLoad &) {
+    return slots;
+  };
+}
+
+// A run time around a mean, off by up to ten times either way.
+int64_t runTime(std::mt19937_64 &dice, double mean_ms) {
+  std::uniform_real_distribution<double> tenfold(-1, 1);
+  const double off = std::pow(10, tenfold(dice));
+  // The mean of ten to the power of a uniform draw from -1 to 1.
+  constexpr double MeanOff = 2.15;
+  return std::max<int64_t>(10, int64_t(mean_ms * off / MeanOff));
+}
+
+int64_t poisson(std::mt19937_64 &dice, double mean) {
+  return std::poisson_distribution<int64_t>(mean)(dice);
+}
+
+// --- shares
+
+struct ShareTeam {
+  TeamId Team;
+  int64_t Share;
+  double RunMs;
+  int64_t Backlog;
+};
+
+const std::vector<ShareTeam> ShareTeams = {{TeamId("a"), 1, 400, 400},
+                                           {TeamId("b"), 2, 1500, 120},
+                                           {TeamId("c"), 5, 800, 60}};
+
+// The largest distance of a team from its share over windows of ten seconds,
+// as a part of the pool.
+double worstShareGap(const placer::PoolOptions &options, uint64_t seed) {
+  VirtualPool pool(PoolVms, VmSlots, options, seed);
+  for (const auto &team : ShareTeams)
+    pool.addTeam(team.Team, team.Share);
+  pool.begin();
+  const auto submit = [&](const ShareTeam &team) {
+    pool.submit({team.Team, WorkClass::Batch, runTime(pool.dice(), team.RunMs),
+                 pool.now()});
+  };
+  pool.Ended = [&](const Work &work) {
+    for (const auto &team : ShareTeams)
+      if (team.Team == work.Team)
+        submit(team);
+  };
+  for (const auto &team : ShareTeams)
+    for (int64_t i = 0; i < team.Backlog; ++i)
+      submit(team);
+  constexpr int64_t WindowMs = 10000;
+  constexpr int64_t WarmUpMs = 20000;
+  constexpr int64_t LengthMs = 120000;
+  std::map<TeamId, int64_t> held;
+  int64_t steps = 0;
+  double worst = 0;
+  pool.runUntil(BeginMs + LengthMs, [&] {
+    if (pool.now() < BeginMs + WarmUpMs)
+      return;
+    ++steps;
+    for (const auto &team : ShareTeams)
+      held[team.Team] += pool.heldBy(team.Team);
+    if (pool.now() % WindowMs != 0)
+      return;
+    constexpr double AllShares = 8;
+    for (const auto &team : ShareTeams) {
+      const double part =
+          double(held[team.Team]) / double(steps * pool.slots());
+      worst = std::max(worst, std::abs(part - double(team.Share) / AllShares));
+    }
+    held.clear();
+    steps = 0;
+  });
+  return worst * 100;
+}
+
+// --- urgent work
+
+struct UrgentResult {
+  std::vector<double> StartMs;
+  double IdlePart = 0;
+};
+
+UrgentResult runUrgent(const placer::PoolOptions &options, uint64_t seed) {
+  VirtualPool pool(PoolVms, VmSlots, options, seed);
+  const TeamId urgent("urgent");
+  const TeamId batch("batch");
+  pool.addTeam(urgent, 1);
+  pool.addTeam(batch, 1);
+  pool.begin();
+  UrgentResult out;
+  pool.Ended = [&](const Work &work) {
+    if (work.Class == WorkClass::Urgent)
+      out.StartMs.push_back(double(work.StartedMs - work.ArrivedMs));
+  };
+  constexpr double StepSeconds = 0.01;
+  constexpr int64_t LengthMs = 200000;
+  constexpr int64_t CycleMs = 20000;
+  constexpr double UrgentPerSecond = 20;
+  constexpr double BatchPerSecond = 12;
+  constexpr double BatchRunMs = 4000;
+  constexpr double UrgentRunMs = 300;
+  int64_t idle = 0;
+  int64_t steps = 0;
+  pool.runUntil(BeginMs + LengthMs, [&] {
+    // Batch bursts to five times its mean, then urgent work does.
+    const int64_t at = (pool.now() - BeginMs) % CycleMs;
+    const double batch_factor =
+        at < CycleMs / 4 ? 5 : (at < CycleMs / 2 ? 0.05 : 1);
+    const double urgent_factor = at > CycleMs * 3 / 4 ? 2 : 0.5;
+    const int64_t batches =
+        poisson(pool.dice(), BatchPerSecond * batch_factor * StepSeconds);
+    const int64_t urgents =
+        poisson(pool.dice(), UrgentPerSecond * urgent_factor * StepSeconds);
+    for (int64_t i = 0; i < batches; ++i)
+      pool.submit({batch, WorkClass::Batch, runTime(pool.dice(), BatchRunMs),
+                   pool.now()});
+    for (int64_t i = 0; i < urgents; ++i)
+      pool.submit({urgent, WorkClass::Urgent, runTime(pool.dice(), UrgentRunMs),
+                   pool.now()});
+    if (pool.waiting() == 0)
+      return;
+    ++steps;
+    idle += pool.slots() - pool.running();
+  });
+  out.IdlePart = steps ? double(idle) / double(steps) : 0;
+  return out;
+}
+
+} // namespace
+
+std::vector<Figure> benchShares(const std::vector<uint64_t> &seeds) {
+  placer::PoolOptions fifo;
+  fifo.Order = firstInFirstOut;
+  std::vector<Figure> out;
+  for (const auto &p :
+       {NamedPolicy{"max-min", {}}, NamedPolicy{"fifo", fifo}}) {
+    Figure gap{"shares", p.Name, "worst gap to share, 10 s windows",
+               "%",      "<=2",  {}};
+    for (const uint64_t seed : seeds)
+      gap.Values.push_back(worstShareGap(p.Options, seed));
+    out.push_back(gap);
+  }
+  return out;
+}
+
+std::vector<Figure> benchUrgent(const std::vector<uint64_t> &seeds) {
+  std::vector<NamedPolicy> policies = {{"following", {}}};
+  for (const int64_t n : {0, 8, 16, 24, 32}) {
+    static std::vector<std::string> names;
+    names.reserve(8);
+    names.push_back("fixed " + std::to_string(n));
+    placer::PoolOptions options;
+    options.Headroom = fixedHeadroom(n);
+    policies.push_back({names.back().c_str(), options});
+  }
+  std::vector<Figure> out;
+  for (const auto &p : policies) {
+    Figure p50{"urgent", p.Name, "start p50", "ms", "", {}};
+    Figure p99{"urgent", p.Name, "start p99", "ms", "<=1200", {}};
+    Figure most{"urgent", p.Name, "start most", "ms", "", {}};
+    Figure idle{"urgent", p.Name, "slots idle while work waits",
+                "slots",  "",     {}};
+    for (const uint64_t seed : seeds) {
+      const auto result = runUrgent(p.Options, seed);
+      p50.Values.push_back(percentile(result.StartMs, 0.5));
+      p99.Values.push_back(percentile(result.StartMs, 0.99));
+      most.Values.push_back(percentile(result.StartMs, 1));
+      idle.Values.push_back(result.IdlePart);
+    }
+    out.insert(out.end(), {p50, p99, most, idle});
+  }
+  return out;
+}
+
+std::vector<Figure> benchBadWorker(const std::vector<uint64_t> &seeds) {
+  placer::PoolOptions none;
+  none.FirstEjection = {0};
+  none.LongestEjection = {0};
+  std::vector<Figure> out;
+  for (const auto &p :
+       {NamedPolicy{"ejection", {}}, NamedPolicy{"no ejection time", none}}) {
+    Figure lost{"bad worker", p.Name, "runs that failed", "%", "<1", {}};
+    for (const uint64_t seed : seeds) {
+      VirtualPool pool(PoolVms, VmSlots, p.Options, seed);
+      const TeamId team("t");
+      pool.addTeam(team, 1);
+      pool.breakVm(3);
+      pool.begin();
+      constexpr double PerSecond = 60;
+      constexpr double StepSeconds = 0.01;
+      pool.runUntil(BeginMs + 120000, [&] {
+        const int64_t n = poisson(pool.dice(), PerSecond * StepSeconds);
+        for (int64_t i = 0; i < n; ++i)
+          pool.submit(
+              {team, WorkClass::Batch, runTime(pool.dice(), 800), pool.now()});
+      });
+      lost.Values.push_back(100.0 * double(pool.failedRuns()) /
+                            double(pool.allRuns()));
+    }
+    out.push_back(lost);
+  }
+  return out;
+}
+
+std::vector<Figure> benchOverload(const std::vector<uint64_t> &seeds) {
+  std::vector<Figure> out;
+  static const std::vector<std::pair<int, std::string>> Loads = {
+      {1, "load x1"}, {2, "load x2"}, {5, "load x5"}, {10, "load x10"}};
+  for (const auto &[times, name] : Loads) {
+    Figure done{"overload", name, "finished a second", "1/s", "", {}};
+    Figure refused{"overload", name, "refused", "%", "", {}};
+    for (const uint64_t seed : seeds) {
+      VirtualPool pool(PoolVms, VmSlots, {}, seed);
+      const TeamId team("t");
+      pool.addTeam(team, 1);
+      pool.begin();
+      // Eighty slots at a mean of 800 ms hold a hundred requests a second.
+      constexpr double Capacity = 100;
+      constexpr int64_t Seconds = 60;
+      int64_t asked = 0;
+      pool.runUntil(BeginMs + Seconds * 1000, [&] {
+        const int64_t n = poisson(pool.dice(), Capacity * times * 0.01);
+        asked += n;
+        for (int64_t i = 0; i < n; ++i)
+          pool.submit(
+              {team, WorkClass::Batch, runTime(pool.dice(), 800), pool.now()});
+      });
+      done.Values.push_back(double(pool.finished()) / double(Seconds));
+      refused.Values.push_back(100.0 * double(pool.refused()) / double(asked));
+    }
+    out.insert(out.end(), {done, refused});
+  }
+  return out;
+}
+
+} // namespace almondgate::bench
--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -10,3 +10,8 @@
                    almondgate_http)
 almondgate_program(fake-endpoint tools/fake_endpoint.cpp almondgate_http)
 almondgate_program(almondgate-ctl apps/ctl_main.cpp almondgate_ctl)
+add_executable(almondgate-bench
+               bench/main.cpp bench/pool_scenarios.cpp
+               bench/other_scenarios.cpp bench/report.cpp
+               bench/virtual_pool.cpp)
+target_link_libraries(almondgate-bench PRIVATE almondgate_placer)
--- a/include/almondgate/placer/pool_book.hpp
+++ b/include/almondgate/placer/pool_book.hpp
@@ -15,7 +15,6 @@
 #include "almondgate/policy/ejection.hpp"
 #include "almondgate/policy/fair_share.hpp"
 #include "almondgate/policy/outcome_window.hpp"
-#include "almondgate/policy/urgent_headroom.hpp"
 
 #include <deque>
 #include <functional>
@@ -135,7 +134,6 @@
   void returnIfAllFail(core::TimeMs now);
   void considerEjection(VmBook &vm, core::TimeMs now);
   void recountOrphans();
-  int64_t allSlots() const;
   int64_t freeSlots(core::TimeMs now) const;
 
   const core::PoolId Pool;
--- a/include/almondgate/placer/pool_options.hpp
+++ b/include/almondgate/placer/pool_options.hpp
@@ -2,6 +2,8 @@
 #define ALMONDGATE_PLACER_POOL_OPTIONS_HPP
 
 #include "almondgate/core/duration_ms.hpp"
+#include "almondgate/policy/fair_share.hpp"
+#include "almondgate/policy/urgent_headroom.hpp"
 #include "almondgate/policy/vm_choice.hpp"
 
 #include <cstddef>
@@ -21,6 +23,8 @@
   /// Later requests of a team that are tried when its first does not fit.
   size_t LookAhead = 8;
   policy::VmChoice Choose = policy::leastLoaded;
+  policy::TeamOrder Order = policy::teamOrder;
+  policy::HeadroomSlots Headroom = policy::followingHeadroom;
 };
 
 } // namespace almondgate::placer
--- a/include/almondgate/policy/fair_share.hpp
+++ b/include/almondgate/policy/fair_share.hpp
@@ -4,7 +4,7 @@
 #include "almondgate/core/id.hpp"
 
 #include <cstdint>
-#include <optional>
+#include <functional>
 #include <vector>
 
 namespace almondgate::policy {
@@ -25,6 +25,10 @@
   bool operator==(const TeamLoad &) const = default;
 };
 
+/// Puts the teams that may start something in the order of their turn.
+using TeamOrder =
+    std::function<std::vector<core::TeamId>(const std::vector<TeamLoad> &)>;
+
 /// The order in which teams with waiting work get the next slot: those with
 /// urgent work inside their entitlement, then by weighted max-min over the
 /// dominant resource, then by age. Teams at their limit are left out.
--- a/include/almondgate/policy/urgent_headroom.hpp
+++ b/include/almondgate/policy/urgent_headroom.hpp
@@ -4,9 +4,26 @@
 #include "almondgate/core/time_ms.hpp"
 
 #include <cstdint>
+#include <functional>
 
 namespace almondgate::policy {
 
+class UrgentHeadroom;
+
+/// A pool's occupation, for a headroom.
+struct PoolLoad {
+  core::TimeMs Now;
+  int64_t Running = 0;
+  core::DurationMs MeanRun{1000};
+  int64_t Slots = 0;
+
+  bool operator==(const PoolLoad &) const = default;
+};
+
+/// How many slots to keep from batch work now.
+using HeadroomSlots =
+    std::function<int64_t(const UrgentHeadroom &, const PoolLoad &)>;
+
 /// Estimates how many slots to keep from batch work, so that urgent work finds
 /// one at once. Follows the urgent arrivals: a peak that fades away.
 class UrgentHeadroom {
@@ -15,10 +32,8 @@
 
   UrgentHeadroom withArrival(core::TimeMs now) const;
 
-  /// `running` slots in use, which end after `mean_run` each: the slots that
-  /// come free by themselves within a second need not be kept.
-  int64_t slots(core::TimeMs now, int64_t running, core::DurationMs mean_run,
-                int64_t all_slots) const;
+  /// The slots that come free by themselves within a second need not be kept.
+  int64_t slots(const PoolLoad &load) const;
 
   bool operator==(const UrgentHeadroom &) const = default;
 
@@ -31,6 +46,9 @@
   core::TimeMs PeakAt;
 };
 
+/// The headroom that follows the urgent demand.
+int64_t followingHeadroom(const UrgentHeadroom &urgent, const PoolLoad &load);
+
 } // namespace almondgate::policy
 
 #endif
--- a/src/almondgate/control/control_core_test.cpp
+++ b/src/almondgate/control/control_core_test.cpp
@@ -228,13 +228,11 @@
   (void)bench.propose(poolAndTeam());
   bench.poll(bench.heartbeat("a", model::Role::Placer), 400);
   REQUIRE(bench.view().Owners.size() == 2);
-  CHECK(model::find(bench.view().Owners, PoolId("p"))->Owner ==
-        ProcessId("a"));
+  CHECK(model::find(bench.view().Owners, PoolId("p"))->Owner == ProcessId("a"));
   // The first placer is silent; until its lease is over nothing moves.
   const auto other = bench.heartbeat("b", model::Role::Placer);
   bench.poll(other, 2600);
-  CHECK(model::find(bench.view().Owners, PoolId("p"))->Owner ==
-        ProcessId("a"));
+  CHECK(model::find(bench.view().Owners, PoolId("p"))->Owner == ProcessId("a"));
   bench.poll(other, 1400);
   const auto *owner = model::find(bench.view().Owners, PoolId("p"));
   CHECK(owner->Owner == ProcessId("b"));
@@ -252,8 +250,7 @@
   REQUIRE(bench.leader() != old);
   // Only "b" finds the new leader; "a" may still be on its way.
   bench.poll(bench.heartbeat("b", model::Role::Placer), 600);
-  CHECK(model::find(bench.view().Owners, PoolId("p"))->Owner ==
-        ProcessId("a"));
+  CHECK(model::find(bench.view().Owners, PoolId("p"))->Owner == ProcessId("a"));
 }
 
 TEST_CASE("a stopping placer's pools move at once") {
@@ -302,10 +299,8 @@
   placer.Demands = {demand("p", 0, 30)};
   bench.poll(placer, 800);
   const uint64_t before = bench.view().Revision;
-  (void)bench.propose(
-      state::PutRecords{{model::Team{TeamId("t"), 1, 4}}});
-  (void)bench.propose(
-      state::PutRecords{{model::Team{TeamId("t"), 1, 10}}});
+  (void)bench.propose(state::PutRecords{{model::Team{TeamId("t"), 1, 4}}});
+  (void)bench.propose(state::PutRecords{{model::Team{TeamId("t"), 1, 10}}});
   // The placer has not applied the lower limit yet.
   placer.Revision = before;
   bench.leader()->watch(placer, [](const auto &) {});
@@ -320,7 +315,7 @@
   options.SnapshotEvery = 50;
   Bench bench(1, options);
   for (int i = 0; i < 120; ++i)
-    (void)bench.propose(state::PutRecords{
-        {model::Pool{PoolId("pool" + std::to_string(i))}}});
+    (void)bench.propose(
+        state::PutRecords{{model::Pool{PoolId("pool" + std::to_string(i))}}});
   CHECK(bench.view().Pools.size() == 120);
 }
--- a/src/almondgate/placer/pool_book.cpp
+++ b/src/almondgate/placer/pool_book.cpp
@@ -99,8 +99,6 @@
   return free;
 }
 
-int64_t PoolBook::allSlots() const { return Capacity.Slots; }
-
 int64_t PoolBook::freeSlots(TimeMs now) const {
   int64_t n = 0;
   for (const auto &[id, vm] : Vms)
@@ -347,8 +345,8 @@
 bool PoolBook::leavesHeadroom(const GrantRequest &request, TimeMs now) const {
   if (request.Class == WorkClass::Urgent)
     return true;
-  const int64_t keep =
-      Headroom.slots(now, int64_t(Runs.size()), MeanRun, allSlots());
+  const int64_t keep = Options.Headroom(
+      Headroom, {now, int64_t(Runs.size()), MeanRun, Capacity.Slots});
   return keep == 0 || freeSlots(now) - request.Need.Slots >= keep;
 }
 
@@ -381,7 +379,7 @@
   bool placed = Waits > 0;
   while (placed) {
     placed = false;
-    for (const auto &id : policy::teamOrder(teamLoads())) {
+    for (const auto &id : Options.Order(teamLoads())) {
       placed = placeOne(Teams[id], now);
       if (placed)
         break;
--- a/src/almondgate/policy/policy_test.cpp
+++ b/src/almondgate/policy/policy_test.cpp
@@ -84,13 +84,13 @@
   const TimeMs start{10000};
   for (int i = 0; i < 20; ++i)
     room = room.withArrival(start);
-  CHECK(room.slots(start, 0, DurationMs{1000}, 80) == 20);
+  CHECK(room.slots({start, 0, DurationMs{1000}, 80}) == 20);
   // Slots that come free within a second need not be kept.
-  CHECK(room.slots(start, 30, DurationMs{2000}, 80) == 5);
-  CHECK(room.slots(start, 0, DurationMs{1000}, 20) == 10);
+  CHECK(room.slots({start, 30, DurationMs{2000}, 80}) == 5);
+  CHECK(room.slots({start, 0, DurationMs{1000}, 20}) == 10);
   room = room.withArrival(start + DurationMs{1000});
-  CHECK(room.slots(start + DurationMs{11000}, 0, DurationMs{1000}, 80) == 10);
-  CHECK(room.slots(start + DurationMs{90000}, 0, DurationMs{1000}, 80) <= 1);
+  CHECK(room.slots({start + DurationMs{11000}, 0, DurationMs{1000}, 80}) == 10);
+  CHECK(room.slots({start + DurationMs{90000}, 0, DurationMs{1000}, 80}) <= 1);
 }
 
 TEST_CASE("the window slides over borders of seconds") {
--- a/src/almondgate/policy/urgent_headroom.cpp
+++ b/src/almondgate/policy/urgent_headroom.cpp
@@ -30,13 +30,16 @@
   return out;
 }
 
-int64_t UrgentHeadroom::slots(core::TimeMs now, int64_t running,
-                              core::DurationMs mean_run,
-                              int64_t all_slots) const {
-  const double run_ms = double(std::max<int64_t>(1, mean_run.Count));
-  const double freed = double(running) * double(BucketLength.Count) / run_ms;
-  const auto wanted = int64_t(std::ceil(peakAt(now) - freed));
-  return std::clamp<int64_t>(wanted, 0, all_slots / 2);
+int64_t UrgentHeadroom::slots(const PoolLoad &load) const {
+  const double run_ms = double(std::max<int64_t>(1, load.MeanRun.Count));
+  const double freed =
+      double(load.Running) * double(BucketLength.Count) / run_ms;
+  const auto wanted = int64_t(std::ceil(peakAt(load.Now) - freed));
+  return std::clamp<int64_t>(wanted, 0, load.Slots / 2);
+}
+
+int64_t followingHeadroom(const UrgentHeadroom &urgent, const PoolLoad &load) {
+  return urgent.slots(load);
 }
 
 } // namespace almondgate::policy
