Keep headroom for the rise of urgent demand to its recent peak

Cause: the mean run time that the headroom used was that of all runs, and the many short urgent ones drowned the batch runs, so it always believed that slots would come free at once. Ruled out: a fixed reserve (8 slots meet the aim but idle at all hours). Change: the batch runs' own mean; room from the present urgent demand to its fading peak, less what comes free within a second.

--- a/include/almondgate/model/inventory.hpp
+++ b/include/almondgate/model/inventory.hpp
@@ -26,6 +26,7 @@
   core::QueueId Queue;
   core::VmId Vm;
   core::Size Need;
+  WorkClass Class = WorkClass::Batch;
 
   bool operator==(const InventoryItem &) const = default;
 };
--- a/include/almondgate/placer/pool_book.hpp
+++ b/include/almondgate/placer/pool_book.hpp
@@ -81,6 +81,7 @@
     core::QueueId Queue;
     core::VmId Vm;
     core::Size Need;
+    model::WorkClass Class = model::WorkClass::Batch;
     core::TimeMs Since;
   };
 
@@ -128,6 +129,7 @@
   void grant(const Waiting &waiting, const core::VmId &vm, core::TimeMs now);
   void startRun(const core::RequestId &id, Running run);
   void endRun(const core::RequestId &id);
+  void noteLeft(model::WorkClass work_class, int64_t n);
   void dropWaiting(const core::RequestId &id);
   void noteOutcome(VmBook &vm, bool success, core::TimeMs now);
   policy::EjectionCase ejectionCase(const VmBook &vm, core::TimeMs now) const;
@@ -148,8 +150,10 @@
   std::map<core::RequestId, Running> Runs;
   std::map<core::RequestId, core::TimeMs> Released;
   policy::UrgentHeadroom Headroom;
-  core::DurationMs MeanRun{1000};
+  core::DurationMs MeanBatchRun{1000};
   int64_t Waits = 0;
+  int64_t UrgentWaits = 0;
+  int64_t UrgentRuns = 0;
 };
 
 } // namespace almondgate::placer
--- a/include/almondgate/policy/urgent_headroom.hpp
+++ b/include/almondgate/policy/urgent_headroom.hpp
@@ -8,31 +8,28 @@
 
 namespace almondgate::policy {
 
-class UrgentHeadroom;
-
 /// A pool's occupation, for a headroom.
 struct PoolLoad {
   core::TimeMs Now;
-  int64_t Running = 0;
-  core::DurationMs MeanRun{1000};
+  /// Urgent requests that run or wait.
+  int64_t UrgentDemand = 0;
+  int64_t BatchRunning = 0;
+  core::DurationMs MeanBatchRun{1000};
   int64_t Slots = 0;
 
   bool operator==(const PoolLoad &) const = default;
 };
 
-/// How many slots to keep from batch work now.
-using HeadroomSlots =
-    std::function<int64_t(const UrgentHeadroom &, const PoolLoad &)>;
-
-/// Estimates how many slots to keep from batch work, so that urgent work finds
-/// one at once. Follows the urgent arrivals: a peak that fades away.
+/// Remembers the peak of the urgent demand, which fades away.
 class UrgentHeadroom {
 public:
   UrgentHeadroom() = default;
 
-  UrgentHeadroom withArrival(core::TimeMs now) const;
+  UrgentHeadroom withDemand(core::TimeMs now, int64_t demand) const;
 
-  /// The slots that come free by themselves within a second need not be kept.
+  /// Slots to keep from batch work, so that urgent work may rise to its recent
+  /// peak at once. Slots that come free by themselves within a second need not
+  /// be kept.
   int64_t slots(const PoolLoad &load) const;
 
   bool operator==(const UrgentHeadroom &) const = default;
@@ -40,12 +37,14 @@
 private:
   double peakAt(core::TimeMs now) const;
 
-  core::TimeMs BucketStart;
-  int64_t InBucket = 0;
   double Peak = 0;
   core::TimeMs PeakAt;
 };
 
+/// How many slots to keep from batch work now.
+using HeadroomSlots =
+    std::function<int64_t(const UrgentHeadroom &, const PoolLoad &)>;
+
 /// The headroom that follows the urgent demand.
 int64_t followingHeadroom(const UrgentHeadroom &urgent, const PoolLoad &load);
 
--- a/src/almondgate/encoding/json_types.hpp
+++ b/src/almondgate/encoding/json_types.hpp
@@ -113,7 +113,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Release, Id, Pool, End, RunMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(InventoryRequest, Pool, Epoch)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(InventoryItem, Id, Team, Queue,
-                                                Vm, Need)
+                                                Vm, Need, Class)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Inventory, Entry, Pool, Items)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ProcessInfo, Id, Kind, Inner,
                                                 Zone)
--- a/src/almondgate/entry/entry_core.cpp
+++ b/src/almondgate/entry/entry_core.cpp
@@ -397,7 +397,7 @@
       continue;
     out.Items.push_back({active.Granted.Id, active.Admitted.Team,
                          active.Request.Asked.Queue, active.Granted.Vm,
-                         active.Admitted.Need});
+                         active.Admitted.Need, active.Admitted.Class});
   }
   return out;
 }
--- a/src/almondgate/placer/pool_book.cpp
+++ b/src/almondgate/placer/pool_book.cpp
@@ -67,7 +67,8 @@
 
 void PoolBook::adopt(const model::Inventory &inventory, TimeMs now) {
   for (const auto &item : inventory.Items)
-    startRun(item.Id, {item.Team, item.Queue, item.Vm, item.Need, now});
+    startRun(item.Id,
+             {item.Team, item.Queue, item.Vm, item.Need, item.Class, now});
   recountOrphans();
 }
 
@@ -198,6 +199,7 @@
     return;
   TeamBook &team = Teams[it->second.Team];
   ++team.Running;
+  UrgentRuns += it->second.Class == WorkClass::Urgent ? 1 : 0;
   team.Held = team.Held + it->second.Need;
   const auto vm = Vms.find(it->second.Vm);
   if (vm == Vms.end())
@@ -212,6 +214,7 @@
     return;
   TeamBook &team = Teams[it->second.Team];
   --team.Running;
+  UrgentRuns -= it->second.Class == WorkClass::Urgent ? 1 : 0;
   team.Held = team.Held - it->second.Need;
   const auto vm = Vms.find(it->second.Vm);
   if (vm != Vms.end()) {
@@ -223,11 +226,9 @@
 
 void PoolBook::dropWaiting(const RequestId &id) {
   for (auto &[name, team] : Teams) {
-    for (auto *queue : {&team.Urgent, &team.Batch}) {
-      const auto gone = std::erase_if(
-          *queue, [&](const Waiting &w) { return w.Request.Id == id; });
-      Waits -= int64_t(gone);
-    }
+    const auto asked = [&](const Waiting &w) { return w.Request.Id == id; };
+    noteLeft(WorkClass::Urgent, int64_t(std::erase_if(team.Urgent, asked)));
+    noteLeft(WorkClass::Batch, int64_t(std::erase_if(team.Batch, asked)));
   }
 }
 
@@ -242,9 +243,10 @@
   const auto vm = Vms.find(it->second.Vm);
   const bool judged =
       release.End == RunEnd::Succeeded || release.End == RunEnd::Failed;
-  if (release.End == RunEnd::Succeeded)
-    MeanRun =
-        (MeanRun * (MeanWeight - 1) + DurationMs{release.RunMs}) / MeanWeight;
+  if (release.End == RunEnd::Succeeded && it->second.Class == WorkClass::Batch)
+    MeanBatchRun =
+        (MeanBatchRun * (MeanWeight - 1) + DurationMs{release.RunMs}) /
+        MeanWeight;
   endRun(release.Id);
   Released.emplace(release.Id, now);
   if (judged && vm != Vms.end())
@@ -264,13 +266,22 @@
     done(Error{ErrorCode::Overloaded, "too many requests wait for the pool"});
     return;
   }
-  if (request.Class == WorkClass::Urgent)
-    Headroom = Headroom.withArrival(now);
   TeamBook &team = Teams[request.Team];
-  auto &queue = request.Class == WorkClass::Urgent ? team.Urgent : team.Batch;
+  const bool urgent = request.Class == WorkClass::Urgent;
+  auto &queue = urgent ? team.Urgent : team.Batch;
   queue.push_back(
       {request, std::move(done), now, now + DurationMs{request.WaitMs}});
   ++Waits;
+  if (!urgent)
+    return;
+  ++UrgentWaits;
+  Headroom = Headroom.withDemand(now, UrgentRuns + UrgentWaits);
+}
+
+// Counts what left a team's queues.
+void PoolBook::noteLeft(WorkClass work_class, int64_t n) {
+  Waits -= n;
+  UrgentWaits -= work_class == WorkClass::Urgent ? n : 0;
 }
 
 void PoolBook::expire(TimeMs now) {
@@ -283,8 +294,8 @@
       std::erase_if(*queue, [&](const Waiting &w) { return now >= w.Until; });
     }
   }
-  Waits -= int64_t(late.size());
   for (const auto &waiting : late) {
+    noteLeft(waiting.Request.Class, 1);
     Log("request " + waiting.Request.Id.str() + " refused: no slot in time");
     waiting.Done(Error{ErrorCode::NoCapacity, "no slot came free in time"});
   }
@@ -303,6 +314,7 @@
     }
   }
   Waits = 0;
+  UrgentWaits = 0;
   for (const auto &waiting : all)
     waiting.Done(error);
 }
@@ -345,8 +357,13 @@
 bool PoolBook::leavesHeadroom(const GrantRequest &request, TimeMs now) const {
   if (request.Class == WorkClass::Urgent)
     return true;
-  const int64_t keep = Options.Headroom(
-      Headroom, {now, int64_t(Runs.size()), MeanRun, Capacity.Slots});
+  policy::PoolLoad load;
+  load.Now = now;
+  load.UrgentDemand = UrgentRuns + UrgentWaits;
+  load.BatchRunning = int64_t(Runs.size()) - UrgentRuns;
+  load.MeanBatchRun = MeanBatchRun;
+  load.Slots = Capacity.Slots;
+  const int64_t keep = Options.Headroom(Headroom, load);
   return keep == 0 || freeSlots(now) - request.Need.Slots >= keep;
 }
 
@@ -360,7 +377,7 @@
     if (vm) {
       Waiting chosen = std::move(*it);
       queue.erase(it);
-      --Waits;
+      noteLeft(chosen.Request.Class, 1);
       grant(chosen, *vm, now);
       return true;
     }
@@ -390,7 +407,8 @@
 void PoolBook::grant(const Waiting &waiting, const VmId &vm, TimeMs now) {
   const auto &request = waiting.Request;
   const VmBook &book = Vms.at(vm);
-  startRun(request.Id, {request.Team, request.Queue, vm, request.Need, now});
+  startRun(request.Id,
+           {request.Team, request.Queue, vm, request.Need, request.Class, now});
   Log("request " + request.Id.str() + " team " + request.Team.str() + " -> " +
       vm.str() + " (" + (book.Ejected ? "probe" : "least loaded") + ", " +
       std::to_string(book.Used.Slots) + "/" +
--- a/src/almondgate/policy/urgent_headroom.cpp
+++ b/src/almondgate/policy/urgent_headroom.cpp
@@ -7,34 +7,31 @@
 
 namespace {
 
-constexpr core::DurationMs BucketLength{1000};
-constexpr core::DurationMs PeakHalfLife{10000};
+constexpr core::DurationMs StartTarget{1000};
+constexpr core::DurationMs PeakHalfLife{30000};
 
 } // namespace
 
 double UrgentHeadroom::peakAt(core::TimeMs now) const {
   const double halves =
       double((now - PeakAt).Count) / double(PeakHalfLife.Count);
-  return std::max(double(InBucket), Peak * std::exp2(-halves));
+  return Peak * std::exp2(-halves);
 }
 
-UrgentHeadroom UrgentHeadroom::withArrival(core::TimeMs now) const {
-  UrgentHeadroom out = *this;
-  if (now - BucketStart >= BucketLength) {
-    out.Peak = peakAt(now);
-    out.PeakAt = now;
-    out.BucketStart = now;
-    out.InBucket = 0;
-  }
-  ++out.InBucket;
+UrgentHeadroom UrgentHeadroom::withDemand(core::TimeMs now,
+                                          int64_t demand) const {
+  UrgentHeadroom out;
+  out.Peak = std::max(peakAt(now), double(demand));
+  out.PeakAt = now;
   return out;
 }
 
 int64_t UrgentHeadroom::slots(const PoolLoad &load) const {
-  const double run_ms = double(std::max<int64_t>(1, load.MeanRun.Count));
+  const auto run_ms = double(std::max<int64_t>(1, load.MeanBatchRun.Count));
   const double freed =
-      double(load.Running) * double(BucketLength.Count) / run_ms;
-  const auto wanted = int64_t(std::ceil(peakAt(load.Now) - freed));
+      double(load.BatchRunning) * double(StartTarget.Count) / run_ms;
+  const double rise = peakAt(load.Now) - double(load.UrgentDemand);
+  const auto wanted = int64_t(std::ceil(rise - freed));
   return std::clamp<int64_t>(wanted, 0, load.Slots / 2);
 }
 
