--- a/include/almondgate/placer/pool_book.hpp
+++ b/include/almondgate/placer/pool_book.hpp
@@ -129,7 +129,6 @@
   void grant(const Waiting &waiting, const core::VmId &vm, core::TimeMs now);
   void startRun(const core::RequestId &id, Running run);
   void endRun(const core::RequestId &id);
-  void noteLeft(model::WorkClass work_class, int64_t n);
   void dropWaiting(const core::RequestId &id);
   void noteOutcome(VmBook &vm, bool success, core::TimeMs now);
   policy::EjectionCase ejectionCase(const VmBook &vm, core::TimeMs now) const;
@@ -151,8 +150,8 @@
   std::map<core::RequestId, core::TimeMs> Released;
   policy::UrgentHeadroom Headroom;
   core::DurationMs MeanBatchRun{1000};
+  core::DurationMs MeanUrgentRun{1000};
   int64_t Waits = 0;
-  int64_t UrgentWaits = 0;
   int64_t UrgentRuns = 0;
 };
 
--- a/include/almondgate/policy/urgent_headroom.hpp
+++ b/include/almondgate/policy/urgent_headroom.hpp
@@ -11,8 +11,8 @@
 /// A pool's occupation, for a headroom.
 struct PoolLoad {
   core::TimeMs Now;
-  /// Urgent requests that run or wait.
-  int64_t UrgentDemand = 0;
+  int64_t UrgentRunning = 0;
+  core::DurationMs MeanUrgentRun{1000};
   int64_t BatchRunning = 0;
   core::DurationMs MeanBatchRun{1000};
   int64_t Slots = 0;
@@ -20,16 +20,16 @@
   bool operator==(const PoolLoad &) const = default;
 };
 
-/// Remembers the peak of the urgent demand, which fades away.
+/// Remembers the peak of the rate of urgent arrivals, which fades away.
 class UrgentHeadroom {
 public:
   UrgentHeadroom() = default;
 
-  UrgentHeadroom withDemand(core::TimeMs now, int64_t demand) const;
+  UrgentHeadroom withArrival(core::TimeMs now) const;
 
   /// Slots to keep from batch work, so that urgent work may rise to its recent
-  /// peak at once. Slots that come free by themselves within a second need not
-  /// be kept.
+  /// peak, or by two standard deviations, at once. Slots that come free by
+  /// themselves within a second need not be kept.
   int64_t slots(const PoolLoad &load) const;
 
   bool operator==(const UrgentHeadroom &) const = default;
@@ -37,6 +37,8 @@
 private:
   double peakAt(core::TimeMs now) const;
 
+  /// Arrivals a millisecond.
+  double Rate = 0;
   double Peak = 0;
   core::TimeMs PeakAt;
 };
--- a/src/almondgate/placer/pool_book.cpp
+++ b/src/almondgate/placer/pool_book.cpp
@@ -227,8 +227,8 @@
 void PoolBook::dropWaiting(const RequestId &id) {
   for (auto &[name, team] : Teams) {
     const auto asked = [&](const Waiting &w) { return w.Request.Id == id; };
-    noteLeft(WorkClass::Urgent, int64_t(std::erase_if(team.Urgent, asked)));
-    noteLeft(WorkClass::Batch, int64_t(std::erase_if(team.Batch, asked)));
+    Waits -= int64_t(std::erase_if(team.Urgent, asked));
+    Waits -= int64_t(std::erase_if(team.Batch, asked));
   }
 }
 
@@ -243,10 +243,11 @@
   const auto vm = Vms.find(it->second.Vm);
   const bool judged =
       release.End == RunEnd::Succeeded || release.End == RunEnd::Failed;
-  if (release.End == RunEnd::Succeeded && it->second.Class == WorkClass::Batch)
-    MeanBatchRun =
-        (MeanBatchRun * (MeanWeight - 1) + DurationMs{release.RunMs}) /
-        MeanWeight;
+  if (release.End == RunEnd::Succeeded) {
+    auto &mean =
+        it->second.Class == WorkClass::Batch ? MeanBatchRun : MeanUrgentRun;
+    mean = (mean * (MeanWeight - 1) + DurationMs{release.RunMs}) / MeanWeight;
+  }
   endRun(release.Id);
   Released.emplace(release.Id, now);
   if (judged && vm != Vms.end())
@@ -274,14 +275,7 @@
   ++Waits;
   if (!urgent)
     return;
-  ++UrgentWaits;
-  Headroom = Headroom.withDemand(now, UrgentRuns + UrgentWaits);
-}
-
-// Counts what left a team's queues.
-void PoolBook::noteLeft(WorkClass work_class, int64_t n) {
-  Waits -= n;
-  UrgentWaits -= work_class == WorkClass::Urgent ? n : 0;
+  Headroom = Headroom.withArrival(now);
 }
 
 void PoolBook::expire(TimeMs now) {
@@ -294,8 +288,8 @@
       std::erase_if(*queue, [&](const Waiting &w) { return now >= w.Until; });
     }
   }
+  Waits -= int64_t(late.size());
   for (const auto &waiting : late) {
-    noteLeft(waiting.Request.Class, 1);
     Log("request " + waiting.Request.Id.str() + " refused: no slot in time");
     waiting.Done(Error{ErrorCode::NoCapacity, "no slot came free in time"});
   }
@@ -314,7 +308,6 @@
     }
   }
   Waits = 0;
-  UrgentWaits = 0;
   for (const auto &waiting : all)
     waiting.Done(error);
 }
@@ -359,7 +352,8 @@
     return true;
   policy::PoolLoad load;
   load.Now = now;
-  load.UrgentDemand = UrgentRuns + UrgentWaits;
+  load.UrgentRunning = UrgentRuns;
+  load.MeanUrgentRun = MeanUrgentRun;
   load.BatchRunning = int64_t(Runs.size()) - UrgentRuns;
   load.MeanBatchRun = MeanBatchRun;
   load.Slots = Capacity.Slots;
@@ -377,7 +371,7 @@
     if (vm) {
       Waiting chosen = std::move(*it);
       queue.erase(it);
-      noteLeft(chosen.Request.Class, 1);
+      --Waits;
       grant(chosen, *vm, now);
       return true;
     }
--- a/src/almondgate/policy/urgent_headroom.cpp
+++ b/src/almondgate/policy/urgent_headroom.cpp
@@ -8,7 +8,10 @@
 namespace {
 
 constexpr core::DurationMs StartTarget{1000};
-constexpr core::DurationMs PeakHalfLife{30000};
+constexpr core::DurationMs SmoothingTime{1000};
+// Demand rises this many standard deviations of a Poisson count above its mean.
+constexpr double Deviations = 3;
+constexpr core::DurationMs PeakHalfLife{90000};
 
 } // namespace
 
@@ -18,10 +21,13 @@
   return Peak * std::exp2(-halves);
 }
 
-UrgentHeadroom UrgentHeadroom::withDemand(core::TimeMs now,
-                                          int64_t demand) const {
+UrgentHeadroom UrgentHeadroom::withArrival(core::TimeMs now) const {
+  const auto passed = double((now - PeakAt).Count);
+  const double kept = std::exp(-passed / double(SmoothingTime.Count));
   UrgentHeadroom out;
-  out.Peak = std::max(peakAt(now), double(demand));
+  // Each arrival adds one over the smoothing time.
+  out.Rate = Rate * kept + 1 / double(SmoothingTime.Count);
+  out.Peak = std::max(peakAt(now), out.Rate);
   out.PeakAt = now;
   return out;
 }
@@ -30,8 +36,13 @@
   const auto run_ms = double(std::max<int64_t>(1, load.MeanBatchRun.Count));
   const double freed =
       double(load.BatchRunning) * double(StartTarget.Count) / run_ms;
-  const double rise = peakAt(load.Now) - double(load.UrgentDemand);
-  const auto wanted = int64_t(std::ceil(rise - freed));
+  // Little's law: what runs at once is the arrival rate by the run time.
+  const double most = peakAt(load.Now) * double(load.MeanUrgentRun.Count);
+  const double rise = most - double(load.UrgentRunning);
+  const double spread = Deviations * std::sqrt(double(load.UrgentRunning));
+  // Sums of rounded parts may lie a hair above a whole number.
+  constexpr double Hair = 1e-9;
+  const auto wanted = int64_t(std::ceil(std::max(rise, spread) - freed - Hair));
   return std::clamp<int64_t>(wanted, 0, load.Slots / 2);
 }
 
