Settle moved VMs, and hold growth back until the owners have called

Ruled out: a fixed wait of one lease at the gainer - every takeover would pay it. Change: a move is marked with its revision, and the leader clears the mark once every pool owner's heartbeat has that revision; an owner that has not called counts as behind until its lease is surely over. The same rule guards portions. Tests: moved VM in placer, state and control; a limit halved while full, with the owner killed or frozen in the middle (never above it after the bound, and used); what holds a wave up is told by ctl.

--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 	@./tools/test.sh $(BUILD)
 
 bench: build
+	@$(BUILD)/almondgate-capacity
 	@$(BUILD)/almondgate-bench
 
 soak: build
--- a/bench/virtual_pool.cpp
+++ b/bench/virtual_pool.cpp
@@ -44,7 +44,7 @@
 }
 
 void VirtualPool::begin() {
-  Book.setView(View, time());
+  Book.setView(View);
   reportAll();
 }
 
--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -15,3 +15,9 @@
                bench/other_scenarios.cpp bench/report.cpp
                bench/virtual_pool.cpp)
 target_link_libraries(almondgate-bench PRIVATE almondgate_placer)
+almondgate_program(almondgate-capacity bench/capacity.cpp almondgate_placer
+                   almondgate_control)
+almondgate_program(example-choose-vm examples/choose_vm.cpp almondgate_policy)
+almondgate_program(example-share-slots examples/share_slots.cpp
+                   almondgate_policy)
+almondgate_program(example-mailbox examples/mailbox.cpp almondgate_task)
--- a/include/almondgate/control/control_core.hpp
+++ b/include/almondgate/control/control_core.hpp
@@ -45,6 +45,10 @@
   void replaceMember(const consensus::MemberReplacement &replacement,
                      OnDone done);
 
+  /// What keeps a wave from its next steps. Errors: NotLeader, NotFound.
+  core::Result<std::vector<std::string>>
+  waveHoldups(const core::WaveId &wave) const;
+
   /// Hands leadership to another member, before a planned stop.
   void stepDown();
 
--- a/include/almondgate/control/sessions.hpp
+++ b/include/almondgate/control/sessions.hpp
@@ -41,9 +41,6 @@
   /// What the owners of pools say of their VMs.
   policy::VmStatuses vmStatuses() const;
 
-  /// The oldest revision that a placer may still act on.
-  uint64_t oldestPlacerRevision() const;
-
 private:
   std::map<core::ProcessId, Session> Known;
 };
--- a/include/almondgate/entry/admin_api.hpp
+++ b/include/almondgate/entry/admin_api.hpp
@@ -28,6 +28,9 @@
   /// Calls back once this entry's view has the revision, or after a while.
   std::function<void(uint64_t revision, std::function<void()>)> WhenApplied;
   std::function<void(On<std::vector<state::AuditEntry>>)> Audit;
+  /// What holds a wave up.
+  std::function<void(const core::WaveId &, On<std::vector<std::string>>)>
+      WaveHoldups;
   std::function<void(On<consensus::Membership>)> Members;
   std::function<void(const consensus::MemberReplacement &, On<void>)> Replace;
 };
--- a/include/almondgate/model/vm.hpp
+++ b/include/almondgate/model/vm.hpp
@@ -5,6 +5,7 @@
 #include "almondgate/core/id.hpp"
 #include "almondgate/core/size.hpp"
 
+#include <cstdint>
 #include <string>
 
 namespace almondgate::model {
@@ -33,6 +34,9 @@
   VmPhase Phase = VmPhase::Active;
   /// The endpoint announced that it is about to stop.
   bool Leaving = false;
+  /// Revision of its last move between pools, until every owner has applied
+  /// that revision; then 0. Takes no work before.
+  uint64_t MovedAt = 0;
 
   bool operator==(const Vm &) const = default;
 };
--- a/include/almondgate/placer/pool_book.hpp
+++ b/include/almondgate/placer/pool_book.hpp
@@ -36,7 +36,7 @@
   uint64_t epoch() const { return Epoch; }
 
   /// Takes over the settings, VMs and portions of the view.
-  void setView(const model::View &view, core::TimeMs now);
+  void setView(const model::View &view);
 
   /// Counts what an entry says it runs.
   void adopt(const model::Inventory &inventory, core::TimeMs now);
@@ -96,7 +96,6 @@
     model::Announcement Last;
     bool Reported = false;
     core::TimeMs ReportedAt;
-    core::TimeMs UsableFrom;
     core::Size Used;
     int64_t Runs = 0;
     policy::OutcomeWindow Outcomes;
--- a/include/almondgate/protocol/method.hpp
+++ b/include/almondgate/protocol/method.hpp
@@ -21,6 +21,8 @@
   ReplaceMember,
   /// Nothing to Membership; entry to the control leader.
   ListMembers,
+  /// Wave id to a list of what holds it up; entry to the control leader.
+  WaveHoldups,
   /// Nothing to the member's id; control leader to a joining member.
   Identity,
   /// GrantRequest to Grant; entry to placer.
--- a/include/almondgate/state/command.hpp
+++ b/include/almondgate/state/command.hpp
@@ -122,11 +122,20 @@
   bool operator==(const ExpireIntents &) const = default;
 };
 
+/// Lets a moved VM take work: every owner has applied its move. Refused unless
+/// `MovedAt` is still its last move.
+struct SettleVm {
+  core::VmId Vm;
+  uint64_t MovedAt = 0;
+  bool operator==(const SettleVm &) const = default;
+};
+
 /// Any command of the replicated state. Kinds are only ever added at the end.
-using Command = std::variant<PutRecords, RemoveRecord, GrantKey, WithdrawKey,
-                             RegisterVm, MoveVm, SetVmPhase, CreateWave,
-                             SetWaveStatus, AdvanceWave, AssignPool, SetPortion,
-                             BeginIntent, FinishIntent, ExpireIntents>;
+using Command =
+    std::variant<PutRecords, RemoveRecord, GrantKey, WithdrawKey, RegisterVm,
+                 MoveVm, SetVmPhase, CreateWave, SetWaveStatus, AdvanceWave,
+                 AssignPool, SetPortion, BeginIntent, FinishIntent,
+                 ExpireIntents, SettleVm>;
 
 /// The names of the kinds, in the order of the variant.
 inline constexpr const char *CommandKinds[] = {
@@ -134,7 +143,8 @@
     "withdraw-key", "register-vm",   "move-vm",
     "set-vm-phase", "create-wave",   "set-wave-status",
     "advance-wave", "assign-pool",   "set-portion",
-    "begin-intent", "finish-intent", "expire-intents"};
+    "begin-intent", "finish-intent", "expire-intents",
+    "settle-vm"};
 
 /// The stable name of a command's kind, such as "move-vm".
 inline const char *kindName(const Command &command) {
--- a/src/almondgate/control/control_core.cpp
+++ b/src/almondgate/control/control_core.cpp
@@ -341,7 +341,10 @@
   if (settled)
     for (const auto &command : planWaves(view, Live))
       proposeOwn(command);
-  const auto portions = planAllPortions(view, Live);
+  const uint64_t applied = appliedByOwners(view, Live, settled);
+  for (const auto &command : planSettling(view, applied))
+    proposeOwn(command);
+  const auto portions = planAllPortions(view, Live, applied);
   Returns = portions.Returns;
   for (const auto &command : portions.Commands)
     proposeOwn(command);
@@ -356,6 +359,16 @@
     proposeOwn(state::ExpireIntents{before});
 }
 
+core::Result<std::vector<std::string>>
+ControlCore::waveHoldups(const core::WaveId &wave) const {
+  if (!Leading)
+    return notLeader();
+  const auto *found = model::find(State.View.Waves, wave);
+  if (!found)
+    return Error{ErrorCode::NotFound, "no wave '" + wave.str() + "'"};
+  return policy::planWave(State.View, *found, Live.vmStatuses()).HeldUp;
+}
+
 // --- members
 
 void ControlCore::replaceMember(const consensus::MemberReplacement &replacement,
--- a/src/almondgate/control/control_core_test.cpp
+++ b/src/almondgate/control/control_core_test.cpp
@@ -310,6 +310,40 @@
   CHECK(portionOf(bench.view(), "p") == 10);
 }
 
+TEST_CASE("a moved VM settles once every owner has applied its move") {
+  Bench bench;
+  (void)bench.propose(poolAndTeam());
+  const core::VmId vm("v");
+  (void)bench.propose(state::MoveVm{vm, PoolId(), PoolId("p")});
+  const auto one = bench.heartbeat("a", model::Role::Placer);
+  bench.poll(one, 400);
+  const uint64_t before = bench.view().Revision;
+  (void)bench.propose(state::MoveVm{vm, PoolId("p"), PoolId("q")});
+  auto behind = one;
+  behind.Revision = before;
+  bench.leader()->watch(behind, [](const auto &) {});
+  bench.run(300);
+  CHECK(model::find(bench.view().Vms, vm)->MovedAt != 0);
+  bench.poll(one, 400);
+  CHECK(model::find(bench.view().Vms, vm)->MovedAt == 0);
+}
+
+TEST_CASE("a new leader lets nothing grow or settle before the owners call") {
+  Bench bench;
+  (void)bench.propose(poolAndTeam());
+  const core::VmId vm("v");
+  (void)bench.propose(state::MoveVm{vm, PoolId(), PoolId("p")});
+  bench.poll(bench.heartbeat("a", model::Role::Placer), 400);
+  (void)bench.propose(state::MoveVm{vm, PoolId("p"), PoolId("q")});
+  ControlCore *old = bench.leader();
+  bench.cutOff(old->node().self());
+  bench.run(2500);
+  REQUIRE(bench.leader() != old);
+  // The owner "a" may be alive with its old view and has not called.
+  bench.poll(bench.heartbeat("b", model::Role::Placer), 400);
+  CHECK(model::find(bench.view().Vms, vm)->MovedAt != 0);
+}
+
 TEST_CASE("hundreds of changes are found again through a snapshot") {
   ControlOptions options;
   options.SnapshotEvery = 50;
--- a/src/almondgate/control/control_task.cpp
+++ b/src/almondgate/control/control_task.cpp
@@ -196,6 +196,10 @@
       });
     });
     return;
+  case Method::WaveHoldups:
+    encoded<std::vector<std::string>>(respond)(
+        Core.waveHoldups(core::WaveId(body)));
+    return;
   case Method::Identity:
     respond(Identity.str());
     return;
--- a/src/almondgate/control/leader_duties.cpp
+++ b/src/almondgate/control/leader_duties.cpp
@@ -110,11 +110,32 @@
   return out;
 }
 
-PortionDuties planAllPortions(const model::View &view,
-                              const Sessions &sessions) {
+uint64_t appliedByOwners(const model::View &view, const Sessions &sessions,
+                         bool settled) {
+  uint64_t oldest = view.Revision;
+  for (const auto &[pool, owner] : view.Owners) {
+    const auto *session = sessions.find(owner->Owner);
+    if (session)
+      oldest = std::min(oldest, session->Revision);
+    else if (!settled)
+      return 0;
+  }
+  return oldest;
+}
+
+std::vector<state::Command> planSettling(const model::View &view,
+                                         uint64_t applied) {
+  std::vector<state::Command> out;
+  for (const auto &[id, vm] : view.Vms)
+    if (vm->MovedAt != 0 && vm->MovedAt <= applied)
+      out.push_back(state::SettleVm{id, vm->MovedAt});
+  return out;
+}
+
+PortionDuties planAllPortions(const model::View &view, const Sessions &sessions,
+                              uint64_t applied) {
   PortionDuties out;
   const auto demands = demandsOf(view, sessions);
-  const uint64_t applied = sessions.oldestPlacerRevision();
   for (const auto &[id, team] : view.Teams) {
     const auto it = demands.lower_bound({id, core::PoolId()});
     if (it == demands.end() || it->first.first != id)
--- a/src/almondgate/control/sessions.cpp
+++ b/src/almondgate/control/sessions.cpp
@@ -1,7 +1,5 @@
 #include "almondgate/control/sessions.hpp"
 
-#include <algorithm>
-
 namespace almondgate::control {
 
 void Sessions::note(const model::WatchRequest &request, core::TimeMs now) {
@@ -40,12 +38,4 @@
   return out;
 }
 
-uint64_t Sessions::oldestPlacerRevision() const {
-  uint64_t oldest = UINT64_MAX;
-  for (const auto &[id, session] : Known)
-    if (session.Process.Kind == model::Role::Placer && !session.Stopping)
-      oldest = std::min(oldest, session.Revision);
-  return oldest;
-}
-
 } // namespace almondgate::control
--- a/src/almondgate/ctl/run.cpp
+++ b/src/almondgate/ctl/run.cpp
@@ -295,6 +295,10 @@
       return Refused;
     }
     printWave(wave);
+    json holdups;
+    if (fetch("wave-holdups/" + word(2), holdups) == Good)
+      for (const auto &line : holdups)
+        Hooks.Print("  " + line.get<std::string>() + "\n");
     const auto status = wave["Status"].get<std::string>();
     if (!Line.Watch || status == "done" || status == "cancelled")
       return Good;
--- a/src/almondgate/encoding/json_types.hpp
+++ b/src/almondgate/encoding/json_types.hpp
@@ -86,7 +86,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Pool, Id, Spare)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Vm, Id, Pool, Endpoint, Zone,
                                                 Rack, BootId, Capacity, Phase,
-                                                Leaving)
+                                                Leaving, MovedAt)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Queue, Id, Pool, Team, Open,
                                                 Class, DefaultSize)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Key, Hash, Team, Note)
@@ -225,6 +225,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(FinishIntent, Team, Key,
                                                 Request, Status)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ExpireIntents, BeforeWallMs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(SettleVm, Vm, MovedAt)
 
 } // namespace almondgate::state
 
--- a/src/almondgate/entry/admin_api.cpp
+++ b/src/almondgate/entry/admin_api.cpp
@@ -15,6 +15,8 @@
 
 namespace {
 
+constexpr const char *HoldupsPrefix = "wave-holdups/";
+
 template <class T>
 void respondWith(const AdminApi::Respond &respond, const Result<T> &result) {
   if (result)
@@ -72,6 +74,12 @@
     Hooks.Members([respond](const auto &r) { respondWith(respond, r); });
     return;
   }
+  if (path.rfind(HoldupsPrefix, 0) == 0) {
+    const core::WaveId wave(path.substr(std::strlen(HoldupsPrefix)));
+    Hooks.WaveHoldups(wave,
+                      [respond](const auto &r) { respondWith(respond, r); });
+    return;
+  }
   if (!Hooks.IsFresh()) {
     respond(http::problemResponse(
         {ErrorCode::Stale, "no word from the control members"}));
--- a/src/almondgate/entry/route_task.cpp
+++ b/src/almondgate/entry/route_task.cpp
@@ -186,6 +186,12 @@
       done(decoded<std::vector<state::AuditEntry>>(reply));
     });
   };
+  hooks.WaveHoldups = [this](const core::WaveId &wave, auto done) {
+    Control.call(Method::WaveHoldups, wave.str(), ReadTimeout,
+                 [done](const auto &reply) {
+                   done(decoded<std::vector<std::string>>(reply));
+                 });
+  };
   hooks.Members = [this](auto done) {
     Control.call(Method::ListMembers, "", ReadTimeout,
                  [done](const auto &reply) {
--- a/src/almondgate/placer/placer_core.cpp
+++ b/src/almondgate/placer/placer_core.cpp
@@ -49,7 +49,7 @@
       if (owner->Owner == Options.Self && !Pools.contains(pool))
         takeOver(*owner);
     for (auto &[pool, owned] : Pools)
-      owned.Book->setView(View, now);
+      owned.Book->setView(View);
   }
   for (auto &[pool, owned] : Pools) {
     forgetGoneEntries(owned);
--- a/src/almondgate/placer/placer_core_test.cpp
+++ b/src/almondgate/placer/placer_core_test.cpp
@@ -319,6 +319,13 @@
          b.put(vm);
          b.confirm();
        }},
+      {"moved, and the owner it left may not know",
+       [](Bench &b) {
+         auto vm = *model::find(b.View.Vms, Bench::vmId(0));
+         vm.MovedAt = 5;
+         b.put(vm);
+         b.confirm();
+       }},
       {"silent",
        [](Bench &b) {
          b.Now = b.Now + DurationMs{4001};
--- a/src/almondgate/placer/pool_book.cpp
+++ b/src/almondgate/placer/pool_book.cpp
@@ -37,15 +37,12 @@
 
 // --- the view
 
-void PoolBook::setView(const model::View &view, TimeMs now) {
+void PoolBook::setView(const model::View &view) {
   MaxWaiting = model::settingOf(view, Pool, DefaultField::MaxWaiting);
   for (const auto &[id, vm] : view.Vms) {
     if (vm->Pool != Pool)
       continue;
-    const auto [it, added] = Vms.try_emplace(id);
-    it->second.Facts = *vm;
-    if (added)
-      it->second.UsableFrom = now;
+    Vms[id].Facts = *vm;
   }
   std::erase_if(Vms, [&](const auto &row) {
     const auto *vm = model::find(view.Vms, row.first);
@@ -83,7 +80,7 @@
 bool PoolBook::mayTake(const VmBook &vm, const GrantRequest &request,
                        TimeMs now) const {
   if (vm.Facts.Phase != model::VmPhase::Active || vm.Facts.Leaving ||
-      now < vm.UsableFrom)
+      vm.Facts.MovedAt != 0)
     return false;
   if (!vm.Ejected)
     return isHealthy(vm, now);
--- a/src/almondgate/protocol/method.cpp
+++ b/src/almondgate/protocol/method.cpp
@@ -5,9 +5,9 @@
 namespace almondgate::protocol {
 
 static constexpr std::array MethodNames = {
-    "watch",          "propose",      "audit",     "consensus",
-    "replace-member", "list-members", "identity",  "grant",
-    "release",        "report",       "inventory", "cancel"};
+    "watch",        "propose",      "audit",    "consensus", "replace-member",
+    "list-members", "wave-holdups", "identity", "grant",     "release",
+    "report",       "inventory",    "cancel"};
 
 const char *methodName(Method method) {
   return MethodNames[static_cast<size_t>(method)];
--- a/src/almondgate/state/state.cpp
+++ b/src/almondgate/state/state.cpp
@@ -293,6 +293,20 @@
     return conflict("VM '" + command.Vm.str() + "' is in pool '" +
                     next.Pool.str() + "', not in '" + command.From.str() + "'");
   next.Pool = command.To;
+  // The pool it leaves may still have an owner that has not heard of it.
+  next.MovedAt = command.From.empty() ? 0 : draft.revision();
+  draft.put(next);
+  return core::ok();
+}
+
+Status run(Draft &draft, const SettleVm &command) {
+  const auto *found = model::find(draft.view().Vms, command.Vm);
+  if (!found)
+    return missing("VM", command.Vm.str());
+  if (found->MovedAt != command.MovedAt)
+    return conflict("VM '" + command.Vm.str() + "' has moved again");
+  model::Vm next = *found;
+  next.MovedAt = 0;
   draft.put(next);
   return core::ok();
 }
--- a/src/almondgate/state/state_test.cpp
+++ b/src/almondgate/state/state_test.cpp
@@ -111,7 +111,13 @@
   CHECK(accepted(state, MoveVm{VmId("v0"), Pool1, Pool2}));
   CHECK(refusal(state, MoveVm{VmId("v0"), Pool1, PoolId()}) ==
         ErrorCode::Conflict);
-  CHECK(model::find(state.View.Vms, VmId("v0"))->Pool == Pool2);
+  const auto *vm = model::find(state.View.Vms, VmId("v0"));
+  CHECK(vm->Pool == Pool2);
+  const uint64_t moved = vm->MovedAt;
+  CHECK(moved == state.View.Revision);
+  CHECK(refusal(state, SettleVm{VmId("v0"), moved - 1}) == ErrorCode::Conflict);
+  CHECK(accepted(state, SettleVm{VmId("v0"), moved}));
+  CHECK(model::find(state.View.Vms, VmId("v0"))->MovedAt == 0);
 }
 
 TEST_CASE("portions never add up to more than the limit") {
--- a/tests/ctl_test.py
+++ b/tests/ctl_test.py
@@ -130,6 +130,8 @@
     assert ctl(fleet, "wave", "create", "w2", "--kind=drain", "--rack=r0")[0] == 0
     wait_until(lambda: any(v["Phase"] == "released" for v in fleet.table("vms")),
                20, "a first VM is out")
+    code, out, _ = ctl(fleet, "wave", "status", "w2")
+    assert code == 0 and "waits for the budget of p" in out
     victim = fleet.wait_leader()
     fleet.processes[victim].kill()
     fleet.wait_leader()
--- a/tests/failure_test.py
+++ b/tests/failure_test.py
@@ -88,9 +88,7 @@
 
 
 def test_a_killed_placer_cuts_and_doubles_nothing(fleet):
-    owner = fleet.table("owners")[0]["Placer"]["Port"]
-    name = next(n for n, p in fleet.processes.items() if n.startswith("placer")
-                and f"--inner=127.0.0.1:{owner}" in p.args)
+    name = fleet.owner_of("p")
     load = Load(fleet, "q", "key-t", method="POST", ms=20)
     try:
         time.sleep(0.5)
@@ -224,9 +222,7 @@
 
 
 def test_a_frozen_placer_wakes_and_grants_nothing(fleet):
-    owner = fleet.table("owners")[0]["Placer"]["Port"]
-    name = next(n for n, p in fleet.processes.items() if n.startswith("placer")
-                and f"--inner=127.0.0.1:{owner}" in p.args)
+    name = fleet.owner_of("p")
     load = Load(fleet, "q", "key-t", method="POST", ms=20)
     try:
         time.sleep(0.5)
@@ -237,8 +233,7 @@
     finally:
         load.stop()
     assert_clean(load, fleet.ran())
-    new_owner = fleet.table("owners")[0]["Placer"]["Port"]
-    assert new_owner != owner
+    assert fleet.owner_of("p") != name
 
 
 # --- cuts
@@ -284,6 +279,48 @@
         assert fleet.call("q", "key-t")[0] == 200
 
 
+# --- limits
+
+
+@pytest.mark.parametrize("fault", ["none", "kill", "freeze"])
+def test_a_lowered_limit_holds_through_a_change_of_owner(fault):
+    """Two pools, one team, more work than its limit; the limit is halved."""
+    with Fleet() as fleet:
+        fleet.start()
+        fleet.simple_pool(limit=12, vms=2)
+        fleet.put(("pool", {"Id": "p2"}),
+                  ("queue", {"Id": "q2", "Pool": "p2", "Team": "t"}))
+        for i in range(2):
+            fleet.add_endpoint(f"p2-vm{i}", "p2")
+        fleet.wait_serving("q2", "key-t")
+        loads = [Load(fleet, q, "key-t", threads=12, ms=300, name=q)
+                 for q in ("q", "q2")]
+        try:
+            wait_until(lambda: fleet.running("t") >= 10, 10, "the limit is used")
+            seen = [fleet.running("t") for _ in range(100)]
+            assert max(seen) <= 12
+            if fault != "none":
+                fleet.processes[fleet.owner_of("p")].signal(
+                    signal.SIGKILL if fault == "kill" else signal.SIGSTOP)
+            fleet.put(("team", {"Id": "t", "Share": 1, "Limit": 6}))
+            # In force within the bound; what ran before ends by itself.
+            time.sleep(BOUND_WITH_SLACK)
+            end = time.monotonic() + 6
+            seen = []
+            while time.monotonic() < end:
+                seen.append(fleet.running("t"))
+            assert max(seen) <= 6
+            assert max(seen[-50:]) >= 4, "the limit is not used"
+        finally:
+            for process in fleet.processes.values():
+                if process.alive():
+                    process.signal(signal.SIGCONT)
+            for load in loads:
+                load.stop()
+        assert all(n <= 1 for r, n in fleet.ran().items()
+                   if not r.startswith("q"))
+
+
 # --- races of operators
 
 
@@ -353,10 +390,7 @@
     if victim == "leader":
         name = fleet.wait_leader()
     if victim == "placer":
-        owner = fleet.table("owners")[0]["Placer"]["Port"]
-        name = next(n for n, p in fleet.processes.items()
-                    if n.startswith("placer")
-                    and f"--inner=127.0.0.1:{owner}" in p.args)
+        name = fleet.owner_of("p")
 
     def send(i, entry):
         headers = {"idempotency-key": f"k{i}"}
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -331,6 +331,22 @@
         return http_call(self.public_ports[entry], method,
                          f"/q/{queue}{path}", body, headers, timeout)
 
+    def running(self, team):
+        """How many requests of a team run now, over all endpoints."""
+        total = 0
+        for name, process in self.processes.items():
+            if "fake-endpoint" in process.args[0] and process.alive():
+                body = http_call(self.public_ports[name], "GET", "/running")[2]
+                total += json.loads(body).get(team, 0)
+        return total
+
+    def owner_of(self, pool):
+        """The name of the placer that owns a pool."""
+        owner = next(o for o in self.table("owners") if o["Pool"] == pool)
+        inner = f"--inner=127.0.0.1:{owner['Placer']['Port']}"
+        return next(n for n, p in self.processes.items()
+                    if n.startswith("placer") and inner in p.args)
+
     def ran(self):
         """How often each id ran, over all endpoints that live."""
         out = {}
--- a/tools/fake_endpoint.cpp
+++ b/tools/fake_endpoint.cpp
@@ -87,6 +87,10 @@
       exchange.Respond(http::jsonResponse(200, nlohmann::json(Ran).dump()));
       return;
     }
+    if (target == "/running") {
+      exchange.Respond(http::jsonResponse(200, runningByTeam().dump()));
+      return;
+    }
     if (target == "/restart") {
       Boot = core::randomHex(4);
       announce();
@@ -120,6 +124,13 @@
     });
   }
 
+  nlohmann::json runningByTeam() const {
+    std::map<std::string, int> out;
+    for (const auto &[key, run] : Running)
+      ++out[run.Team];
+    return out;
+  }
+
   void announce() {
     nlohmann::json running = nlohmann::json::array();
     for (const auto &[key, run] : Running)
