Split the state's commands and the pool's health out of files that had grown

Logic that stood twice has one place: following a leader in consensus, a free address for tests. Behaviour as before: the packages' tests pass unchanged.

--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -77,7 +77,7 @@
   vm.Zone = core::ZoneId("zone-" + std::to_string(i % 10));
   vm.Rack = core::RackId("rack-" + std::to_string(i / 4));
   vm.BootId = "0123456789ab";
-  vm.Capacity = {8, 64000, 256 * 1024, 2};
+  vm.Capacity = {8, 64000, int64_t{256} * 1024, 2};
   return vm;
 }
 
--- a/include/almondgate/consensus/node.hpp
+++ b/include/almondgate/consensus/node.hpp
@@ -91,6 +91,7 @@
   void broadcast();
   void sendAppend(const MemberId &to, bool heartbeat);
   void sendSnapshot(const MemberId &to);
+  void followLeader(const Message &message);
   void onAppend(const Message &message);
   void onAppendReply(const Message &message);
   void onInstallSnapshot(const Message &message);
--- a/src/almondgate/consensus/replication.cpp
+++ b/src/almondgate/consensus/replication.cpp
@@ -91,15 +91,19 @@
   Immediate.push_back(std::move(message));
 }
 
+void Node::followLeader(const Message &message) {
+  becomeFollower(message.Term, message.From);
+  HeardLeader = Hooks.Now();
+  HeardAny = true;
+  resetElectionDeadline();
+}
+
 void Node::onAppend(const Message &message) {
   if (message.Term < Voted.Term) {
     Deferred.push_back(reply(message, MessageKind::AppendReply, false));
     return;
   }
-  becomeFollower(message.Term, message.From);
-  HeardLeader = Hooks.Now();
-  HeardAny = true;
-  resetElectionDeadline();
+  followLeader(message);
   Message answer = reply(message, MessageKind::AppendReply, false);
   const uint64_t before = message.LogIndex;
   const bool compacted = before < Entries.baseIndex();
@@ -169,10 +173,7 @@
     Deferred.push_back(reply(message, MessageKind::AppendReply, false));
     return;
   }
-  becomeFollower(message.Term, message.From);
-  HeardLeader = Hooks.Now();
-  HeardAny = true;
-  resetElectionDeadline();
+  followLeader(message);
   Message answer = reply(message, MessageKind::AppendReply, true);
   if (message.Image.Index <= Commit) {
     answer.LogIndex = Commit;
--- a/src/almondgate/http/endpoint_client_test.cpp
+++ b/src/almondgate/http/endpoint_client_test.cpp
@@ -4,11 +4,9 @@
 #include "almondgate/task/tcp_stream.hpp"
 #include "almondgate/task/timer.hpp"
 
-#include <doctest/doctest.h>
+#include "tests/free_address.hpp"
 
-#include <arpa/inet.h>
-#include <sys/socket.h>
-#include <unistd.h>
+#include <doctest/doctest.h>
 
 #include <list>
 #include <optional>
@@ -22,18 +20,6 @@
 
 namespace {
 
-Address freeAddress() {
-  const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in in{};
-  in.sin_family = AF_INET;
-  in.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  ::bind(fd, reinterpret_cast<sockaddr *>(&in), sizeof(in));
-  socklen_t n = sizeof(in);
-  ::getsockname(fd, reinterpret_cast<sockaddr *>(&in), &n);
-  ::close(fd);
-  return {"127.0.0.1", ntohs(in.sin_port)};
-}
-
 /// An endpoint that answers each connection's requests by a script.
 class Scripted {
 public:
@@ -41,7 +27,7 @@
                                     std::function<void()> close)>;
 
   Scripted(task::Loop &loop, Script script)
-      : Loop(loop), At(freeAddress()), Run(std::move(script)),
+      : Loop(loop), At(testing::freeAddress()), Run(std::move(script)),
         Listener(loop, [this](uv_stream_s *l) { accept(l); }) {
     REQUIRE(bool(Listener.listen(At)));
   }
@@ -141,7 +127,7 @@
 
 TEST_CASE("a refused connection is no run") {
   Bench bench;
-  const auto answer = bench.send(freeAddress());
+  const auto answer = bench.send(testing::freeAddress());
   REQUIRE(!answer);
   CHECK(answer.error().Outcome == RunOutcome::NotRun);
 }
--- a/src/almondgate/protocol/rpc_test.cpp
+++ b/src/almondgate/protocol/rpc_test.cpp
@@ -5,11 +5,9 @@
 #include "almondgate/task/tcp_stream.hpp"
 #include "almondgate/task/timer.hpp"
 
-#include <doctest/doctest.h>
+#include "tests/free_address.hpp"
 
-#include <arpa/inet.h>
-#include <sys/socket.h>
-#include <unistd.h>
+#include <doctest/doctest.h>
 
 #include <list>
 #include <optional>
@@ -24,23 +22,11 @@
 
 namespace {
 
-Address freeAddress() {
-  const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in in{};
-  in.sin_family = AF_INET;
-  in.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  ::bind(fd, reinterpret_cast<sockaddr *>(&in), sizeof(in));
-  socklen_t n = sizeof(in);
-  ::getsockname(fd, reinterpret_cast<sockaddr *>(&in), &n);
-  ::close(fd);
-  return {"127.0.0.1", ntohs(in.sin_port)};
-}
-
 constexpr const char *Secret = "the secret of the test";
 
 struct Bench {
   task::Loop Loop;
-  Address At = freeAddress();
+  Address At = testing::freeAddress();
   std::vector<std::string> Refused;
   std::optional<Responder> Held;
   std::unique_ptr<RpcServer> Server;
--- /dev/null
+++ b/src/almondgate/state/draft.hpp
@@ -0,0 +1,85 @@
+#ifndef ALMONDGATE_STATE_DRAFT_HPP
+#define ALMONDGATE_STATE_DRAFT_HPP
+
+#include "almondgate/core/result.hpp"
+#include "almondgate/model/view.hpp"
+#include "almondgate/state/command.hpp"
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace almondgate::state {
+
+using Updates = std::vector<model::Update>;
+
+/// Applies a command's updates to the view as they come, and can take them all
+/// back.
+class Draft {
+public:
+  explicit Draft(model::View &view)
+      : Now(view), Before(view.Revision), Next(view.Revision + 1) {}
+
+  const model::View &view() const { return Now; }
+  uint64_t revision() const { return Next; }
+
+  void put(model::Record record) { add({Next, false, std::move(record)}); }
+  void remove(model::Record record) { add({Next, true, std::move(record)}); }
+
+  void rollBack() {
+    for (auto it = Undo.rbegin(); it != Undo.rend(); ++it)
+      Now.apply(*it);
+    Now.Revision = Before;
+  }
+
+  Updates take() { return std::move(Collected); }
+
+private:
+  void add(model::Update update) {
+    Undo.push_back(model::inverseOf(Now, update));
+    Now.apply(update);
+    Collected.push_back(std::move(update));
+  }
+
+  model::View &Now;
+  uint64_t Before;
+  uint64_t Next;
+  Updates Collected;
+  Updates Undo;
+};
+
+// The refusals of commands.
+inline core::Error invalid(std::string text) {
+  return {core::ErrorCode::InvalidArgument, std::move(text)};
+}
+
+inline core::Error missing(const char *kind, const std::string &id) {
+  return {core::ErrorCode::NotFound,
+          std::string("no ") + kind + " '" + id + "'"};
+}
+
+inline core::Error conflict(std::string text) {
+  return {core::ErrorCode::Conflict, std::move(text)};
+}
+
+/// Checks the name of a new record. Errors: InvalidArgument.
+core::Status checkName(const char *kind, const std::string &id);
+
+// Each carries a command out on a draft, or says why not.
+core::Status run(Draft &draft, const PutRecords &command);
+core::Status run(Draft &draft, const RemoveRecord &command);
+core::Status run(Draft &draft, const GrantKey &command);
+core::Status run(Draft &draft, const WithdrawKey &command);
+core::Status run(Draft &draft, const RegisterVm &command);
+core::Status run(Draft &draft, const MoveVm &command);
+core::Status run(Draft &draft, const SettleVm &command);
+core::Status run(Draft &draft, const SetVmPhase &command);
+core::Status run(Draft &draft, const CreateWave &command);
+core::Status run(Draft &draft, const SetWaveStatus &command);
+core::Status run(Draft &draft, const AdvanceWave &command);
+core::Status run(Draft &draft, const AssignPool &command);
+core::Status run(Draft &draft, const SetPortion &command);
+
+} // namespace almondgate::state
+
+#endif
