Keep a moved VM's mark through a move by way of no pool; no release by hand

Cause, found while reading the split files: two moves, out of a pool and into another, cleared the mark that the first had set, and an operator could mark a VM released while it still ran work. Both are refused or kept now, with tests. Lint findings in the bench and tests are mended.

--- a/bench/pool_scenarios.cpp
+++ b/bench/pool_scenarios.cpp
@@ -122,7 +122,7 @@
                                       {"urgent, 30 s", 30000}};
 
 std::vector<NamedPolicy> urgentPolicies() {
-  static const std::vector<std::pair<int64_t, const char *>> Fixed = {
+  constexpr std::pair<int64_t, const char *> Fixed[] = {
       {0, "fixed 0"}, {2, "fixed 2"}, {4, "fixed 4"},
       {6, "fixed 6"}, {8, "fixed 8"}, {16, "fixed 16"}};
   std::vector<NamedPolicy> out = {{"following", {}}};
@@ -255,9 +255,8 @@
 
 std::vector<Figure> benchOverload(const std::vector<uint64_t> &seeds) {
   std::vector<Figure> out;
-  static const std::vector<std::pair<int, std::string>> Loads = {
-      {1, "load x1"}, {2, "load x2"}, {5, "load x5"}, {10, "load x10"}};
-  for (const auto &[times, name] : Loads) {
+  for (const int times : {1, 2, 5, 10}) {
+    const std::string name = "load x" + std::to_string(times);
     Figure done{"overload", name, "finished a second", "1/s", "", {}};
     Figure refused{"overload", name, "refused", "%", "", {}};
     for (const uint64_t seed : seeds) {
--- a/bench/virtual_pool.cpp
+++ b/bench/virtual_pool.cpp
@@ -20,7 +20,7 @@
 
 VirtualPool::VirtualPool(int vms, int64_t slots, placer::PoolOptions options,
                          uint64_t seed)
-    : Dice(seed), Slots(vms * slots),
+    : Dice(seed), Slots(int64_t{vms} * slots),
       Book(PoolName, 1, {NowMs}, std::move(options),
            [](const std::string &) {}),
       Vms(vms) {
@@ -32,7 +32,7 @@
     model::Vm vm;
     vm.Id = vmName(i);
     vm.Pool = PoolName;
-    vm.Capacity = {slots, 64000, 256 * 1024, 0};
+    vm.Capacity = {slots, 64000, int64_t{256} * 1024, 0};
     View.apply({1, false, vm});
   }
 }
--- a/src/almondgate/control/control_core_test.cpp
+++ b/src/almondgate/control/control_core_test.cpp
@@ -9,9 +9,7 @@
 using namespace almondgate;
 using namespace almondgate::control;
 using consensus::MemberId;
-using core::Address;
 using core::DurationMs;
-using core::ErrorCode;
 using core::PoolId;
 using core::ProcessId;
 using core::Result;
--- a/src/almondgate/ctl/run.cpp
+++ b/src/almondgate/ctl/run.cpp
@@ -248,7 +248,7 @@
 
 ExitCode Runner::setPhase() const {
   if (word(2).empty())
-    return usage("vm active|draining|released VM");
+    return usage("vm active|draining VM");
   return change("set-vm-phase", {{"Vm", word(2)}, {"Phase", word(1)}});
 }
 
--- a/src/almondgate/state/run_vms.cpp
+++ b/src/almondgate/state/run_vms.cpp
@@ -47,8 +47,10 @@
     return conflict("VM '" + command.Vm.str() + "' is in pool '" +
                     next.Pool.str() + "', not in '" + command.From.str() + "'");
   next.Pool = command.To;
-  // The pool it leaves may still have an owner that has not heard of it.
-  next.MovedAt = command.From.empty() ? 0 : draft.revision();
+  // The pool it leaves may still have an owner that has not heard of it. A
+  // move by way of no pool keeps the mark.
+  if (!command.From.empty())
+    next.MovedAt = draft.revision();
   draft.put(next);
   return core::ok();
 }
@@ -69,6 +71,8 @@
   const auto *found = model::find(draft.view().Vms, command.Vm);
   if (!found)
     return missing("VM", command.Vm.str());
+  if (command.Phase == VmPhase::Released)
+    return invalid("a VM is released by a wave, once it is empty");
   const bool goes_out = found->Phase == VmPhase::Active &&
                         command.Phase != VmPhase::Active && !found->Leaving;
   if (goes_out && !found->Pool.empty() &&
--- a/src/almondgate/state/state_test.cpp
+++ b/src/almondgate/state/state_test.cpp
@@ -86,7 +86,7 @@
 }
 
 TEST_CASE("bad records are refused") {
-  State state = withTeam(5);
+  State state = withVms(1);
   const std::vector<Command> cases = {
       PutRecords{{model::Team{TeamId(""), 1, 5}}},
       PutRecords{{model::Team{TeamId("x y"), 1, 5}}},
@@ -99,6 +99,7 @@
       GrantKey{{core::KeyHash("short"), TeamA}},
       RemoveRecord{model::Team{TeamId("none")}},
       WithdrawKey{core::KeyHash("none")},
+      SetVmPhase{VmId("v0"), model::VmPhase::Released},
   };
   for (const auto &command : cases) {
     CAPTURE(kindName(command));
@@ -116,7 +117,12 @@
   const uint64_t moved = vm->MovedAt;
   CHECK(moved == state.View.Revision);
   CHECK(refusal(state, SettleVm{VmId("v0"), moved - 1}) == ErrorCode::Conflict);
-  CHECK(accepted(state, SettleVm{VmId("v0"), moved}));
+  // A move by way of no pool does not settle it.
+  CHECK(accepted(state, MoveVm{VmId("v0"), Pool2, PoolId()}));
+  CHECK(accepted(state, MoveVm{VmId("v0"), PoolId(), Pool2}));
+  const uint64_t again = model::find(state.View.Vms, VmId("v0"))->MovedAt;
+  CHECK(again > moved);
+  CHECK(accepted(state, SettleVm{VmId("v0"), again}));
   CHECK(model::find(state.View.Vms, VmId("v0"))->MovedAt == 0);
 }
 
