--- a/bench/pool_scenarios.cpp
+++ b/bench/pool_scenarios.cpp
@@ -29,6 +29,7 @@
     return a.OldestMs < b.OldestMs;
   });
   std::vector<TeamId> out;
+  out.reserve(sorted.size());
   for (const auto &load : sorted)
     out.push_back(load.Team);
   return out;
--- a/src/almondgate/ctl/run.cpp
+++ b/src/almondgate/ctl/run.cpp
@@ -58,6 +58,7 @@
   std::vector<std::vector<std::string>> rows = {names};
   for (const auto &object : objects) {
     std::vector<std::string> row;
+    row.reserve(names.size());
     for (const auto &name : names)
       row.push_back(cellText(object.at(name)));
     rows.push_back(std::move(row));
@@ -75,8 +76,8 @@
 
 private:
   const std::string &word(size_t i) const {
-    static const std::string None;
-    return i < Line.Words.size() ? Line.Words[i] : None;
+    static const std::string none;
+    return i < Line.Words.size() ? Line.Words[i] : none;
   }
 
   ExitCode usage(const std::string &why) const {
@@ -207,10 +208,10 @@
 }
 
 ExitCode Runner::removeRecord() const {
-  static const std::map<std::string, std::string> Names = {
+  static const std::map<std::string, std::string> kinds = {
       {"team", "Id"}, {"pool", "Id"}, {"queue", "Id"}};
-  const auto it = Names.find(word(1));
-  if (it == Names.end() || word(2).empty())
+  const auto it = kinds.find(word(1));
+  if (it == kinds.end() || word(2).empty())
     return usage("remove team|pool|queue ID");
   return change(
       "remove",
@@ -319,10 +320,10 @@
                                     {"Pool", Line.Pool},
                                     {"Rack", Line.Rack},
                                     {"Zone", Line.Zone}}}});
-  static const std::map<std::string, std::string> Statuses = {
+  static const std::map<std::string, std::string> statuses = {
       {"pause", "paused"}, {"resume", "running"}, {"cancel", "cancelled"}};
-  const auto it = Statuses.find(verb);
-  if (it == Statuses.end())
+  const auto it = statuses.find(verb);
+  if (it == statuses.end())
     return usage("wave create|pause|resume|cancel|status ID");
   return change("set-wave-status", {{"Wave", word(2)}, {"Status", it->second}});
 }
--- a/src/almondgate/placer/placer_core_test.cpp
+++ b/src/almondgate/placer/placer_core_test.cpp
@@ -87,12 +87,10 @@
   }
 
   void reportAll() {
-    for (int i = 0; Vms().contains(vmId(i)); ++i)
+    for (int i = 0; View.Vms.contains(vmId(i)); ++i)
       report(i);
   }
 
-  const decltype(model::View::Vms) &Vms() const { return View.Vms; }
-
   void ask(const std::string &id, const char *team = "a",
            WorkClass work_class = WorkClass::Batch, bool idempotent = true) {
     model::GrantRequest request;
--- a/src/almondgate/placer/pool_book.cpp
+++ b/src/almondgate/placer/pool_book.cpp
@@ -8,7 +8,6 @@
 using core::Error;
 using core::ErrorCode;
 using core::RequestId;
-using core::Size;
 using core::TeamId;
 using core::TimeMs;
 using core::VmId;
--- a/src/almondgate/policy/policy_test.cpp
+++ b/src/almondgate/policy/policy_test.cpp
@@ -323,7 +323,7 @@
   model::Vm vm;
   vm.Id = VmId("v");
   vm.Pool = pool;
-  vm.Capacity = {8, 64000, 128 * 1024, 0};
+  vm.Capacity = {8, 64000, int64_t{128} * 1024, 0};
   view.apply({1, false, vm});
   struct Case {
     const char *Queue;
