--- a/src/almondgate/protocol/rpc_test.cpp
+++ b/src/almondgate/protocol/rpc_test.cpp
@@ -40,7 +40,8 @@
     Server = std::make_unique<RpcServer>(
         Loop, RpcOptions{Secret},
         RpcServerHooks{
-            [this](Method method, const std::string &body, Responder respond) {
+            [this](Method method, const std::string &body,
+                   const Responder &respond) {
               if (method == Method::Grant)
                 respond("got " + body);
               else if (method == Method::Release)
--- a/src/almondgate/state/run_owners.cpp
+++ b/src/almondgate/state/run_owners.cpp
@@ -7,7 +7,6 @@
 namespace almondgate::state {
 
 using core::Status;
-using model::View;
 
 // --- ownership and portions
 
--- a/src/almondgate/state/run_records.cpp
+++ b/src/almondgate/state/run_records.cpp
@@ -8,7 +8,6 @@
 namespace almondgate::state {
 
 using core::Status;
-using model::DefaultField;
 using model::View;
 
 // --- PutRecords
--- a/src/almondgate/state/run_vms.cpp
+++ b/src/almondgate/state/run_vms.cpp
@@ -6,7 +6,6 @@
 
 namespace almondgate::state {
 
-using core::ErrorCode;
 using core::Status;
 using model::StepPhase;
 using model::View;
