Take test ports where no other process can take them by chance

Change: ports from below the kernel's range for outgoing connections, apart for each pytest worker; the package tests, which pick ports too, run one by one. Checks are as before.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import http.client
+import itertools
 import json
 import os
 import signal
@@ -21,11 +22,21 @@
 START_SECONDS = 15
 
 
+# Below the range from which the kernel takes ports for outgoing connections,
+# and apart for each worker that runs tests beside this one.
+_WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0")[2:])
+_PORTS = itertools.cycle(range(12000 + 4000 * _WORKER, 16000 + 4000 * _WORKER))
+
+
 def free_port():
-    """A port that no other process listens on now."""
-    with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        return s.getsockname()[1]
+    """A port that no other process listens on now, nor takes by chance."""
+    for port in _PORTS:
+        with socket.socket() as s:
+            try:
+                s.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                continue
 
 
 def sha256(text):
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -20,7 +20,7 @@
 done
 
 failed=0
-DOCTEST_SKIP="$skip_unit" ctest --test-dir "$build" --output-on-failure -j 4 || failed=1
+DOCTEST_SKIP="$skip_unit" ctest --test-dir "$build" --output-on-failure -j 1 || failed=1
 (cd tests && /usr/bin/python3 -m pytest -q -n 3 ${skip_process[@]+"${skip_process[@]}"} .) || failed=1
 
 if [ ${#known[@]} -gt 0 ]; then
