Mend what a second reading of the whole change found

Dead: sameContent(), PoolBook::runningOf(), two test structs. Written again: the availability budget check of set-vm-phase (now checkBudget), running plus orphans of a team (now TeamBook::running()), the one-way cut in two consensus tests. Derivable: Node::HeardAny, which a known leader implies. In the hot path: a probe copied a VM's whole book to ask whether it reports well.

--- a/include/almondgate/consensus/node.hpp
+++ b/include/almondgate/consensus/node.hpp
@@ -120,7 +120,6 @@
   core::TimeMs ElectionDeadline;
   core::TimeMs HeartbeatDue;
   core::TimeMs LeaderSince;
-  bool HeardAny = false;
   bool PreVoting = false;
   std::set<MemberId> Votes;
   std::map<MemberId, Progress> Peers;
--- a/include/almondgate/placer/pool_book.hpp
+++ b/include/almondgate/placer/pool_book.hpp
@@ -67,8 +67,6 @@
   /// True when a team waits only for a larger portion.
   bool needsPortion() const;
 
-  int64_t runningOf(const core::TeamId &team) const;
-
 private:
   struct Waiting {
     model::GrantRequest Request;
@@ -116,10 +114,12 @@
     int64_t Orphans = 0;
     core::Size Held;
 
+    int64_t running() const { return Running + Orphans; }
     int64_t waiting() const { return int64_t(Urgent.size() + Batch.size()); }
     int64_t mayRun() const { return Cap ? std::min(*Cap, Portion) : Portion; }
   };
 
+  bool reportsWell(const VmBook &vm, core::TimeMs now) const;
   bool isHealthy(const VmBook &vm, core::TimeMs now) const;
   bool mayTake(const VmBook &vm, const model::GrantRequest &request,
                core::TimeMs now) const;
--- a/include/almondgate/state/change.hpp
+++ b/include/almondgate/state/change.hpp
@@ -23,9 +23,6 @@
   bool operator==(const Change &) const = default;
 };
 
-/// Tells whether the same operator could have meant the two by one number.
-bool sameContent(const Change &a, const Change &b);
-
 } // namespace almondgate::state
 
 #endif
--- a/src/almondgate/consensus/election.cpp
+++ b/src/almondgate/consensus/election.cpp
@@ -18,8 +18,7 @@
 bool Node::heardLeaderLately() const {
   if (Role == NodeRole::Leader)
     return true;
-  return HeardAny && !Leader.empty() &&
-         Hooks.Now() - HeardLeader < Options.ElectionTimeout;
+  return !Leader.empty() && Hooks.Now() - HeardLeader < Options.ElectionTimeout;
 }
 
 bool Node::logIsUpToDate(const Message &message) const {
--- a/src/almondgate/consensus/node_test.cpp
+++ b/src/almondgate/consensus/node_test.cpp
@@ -82,6 +82,12 @@
   return out;
 }
 
+// Lets one follower hear nothing from the leader, which still hears it.
+void cutOneFollower(TestCluster &cluster, const MemberId &leader) {
+  const auto ids = cluster.ids();
+  cluster.cut(leader, ids[0] == leader ? ids[1] : ids[0]);
+}
+
 constexpr Roughness Rough{15, 10, 40, false};
 
 uint64_t seedCount() {
@@ -174,11 +180,7 @@
   Node *leader = cluster.leader();
   REQUIRE(leader);
   const uint64_t term = leader->term();
-  for (const auto &id : cluster.ids())
-    if (id != leader->self()) {
-      cluster.cut(leader->self(), id);
-      break;
-    }
+  cutOneFollower(cluster, leader->self());
   cluster.run(5000);
   REQUIRE(cluster.leader());
   CHECK(cluster.leader()->term() == term);
@@ -192,11 +194,7 @@
   Node *leader = cluster.leader();
   REQUIRE(leader);
   const uint64_t term = leader->term();
-  for (const auto &id : cluster.ids())
-    if (id != leader->self()) {
-      cluster.cut(leader->self(), id);
-      break;
-    }
+  cutOneFollower(cluster, leader->self());
   cluster.run(5000);
   uint64_t highest = 0;
   for (const auto &id : cluster.ids())
--- a/src/almondgate/consensus/replication.cpp
+++ b/src/almondgate/consensus/replication.cpp
@@ -94,7 +94,6 @@
 void Node::followLeader(const Message &message) {
   becomeFollower(message.Term, message.From);
   HeardLeader = Hooks.Now();
-  HeardAny = true;
   resetElectionDeadline();
 }
 
--- a/src/almondgate/consensus/test_cluster.hpp
+++ b/src/almondgate/consensus/test_cluster.hpp
@@ -59,12 +59,9 @@
   const std::vector<std::string> &violations() const { return Broken; }
 
 private:
-  struct Disk {
-    DurableState Synced;
-  };
-
   struct TestMember {
-    Disk Stored;
+    /// What is on its disk.
+    DurableState Synced;
     std::unique_ptr<Node> Live;
     std::vector<LogEntry> Applied;
     std::optional<DurableBatch> Writing;
@@ -73,11 +70,6 @@
     int64_t StalledUntil = 0;
   };
 
-  struct Flight {
-    int64_t At = 0;
-    Message What;
-  };
-
   void start(const MemberId &id);
   void runEffects(const MemberId &id);
   void finishWrite(const MemberId &id);
--- a/src/almondgate/consensus/test_cluster_test.cpp
+++ b/src/almondgate/consensus/test_cluster_test.cpp
@@ -33,7 +33,7 @@
   for (int i = 0; i < members; ++i)
     first.Members.push_back({MemberId("m" + std::to_string(i)), {}, true});
   for (const auto &member : first.Members) {
-    Members[member.Id].Stored.Synced.Base.Voters = first;
+    Members[member.Id].Synced.Base.Voters = first;
     start(member.Id);
   }
 }
@@ -59,7 +59,7 @@
   hooks.DecodeMembership = decodeMembers;
   auto &member = Members[id];
   member.Applied.clear();
-  member.Live = std::make_unique<Node>(options, hooks, member.Stored.Synced);
+  member.Live = std::make_unique<Node>(options, hooks, member.Synced);
 }
 
 MemberId TestCluster::addJoiner() {
@@ -122,7 +122,7 @@
   auto &member = Members.at(id);
   const DurableBatch batch = std::move(*member.Writing);
   member.Writing.reset();
-  DurableState &disk = member.Stored.Synced;
+  DurableState &disk = member.Synced;
   if (!Rough.ForgetfulDisk) {
     if (batch.Voted)
       disk.Voted = *batch.Voted;
--- a/src/almondgate/placer/pool_book.cpp
+++ b/src/almondgate/placer/pool_book.cpp
@@ -205,7 +205,7 @@
     load.Team = id;
     load.Share = team.Share;
     load.Held = core::dominantFraction(team.Held, Capacity);
-    load.Running = team.Running + team.Orphans;
+    load.Running = team.running();
     load.MayRun = team.mayRun();
     load.HasUrgent = !team.Urgent.empty();
     const auto &first = team.Urgent.empty() ? team.Batch : team.Urgent;
@@ -304,23 +304,16 @@
 
 int64_t PoolBook::capPortion(const TeamId &team, int64_t amount) {
   TeamBook &book = Teams[team];
-  const int64_t cap =
-      std::min(book.mayRun(), std::max(amount, book.Running + book.Orphans));
+  const int64_t cap = std::min(book.mayRun(), std::max(amount, book.running()));
   book.Cap = cap;
   return cap;
 }
 
-int64_t PoolBook::runningOf(const TeamId &team) const {
-  const auto it = Teams.find(team);
-  return it == Teams.end() ? 0 : it->second.Running + it->second.Orphans;
-}
-
 std::vector<model::Demand> PoolBook::demands() const {
   std::vector<model::Demand> out;
   for (const auto &[id, team] : Teams) {
-    const int64_t running = team.Running + team.Orphans;
-    if (running > 0 || team.waiting() > 0)
-      out.push_back({Pool, id, running, team.waiting()});
+    if (team.running() > 0 || team.waiting() > 0)
+      out.push_back({Pool, id, team.running(), team.waiting()});
   }
   return out;
 }
@@ -328,7 +321,7 @@
 bool PoolBook::needsPortion() const {
   return std::any_of(Teams.begin(), Teams.end(), [](const auto &row) {
     const TeamBook &team = row.second;
-    return team.waiting() > 0 && team.Running + team.Orphans >= team.mayRun();
+    return team.waiting() > 0 && team.running() >= team.mayRun();
   });
 }
 
--- a/src/almondgate/placer/pool_health.cpp
+++ b/src/almondgate/placer/pool_health.cpp
@@ -9,24 +9,24 @@
 using core::TimeMs;
 using model::GrantRequest;
 
-bool PoolBook::isHealthy(const VmBook &vm, TimeMs now) const {
-  return vm.Reported && vm.Last.Ready && !vm.Last.Leaving && !vm.Ejected &&
+bool PoolBook::reportsWell(const VmBook &vm, TimeMs now) const {
+  return vm.Reported && vm.Last.Ready && !vm.Last.Leaving &&
          vm.ReportedAt >= TakenOverAt &&
          now - vm.ReportedAt <= Options.ReportFor;
 }
 
+bool PoolBook::isHealthy(const VmBook &vm, TimeMs now) const {
+  return !vm.Ejected && reportsWell(vm, now);
+}
+
 bool PoolBook::mayTake(const VmBook &vm, const GrantRequest &request,
                        TimeMs now) const {
   if (vm.Facts.Phase != model::VmPhase::Active || vm.Facts.Leaving ||
       vm.Facts.MovedAt != 0)
     return false;
-  if (!vm.Ejected)
-    return isHealthy(vm, now);
-  VmBook trial = vm;
-  trial.Ejected = false;
   const bool may_probe =
       request.Idempotent && now >= vm.ProbeFrom && vm.Runs == 0;
-  return may_probe && isHealthy(trial, now);
+  return (!vm.Ejected || may_probe) && reportsWell(vm, now);
 }
 
 Size PoolBook::freeOf(const VmBook &vm) const {
--- a/src/almondgate/state/run_vms.cpp
+++ b/src/almondgate/state/run_vms.cpp
@@ -66,19 +66,24 @@
   return core::ok();
 }
 
+static Status checkBudget(const View &view, const model::Vm &vm) {
+  const bool out_already = vm.Phase != VmPhase::Active || vm.Leaving;
+  if (out_already ||
+      plannedOut(view, vm.Pool) < availabilityBudget(view, vm.Pool))
+    return core::ok();
+  return conflict("the availability budget of pool '" + vm.Pool.str() +
+                  "' is used up");
+}
+
 Status run(Draft &draft, const SetVmPhase &command) {
   const auto *found = model::find(draft.view().Vms, command.Vm);
   if (!found)
     return missing("VM", command.Vm.str());
   if (command.Phase == VmPhase::Released)
     return invalid("a VM is released by a wave, once it is empty");
-  const bool goes_out = found->Phase == VmPhase::Active &&
-                        command.Phase != VmPhase::Active && !found->Leaving;
-  if (goes_out && !found->Pool.empty() &&
-      plannedOut(draft.view(), found->Pool) >=
-          availabilityBudget(draft.view(), found->Pool))
-    return conflict("the availability budget of pool '" + found->Pool.str() +
-                    "' is used up");
+  if (command.Phase != VmPhase::Active && !found->Pool.empty())
+    if (auto fits = checkBudget(draft.view(), *found); !fits)
+      return fits;
   model::Vm next = *found;
   next.Phase = command.Phase;
   draft.put(next);
@@ -179,15 +184,6 @@
   return VmPhase::Active;
 }
 
-static Status checkBudget(const View &view, const model::Vm &vm) {
-  const bool out_already = vm.Phase != VmPhase::Active || vm.Leaving;
-  if (out_already ||
-      plannedOut(view, vm.Pool) < availabilityBudget(view, vm.Pool))
-    return core::ok();
-  return conflict("the availability budget of pool '" + vm.Pool.str() +
-                  "' is used up");
-}
-
 Status run(Draft &draft, const AdvanceWave &command) {
   const auto *wave = model::find(draft.view().Waves, command.Wave);
   if (!wave)
--- a/src/almondgate/state/state.cpp
+++ b/src/almondgate/state/state.cpp
@@ -132,12 +132,6 @@
 
 } // namespace
 
-bool sameContent(const Change &a, const Change &b) {
-  return a.Operator == b.Operator && a.Number == b.Number &&
-         a.ExpectedRevision == b.ExpectedRevision && a.Reason == b.Reason &&
-         a.What == b.What;
-}
-
 int64_t plannedOut(const View &view, const core::PoolId &pool) {
   return std::count_if(view.Vms.begin(), view.Vms.end(), [&](const auto &row) {
     const model::Vm &vm = *row.second;
