--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -1,9 +1,10 @@
 # almondgate_package(NAME deps...): the library of src/almondgate/NAME, and its
 # tests, which stand beside the sources.
 enable_testing()
-set(ALMONDGATE_TESTS "")
 
-add_library(doctest_main OBJECT ${CMAKE_SOURCE_DIR}/tests/doctest_main.cpp)
+if(ALMONDGATE_BUILD_TESTS)
+  add_library(doctest_main OBJECT ${CMAKE_SOURCE_DIR}/tests/doctest_main.cpp)
+endif()
 
 function(almondgate_package name)
   file(GLOB all CONFIGURE_DEPENDS
@@ -16,7 +17,7 @@
   target_include_directories(almondgate_${name}
                              PUBLIC ${CMAKE_SOURCE_DIR}/include)
   target_link_libraries(almondgate_${name} PUBLIC ${ARGN})
-  if(tests)
+  if(tests AND ALMONDGATE_BUILD_TESTS)
     add_executable(${name}_test ${tests} $<TARGET_OBJECTS:doctest_main>)
     target_link_libraries(${name}_test PRIVATE almondgate_${name}
                           almondgate_testing)
@@ -33,7 +34,8 @@
 almondgate_package(core crypto)
 almondgate_package(task almondgate_core uv)
 almondgate_package(model almondgate_core)
-almondgate_package(state almondgate_model)
+almondgate_package(jobs almondgate_core)
+almondgate_package(state almondgate_model almondgate_jobs)
 almondgate_package(policy almondgate_state)
 almondgate_package(consensus almondgate_core)
 almondgate_package(encoding almondgate_state almondgate_consensus)
@@ -41,11 +43,12 @@
 almondgate_package(observe almondgate_core log4cxx prometheus-cpp-core)
 almondgate_package(config almondgate_core almondgate_observe)
 almondgate_package(protocol almondgate_task almondgate_encoding nghttp2)
+almondgate_package(dispatch almondgate_policy almondgate_observe)
 almondgate_package(http almondgate_task h2o ssl crypto z uv http_parser)
 almondgate_package(watch almondgate_protocol almondgate_model)
 almondgate_package(entry almondgate_http almondgate_watch almondgate_policy
                    almondgate_config)
 almondgate_package(placer almondgate_watch almondgate_policy almondgate_config)
 almondgate_package(control almondgate_protocol almondgate_storage
-                   almondgate_policy almondgate_config)
+                   almondgate_dispatch almondgate_config)
 almondgate_package(ctl almondgate_http almondgate_core)
--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -6,10 +6,18 @@
 almondgate_program(almondgate-entry apps/entry_main.cpp almondgate_entry)
 almondgate_program(almondgate-placer apps/placer_main.cpp almondgate_placer
                    almondgate_http)
-almondgate_program(almondgate-control apps/control_main.cpp almondgate_control
-                   almondgate_http)
-almondgate_program(fake-endpoint tools/fake_endpoint.cpp almondgate_http)
+add_library(almondgate_control_program STATIC apps/control_program.cpp)
+target_include_directories(almondgate_control_program
+                           PUBLIC ${CMAKE_SOURCE_DIR}/apps)
+target_link_libraries(almondgate_control_program PUBLIC almondgate_control
+                      almondgate_http)
+almondgate_program(almondgate-control apps/control_main.cpp
+                   almondgate_control_program)
 almondgate_program(almondgate-ctl apps/ctl_main.cpp almondgate_ctl)
+if(NOT ALMONDGATE_BUILD_TESTS)
+  return()
+endif()
+almondgate_program(fake-endpoint tools/fake_endpoint.cpp almondgate_http)
 add_executable(almondgate-bench
                bench/main.cpp bench/pool_scenarios.cpp
                bench/other_scenarios.cpp bench/report.cpp
--- a/include/almondgate/config/settings.hpp
+++ b/include/almondgate/config/settings.hpp
@@ -54,6 +54,18 @@
   std::string InitAs;
   /// The first members, by name; only with InitAs.
   std::vector<std::pair<std::string, core::Address>> FirstMembers;
+  /// Where endpoints and operators are served; may be left out.
+  core::Address Public;
+  /// An empty data folder is formatted as one of the first members, which are
+  /// those of Common.Control.
+  bool Found = false;
+  /// Members that may lose their disks at once; the leader keeps twice as many
+  /// voters and one. Negative where members are only replaced by operators.
+  int64_t ToleratedLosses = -1;
+  /// The VM service, and the placement policy service; may be left out.
+  core::Address VmService;
+  core::Address AdviceService;
+  std::string Name;
 
   bool operator==(const ControlSettings &) const = default;
 };
--- a/include/almondgate/consensus/node.hpp
+++ b/include/almondgate/consensus/node.hpp
@@ -117,6 +117,9 @@
   uint64_t Durable = 0;
 
   core::TimeMs HeardLeader;
+  /// The disk held a vote: the member has been part of the group before.
+  const bool Restarted;
+  const core::TimeMs StartedAt;
   core::TimeMs ElectionDeadline;
   core::TimeMs HeartbeatDue;
   core::TimeMs LeaderSince;
--- a/include/almondgate/control/control_core.hpp
+++ b/include/almondgate/control/control_core.hpp
@@ -49,6 +49,17 @@
   core::Result<std::vector<std::string>>
   waveHoldups(const core::WaveId &wave) const;
 
+  /// A process asks to be a member; the leader keeps it as a learner or voter.
+  /// Errors: NotLeader.
+  core::Status join(const consensus::Member &member);
+
+  /// Makes job events durable in order; gives false where that is not known.
+  void recordJobs(std::vector<jobs::Event> events,
+                  std::function<void(bool)> done);
+
+  /// True while no other member can lead.
+  bool holdsLease() const;
+
   /// Hands leadership to another member, before a planned stop.
   void stepDown();
 
@@ -86,6 +97,7 @@
   void answerWatch(const WaitingWatch &waiting);
   void runDuties();
   void proposeOwn(const state::Command &command);
+  void keepMembership();
   void continueReplacement();
   void finishReplacement(const core::Status &status);
   bool hasNews(const WaitingWatch &waiting) const;
@@ -113,6 +125,12 @@
   int64_t OwnPending = 0;
   std::vector<model::Portion> Returns;
   std::optional<Replacement> Replacing;
+  struct Joining {
+    core::Address Inner;
+    core::TimeMs Asked;
+  };
+  std::map<consensus::MemberId, Joining> Joiners;
+  bool HandingOver = false;
 };
 
 } // namespace almondgate::control
--- a/include/almondgate/control/control_hooks.hpp
+++ b/include/almondgate/control/control_hooks.hpp
@@ -27,6 +27,10 @@
   std::function<core::Result<state::Change>(const std::string &)> DecodeChange;
   std::function<std::string(const state::State &)> EncodeState;
   std::function<core::Result<state::State>(const std::string &)> DecodeState;
+  /// An event has been applied to the job ledger.
+  std::function<void(const jobs::Event &)> OnJobEvent;
+  /// The member leads from now on, or no longer.
+  std::function<void(bool leads)> OnLeading;
   observe::LogLine Log;
 };
 
--- a/include/almondgate/control/control_options.hpp
+++ b/include/almondgate/control/control_options.hpp
@@ -25,6 +25,12 @@
   /// Updates kept for watchers that lag a little.
   size_t KeptUpdates = 20000;
 
+  /// Voters that the leader keeps by itself; 0 leaves that to operators.
+  size_t Voters = 0;
+  /// A leader acts on its own word for this long after a quorum followed it;
+  /// shorter than any member's wait for a leader.
+  core::DurationMs LeaderLease{400};
+
   bool operator==(const ControlOptions &) const = default;
 };
 
--- a/include/almondgate/control/control_task.hpp
+++ b/include/almondgate/control/control_task.hpp
@@ -4,6 +4,7 @@
 #include "almondgate/config/settings.hpp"
 #include "almondgate/control/control_core.hpp"
 #include "almondgate/control/storage_task.hpp"
+#include "almondgate/dispatch/dispatcher.hpp"
 #include "almondgate/protocol/rpc_client.hpp"
 #include "almondgate/protocol/rpc_server.hpp"
 #include "almondgate/storage/store.hpp"
@@ -13,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 
 namespace almondgate::control {
@@ -23,11 +25,22 @@
   /// Called once when the disk failed: the process must end.
   using OnFailure = std::function<void(const core::Error &)>;
 
+  /// `gateway` holds the calls to endpoints and services; the task fills in
+  /// the rest. Without them the member keeps state and runs no jobs.
   ControlTask(task::Loop &loop, const config::ControlSettings &settings,
-              std::unique_ptr<storage::Store> store, OnFailure failed);
+              std::unique_ptr<storage::Store> store, OnFailure failed,
+              dispatch::DispatcherHooks gateway = {});
 
   core::Status start();
 
+  /// Makes a call to the leader, which may be this member. Errors given:
+  /// NotLeader where none is known, and those of the call.
+  void ask(protocol::Method method, std::string body,
+           const protocol::Responder &done);
+
+  /// Where the leader is; nothing while none is known.
+  std::optional<core::Address> leaderInner() const;
+
   void stepDown() { Core.stepDown(); }
   bool leads() const { return Core.leads(); }
   std::string notReady() const;
@@ -38,6 +51,13 @@
   protocol::RpcServerHooks serverHooks();
   void onCall(protocol::Method method, const std::string &body,
               const protocol::Responder &respond);
+  /// False for a method that is not about jobs.
+  bool onJobCall(protocol::Method method, const std::string &body,
+                 const protocol::Responder &respond);
+  dispatch::DispatcherHooks dispatcherHooks(dispatch::DispatcherHooks gateway);
+  void onLeading(bool leads);
+  void onTick();
+  void askToJoin();
   void onWritten(const core::Status &status);
   void send(const consensus::Message &message);
 
@@ -52,8 +72,12 @@
   std::map<consensus::MemberId, core::Address> Heard;
   task::Mailbox<core::Status> Written;
   StorageTask Storage;
+  task::Loop &Loop;
   ControlCore Core;
+  dispatch::Dispatcher Jobs;
   task::Timer Ticker;
+  core::TimeMs JobsDue;
+  core::TimeMs JoinDue;
 };
 
 } // namespace almondgate::control
--- /dev/null
+++ b/include/almondgate/dispatch/advice.hpp
@@ -0,0 +1,31 @@
+#ifndef ALMONDGATE_DISPATCH_ADVICE_HPP
+#define ALMONDGATE_DISPATCH_ADVICE_HPP
+
+#include "almondgate/jobs/task_ref.hpp"
+
+#include <string>
+#include <vector>
+
+namespace almondgate::dispatch {
+
+/// Asks the placement policy service which endpoints may run a step.
+struct AdviceRequest {
+  jobs::JobId Job;
+  int64_t Occurrence = 0;
+  int64_t Step = 0;
+  std::vector<jobs::EndpointId> Endpoints;
+
+  bool operator==(const AdviceRequest &) const = default;
+};
+
+/// Leave to run a step's tasks on one endpoint.
+struct Ticket {
+  jobs::EndpointId Endpoint;
+  std::string Text;
+
+  bool operator==(const Ticket &) const = default;
+};
+
+} // namespace almondgate::dispatch
+
+#endif
--- /dev/null
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -0,0 +1,185 @@
+#ifndef ALMONDGATE_DISPATCH_DISPATCHER_HPP
+#define ALMONDGATE_DISPATCH_DISPATCHER_HPP
+
+#include "almondgate/dispatch/dispatcher_hooks.hpp"
+#include "almondgate/dispatch/dispatcher_options.hpp"
+#include "almondgate/dispatch/endpoint_view.hpp"
+#include "almondgate/dispatch/open_job.hpp"
+#include "almondgate/dispatch/upkeep_desk.hpp"
+#include "almondgate/jobs/job_call.hpp"
+#include "almondgate/jobs/job_reply.hpp"
+#include "almondgate/jobs/ledger.hpp"
+#include "almondgate/policy/job_door.hpp"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace almondgate::dispatch {
+
+/// Runs jobs while its control member leads: accepts them, gives orders to
+/// endpoints, renews their leases and makes the ends durable. Owns no socket,
+/// no file and no thread.
+///
+/// A task is started only when no earlier run of it can be at work: an order
+/// without an answer is resolved first, and after a change of leader every
+/// endpoint of the pool has been read or its lease has lapsed.
+class Dispatcher {
+public:
+  using OnReply = std::function<void(core::Result<jobs::JobReply>)>;
+  using OnStatus = std::function<void(core::Status)>;
+
+  Dispatcher(DispatcherOptions options, DispatcherHooks hooks,
+             const jobs::Ledger &ledger);
+
+  /// The member leads; its epoch is durable.
+  void begin(uint64_t epoch);
+
+  /// The member leads no longer: everything believed is forgotten.
+  void end();
+
+  /// An event has been applied to the ledger.
+  void applied(const jobs::Event &event);
+
+  /// Looks at the clock; call every TickInterval while the member leads.
+  void tick();
+
+  /// Serves a caller. Errors given: NotLeader, Unavailable where it is not
+  /// known whether the request was accepted.
+  void call(const jobs::JobCall &call, OnReply done);
+
+  /// An endpoint announced itself. Errors given: NotLeader, Unavailable.
+  void heartbeat(const jobs::EndpointFacts &facts, int64_t sequence,
+                 OnStatus done);
+
+  /// An endpoint said that it ends. Errors given: as heartbeat().
+  void leave(const jobs::EndpointId &id, int64_t born_ms, OnStatus done);
+
+  /// An operator gave a configuration that is valid. Errors: as heartbeat().
+  void configure(const jobs::FleetConfig &config, OnStatus done);
+
+  /// The newest configuration. Errors: NotLeader.
+  core::Result<jobs::FleetConfig> config() const;
+
+  /// An operator asked for a wave. Errors given: as heartbeat().
+  void startWave(const jobs::WaveRecord &wave, OnStatus done);
+
+  /// Errors: NotLeader, NotFound.
+  core::Result<bool> isWaveCompleted(int64_t number) const;
+
+  bool active() const { return Active && Hooks.MayAct(); }
+
+  const std::map<jobs::EndpointId, EndpointView> &endpoints() const {
+    return Endpoints;
+  }
+
+private:
+  using TaskPlace = EndpointView::TaskPlace;
+
+  struct Submission {
+    std::vector<OnReply> Waiting;
+  };
+
+  // dispatcher.cpp
+  void record(jobs::Event event, std::function<void(bool)> done = {});
+  /// Runs `done` once all that was recorded so far is durable.
+  void afterRecorded(std::function<void(bool)> done);
+  void flush();
+  void wake();
+  void openJob(const jobs::JobRecord &record, bool inherited);
+  void onAccepted(const jobs::JobAccepted &event);
+  void onCancelled(const jobs::JobId &id);
+  void onTaskEnded(const jobs::TaskEnded &event);
+  void onRegistered(const jobs::EndpointFacts &facts);
+  void onIdled(const jobs::EndpointIdled &event);
+  void onGone(const jobs::EndpointId &id, int64_t born_ms);
+  void closeIfEmpty(const jobs::JobId &id);
+  void expireJobs();
+
+  // dispatcher_calls.cpp
+  policy::DoorVerdict door(const jobs::JobSpec &spec,
+                           const jobs::QueueSpec &queue) const;
+  void submit(const jobs::JobCall &call, const jobs::QueueSpec &queue,
+              const jobs::JobId &id, const OnReply &done);
+  jobs::JobReply look(const jobs::JobId &id) const;
+  void cancel(const jobs::JobId &id, const OnReply &done);
+  int64_t pendingOf(const core::QueueId &queue) const;
+
+  // dispatcher_orders.cpp
+  void start(const TaskPlace &place, EndpointView &at, int64_t run);
+  void sendStart(const TaskPlace &place);
+  void onStartReply(const TaskPlace &place, int64_t run,
+                    const jobs::EndpointId &at, int64_t born,
+                    const OrderReply &reply);
+  void stop(const TaskPlace &place);
+  void sendStop(const TaskPlace &place);
+  void onStopReply(const TaskPlace &place, int64_t run,
+                   const jobs::EndpointId &at, int64_t born,
+                   const OrderReply &reply);
+  void retryStops();
+  void stopStray(EndpointView &at, const EndpointView::StrayKey &key);
+  void release(const TaskPlace &place, TaskPhase next);
+  void resolveSilent(const TaskPlace &place, TaskSlot &slot);
+  TaskSlot *slotOf(const TaskPlace &place);
+  const jobs::StepSpec *stepOf(const TaskPlace &place) const;
+
+  // dispatcher_renewals.cpp
+  void renew(EndpointView &endpoint);
+  void onRenewed(const jobs::EndpointId &id, int64_t born, core::TimeMs sent,
+                 const RenewReply &reply);
+  void readInventory(EndpointView &endpoint, core::TimeMs sent,
+                     const RunInventory &inventory);
+  void readRunning(EndpointView &endpoint, const RunReport &report);
+  void readEnd(EndpointView &endpoint, const EndReport &report);
+  void dropVanished(EndpointView &endpoint, core::TimeMs sent,
+                    const RunInventory &inventory);
+  void loseRuns(EndpointView &endpoint);
+  void onUnreachable(EndpointView &endpoint);
+  bool isSettled(const core::PoolId &pool) const;
+
+  // dispatcher_placing.cpp
+  struct ReadyStep;
+  void place();
+  void collectReady(std::vector<ReadyStep> &out);
+  void placeStep(const ReadyStep &ready, std::vector<EndpointView *> &pool);
+  void placeGang(const ReadyStep &ready, std::vector<EndpointView *> &pool);
+  EndpointView *choose(const ReadyStep &ready,
+                       const std::vector<EndpointView *> &pool) const;
+  std::vector<EndpointView *> usableOf(const core::PoolId &pool);
+  bool withinLimit(const core::TeamId &team, const core::Size &need) const;
+  bool hasTickets(const ReadyStep &ready,
+                  const std::vector<EndpointView *> &pool);
+  int64_t nextRun(int64_t last) const;
+
+  // dispatcher_upkeep.cpp
+  UpkeepHooks upkeepHooks();
+  VmLoad loadOf(const core::VmId &vm) const;
+  bool budgetHolds(const EndpointView &endpoint) const;
+
+  const DispatcherOptions Options;
+  const DispatcherHooks Hooks;
+  const jobs::Ledger &Ledger;
+  bool Active = false;
+  uint64_t Epoch = 0;
+  core::TimeMs Began;
+  std::map<jobs::JobId, OpenJob> Open;
+  std::map<jobs::EndpointId, EndpointView> Endpoints;
+  std::map<core::TeamId, core::Size> TeamUsed;
+  std::map<jobs::JobId, Submission> Submissions;
+
+  std::vector<jobs::Event> Outbox;
+  std::vector<std::function<void(bool)>> OutboxDone;
+  std::vector<std::function<void(bool)>> RecordingDone;
+  bool Recording = false;
+  bool Woken = false;
+  bool PlaceWanted = false;
+  /// Answers of an earlier leadership are told by it.
+  uint64_t Generation = 0;
+  core::TimeMs ExpiryDue;
+  UpkeepDesk Upkeep;
+};
+
+} // namespace almondgate::dispatch
+
+#endif
--- /dev/null
+++ b/include/almondgate/dispatch/dispatcher_options.hpp
@@ -0,0 +1,41 @@
+#ifndef ALMONDGATE_DISPATCH_DISPATCHER_OPTIONS_HPP
+#define ALMONDGATE_DISPATCH_DISPATCHER_OPTIONS_HPP
+
+#include "almondgate/core/duration_ms.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace almondgate::dispatch {
+
+/// Settings of a Dispatcher.
+struct DispatcherOptions {
+  /// Names the holder of VM orders.
+  std::string Holder = "control";
+  /// Lease given to an endpoint with each renewal: long enough for a change of
+  /// leader (about 1.3 s) after the oldest renewal (1 s).
+  core::DurationMs Lease{3000};
+  /// Most an endpoint grants, whatever is asked.
+  core::DurationMs LongestLease{6000};
+  /// How long an endpoint may hold a renewal back for an end to tell.
+  core::DurationMs RenewWait{1000};
+  /// Pause between an end's commit and the next look, so that one look tells
+  /// several ends.
+  core::DurationMs LookPause{15};
+  core::DurationMs RetryPause{300};
+  /// Ended jobs are remembered this long.
+  core::DurationMs JobMemory{150000};
+  /// Two leaders may not order for one VM within this time.
+  core::DurationMs VmOrderLease{3000};
+  /// A long-running task is taken to miss when away for this long.
+  core::DurationMs MissNotice{4500};
+  /// How long a VM is gone for its upkeep.
+  core::DurationMs Upkeep{2000};
+  core::DurationMs Move{1500};
+
+  bool operator==(const DispatcherOptions &) const = default;
+};
+
+} // namespace almondgate::dispatch
+
+#endif
--- /dev/null
+++ b/include/almondgate/dispatch/endpoint_view.hpp
@@ -0,0 +1,56 @@
+#ifndef ALMONDGATE_DISPATCH_ENDPOINT_VIEW_HPP
+#define ALMONDGATE_DISPATCH_ENDPOINT_VIEW_HPP
+
+#include "almondgate/dispatch/lease_clock.hpp"
+#include "almondgate/jobs/endpoint_facts.hpp"
+#include "almondgate/jobs/task_ref.hpp"
+
+#include <map>
+#include <set>
+#include <utility>
+
+namespace almondgate::dispatch {
+
+/// A run that is to end although no job asks for it.
+struct StrayRun {
+  core::Size Need;
+  core::TeamId Team;
+  core::TimeMs StopSent{INT64_MIN / 2};
+  bool Seen = true;
+
+  bool operator==(const StrayRun &) const = default;
+};
+
+/// What the leader believes of one endpoint.
+struct EndpointView {
+  using TaskPlace = std::pair<jobs::JobId, size_t>;
+  using StrayKey = std::pair<jobs::TaskRef, int64_t>;
+
+  jobs::EndpointFacts Facts;
+  LeaseClock Lease;
+  /// Its inventory has been read in this epoch.
+  bool Contacted = false;
+  /// The last call to it failed.
+  bool Suspect = false;
+  bool Renewing = false;
+  core::TimeMs RenewDue{INT64_MIN / 2};
+  /// Takes no start before this time.
+  core::TimeMs BackOffUntil{INT64_MIN / 2};
+  int64_t LastSeen = 0;
+  int64_t Reported = 0;
+  int64_t HeartbeatSequence = -1;
+  /// Failures in a row without a task done.
+  int64_t FailuresInRow = 0;
+  /// Being emptied for its upkeep or a move.
+  bool Reserved = false;
+  bool IdleTold = false;
+  core::Size Used;
+  std::set<TaskPlace> Runs;
+  /// Stops that got no answer, to be sent again.
+  std::set<TaskPlace> StopRetries;
+  std::map<StrayKey, StrayRun> Strays;
+};
+
+} // namespace almondgate::dispatch
+
+#endif
--- /dev/null
+++ b/include/almondgate/dispatch/task_slot.hpp
@@ -0,0 +1,58 @@
+#ifndef ALMONDGATE_DISPATCH_TASK_SLOT_HPP
+#define ALMONDGATE_DISPATCH_TASK_SLOT_HPP
+
+#include "almondgate/core/time_ms.hpp"
+#include "almondgate/jobs/ids.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace almondgate::dispatch {
+
+/// Where a task stands between its durable facts.
+enum class TaskPhase {
+  Waiting,
+  /// Ordered; no answer yet.
+  Ordered,
+  /// The order got no answer: it may be carried out now, later or never.
+  Unanswered,
+  Running,
+  Stopping,
+  /// Its end is being made durable.
+  Ending,
+  Done,
+};
+
+/// What the leader believes of one task.
+struct TaskSlot {
+  TaskPhase Phase = TaskPhase::Waiting;
+  /// Where it runs or may run; empty while it waits.
+  jobs::EndpointId At;
+  /// The highest run ordered so far.
+  int64_t Run = 0;
+  std::string Checkpoint;
+  int64_t Percent = 0;
+  int64_t Usage = 0;
+  /// When the phase began.
+  core::TimeMs Since;
+  /// Not started again before this time.
+  core::TimeMs NotBefore{INT64_MIN / 2};
+  /// The endpoint acknowledged the stop.
+  bool StopTold = false;
+  /// Orders that got no answer, one after the other.
+  int64_t Silences = 0;
+  /// Since when a long-running task is not at work.
+  core::TimeMs AwaySince;
+
+  bool operator==(const TaskSlot &) const = default;
+
+  /// It takes room on an endpoint.
+  bool isPlaced() const {
+    return Phase == TaskPhase::Ordered || Phase == TaskPhase::Unanswered ||
+           Phase == TaskPhase::Running || Phase == TaskPhase::Stopping;
+  }
+};
+
+} // namespace almondgate::dispatch
+
+#endif
--- /dev/null
+++ b/include/almondgate/dispatch/upkeep_desk.hpp
@@ -0,0 +1,68 @@
+#ifndef ALMONDGATE_DISPATCH_UPKEEP_DESK_HPP
+#define ALMONDGATE_DISPATCH_UPKEEP_DESK_HPP
+
+#include "almondgate/dispatch/dispatcher_options.hpp"
+#include "almondgate/dispatch/upkeep_hooks.hpp"
+#include "almondgate/jobs/ledger.hpp"
+
+#include <map>
+#include <set>
+
+namespace almondgate::dispatch {
+
+/// Takes the VMs of waves down for their upkeep: empties them first, keeps
+/// every availability budget, and never has more of a wave down than it
+/// allows. What has begun is durable before it is ordered, so that a new leader
+/// counts it.
+class UpkeepDesk {
+public:
+  UpkeepDesk(DispatcherOptions options, UpkeepHooks hooks,
+             const jobs::Ledger &ledger);
+
+  /// The member leads from now on.
+  void begin(uint64_t epoch);
+  void end();
+
+  /// Takes the next steps of all waves.
+  void run();
+
+private:
+  struct Outage {
+    jobs::EndpointId Old;
+    int64_t OldBornMs = 0;
+    core::TimeMs Ordered;
+    bool Accepted = false;
+    bool Calling = false;
+  };
+
+  void runWave(const jobs::WaveRecord &wave);
+  void followOutage(const jobs::WaveRecord &wave, const core::VmId &vm);
+  void prepare(const jobs::WaveRecord &wave, int64_t free_places);
+  void takeDown(const jobs::WaveRecord &wave, const core::VmId &vm,
+                const VmLoad &load);
+  void order(int64_t wave, const core::VmId &vm);
+  void onOrdered(int64_t wave, const core::VmId &vm, VmOrderResult result);
+  void finish(int64_t wave, const core::VmId &vm, const char *why);
+  void refreshListing();
+
+  const DispatcherOptions Options;
+  const UpkeepHooks Hooks;
+  const jobs::Ledger &Ledger;
+  bool Active = false;
+  uint64_t Epoch = 0;
+  uint64_t Generation = 0;
+  core::TimeMs Began;
+  std::map<core::VmId, Outage> Outages;
+  std::map<core::VmId, core::TimeMs> Reserved;
+  std::map<core::VmId, core::TimeMs> NotBefore;
+  std::set<core::VmId> Recording;
+  std::map<core::VmId, VmListing> Listing;
+  bool Listed = false;
+  bool ListWanted = false;
+  bool ListCalling = false;
+  core::TimeMs ListedAt{INT64_MIN / 2};
+};
+
+} // namespace almondgate::dispatch
+
+#endif
--- /dev/null
+++ b/include/almondgate/dispatch/upkeep_hooks.hpp
@@ -0,0 +1,46 @@
+#ifndef ALMONDGATE_DISPATCH_UPKEEP_HOOKS_HPP
+#define ALMONDGATE_DISPATCH_UPKEEP_HOOKS_HPP
+
+#include "almondgate/core/result.hpp"
+#include "almondgate/core/time_ms.hpp"
+#include "almondgate/dispatch/vm_listing.hpp"
+#include "almondgate/jobs/event.hpp"
+#include "almondgate/observe/log.hpp"
+
+#include <functional>
+#include <vector>
+
+namespace almondgate::dispatch {
+
+/// What a VM's endpoint does, as the upkeep sees it.
+struct VmLoad {
+  /// Empty where no endpoint of the VM is known.
+  jobs::EndpointId Endpoint;
+  int64_t BornMs = 0;
+  /// Runs that would be lost.
+  int64_t ShortRuns = 0;
+  /// Taking the VM down keeps every availability budget.
+  bool BudgetHolds = true;
+  bool Reachable = true;
+
+  bool operator==(const VmLoad &) const = default;
+};
+
+/// What the upkeep asks of the world around it.
+struct UpkeepHooks {
+  core::Clock Now;
+  std::function<VmLoad(const core::VmId &)> LoadOf;
+  /// Whether new work may go to the VM.
+  std::function<void(const core::VmId &, bool reserved)> Reserve;
+  std::function<void(std::vector<jobs::Event>, std::function<void(bool)>)>
+      Record;
+  std::function<void(std::function<void(core::Result<std::vector<VmListing>>)>)>
+      ListVms;
+  std::function<void(const VmOrder &, std::function<void(VmOrderResult)>)>
+      OrderVm;
+  observe::LogLine Log;
+};
+
+} // namespace almondgate::dispatch
+
+#endif
--- a/include/almondgate/http/endpoint_client.hpp
+++ b/include/almondgate/http/endpoint_client.hpp
@@ -43,6 +43,9 @@
   /// Gives a number for abort().
   uint64_t send(EndpointCall call, OnAnswer done);
 
+  /// Closes the idle connections to an address, which may be dead.
+  void forget(const core::Address &to);
+
   /// Closes the call's connection; its OnAnswer is not called.
   void abort(uint64_t call);
 
--- /dev/null
+++ b/include/almondgate/jobs/job_state.hpp
@@ -0,0 +1,14 @@
+#ifndef ALMONDGATE_JOBS_JOB_STATE_HPP
+#define ALMONDGATE_JOBS_JOB_STATE_HPP
+
+namespace almondgate::jobs {
+
+/// What callers are told of a job.
+enum class JobState { Queued, Running, Completed, Failed, Cancelled };
+
+/// "queued", "running", "completed", "failed" or "cancelled".
+const char *jobStateName(JobState state);
+
+} // namespace almondgate::jobs
+
+#endif
--- /dev/null
+++ b/include/almondgate/jobs/wave_record.hpp
@@ -0,0 +1,32 @@
+#ifndef ALMONDGATE_JOBS_WAVE_RECORD_HPP
+#define ALMONDGATE_JOBS_WAVE_RECORD_HPP
+
+#include "almondgate/core/id.hpp"
+
+#include <cstdint>
+#include <set>
+#include <vector>
+
+namespace almondgate::jobs {
+
+/// VMs that are due for upkeep within a time.
+struct WaveRecord {
+  int64_t Number = 0;
+  std::vector<core::VmId> Vms;
+  /// Most VMs that may be down at once.
+  int64_t UpperLimit = 1;
+  int64_t DurationMs = 0;
+  int64_t StartedWallMs = 0;
+  /// VMs whose upkeep may have been ordered.
+  std::set<core::VmId> Begun;
+  /// VMs that are back, or that left the fleet.
+  std::set<core::VmId> Finished;
+
+  bool operator==(const WaveRecord &) const = default;
+
+  bool isCompleted() const { return Finished.size() >= Vms.size(); }
+};
+
+} // namespace almondgate::jobs
+
+#endif
--- a/include/almondgate/protocol/method.hpp
+++ b/include/almondgate/protocol/method.hpp
@@ -35,6 +35,22 @@
   Inventory,
   /// Request id to nothing; between entries.
   Cancel,
+  /// JobCall to JobReply; entry to the control leader.
+  Job,
+  /// EndpointHeartbeat to nothing; control member to the leader.
+  Heartbeat,
+  /// EndpointGone to nothing; control member to the leader.
+  Leave,
+  /// FleetConfig to nothing; control member to the leader.
+  Configure,
+  /// Nothing to FleetConfig; control member to the leader.
+  ReadConfig,
+  /// WaveRecord to nothing; control member to the leader.
+  StartWave,
+  /// Wave number to whether it is completed; control member to the leader.
+  ReadWave,
+  /// Member to nothing; a process that wants to be a member to any member.
+  Join,
 };
 
 /// The method's name in a path, such as "watch".
--- a/include/almondgate/state/command.hpp
+++ b/include/almondgate/state/command.hpp
@@ -1,6 +1,7 @@
 #ifndef ALMONDGATE_STATE_COMMAND_HPP
 #define ALMONDGATE_STATE_COMMAND_HPP
 
+#include "almondgate/jobs/event.hpp"
 #include "almondgate/model/announcement.hpp"
 #include "almondgate/model/record.hpp"
 
@@ -130,12 +131,18 @@
   bool operator==(const SettleVm &) const = default;
 };
 
+/// Applies events to the job ledger, in order.
+struct RecordJobs {
+  std::vector<jobs::Event> Events;
+  bool operator==(const RecordJobs &) const = default;
+};
+
 /// Any command of the replicated state. Kinds are only ever added at the end.
 using Command =
     std::variant<PutRecords, RemoveRecord, GrantKey, WithdrawKey, RegisterVm,
                  MoveVm, SetVmPhase, CreateWave, SetWaveStatus, AdvanceWave,
                  AssignPool, SetPortion, BeginIntent, FinishIntent,
-                 ExpireIntents, SettleVm>;
+                 ExpireIntents, SettleVm, RecordJobs>;
 
 /// The names of the kinds, in the order of the variant.
 inline constexpr const char *CommandKinds[] = {
@@ -144,7 +151,7 @@
     "set-vm-phase", "create-wave",   "set-wave-status",
     "advance-wave", "assign-pool",   "set-portion",
     "begin-intent", "finish-intent", "expire-intents",
-    "settle-vm"};
+    "settle-vm",    "record-jobs"};
 
 /// The stable name of a command's kind, such as "move-vm".
 inline const char *kindName(const Command &command) {
--- a/include/almondgate/state/state.hpp
+++ b/include/almondgate/state/state.hpp
@@ -1,6 +1,7 @@
 #ifndef ALMONDGATE_STATE_STATE_HPP
 #define ALMONDGATE_STATE_STATE_HPP
 
+#include "almondgate/jobs/ledger.hpp"
 #include "almondgate/model/view.hpp"
 #include "almondgate/state/audit_entry.hpp"
 #include "almondgate/state/change.hpp"
@@ -31,6 +32,7 @@
   std::map<ChangeKey, core::Value<RecordedChange>> Changes;
   std::deque<ChangeKey> ChangeOrder;
   std::deque<core::Value<AuditEntry>> Audit;
+  jobs::Ledger Jobs;
 
   bool operator==(const State &) const = default;
 };
--- a/include/almondgate/watch/control_client.hpp
+++ b/include/almondgate/watch/control_client.hpp
@@ -20,6 +20,9 @@
   void call(protocol::Method method, std::string body, core::DurationMs timeout,
             protocol::RpcClient::OnReply done);
 
+  /// Replaces the members; calls under way go on.
+  void setMembers(std::vector<core::Address> members);
+
 private:
   struct Attempt;
   void start(const std::shared_ptr<Attempt> &attempt);
@@ -28,7 +31,7 @@
 
   task::Loop &Loop;
   protocol::RpcClient &Rpc;
-  const std::vector<core::Address> Members;
+  std::vector<core::Address> Members;
   size_t Leader = 0;
 };
 
--- a/src/almondgate/config/read_settings.cpp
+++ b/src/almondgate/config/read_settings.cpp
@@ -18,6 +18,9 @@
 constexpr const char *Version = "0.1.0";
 constexpr size_t ShortestSecret = 16;
 constexpr size_t HashDigits = 64;
+constexpr int64_t MaxPort = 65535;
+// With more losses to bear, each change would wait for too many disks.
+constexpr int64_t MostToleratedLosses = 4;
 
 std::string environmentName(const std::string &flag) {
   std::string out = "ALMONDGATE_";
@@ -102,6 +105,32 @@
     return core::ok();
   }
 
+  /// Reads an address that may be left out.
+  Status readOptionalAddress(const std::string &name,
+                             core::Address &out) const {
+    return text(name).empty() ? core::ok() : readAddress(name, out);
+  }
+
+  Status readNumber(const std::string &name, int64_t least, int64_t most,
+                    int64_t &out) const {
+    const std::string &value = text(name);
+    char *end = nullptr;
+    out = std::strtoll(value.c_str(), &end, 10);
+    if (value.empty() || *end || out < least || out > most)
+      return badValue(name, value,
+                      "must be " + std::to_string(least) + " to " +
+                          std::to_string(most));
+    return core::ok();
+  }
+
+  Status readBool(const std::string &name, bool &out) const {
+    const std::string &value = text(name);
+    if (value != "true" && value != "false")
+      return badValue(name, value, "must be true or false");
+    out = value == "true";
+    return core::ok();
+  }
+
   Status readDuration(const std::string &name, core::DurationMs &out) const {
     const std::string &value = text(name);
     char *end = nullptr;
@@ -131,6 +160,8 @@
   flags.add("status", "Where /metrics, /healthz and /readyz are served");
   flags.add("zone", "The availability zone of this VM");
   flags.add("control", "The control members, IP:PORT[,IP:PORT...]");
+  flags.add("control-port",
+            "Replaces the port of each --control address; 0 for none", "0");
   flags.add("log-format", "text or json", "text");
   flags.add("log-level", "debug, info, warn or error", "info");
   flags.add("stop-delay-ms", "How long a stopping process goes on", "1000");
@@ -146,6 +177,12 @@
     return done;
   if (auto done = flags.readAddresses("control", out.Control); !done)
     return done;
+  int64_t port = 0;
+  if (auto done = flags.readNumber("control-port", 0, MaxPort, port); !done)
+    return done;
+  for (auto &address : out.Control)
+    if (port > 0)
+      address.Port = uint16_t(port);
   out.Zone = core::ZoneId(flags.text("zone"));
   if (out.Zone.empty())
     return badValue("zone", "", "must name an availability zone");
@@ -193,6 +230,18 @@
   out.DataFolder = flags.text("data");
   if (out.DataFolder.empty())
     return badValue("data", "", "must name the data folder");
+  if (auto done = flags.readBool("found", out.Found); !done)
+    return done;
+  if (auto done = flags.readNumber("tolerated-losses", -1, MostToleratedLosses,
+                                   out.ToleratedLosses);
+      !done)
+    return done;
+  out.Name = flags.text("name");
+  for (const auto &[name, address] :
+       {std::pair{"public", &out.Public}, {"vm-service", &out.VmService},
+        {"advice-service", &out.AdviceService}})
+    if (auto done = flags.readOptionalAddress(name, *address); !done)
+      return done;
   out.InitAs = flags.text("init-as");
   for (const auto &item : split(flags.text("first-members"), ',')) {
     const auto parts = split(item, '=');
@@ -251,6 +300,18 @@
   Flags flags("almondgate-control: keeps the replicated state");
   addCommon(flags);
   flags.add("data", "The data folder");
+  flags.add("public", "Where endpoints and operators are served, IP:PORT");
+  flags.add("vm-service", "The service that lists and moves VMs, IP:PORT");
+  flags.add("advice-service", "The placement policy service, IP:PORT");
+  flags.add("name", "This process's name, for the orders it gives", "control");
+  flags.add("found",
+            "Format an empty data folder as one of the first members, which "
+            "are those of --control",
+            "false");
+  flags.add("tolerated-losses",
+            "Disks that may be lost at once: members are replaced by the "
+            "leader; -1 for none",
+            "-1");
   flags.add("init-as", "Format the data folder for this first member and exit");
   flags.add("first-members", "All first members, NAME=IP:PORT[,...]");
   return finish<ControlSettings>(flags, args, readControl);
--- a/src/almondgate/consensus/election.cpp
+++ b/src/almondgate/consensus/election.cpp
@@ -18,7 +18,11 @@
 bool Node::heardLeaderLately() const {
   if (Role == NodeRole::Leader)
     return true;
-  return !Leader.empty() && Hooks.Now() - HeardLeader < Options.ElectionTimeout;
+  // A member that has just started may have heard a leader before it stopped.
+  const auto now = Hooks.Now();
+  if (Restarted && now - StartedAt < Options.ElectionTimeout)
+    return true;
+  return !Leader.empty() && now - HeardLeader < Options.ElectionTimeout;
 }
 
 bool Node::logIsUpToDate(const Message &message) const {
--- a/src/almondgate/consensus/node.cpp
+++ b/src/almondgate/consensus/node.cpp
@@ -10,7 +10,8 @@
 
 Node::Node(NodeOptions options, NodeHooks hooks, const DurableState &state)
     : Options(std::move(options)), Hooks(std::move(hooks)), Voted(state.Voted),
-      Base(state.Base), Entries(state) {
+      Base(state.Base), Entries(state), Restarted(state.Voted.Term > 0),
+      StartedAt(Hooks.Now()) {
   Memberships.emplace_back(Base.Index, Base.Voters);
   for (const auto &entry : state.Entries)
     noteMembership(entry);
--- a/src/almondgate/control/control_core.cpp
+++ b/src/almondgate/control/control_core.cpp
@@ -1,5 +1,6 @@
 #include "almondgate/control/control_core.hpp"
 #include "almondgate/control/leader_duties.hpp"
+#include "almondgate/control/membership_plan.hpp"
 #include "almondgate/core/digest.hpp"
 #include "almondgate/core/invariant.hpp"
 
@@ -86,6 +87,7 @@
   DutiesDue = now + Options.DutyInterval;
   runDuties();
   continueReplacement();
+  keepMembership();
   runEffects();
 }
 
@@ -156,6 +158,10 @@
                    ? " accepted"
                    : " refused: " + applied.Result.Refusal.Text));
   keepUpdates(std::move(applied.Updates));
+  const auto *recorded = std::get_if<state::RecordJobs>(&change.value().What);
+  if (recorded && Hooks.OnJobEvent)
+    for (const auto &event : recorded->Events)
+      Hooks.OnJobEvent(event);
   if (done)
     done(applied.Result);
 }
@@ -190,7 +196,10 @@
   LeadingSince = Hooks.Node.Now();
   DutiesDue = LeadingSince;
   ExpiryDue = LeadingSince + ExpiryInterval;
+  HandingOver = false;
   Hooks.Log("leads in term " + std::to_string(Node.term()));
+  if (Hooks.OnLeading)
+    Hooks.OnLeading(true);
 }
 
 void ControlCore::loseLeadership() {
@@ -198,7 +207,10 @@
   Live.clear();
   Returns.clear();
   OwnPending = 0;
+  Joiners.clear();
   Hooks.Log("no longer leads");
+  if (Hooks.OnLeading)
+    Hooks.OnLeading(false);
   for (const auto &waiting : std::exchange(Watches, {}))
     waiting.Done(notLeader());
   for (const auto &[index, pending] : std::exchange(Pending, {}))
@@ -207,8 +219,16 @@
 }
 
 void ControlCore::stepDown() {
-  if (Node.transferLeadership())
-    runEffects();
+  if (!Node.transferLeadership())
+    return;
+  // The successor may lead before this member hears of it.
+  HandingOver = true;
+  runEffects();
+}
+
+bool ControlCore::holdsLease() const {
+  return Leading && !HandingOver &&
+         Hooks.Node.Now() - Node.confirmedAt() < Options.LeaderLease;
 }
 
 // --- watches
@@ -319,6 +339,16 @@
                                 }});
 }
 
+void ControlCore::recordJobs(std::vector<jobs::Event> events,
+                             std::function<void(bool)> done) {
+  state::Change change;
+  change.AtWallMs = Hooks.WallClock();
+  change.What = state::RecordJobs{std::move(events)};
+  propose(change, [done = std::move(done)](const auto &result) {
+    done(result && result.value().Accepted);
+  });
+}
+
 // --- duties
 
 void ControlCore::runDuties() {
@@ -402,6 +432,48 @@
       });
 }
 
+core::Status ControlCore::join(const consensus::Member &member) {
+  if (!Leading)
+    return notLeader();
+  const bool known = Joiners.contains(member.Id);
+  Joiners[member.Id] = {member.Inner, Hooks.Node.Now()};
+  if (!known)
+    Hooks.Log("member " + member.Id.str() + " at " +
+              core::toString(member.Inner) + " asks to join");
+  return core::ok();
+}
+
+void ControlCore::keepMembership() {
+  if (Options.Voters == 0 || Replacing)
+    return;
+  const auto now = Hooks.Node.Now();
+  const auto &members = Node.membership();
+  std::vector<MemberHealth> known;
+  for (const auto &member : members.Members) {
+    const auto *progress = Node.progressOf(member.Id);
+    MemberHealth health{member.Id, member.Inner, {}, true};
+    if (progress) {
+      const auto heard = std::max(progress->AnsweredSent, LeadingSince.Count);
+      health.Silence = DurationMs{now.Count - heard};
+      health.CaughtUp =
+          progress->Match > 0 &&
+          progress->Match + CaughtUpEntries >= Node.commitIndex();
+    }
+    known.push_back(std::move(health));
+  }
+  for (const auto &[id, joining] : Joiners)
+    if (!consensus::findMember(members, id))
+      known.push_back({id, joining.Inner, now - joining.Asked, false});
+  const auto next = planMembership(members, Node.self(), known,
+                                   {.Voters = Options.Voters});
+  if (!next || !Node.changeMembership(*next))
+    return;
+  std::string names;
+  for (const auto &member : next->Members)
+    names += " " + member.Id.str() + (member.Voter ? "" : "(learner)");
+  Hooks.Log("membership becomes" + names);
+}
+
 // One voter at a time: learn, catch up, remove the old one, then vote.
 void ControlCore::continueReplacement() {
   if (!Replacing)
--- a/src/almondgate/control/control_task.cpp
+++ b/src/almondgate/control/control_task.cpp
@@ -1,7 +1,10 @@
 #include "almondgate/control/control_task.hpp"
 #include "almondgate/core/invariant.hpp"
 #include "almondgate/encoding/codec.hpp"
+#include "almondgate/jobs/endpoint_calls.hpp"
+#include "almondgate/task/loop.hpp"
 
+#include <set>
 #include <unistd.h>
 
 namespace almondgate::control {
@@ -19,16 +22,26 @@
 namespace {
 
 constexpr DurationMs TickInterval{10};
+constexpr DurationMs JobsInterval{50};
+constexpr DurationMs JoinInterval{500};
+constexpr DurationMs ForwardTimeout{900};
 constexpr DurationMs MessageTimeout{2000};
 constexpr DurationMs IdentityTimeout{2000};
 constexpr size_t WrittenCapacity = 16;
 
+ControlOptions coreOptions(const config::ControlSettings &settings) {
+  ControlOptions options;
+  if (settings.ToleratedLosses >= 0)
+    options.Voters = 2 * size_t(settings.ToleratedLosses) + 1;
+  return options;
+}
+
 } // namespace
 
 ControlTask::ControlTask(task::Loop &loop,
                          const config::ControlSettings &settings,
                          std::unique_ptr<storage::Store> store,
-                         OnFailure failed)
+                         OnFailure failed, dispatch::DispatcherHooks gateway)
     : Settings(settings), Identity(store->identity()),
       Found(store->takeState()), Failed(std::move(failed)),
       Random(std::random_device{}()), Rpc(loop, {settings.Common.Secret}),
@@ -39,12 +52,16 @@
               [this](const core::Status &status) {
                 core::invariant(Written.post(status), "a write's end is lost");
               }),
-      Core({}, {.Self = Identity}, coreHooks(), Found), Ticker(loop) {}
+      Loop(loop),
+      Core(coreOptions(settings), {.Self = Identity}, coreHooks(), Found),
+      Jobs({.Holder = settings.Name}, dispatcherHooks(std::move(gateway)),
+           Core.state().Jobs),
+      Ticker(loop) {}
 
 core::Status ControlTask::start() {
   if (auto listening = Inner.listen(Settings.Common.Inner); !listening)
     return listening;
-  Ticker.every(TickInterval, [this] { Core.tick(); });
+  Ticker.every(TickInterval, [this] { onTick(); });
   return core::ok();
 }
 
@@ -106,10 +123,89 @@
   hooks.DecodeState = [](const std::string &bytes) {
     return encoding::decode<state::State>(bytes);
   };
+  hooks.OnJobEvent = [this](const jobs::Event &event) { Jobs.applied(event); };
+  hooks.OnLeading = [this](bool leads) { onLeading(leads); };
   hooks.Log = observe::infoLine("control");
   return hooks;
 }
 
+dispatch::DispatcherHooks
+ControlTask::dispatcherHooks(dispatch::DispatcherHooks gateway) {
+  gateway.Now = core::monotonicNow;
+  gateway.WallClock = core::wallClockMs;
+  gateway.MayAct = [this] { return Core.holdsLease(); };
+  gateway.Record = [this](std::vector<jobs::Event> events, auto done) {
+    Core.recordJobs(std::move(events), std::move(done));
+  };
+  gateway.Defer = [this](std::function<void()> fn) {
+    Loop.defer(std::move(fn));
+  };
+  gateway.Log = observe::infoLine("jobs");
+  return gateway;
+}
+
+// An epoch of its own, once durable, fences the orders of earlier leaders.
+void ControlTask::onLeading(bool leads) {
+  if (!leads) {
+    Jobs.end();
+    return;
+  }
+  Core.recordJobs({jobs::EpochBegun{Identity.str()}}, [this](bool durable) {
+    if (durable && Core.leads())
+      Jobs.begin(Core.state().Jobs.Epoch);
+  });
+}
+
+void ControlTask::onTick() {
+  Core.tick();
+  const auto now = core::monotonicNow();
+  if (now >= JobsDue) {
+    JobsDue = now + JobsInterval;
+    Jobs.tick();
+  }
+  if (now >= JoinDue && Settings.ToleratedLosses >= 0) {
+    JoinDue = now + JoinInterval;
+    askToJoin();
+  }
+}
+
+// Only a voter that hears a leader is sure of its place.
+void ControlTask::askToJoin() {
+  const auto &node = Core.node();
+  const bool settled = consensus::isVoter(node.membership(), Identity) &&
+                       !node.leader().empty();
+  if (settled)
+    return;
+  const std::string body =
+      encoding::encode(consensus::Member{Identity, Settings.Common.Inner, false});
+  std::set<core::Address> peers(Settings.Common.Control.begin(),
+                                Settings.Common.Control.end());
+  for (const auto &member : node.membership().Members)
+    peers.insert(member.Inner);
+  peers.erase(Settings.Common.Inner);
+  for (const auto &peer : peers)
+    Rpc.call(peer, Method::Join, body, IdentityTimeout, [](const auto &) {});
+}
+
+std::optional<core::Address> ControlTask::leaderInner() const {
+  const auto *member = consensus::findMember(Core.node().membership(),
+                                             Core.node().leader());
+  return member ? std::optional(member->Inner) : std::nullopt;
+}
+
+void ControlTask::ask(Method method, std::string body, const Responder &done) {
+  if (Core.leads()) {
+    onCall(method, body, done);
+    return;
+  }
+  const auto leader = leaderInner();
+  if (!leader || *leader == Settings.Common.Inner) {
+    done(Error{ErrorCode::NotLeader, "no leader is known"});
+    return;
+  }
+  Rpc.call(*leader, method, std::move(body), ForwardTimeout, done);
+}
+
 void ControlTask::send(const Message &message) {
   const auto *member =
       consensus::findMember(Core.node().membership(), message.To);
@@ -163,9 +259,72 @@
 
 } // namespace
 
+bool ControlTask::onJobCall(Method method, const std::string &body,
+                            const Responder &respond) {
+  const auto told = [respond](const core::Status &status) {
+    if (status)
+      respond(std::string());
+    else
+      respond(status.error());
+  };
+  switch (method) {
+  case Method::Job:
+    withDecoded<jobs::JobCall>(body, respond, [&](const auto &call) {
+      Jobs.call(call, encoded<jobs::JobReply>(respond));
+    });
+    return true;
+  case Method::Heartbeat:
+    withDecoded<jobs::EndpointHeartbeat>(body, respond, [&](const auto &beat) {
+      Jobs.heartbeat(beat.Facts, beat.Sequence, told);
+    });
+    return true;
+  case Method::Leave:
+    withDecoded<jobs::EndpointGone>(body, respond, [&](const auto &gone) {
+      Jobs.leave(gone.Id, gone.BornMs, told);
+    });
+    return true;
+  case Method::Configure:
+    withDecoded<jobs::FleetConfig>(body, respond, [&](const auto &config) {
+      Jobs.configure(config, told);
+    });
+    return true;
+  case Method::ReadConfig:
+    encoded<jobs::FleetConfig>(respond)(Jobs.config());
+    return true;
+  case Method::StartWave:
+    withDecoded<jobs::WaveRecord>(body, respond, [&](const auto &wave) {
+      Jobs.startWave(wave, told);
+    });
+    return true;
+  case Method::ReadWave:
+    withDecoded<int64_t>(body, respond, [&](int64_t number) {
+      encoded<bool>(respond)(Jobs.isWaveCompleted(number));
+    });
+    return true;
+  default:
+    return false;
+  }
+}
+
 void ControlTask::onCall(Method method, const std::string &body,
                          const Responder &respond) {
+  if (onJobCall(method, body, respond))
+    return;
   switch (method) {
+  case Method::Join:
+    withDecoded<consensus::Member>(body, respond, [&](const auto &member) {
+      if (!Core.leads()) {
+        // A follower's word is as good: it knows the leader.
+        ask(Method::Join, body, respond);
+        return;
+      }
+      const auto joined = Core.join(member);
+      if (joined)
+        respond(std::string());
+      else
+        respond(joined.error());
+    });
+    return;
   case Method::Consensus:
     withDecoded<Message>(body, respond, [&](const Message &message) {
       // Another life of this member's disk may have had the same address.
@@ -203,8 +362,10 @@
   case Method::Identity:
     respond(Identity.str());
     return;
-  case Method::Audit:
   case Method::ListMembers:
+    respond(encoding::encode(Core.node().membership()));
+    return;
+  case Method::Audit:
     break;
   default:
     respond(Error{ErrorCode::NotFound, "not served by a control member"});
@@ -214,10 +375,6 @@
     respond(Error{ErrorCode::NotLeader, "not the control leader"});
     return;
   }
-  if (method == Method::ListMembers) {
-    respond(encoding::encode(Core.node().membership()));
-    return;
-  }
   std::vector<state::AuditEntry> trail;
   for (const auto &entry : Core.state().Audit)
     trail.push_back(*entry);
--- /dev/null
+++ b/src/almondgate/control/membership_plan.cpp
@@ -0,0 +1,82 @@
+#include "almondgate/control/membership_plan.hpp"
+
+#include <algorithm>
+
+namespace almondgate::control {
+
+using consensus::Member;
+using consensus::Membership;
+
+namespace {
+
+const MemberHealth *healthOf(const std::vector<MemberHealth> &known,
+                             const consensus::MemberId &id) {
+  const auto it =
+      std::find_if(known.begin(), known.end(),
+                   [&](const MemberHealth &health) { return health.Id == id; });
+  return it == known.end() ? nullptr : &*it;
+}
+
+// Another life of the disk at its address shows that a member is lost for
+// good; silence shows that it may be.
+bool isLost(const Member &member, const std::vector<MemberHealth> &known,
+            core::DurationMs patience) {
+  const bool replaced =
+      std::any_of(known.begin(), known.end(), [&](const MemberHealth &other) {
+        return other.Id != member.Id && other.Inner == member.Inner &&
+               other.Silence < patience;
+      });
+  const auto *health = healthOf(known, member.Id);
+  return replaced || !health || health->Silence >= patience;
+}
+
+Membership without(const Membership &now, const consensus::MemberId &id) {
+  Membership out = now;
+  std::erase_if(out.Members, [&](const Member &m) { return m.Id == id; });
+  return out;
+}
+
+} // namespace
+
+std::optional<Membership>
+planMembership(const Membership &now, const consensus::MemberId &leader,
+               const std::vector<MemberHealth> &known,
+               const MembershipRules &rules) {
+  for (const auto &health : known)
+    if (!findMember(now, health.Id) && health.Silence < rules.ReplaceAfter) {
+      Membership out = now;
+      out.Members.push_back({health.Id, health.Inner, false});
+      return out;
+    }
+  size_t voters = 0;
+  size_t live = 0;
+  const Member *lost = nullptr;
+  for (const auto &member : now.Members) {
+    if (!member.Voter)
+      continue;
+    ++voters;
+    if (member.Id == leader || !isLost(member, known, rules.ReplaceAfter))
+      ++live;
+    else
+      lost = &member;
+  }
+  if (live < rules.Voters)
+    for (const auto &member : now.Members) {
+      const auto *health = healthOf(known, member.Id);
+      const bool ready = !member.Voter && health && health->CaughtUp &&
+                         !isLost(member, known, rules.ReplaceAfter);
+      if (!ready)
+        continue;
+      Membership out = without(now, member.Id);
+      out.Members.push_back({member.Id, member.Inner, true});
+      return out;
+    }
+  if (lost && voters > rules.Voters)
+    return without(now, lost->Id);
+  for (const auto &member : now.Members)
+    if (!member.Voter && isLost(member, known, rules.DropLearnerAfter))
+      return without(now, member.Id);
+  return std::nullopt;
+}
+
+} // namespace almondgate::control
--- a/src/almondgate/core/core.cpp
+++ b/src/almondgate/core/core.cpp
@@ -13,6 +13,7 @@
 #include <arpa/inet.h>
 #include <charconv>
 #include <chrono>
+#include <ctime>
 #include <cstdio>
 #include <cstdlib>
 #include <vector>
@@ -50,8 +51,12 @@
 } // namespace
 
 TimeMs monotonicNow() {
-  const auto now = std::chrono::steady_clock::now().time_since_epoch();
-  return {std::chrono::duration_cast<std::chrono::milliseconds>(now).count()};
+  // Leases must not outlive a suspended VM, so its sleep is counted.
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  constexpr int64_t MsPerSecond = 1000;
+  constexpr int64_t NsPerMs = 1000000;
+  return {int64_t(now.tv_sec) * MsPerSecond + now.tv_nsec / NsPerMs};
 }
 
 int64_t wallClockMs() {
--- /dev/null
+++ b/src/almondgate/dispatch/dispatcher.cpp
@@ -0,0 +1,405 @@
+#include "almondgate/dispatch/dispatcher.hpp"
+#include "almondgate/policy/job_timing.hpp"
+
+#include <algorithm>
+
+namespace almondgate::dispatch {
+
+using core::DurationMs;
+using core::Error;
+using core::ErrorCode;
+using jobs::EndpointFacts;
+using jobs::JobRecord;
+
+namespace {
+
+constexpr DurationMs ExpiryInterval{10000};
+
+Error outcomeUnknown() {
+  return {ErrorCode::Unavailable, "leadership was lost before the answer",
+          core::RunOutcome::Unknown};
+}
+
+Error notLeading() { return {ErrorCode::NotLeader, "not the control leader"}; }
+
+} // namespace
+
+Dispatcher::Dispatcher(DispatcherOptions options, DispatcherHooks hooks,
+                       const jobs::Ledger &ledger)
+    : Options(std::move(options)), Hooks(std::move(hooks)), Ledger(ledger),
+      Upkeep(Options, upkeepHooks(), ledger) {}
+
+// --- leadership
+
+void Dispatcher::begin(uint64_t epoch) {
+  Active = true;
+  ++Generation;
+  Epoch = epoch;
+  Began = Hooks.Now();
+  ExpiryDue = Began + ExpiryInterval;
+  for (const auto &[id, facts] : Ledger.Endpoints)
+    onRegistered(facts);
+  for (auto &[id, endpoint] : Endpoints)
+    endpoint.Lease.assumeHeldUntil(Began + Options.LongestLease);
+  for (const auto &[id, record] : Ledger.Jobs)
+    if (record.isOpen())
+      openJob(record, true);
+  Hooks.Log("epoch " + std::to_string(epoch) + " begins with " +
+            std::to_string(Open.size()) + " open jobs and " +
+            std::to_string(Endpoints.size()) + " endpoints to read");
+  Upkeep.begin(epoch);
+  wake();
+}
+
+void Dispatcher::end() {
+  if (!Active)
+    return;
+  Active = false;
+  ++Generation;
+  Upkeep.end();
+  Open.clear();
+  Endpoints.clear();
+  TeamUsed.clear();
+  Outbox.clear();
+  Recording = false;
+  Woken = false;
+  for (const auto &done : std::exchange(RecordingDone, {}))
+    done(false);
+  for (const auto &done : std::exchange(OutboxDone, {}))
+    done(false);
+  for (const auto &[id, submission] : std::exchange(Submissions, {}))
+    for (const auto &done : submission.Waiting)
+      done(outcomeUnknown());
+  Hooks.Log("epoch " + std::to_string(Epoch) + " ends here");
+}
+
+void Dispatcher::tick() {
+  if (!active())
+    return;
+  const auto now = Hooks.Now();
+  for (auto &[id, endpoint] : Endpoints)
+    if (!endpoint.Renewing && now >= endpoint.RenewDue)
+      renew(endpoint);
+  for (auto &[id, endpoint] : Endpoints)
+    onUnreachable(endpoint);
+  retryStops();
+  Upkeep.run();
+  expireJobs();
+  wake();
+}
+
+// --- durable events
+
+void Dispatcher::record(jobs::Event event, std::function<void(bool)> done) {
+  Outbox.push_back(std::move(event));
+  if (done)
+    OutboxDone.push_back(std::move(done));
+  wake();
+}
+
+void Dispatcher::afterRecorded(std::function<void(bool)> done) {
+  if (!Outbox.empty())
+    OutboxDone.push_back(std::move(done));
+  else if (Recording)
+    RecordingDone.push_back(std::move(done));
+  else
+    done(true);
+}
+
+// One batch is under way at a time; what comes meanwhile forms the next.
+void Dispatcher::flush() {
+  if (Recording || Outbox.empty())
+    return;
+  Recording = true;
+  RecordingDone = std::exchange(OutboxDone, {});
+  Hooks.Record(std::exchange(Outbox, {}),
+               [this, generation = Generation](bool durable) {
+                 if (generation != Generation)
+                   return;
+                 Recording = false;
+                 for (const auto &done : std::exchange(RecordingDone, {}))
+                   done(durable);
+                 wake();
+               });
+}
+
+void Dispatcher::wake() {
+  if (std::exchange(Woken, true))
+    return;
+  Hooks.Defer([this, generation = Generation] {
+    if (generation != Generation)
+      return;
+    Woken = false;
+    if (!active())
+      return;
+    place();
+    flush();
+  });
+}
+
+void Dispatcher::applied(const jobs::Event &event) {
+  if (!Active)
+    return;
+  if (const auto *accepted = std::get_if<jobs::JobAccepted>(&event))
+    onAccepted(*accepted);
+  else if (const auto *cancelled = std::get_if<jobs::JobCancelled>(&event))
+    onCancelled(cancelled->Id);
+  else if (const auto *ended = std::get_if<jobs::TaskEnded>(&event))
+    onTaskEnded(*ended);
+  else if (const auto *seen = std::get_if<jobs::EndpointRegistered>(&event))
+    onRegistered(seen->Facts);
+  else if (const auto *idled = std::get_if<jobs::EndpointIdled>(&event))
+    onIdled(*idled);
+  else if (const auto *gone = std::get_if<jobs::EndpointGone>(&event))
+    onGone(gone->Id, gone->BornMs);
+  wake();
+}
+
+// --- jobs
+
+void Dispatcher::openJob(const JobRecord &record, bool inherited) {
+  if (Open.contains(record.Id))
+    return;
+  const auto now = Hooks.Now();
+  OpenJob job;
+  const auto *queue = jobs::findQueue(Ledger.Config, record.Queue);
+  if (queue)
+    job.Pool = queue->Pool;
+  const int64_t age =
+      std::max<int64_t>(0, Hooks.WallClock() - record.AcceptedWallMs);
+  job.AcceptedAt = inherited ? now - DurationMs{age} : now;
+  job.Inherited = inherited;
+  job.Tasks.resize(record.Tasks.size());
+  for (size_t i = 0; i < record.Tasks.size(); ++i) {
+    job.Started = job.Started || record.Tasks[i].Done;
+    if (record.Tasks[i].Done)
+      job.Tasks[i].Phase = TaskPhase::Done;
+  }
+  const DurationMs chain{policy::longestChainMs(*record.Spec)};
+  const int64_t target = queue ? queue->TargetMs : 0;
+  const double stretch = queue ? queue->Stretch : 1;
+  job.Due = job.AcceptedAt +
+            DurationMs{int64_t(stretch * double(chain.Count)) + target};
+  Open.emplace(record.Id, std::move(job));
+}
+
+void Dispatcher::onAccepted(const jobs::JobAccepted &event) {
+  const auto *record = jobs::findJob(Ledger, event.Id);
+  if (record && record->isOpen())
+    openJob(*record, false);
+  const auto it = Submissions.find(event.Id);
+  if (it == Submissions.end())
+    return;
+  const auto waiting = std::move(it->second.Waiting);
+  Submissions.erase(it);
+  for (const auto &done : waiting)
+    done(jobs::JobReply{.Outcome = jobs::JobOutcome::Done});
+}
+
+void Dispatcher::onCancelled(const jobs::JobId &id) {
+  const auto it = Open.find(id);
+  if (it == Open.end())
+    return;
+  for (size_t i = 0; i < it->second.Tasks.size(); ++i)
+    if (it->second.Tasks[i].isPlaced())
+      stop({id, i});
+  closeIfEmpty(id);
+}
+
+void Dispatcher::onTaskEnded(const jobs::TaskEnded &event) {
+  const auto it = Open.find(event.Job);
+  const auto *record = jobs::findJob(Ledger, event.Job);
+  if (it == Open.end() || !record)
+    return;
+  for (size_t i = 0; i < it->second.Tasks.size(); ++i) {
+    TaskSlot &slot = it->second.Tasks[i];
+    const bool finished = record->Tasks[i].Done || !record->isOpen();
+    if (finished && slot.isPlaced())
+      stop({event.Job, i});
+    else if (record->Tasks[i].Done)
+      slot.Phase = TaskPhase::Done;
+    else if (slot.Phase == TaskPhase::Ending && i == event.Task)
+      slot.Phase = TaskPhase::Waiting;
+  }
+  closeIfEmpty(event.Job);
+}
+
+void Dispatcher::closeIfEmpty(const jobs::JobId &id) {
+  const auto it = Open.find(id);
+  const auto *record = jobs::findJob(Ledger, id);
+  if (it == Open.end() || (record && record->isOpen()))
+    return;
+  if (it->second.Placed == 0)
+    Open.erase(it);
+}
+
+void Dispatcher::expireJobs() {
+  const auto now = Hooks.Now();
+  if (now < ExpiryDue)
+    return;
+  ExpiryDue = now + ExpiryInterval;
+  const int64_t before = Hooks.WallClock() - Options.JobMemory.Count;
+  const bool any = std::any_of(
+      Ledger.Jobs.begin(), Ledger.Jobs.end(), [&](const auto &row) {
+        return !row.second.isOpen() && row.second.EndedWallMs < before;
+      });
+  if (any)
+    record(jobs::JobsExpired{before});
+}
+
+// --- endpoints
+
+void Dispatcher::onRegistered(const EndpointFacts &facts) {
+  if (jobs::isGone(Ledger, facts.Id, facts.BornMs))
+    return;
+  const auto it = Endpoints.find(facts.Id);
+  if (it != Endpoints.end() && it->second.Facts.BornMs == facts.BornMs) {
+    it->second.Facts = facts;
+    it->second.IdleTold = facts.Idle;
+    return;
+  }
+  // A new life of the id: what the old one ran ended with it.
+  if (it != Endpoints.end()) {
+    loseRuns(it->second);
+    Endpoints.erase(it);
+  }
+  EndpointView view;
+  view.Facts = facts;
+  view.IdleTold = facts.Idle;
+  Endpoints.emplace(facts.Id, std::move(view));
+}
+
+void Dispatcher::onIdled(const jobs::EndpointIdled &event) {
+  const auto it = Endpoints.find(event.Id);
+  if (it == Endpoints.end() || it->second.Facts.BornMs != event.BornMs)
+    return;
+  it->second.Facts.Idle = true;
+  loseRuns(it->second);
+}
+
+void Dispatcher::onGone(const jobs::EndpointId &id, int64_t born_ms) {
+  const auto it = Endpoints.find(id);
+  if (it == Endpoints.end() || it->second.Facts.BornMs > born_ms)
+    return;
+  loseRuns(it->second);
+  Endpoints.erase(it);
+}
+
+void Dispatcher::heartbeat(const EndpointFacts &facts, int64_t sequence,
+                           OnStatus done) {
+  if (!active()) {
+    done(notLeading());
+    return;
+  }
+  if (jobs::isGone(Ledger, facts.Id, facts.BornMs)) {
+    Hooks.Log("heartbeat of " + facts.Id.str() + ", which is gone: ignored");
+    done(core::ok());
+    return;
+  }
+  EndpointFacts next = facts;
+  const auto it = Endpoints.find(facts.Id);
+  if (it != Endpoints.end()) {
+    EndpointView &known = it->second;
+    const bool older = facts.BornMs < known.Facts.BornMs ||
+                       (facts.BornMs == known.Facts.BornMs &&
+                        sequence <= known.HeartbeatSequence);
+    if (older) {
+      done(core::ok());
+      return;
+    }
+    if (facts.BornMs == known.Facts.BornMs) {
+      known.HeartbeatSequence = sequence;
+      next.Draining = next.Draining || known.Facts.Draining;
+      next.Idle = known.Facts.Idle;
+      if (next == known.Facts) {
+        done(core::ok());
+        return;
+      }
+      // Takes effect before it is durable: no order follows a known drain.
+      known.Facts.Draining = next.Draining;
+    }
+  }
+  // A VM, and an address, has one life at a time.
+  for (const auto &[id, other] : Endpoints) {
+    const bool same_place =
+        (!facts.Vm.empty() && other.Facts.Vm == facts.Vm) ||
+        other.Facts.At == facts.At;
+    if (id != facts.Id && same_place && other.Facts.BornMs < facts.BornMs)
+      record(jobs::EndpointGone{id, other.Facts.BornMs});
+  }
+  Hooks.Log("endpoint " + facts.Id.str() + " at " + core::toString(facts.At) +
+            " pool " + facts.Pool.str() + " vm " + facts.Vm.str() +
+            (next.Draining ? " drains" : " registers"));
+  record(jobs::EndpointRegistered{next}, [done](bool durable) {
+    done(durable ? core::ok() : core::Status(outcomeUnknown()));
+  });
+}
+
+void Dispatcher::leave(const jobs::EndpointId &id, int64_t born_ms,
+                       OnStatus done) {
+  if (!active()) {
+    done(notLeading());
+    return;
+  }
+  const auto it = Endpoints.find(id);
+  const int64_t born =
+      born_ms == 0 && it != Endpoints.end() ? it->second.Facts.BornMs : born_ms;
+  Hooks.Log("endpoint " + id.str() + " leaves");
+  record(jobs::EndpointGone{id, born}, [done](bool durable) {
+    done(durable ? core::ok() : core::Status(outcomeUnknown()));
+  });
+}
+
+// --- operators
+
+void Dispatcher::configure(const jobs::FleetConfig &config, OnStatus done) {
+  if (!active()) {
+    done(notLeading());
+    return;
+  }
+  if (config.Version <= Ledger.Config.Version) {
+    done(core::ok());
+    return;
+  }
+  Hooks.Log("configuration " + std::to_string(config.Version) + " with " +
+            std::to_string(config.Queues.size()) + " queues and " +
+            std::to_string(config.Teams.size()) + " teams");
+  record(jobs::ConfigGiven{config}, [done](bool durable) {
+    done(durable ? core::ok() : core::Status(outcomeUnknown()));
+  });
+}
+
+core::Result<jobs::FleetConfig> Dispatcher::config() const {
+  if (!active())
+    return notLeading();
+  return Ledger.Config;
+}
+
+void Dispatcher::startWave(const jobs::WaveRecord &wave, OnStatus done) {
+  if (!active()) {
+    done(notLeading());
+    return;
+  }
+  if (Ledger.Waves.contains(wave.Number)) {
+    done(core::ok());
+    return;
+  }
+  Hooks.Log("wave " + std::to_string(wave.Number) + " of " +
+            std::to_string(wave.Vms.size()) + " VMs, at most " +
+            std::to_string(wave.UpperLimit) + " at once, in " +
+            std::to_string(wave.DurationMs) + " ms");
+  record(jobs::WaveStarted{wave}, [done](bool durable) {
+    done(durable ? core::ok() : core::Status(outcomeUnknown()));
+  });
+}
+
+core::Result<bool> Dispatcher::isWaveCompleted(int64_t number) const {
+  if (!active())
+    return notLeading();
+  const auto it = Ledger.Waves.find(number);
+  if (it == Ledger.Waves.end())
+    return Error{ErrorCode::NotFound, "no wave " + std::to_string(number)};
+  return it->second.isCompleted();
+}
+
+} // namespace almondgate::dispatch
--- /dev/null
+++ b/src/almondgate/dispatch/dispatcher_calls.cpp
@@ -0,0 +1,189 @@
+#include "almondgate/dispatch/dispatcher.hpp"
+#include "almondgate/policy/job_timing.hpp"
+
+#include <algorithm>
+
+namespace almondgate::dispatch {
+
+using core::Error;
+using core::ErrorCode;
+using jobs::JobCall;
+using jobs::JobOutcome;
+using jobs::JobReply;
+using jobs::JobState;
+using jobs::JobVerb;
+
+namespace {
+
+constexpr size_t JobIdDigits = 16;
+constexpr int64_t ShortRetryMs = 300;
+
+bool isJobId(const std::string &text) {
+  return text.size() == JobIdDigits &&
+         text.find_first_not_of("0123456789abcdef") == std::string::npos;
+}
+
+} // namespace
+
+void Dispatcher::call(const JobCall &call, OnReply done) {
+  if (!active()) {
+    done(Error{ErrorCode::NotLeader, "not the control leader"});
+    return;
+  }
+  if (Ledger.Config.Version == 0) {
+    done(JobReply{.Outcome = JobOutcome::Refused,
+                  .RetryAfterMs = ShortRetryMs,
+                  .Text = "no configuration yet"});
+    return;
+  }
+  const auto *queue = jobs::queueAt(Ledger.Config, call.Host, call.Path);
+  if (!queue) {
+    done(JobReply{.Outcome = JobOutcome::NoQueue});
+    return;
+  }
+  if (!queue->Open && !jobs::teamOfKey(Ledger.Config, call.Key)) {
+    done(JobReply{.Outcome = JobOutcome::UnknownKey});
+    return;
+  }
+  const std::string rest = call.Path.substr(queue->PathPrefix.size());
+  if (call.Verb == JobVerb::Look && rest.empty()) {
+    done(JobReply{.Outcome = JobOutcome::Count,
+                  .Pending = pendingOf(queue->Id)});
+    return;
+  }
+  if (!isJobId(rest)) {
+    done(JobReply{.Outcome = call.Verb == JobVerb::Submit ? JobOutcome::Invalid
+                                                          : JobOutcome::NoJob,
+                  .Text = "a job id has 16 hexadecimal digits"});
+    return;
+  }
+  const jobs::JobId id(rest);
+  switch (call.Verb) {
+  case JobVerb::Submit:
+    submit(call, *queue, id, done);
+    return;
+  case JobVerb::Cancel:
+    cancel(id, done);
+    return;
+  default:
+    done(look(id));
+  }
+}
+
+void Dispatcher::submit(const JobCall &call, const jobs::QueueSpec &queue,
+                        const jobs::JobId &id, const OnReply &done) {
+  if (jobs::findJob(Ledger, id)) {
+    done(JobReply{.Outcome = JobOutcome::Done});
+    return;
+  }
+  const auto pending = Submissions.find(id);
+  if (pending != Submissions.end()) {
+    pending->second.Waiting.push_back(done);
+    return;
+  }
+  if (auto good = policy::checkJob(call.Spec); !good) {
+    done(JobReply{.Outcome = JobOutcome::Invalid, .Text = good.error().Text});
+    return;
+  }
+  const auto verdict = door(call.Spec, queue);
+  if (!verdict.Accept) {
+    Hooks.Log("job " + id.str() + " queue " + queue.Id.str() +
+              " refused: " + verdict.Why + ", back in " +
+              std::to_string(verdict.RetryAfterMs) + " ms");
+    done(JobReply{.Outcome = JobOutcome::Refused,
+                  .RetryAfterMs = verdict.RetryAfterMs,
+                  .Text = verdict.Why});
+    return;
+  }
+  const auto *team = jobs::teamOfKey(Ledger.Config, call.Key);
+  Hooks.Log("job " + id.str() + " queue " + queue.Id.str() + " team " +
+            (team ? team->Id.str() : "-") + " accepted: " + verdict.Why);
+  Submissions[id].Waiting.push_back(done);
+  record(jobs::JobAccepted{id, queue.Id, team ? team->Id : core::TeamId(),
+                           call.Spec, Hooks.WallClock(), Epoch});
+}
+
+policy::DoorVerdict Dispatcher::door(const jobs::JobSpec &spec,
+                                     const jobs::QueueSpec &queue) const {
+  policy::DoorInput input;
+  for (const auto &[id, endpoint] : Endpoints)
+    if (endpoint.Facts.Pool == queue.Pool && endpoint.Contacted &&
+        !endpoint.Facts.Draining && !endpoint.Facts.Idle)
+      input.CapacityMilliCpus += endpoint.Facts.Capacity.MilliCpus;
+  for (const auto &[id, job] : Open) {
+    const auto *record = jobs::findJob(Ledger, id);
+    if (!record || job.Pool != queue.Pool || !record->isOpen())
+      continue;
+    size_t at = 0;
+    for (const auto &step : record->Spec->Steps)
+      for (int64_t i = 0; i < step.Count; ++i, ++at) {
+        const TaskPhase phase = job.Tasks[at].Phase;
+        const bool waits = phase == TaskPhase::Waiting;
+        if (step.LongRunning || step.Fills || (!waits && !job.Tasks[at].isPlaced()))
+          continue;
+        // What runs is half done on average.
+        const int64_t work = step.Need.MilliCpus * step.EstimateMs;
+        input.Backlog += waits ? work : work / 2;
+      }
+  }
+  input.Work = policy::workOf(spec);
+  const int64_t chain = policy::longestChainMs(spec);
+  input.SlackMs = int64_t(double(chain) * (queue.Stretch - 1)) + queue.TargetMs;
+  input.LongRunning = std::any_of(
+      spec.Steps.begin(), spec.Steps.end(),
+      [](const jobs::StepSpec &step) { return step.LongRunning; });
+  return policy::judgeAtDoor(input);
+}
+
+JobReply Dispatcher::look(const jobs::JobId &id) const {
+  const auto *record = jobs::findJob(Ledger, id);
+  if (!record)
+    return JobReply{.Outcome = JobOutcome::NoJob};
+  JobReply reply{.Outcome = JobOutcome::State};
+  const auto open = Open.find(id);
+  if (record->Remaining == 0)
+    reply.State = JobState::Completed;
+  else if (record->Failed)
+    reply.State = JobState::Failed;
+  else if (record->Cancelled)
+    reply.State = JobState::Cancelled;
+  else if (open != Open.end() && open->second.Started)
+    reply.State = JobState::Running;
+  return reply;
+}
+
+void Dispatcher::cancel(const jobs::JobId &id, const OnReply &done) {
+  const auto *record = jobs::findJob(Ledger, id);
+  const auto tell = [done](bool durable) {
+    if (durable)
+      done(JobReply{.Outcome = JobOutcome::Done});
+    else
+      done(Error{ErrorCode::Unavailable, "leadership was lost",
+                 core::RunOutcome::Unknown});
+  };
+  if (!record && Submissions.contains(id)) {
+    // Accepted, but not durable yet: the order of events keeps it right.
+    this->record(jobs::JobCancelled{id, Hooks.WallClock()}, tell);
+    return;
+  }
+  if (!record) {
+    done(JobReply{.Outcome = JobOutcome::NoJob});
+    return;
+  }
+  if (!record->isOpen()) {
+    done(JobReply{.Outcome = JobOutcome::Done});
+    return;
+  }
+  Hooks.Log("job " + id.str() + " is cancelled");
+  this->record(jobs::JobCancelled{id, Hooks.WallClock()}, tell);
+}
+
+int64_t Dispatcher::pendingOf(const core::QueueId &queue) const {
+  return std::count_if(Open.begin(), Open.end(), [&](const auto &row) {
+    const auto *record = jobs::findJob(Ledger, row.first);
+    return record && record->isOpen() && record->Queue == queue &&
+           !row.second.Started;
+  });
+}
+
+} // namespace almondgate::dispatch
--- /dev/null
+++ b/src/almondgate/dispatch/dispatcher_placing.cpp
@@ -0,0 +1,311 @@
+#include "almondgate/dispatch/dispatcher.hpp"
+#include "almondgate/policy/job_timing.hpp"
+#include "almondgate/policy/task_placement.hpp"
+
+#include "need.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace almondgate::dispatch {
+
+using core::DurationMs;
+using core::TimeMs;
+
+namespace {
+
+// Runs of one epoch are numbered below those of the next.
+constexpr int64_t RunsOfEpoch = 1000;
+// Most endpoints asked about in one call.
+constexpr size_t MostAdvised = 100;
+// A task waits this part of its run time for the rack near its data.
+constexpr int64_t NearDataPatiencePercent = 30;
+constexpr int64_t Hundred = 100;
+
+} // namespace
+
+/// A step's occurrence that may start tasks now.
+struct Dispatcher::ReadyStep {
+  OpenJob *Job = nullptr;
+  const jobs::JobRecord *Record = nullptr;
+  int64_t Occurrence = 0;
+  int64_t Step = 0;
+  size_t First = 0;
+  const jobs::StepSpec *Spec = nullptr;
+  int64_t Priority = 0;
+  /// Time left before the step must start for the job to be in time.
+  int64_t SlackMs = 0;
+
+  /// Long-running work first; then what can be in time, most urgent first;
+  /// then the rest, shortest delay first.
+  auto rank() const {
+    const bool late = SlackMs < 0;
+    return std::make_tuple(!Spec->LongRunning, Spec->Fills, late,
+                           late ? -SlackMs : SlackMs);
+  }
+};
+
+void Dispatcher::place() {
+  std::erase_if(Open, [&](const auto &row) {
+    const auto *record = jobs::findJob(Ledger, row.first);
+    return row.second.Placed == 0 && (!record || !record->isOpen());
+  });
+  std::vector<ReadyStep> ready;
+  collectReady(ready);
+  std::sort(ready.begin(), ready.end(),
+            [](const ReadyStep &a, const ReadyStep &b) {
+              return a.rank() < b.rank();
+            });
+  std::map<core::PoolId, std::vector<EndpointView *>> pools;
+  for (const auto &step : ready) {
+    const auto [it, added] = pools.try_emplace(step.Job->Pool);
+    if (added)
+      it->second = usableOf(step.Job->Pool);
+    if (it->second.empty())
+      continue;
+    if (step.Job->Inherited && !isSettled(step.Job->Pool))
+      continue;
+    if (!hasTickets(step, it->second))
+      continue;
+    if (step.Spec->Gang)
+      placeGang(step, it->second);
+    else
+      placeStep(step, it->second);
+  }
+}
+
+void Dispatcher::collectReady(std::vector<ReadyStep> &out) {
+  const auto now = Hooks.Now();
+  const int64_t wall = Hooks.WallClock();
+  for (auto &[id, job] : Open) {
+    const auto *record = jobs::findJob(Ledger, id);
+    if (!record || !record->isOpen())
+      continue;
+    const auto &spec = *record->Spec;
+    const auto *queue = jobs::findQueue(Ledger.Config, record->Queue);
+    size_t first = 0;
+    for (int64_t k = 0; k < spec.occurrences(); ++k) {
+      const int64_t due_ms = spec.StartAtMs + k * spec.IntervalMs;
+      const bool timed = spec.Repetitions > 0;
+      if (timed && wall < due_ms)
+        break;
+      const TimeMs due =
+          timed ? job.Due + (now - DurationMs{wall - due_ms} - job.AcceptedAt)
+                : job.Due;
+      for (int64_t s = 0; s < int64_t(spec.Steps.size()); ++s) {
+        const auto &step = spec.Steps[s];
+        const auto from = job.Tasks.begin() + int64_t(first);
+        const bool waiting = std::any_of(
+            from, from + step.Count, [&](const TaskSlot &slot) {
+              return slot.Phase == TaskPhase::Waiting && slot.NotBefore <= now;
+            });
+        if (waiting && jobs::isStepReady(*record, k, s))
+          out.push_back({&job, record, k, s, first, &step,
+                         queue ? queue->Priority : 0,
+                         (due - now).Count - policy::chainFromMs(spec, s)});
+        first += size_t(step.Count);
+      }
+    }
+  }
+}
+
+std::vector<EndpointView *> Dispatcher::usableOf(const core::PoolId &pool) {
+  const auto now = Hooks.Now();
+  std::vector<EndpointView *> out;
+  for (auto &[id, endpoint] : Endpoints) {
+    const bool usable = endpoint.Facts.Pool == pool && endpoint.Contacted &&
+                        !endpoint.Suspect && !endpoint.Facts.Idle &&
+                        !endpoint.Facts.Draining && !endpoint.Reserved &&
+                        endpoint.Lease.isKnown() &&
+                        endpoint.BackOffUntil <= now;
+    if (usable)
+      out.push_back(&endpoint);
+  }
+  return out;
+}
+
+EndpointView *
+Dispatcher::choose(const ReadyStep &ready,
+                   const std::vector<EndpointView *> &pool) const {
+  const auto &step = *ready.Spec;
+  const size_t last = ready.First + size_t(step.Count);
+  std::map<jobs::EndpointId, int64_t> same;
+  for (size_t i = ready.First; i < last; ++i)
+    if (ready.Job->Tasks[i].isPlaced())
+      ++same[ready.Job->Tasks[i].At];
+  std::vector<EndpointView *> candidates;
+  std::vector<policy::PlacementOption> options;
+  const auto tickets = ready.Job->Tickets.find({ready.Occurrence, ready.Step});
+  for (auto *endpoint : pool) {
+    const auto &facts = endpoint->Facts;
+    const auto count = same.find(facts.Id);
+    const int64_t there = count == same.end() ? 0 : count->second;
+    const bool labelled =
+        step.Label.empty() || std::find(facts.Labels.begin(),
+                                        facts.Labels.end(),
+                                        step.Label) != facts.Labels.end();
+    const bool apart = step.AntiAffinity == 0 || there < step.AntiAffinity;
+    const bool allowed = tickets == ready.Job->Tickets.end() ||
+                         tickets->second.Tickets.contains(facts.Id);
+    if (!labelled || !apart || !allowed)
+      continue;
+    policy::PlacementOption option;
+    option.Free = facts.Capacity - endpoint->Used;
+    option.Capacity = facts.Capacity;
+    option.NearData =
+        step.Affinity.empty() ||
+        std::find(facts.Labels.begin(), facts.Labels.end(),
+                  step.Affinity.str()) != facts.Labels.end();
+    option.SameStep = there;
+    option.FailuresInRow = endpoint->FailuresInRow;
+    for (const auto &[id, n] : same) {
+      const auto other = Endpoints.find(id);
+      if (other != Endpoints.end() && other->second.Facts.Rack == facts.Rack)
+        option.SameStepOnRack += n;
+    }
+    candidates.push_back(endpoint);
+    options.push_back(option);
+  }
+  policy::PlacementNeed need;
+  need.Need = needOf(step);
+  need.Spread = step.LongRunning;
+  need.OnlyNearData =
+      !step.Affinity.empty() && !step.LongRunning &&
+      ready.SlackMs > step.EstimateMs * NearDataPatiencePercent / Hundred;
+  const auto at = policy::choosePlace(options, need);
+  return at ? candidates[*at] : nullptr;
+}
+
+bool Dispatcher::withinLimit(const core::TeamId &team,
+                             const core::Size &need) const {
+  const auto *spec = jobs::findTeam(Ledger.Config, team);
+  if (!spec)
+    return true;
+  const auto it = TeamUsed.find(team);
+  const core::Size used = (it == TeamUsed.end() ? core::Size() : it->second) +
+                          need;
+  const auto within = [](int64_t amount, int64_t limit) {
+    return limit == 0 || amount <= limit;
+  };
+  return within(used.MilliCpus, spec->Limit.MilliCpus) &&
+         within(used.MemoryMb, spec->Limit.MemoryMb) &&
+         within(used.Accelerators, spec->Limit.Accelerators);
+}
+
+int64_t Dispatcher::nextRun(int64_t last) const {
+  return std::max(last, int64_t(Epoch - 1) * RunsOfEpoch) + 1;
+}
+
+void Dispatcher::placeStep(const ReadyStep &ready,
+                           std::vector<EndpointView *> &pool) {
+  const auto now = Hooks.Now();
+  const size_t last = ready.First + size_t(ready.Spec->Count);
+  for (size_t i = ready.First; i < last; ++i) {
+    const TaskSlot &slot = ready.Job->Tasks[i];
+    if (slot.Phase != TaskPhase::Waiting || slot.NotBefore > now)
+      continue;
+    if (!withinLimit(ready.Record->Team, ready.Spec->Need))
+      return;
+    EndpointView *at = choose(ready, pool);
+    if (!at)
+      return;
+    start({ready.Record->Id, i}, *at, nextRun(slot.Run));
+  }
+}
+
+// All members or none: a gang that waits for its last member wastes the rest.
+void Dispatcher::placeGang(const ReadyStep &ready,
+                           std::vector<EndpointView *> &pool) {
+  const size_t count = size_t(ready.Spec->Count);
+  const auto from = ready.Job->Tasks.begin() + int64_t(ready.First);
+  const bool all = std::all_of(
+      from, from + int64_t(count), [now = Hooks.Now()](const TaskSlot &slot) {
+        return slot.Phase == TaskPhase::Waiting && slot.NotBefore <= now;
+      });
+  core::Size total;
+  for (size_t i = 0; i < count; ++i)
+    total = total + ready.Spec->Need;
+  if (!all || !withinLimit(ready.Record->Team, total))
+    return;
+  const core::Size need = needOf(*ready.Spec);
+  std::map<core::RackId, std::vector<EndpointView *>> racks;
+  for (auto *endpoint : pool)
+    racks[ready.Spec->SameRack ? endpoint->Facts.Rack : core::RackId()]
+        .push_back(endpoint);
+  if (racks.size() > 1)
+    racks[core::RackId()] = pool;
+  int64_t run = 0;
+  std::string checkpoint;
+  for (size_t i = 0; i < count; ++i) {
+    run = std::max(run, from[int64_t(i)].Run);
+    if (!from[int64_t(i)].Checkpoint.empty())
+      checkpoint = from[int64_t(i)].Checkpoint;
+  }
+  // The racks come first; the whole pool is the last try.
+  std::vector<std::vector<EndpointView *>> tries;
+  for (auto it = racks.rbegin(); it != racks.rend(); ++it)
+    tries.push_back(it->second);
+  for (const auto &members : tries) {
+    std::vector<EndpointView *> chosen;
+    for (size_t i = 0; i < count; ++i) {
+      EndpointView *at = choose(ready, members);
+      if (!at)
+        break;
+      // Held while the others are chosen.
+      at->Used = at->Used + need;
+      chosen.push_back(at);
+    }
+    for (auto *at : chosen)
+      at->Used = at->Used - need;
+    if (chosen.size() < count)
+      continue;
+    for (size_t i = 0; i < count; ++i) {
+      ready.Job->Tasks[ready.First + i].Checkpoint = checkpoint;
+      start({ready.Record->Id, ready.First + i}, *chosen[i], nextRun(run));
+    }
+    return;
+  }
+}
+
+// --- tickets
+
+bool Dispatcher::hasTickets(const ReadyStep &ready,
+                            const std::vector<EndpointView *> &pool) {
+  const auto *queue = jobs::findQueue(Ledger.Config, ready.Record->Queue);
+  if (!queue || !queue->NeedsTicket)
+    return true;
+  const auto now = Hooks.Now();
+  StepTickets &tickets =
+      ready.Job->Tickets[{ready.Occurrence, ready.Step}];
+  if (!tickets.Tickets.empty() && now < tickets.ValidUntil)
+    return true;
+  if (std::exchange(tickets.Asked, true))
+    return false;
+  AdviceRequest request{ready.Record->Id, ready.Occurrence, ready.Step, {}};
+  for (const auto *endpoint : pool)
+    if (request.Endpoints.size() < MostAdvised)
+      request.Endpoints.push_back(endpoint->Facts.Id);
+  const DurationMs life{queue->TicketLifeMs};
+  Hooks.Advise(
+      request, [this, request, life, sent = now, generation = Generation](
+                   const core::Result<std::vector<Ticket>> &answer) {
+        const auto open = Open.find(request.Job);
+        if (generation != Generation || open == Open.end())
+          return;
+        auto &known = open->second.Tickets[{request.Occurrence, request.Step}];
+        known.Asked = false;
+        if (!answer) {
+          Hooks.Log("no advice for job " + request.Job.str() + ": " +
+                    answer.error().Text);
+          return;
+        }
+        known.Tickets.clear();
+        for (const auto &ticket : answer.value())
+          known.Tickets[ticket.Endpoint] = ticket.Text;
+        known.ValidUntil = sent + life;
+        wake();
+      });
+  return false;
+}
+
+} // namespace almondgate::dispatch
--- /dev/null
+++ b/src/almondgate/dispatch/dispatcher_renewals.cpp
@@ -0,0 +1,270 @@
+#include "almondgate/dispatch/dispatcher.hpp"
+
+#include "need.hpp"
+
+#include <algorithm>
+
+namespace almondgate::dispatch {
+
+using core::DurationMs;
+using core::TimeMs;
+using jobs::EndpointId;
+
+namespace {
+
+constexpr DurationMs LongestRestartPause{1000};
+constexpr int64_t RestartPauseStepMs = 100;
+
+} // namespace
+
+void Dispatcher::renew(EndpointView &endpoint) {
+  const auto now = Hooks.Now();
+  const auto &facts = endpoint.Facts;
+  RenewRequest request;
+  request.Epoch = Epoch;
+  request.LastSeen = endpoint.LastSeen;
+  if (endpoint.Lease.isKnown() && !facts.Idle)
+    request.DeadlineMs = endpoint.Lease.grant(now, Options.Lease);
+  // The first look reads what is there and does not wait.
+  if (endpoint.Contacted && !endpoint.Suspect)
+    request.WaitMs = Options.RenewWait.Count;
+  endpoint.Renewing = true;
+  Hooks.Renew(facts, request,
+              [this, id = facts.Id, born = facts.BornMs, sent = now,
+               generation = Generation](const RenewReply &reply) {
+                if (generation == Generation)
+                  onRenewed(id, born, sent, reply);
+              });
+}
+
+void Dispatcher::onRenewed(const EndpointId &id, int64_t born, TimeMs sent,
+                           const RenewReply &reply) {
+  const auto it = Endpoints.find(id);
+  if (it == Endpoints.end() || it->second.Facts.BornMs != born)
+    return;
+  EndpointView &endpoint = it->second;
+  endpoint.Renewing = false;
+  const auto now = Hooks.Now();
+  endpoint.RenewDue = now + Options.RetryPause;
+  if (!active())
+    return;
+  const bool other_life = reply.Result == OrderResult::Accepted && born != 0 &&
+                          reply.Inventory.BornMs != 0 &&
+                          reply.Inventory.BornMs != born;
+  if (reply.Result == OrderResult::WrongLife) {
+    record(jobs::EndpointGone{id, born});
+    endpoint.Suspect = true;
+    return;
+  }
+  if (reply.Result != OrderResult::Accepted || other_life) {
+    if (!endpoint.Suspect)
+      Hooks.Log("endpoint " + id.str() + " can't be read: " +
+                (other_life ? "another life" : orderResultName(reply.Result)));
+    endpoint.Suspect = true;
+    return;
+  }
+  if (endpoint.Suspect || !endpoint.Contacted)
+    Hooks.Log("endpoint " + id.str() + " read: " +
+              std::to_string(reply.Inventory.Running.size()) + " runs, " +
+              std::to_string(reply.Inventory.Ended.size()) + " ends");
+  endpoint.Lease.observe(reply.Inventory.ClockMs, now);
+  endpoint.Suspect = false;
+  readInventory(endpoint, sent, reply.Inventory);
+  endpoint.Contacted = true;
+  if (endpoint.Facts.Idle && endpoint.IdleTold) {
+    auto facts = endpoint.Facts;
+    facts.Idle = false;
+    endpoint.IdleTold = false;
+    record(jobs::EndpointRegistered{facts});
+  }
+  const int64_t reported = endpoint.Reported;
+  // Ends are acknowledged once they are durable; until then no look is open.
+  endpoint.Renewing = true;
+  afterRecorded([this, id, born, reported](bool durable) {
+    const auto at = Endpoints.find(id);
+    if (at == Endpoints.end() || at->second.Facts.BornMs != born)
+      return;
+    at->second.Renewing = false;
+    if (!durable || !active())
+      return;
+    at->second.LastSeen = std::max(at->second.LastSeen, reported);
+    renew(at->second);
+  });
+  wake();
+}
+
+void Dispatcher::readInventory(EndpointView &endpoint, TimeMs sent,
+                               const RunInventory &inventory) {
+  for (auto &[key, stray] : endpoint.Strays)
+    stray.Seen = false;
+  for (const auto &report : inventory.Ended)
+    if (report.Number > endpoint.Reported) {
+      readEnd(endpoint, report);
+      endpoint.Reported = report.Number;
+    }
+  for (const auto &report : inventory.Running)
+    readRunning(endpoint, report);
+  dropVanished(endpoint, sent, inventory);
+  for (auto it = endpoint.Strays.begin(); it != endpoint.Strays.end();) {
+    if (it->second.Seen || it->second.StopSent >= sent) {
+      ++it;
+      continue;
+    }
+    endpoint.Used = endpoint.Used - it->second.Need;
+    TeamUsed[it->second.Team] = TeamUsed[it->second.Team] - it->second.Need;
+    it = endpoint.Strays.erase(it);
+  }
+}
+
+void Dispatcher::readRunning(EndpointView &endpoint, const RunReport &report) {
+  const auto *record = jobs::findJob(Ledger, report.Task.Job);
+  const auto at =
+      record ? jobs::indexOf(*record->Spec, report.Task) : std::nullopt;
+  const auto open = Open.find(report.Task.Job);
+  if (at && open != Open.end()) {
+    const TaskPlace place{report.Task.Job, *at};
+    TaskSlot &slot = open->second.Tasks[*at];
+    const bool ours =
+        slot.At == endpoint.Facts.Id && slot.Run == report.Run &&
+        slot.isPlaced();
+    const bool adopt = slot.Phase == TaskPhase::Waiting && record->isOpen() &&
+                       open->second.Inherited && report.Run > slot.Run;
+    if (adopt) {
+      const auto &step = record->Spec->Steps[report.Task.Step];
+      slot.Phase = TaskPhase::Running;
+      slot.At = endpoint.Facts.Id;
+      slot.Run = report.Run;
+      slot.Since = Hooks.Now();
+      slot.AwaySince = slot.Since;
+      open->second.Started = true;
+      ++open->second.Placed;
+      endpoint.Runs.insert(place);
+      endpoint.Used = endpoint.Used + needOf(step);
+      TeamUsed[record->Team] = TeamUsed[record->Team] + step.Need;
+    }
+    if (ours || adopt) {
+      if (slot.Phase == TaskPhase::Ordered ||
+          slot.Phase == TaskPhase::Unanswered) {
+        slot.Phase = TaskPhase::Running;
+        slot.Since = Hooks.Now();
+      }
+      if (!report.Checkpoint.empty())
+        slot.Checkpoint = report.Checkpoint;
+      slot.Percent = report.Percent;
+      slot.Usage = report.Usage;
+      return;
+    }
+  }
+  const EndpointView::StrayKey key{report.Task, report.Run};
+  const auto [it, added] = endpoint.Strays.try_emplace(key);
+  it->second.Seen = true;
+  if (added && at) {
+    it->second.Need = needOf(record->Spec->Steps[report.Task.Step]);
+    it->second.Team = record->Team;
+    endpoint.Used = endpoint.Used + it->second.Need;
+    TeamUsed[record->Team] = TeamUsed[record->Team] + it->second.Need;
+  }
+  stopStray(endpoint, key);
+}
+
+void Dispatcher::readEnd(EndpointView &endpoint, const EndReport &report) {
+  const auto *record = jobs::findJob(Ledger, report.Task.Job);
+  const auto at =
+      record ? jobs::indexOf(*record->Spec, report.Task) : std::nullopt;
+  if (!at)
+    return;
+  const TaskPlace place{report.Task.Job, *at};
+  TaskSlot *slot = slotOf(place);
+  const bool ours = slot && slot->isPlaced() &&
+                    slot->At == endpoint.Facts.Id && slot->Run == report.Run;
+  const bool lasting = record->Spec->Steps[report.Task.Step].LongRunning;
+  const bool final = !lasting && (report.How == RunEnd::Done ||
+                                  report.How == RunEnd::Failed);
+  Hooks.Log("task " + report.Task.Job.str() + "#" + std::to_string(*at) +
+            " run " + std::to_string(report.Run) + " at " +
+            endpoint.Facts.Id.str() + " ended " + runEndName(report.How));
+  if (report.How == RunEnd::Failed)
+    ++endpoint.FailuresInRow;
+  if (report.How == RunEnd::Done)
+    endpoint.FailuresInRow = 0;
+  if (slot)
+    slot->Run = std::max(slot->Run, report.Run);
+  if (ours) {
+    if (!report.Checkpoint.empty())
+      slot->Checkpoint = report.Checkpoint;
+    if (report.How == RunEnd::Failed && lasting)
+      slot->NotBefore =
+          Hooks.Now() + std::min(LongestRestartPause,
+                                 DurationMs{RestartPauseStepMs *
+                                            endpoint.FailuresInRow});
+    release(place, final ? TaskPhase::Ending : TaskPhase::Waiting);
+  } else if (final && slot && slot->Phase == TaskPhase::Waiting) {
+    slot->Phase = TaskPhase::Ending;
+  }
+  if (final && record->isOpen())
+    this->record(jobs::TaskEnded{report.Task.Job, *at, report.Run,
+                                 report.How == RunEnd::Done,
+                                 Hooks.WallClock()});
+}
+
+// A run whose order was answered before the look was asked for, and which is
+// in neither list, is not there.
+void Dispatcher::dropVanished(EndpointView &endpoint, TimeMs sent,
+                              const RunInventory &inventory) {
+  std::set<EndpointView::StrayKey> there;
+  for (const auto &report : inventory.Running)
+    there.emplace(report.Task, report.Run);
+  const auto places = endpoint.Runs;
+  for (const auto &place : places) {
+    TaskSlot &slot = *slotOf(place);
+    const auto *record = jobs::findJob(Ledger, place.first);
+    const auto task = jobs::taskAt(place.first, *record->Spec, place.second);
+    if (there.contains({task, slot.Run}) || slot.Since >= sent)
+      continue;
+    const bool answered =
+        slot.Phase == TaskPhase::Running ||
+        (slot.Phase == TaskPhase::Stopping && slot.StopTold);
+    if (!answered)
+      continue;
+    Hooks.Log("task " + place.first.str() + "#" + std::to_string(place.second) +
+              " run " + std::to_string(slot.Run) + " is no longer at " +
+              endpoint.Facts.Id.str());
+    release(place, TaskPhase::Waiting);
+  }
+}
+
+void Dispatcher::loseRuns(EndpointView &endpoint) {
+  const auto places = endpoint.Runs;
+  for (const auto &place : places)
+    release(place, TaskPhase::Waiting);
+  for (const auto &[key, stray] : endpoint.Strays)
+    TeamUsed[stray.Team] = TeamUsed[stray.Team] - stray.Need;
+  endpoint.Strays.clear();
+  endpoint.Used = {};
+  if (!places.empty())
+    Hooks.Log("endpoint " + endpoint.Facts.Id.str() + " lost " +
+              std::to_string(places.size()) + " runs");
+}
+
+void Dispatcher::onUnreachable(EndpointView &endpoint) {
+  const bool tell = endpoint.Suspect && !endpoint.Facts.Idle &&
+                    !endpoint.IdleTold &&
+                    !endpoint.Lease.mayHold(Hooks.Now());
+  if (!tell)
+    return;
+  endpoint.IdleTold = true;
+  Hooks.Log("endpoint " + endpoint.Facts.Id.str() +
+            " was out of reach until its lease lapsed");
+  record(jobs::EndpointIdled{endpoint.Facts.Id, endpoint.Facts.BornMs});
+}
+
+bool Dispatcher::isSettled(const core::PoolId &pool) const {
+  return std::none_of(
+      Endpoints.begin(), Endpoints.end(), [&](const auto &row) {
+        const EndpointView &endpoint = row.second;
+        return endpoint.Facts.Pool == pool && !endpoint.Contacted &&
+               !endpoint.Facts.Idle;
+      });
+}
+
+} // namespace almondgate::dispatch
--- /dev/null
+++ b/src/almondgate/dispatch/lease_clock.cpp
@@ -0,0 +1,37 @@
+#include "almondgate/dispatch/lease_clock.hpp"
+
+#include <algorithm>
+
+namespace almondgate::dispatch {
+
+namespace {
+
+constexpr int64_t Hundred = 100;
+
+} // namespace
+
+void LeaseClock::observe(int64_t clock_ms, core::TimeMs now) {
+  // Answers may overtake each other: the later clock is the better bound.
+  if (Received && earliestClock(now) > clock_ms)
+    return;
+  ClockMs = clock_ms;
+  Received = now;
+}
+
+int64_t LeaseClock::earliestClock(core::TimeMs now) const {
+  const int64_t passed = (now - *Received).Count;
+  return ClockMs + passed * (Hundred - SlowClockPercent) / Hundred;
+}
+
+int64_t LeaseClock::grant(core::TimeMs now, core::DurationMs lease) {
+  Granted = std::max(Granted, earliestClock(now) + lease.Count);
+  return Granted;
+}
+
+bool LeaseClock::mayHold(core::TimeMs now) const {
+  if (now < HeldUntil)
+    return true;
+  return Received && Granted + Margin.Count > earliestClock(now);
+}
+
+} // namespace almondgate::dispatch
--- /dev/null
+++ b/src/almondgate/dispatch/upkeep_desk.cpp
@@ -0,0 +1,251 @@
+#include "almondgate/dispatch/upkeep_desk.hpp"
+
+#include <algorithm>
+
+namespace almondgate::dispatch {
+
+using core::DurationMs;
+using core::TimeMs;
+using core::VmId;
+using jobs::WaveRecord;
+
+namespace {
+
+// Short runs on a reserved VM are waited for this long.
+constexpr DurationMs LongestEmptying{4000};
+constexpr DurationMs ListInterval{1500};
+constexpr DurationMs OrderRetry{500};
+constexpr DurationMs BusyPause{1500};
+// A VM that is not back by then is looked for in the list.
+constexpr DurationMs ReturnPatience{1000};
+// Added to the lease between two leaders' orders, for the calls' own time.
+constexpr DurationMs HandoverMargin{500};
+
+} // namespace
+
+UpkeepDesk::UpkeepDesk(DispatcherOptions options, UpkeepHooks hooks,
+                       const jobs::Ledger &ledger)
+    : Options(std::move(options)), Hooks(std::move(hooks)), Ledger(ledger) {}
+
+void UpkeepDesk::begin(uint64_t epoch) {
+  end();
+  Active = true;
+  Epoch = epoch;
+  Began = Hooks.Now();
+}
+
+void UpkeepDesk::end() {
+  Active = false;
+  ++Generation;
+  Outages.clear();
+  Reserved.clear();
+  NotBefore.clear();
+  Recording.clear();
+  Listing.clear();
+  Listed = false;
+  ListWanted = false;
+  ListCalling = false;
+}
+
+void UpkeepDesk::run() {
+  // An earlier leader's orders must be over before ours begin.
+  const auto quiet = Options.VmOrderLease + HandoverMargin;
+  if (!Active || (Epoch > 1 && Hooks.Now() - Began < quiet))
+    return;
+  for (const auto &[number, wave] : Ledger.Waves)
+    if (!wave.isCompleted())
+      runWave(wave);
+}
+
+void UpkeepDesk::refreshListing() {
+  const auto now = Hooks.Now();
+  if (ListCalling || now - ListedAt < ListInterval)
+    return;
+  ListCalling = true;
+  ListedAt = now;
+  Hooks.ListVms([this, generation = Generation](const auto &answer) {
+    if (generation != Generation)
+      return;
+    ListCalling = false;
+    if (!answer) {
+      Hooks.Log("the list of VMs can't be read: " + answer.error().Text);
+      return;
+    }
+    Listed = true;
+    Listing.clear();
+    for (const auto &vm : answer.value())
+      Listing[vm.Id] = vm;
+  });
+}
+
+void UpkeepDesk::runWave(const WaveRecord &wave) {
+  if (!Listed) {
+    refreshListing();
+    return;
+  }
+  int64_t down = 0;
+  for (const auto &vm : wave.Begun)
+    if (!wave.Finished.contains(vm)) {
+      ++down;
+      followOutage(wave, vm);
+    }
+  for (const auto &vm : Recording)
+    down += wave.Begun.contains(vm) ? 0 : 1;
+  prepare(wave, wave.UpperLimit - down);
+}
+
+// Sees whether a VM whose upkeep has begun is back.
+void UpkeepDesk::followOutage(const WaveRecord &wave, const VmId &vm) {
+  const auto now = Hooks.Now();
+  const auto [it, added] = Outages.try_emplace(vm);
+  Outage &outage = it->second;
+  if (added) {
+    // Begun by an earlier leader: the same order again does no harm.
+    const VmLoad load = Hooks.LoadOf(vm);
+    outage.Old = load.Endpoint;
+    outage.OldBornMs = load.BornMs;
+    order(wave.Number, vm);
+    return;
+  }
+  if (outage.Calling)
+    return;
+  if (!outage.Accepted) {
+    if (now - outage.Ordered >= OrderRetry)
+      order(wave.Number, vm);
+    return;
+  }
+  const VmLoad load = Hooks.LoadOf(vm);
+  const bool new_life =
+      !load.Endpoint.empty() &&
+      (load.Endpoint != outage.Old || load.BornMs != outage.OldBornMs);
+  if (new_life) {
+    finish(wave.Number, vm, "its endpoint is back");
+    return;
+  }
+  if (now - outage.Ordered < Options.Upkeep + ReturnPatience)
+    return;
+  const auto listed = Listing.find(vm);
+  const bool fresh = ListedAt - outage.Ordered >= Options.Upkeep;
+  if (fresh && !ListCalling && listed == Listing.end())
+    finish(wave.Number, vm, "it left the fleet");
+  else if (fresh && !ListCalling && listed->second.State == VmState::Up)
+    finish(wave.Number, vm, "the list says it is up");
+  else
+    refreshListing();
+}
+
+void UpkeepDesk::prepare(const WaveRecord &wave, int64_t free_places) {
+  const auto now = Hooks.Now();
+  for (const auto &vm : wave.Vms) {
+    if (wave.Begun.contains(vm) || wave.Finished.contains(vm) ||
+        Recording.contains(vm))
+      continue;
+    const auto listed = Listing.find(vm);
+    if (listed == Listing.end()) {
+      if (now - ListedAt < ListInterval && !ListCalling)
+        finish(wave.Number, vm, "it is not in the fleet");
+      else
+        refreshListing();
+      continue;
+    }
+    if (free_places <= 0)
+      continue;
+    const auto wait = NotBefore.find(vm);
+    if (wait != NotBefore.end() && now < wait->second)
+      continue;
+    const VmLoad load = Hooks.LoadOf(vm);
+    if (!load.BudgetHolds || !load.Reachable) {
+      if (Reserved.erase(vm) > 0)
+        Hooks.Reserve(vm, false);
+      continue;
+    }
+    --free_places;
+    const auto [reserved, added] = Reserved.try_emplace(vm, now);
+    if (added)
+      Hooks.Reserve(vm, true);
+    if (load.ShortRuns > 0 && now - reserved->second < LongestEmptying)
+      continue;
+    takeDown(wave, vm, load);
+  }
+}
+
+void UpkeepDesk::takeDown(const WaveRecord &wave, const VmId &vm,
+                          const VmLoad &load) {
+  Recording.insert(vm);
+  Hooks.Record({jobs::UpkeepBegun{wave.Number, vm}},
+               [this, vm, load, number = wave.Number,
+                generation = Generation](bool durable) {
+                 if (generation != Generation)
+                   return;
+                 Recording.erase(vm);
+                 if (!durable)
+                   return;
+                 Outages[vm] = {load.Endpoint, load.BornMs, Hooks.Now(), false,
+                                false};
+                 order(number, vm);
+               });
+}
+
+void UpkeepDesk::order(int64_t wave, const VmId &vm) {
+  Outage &outage = Outages.at(vm);
+  outage.Ordered = Hooks.Now();
+  outage.Calling = true;
+  Hooks.Log("upkeep of vm " + vm.str() + " for wave " + std::to_string(wave) +
+            " is ordered");
+  VmOrder order;
+  order.Vm = vm;
+  order.Wave = wave;
+  order.Holder = Options.Holder;
+  order.Epoch = Epoch;
+  Hooks.OrderVm(order, [this, wave, vm,
+                        generation = Generation](VmOrderResult result) {
+    if (generation == Generation)
+      onOrdered(wave, vm, result);
+  });
+}
+
+void UpkeepDesk::onOrdered(int64_t wave, const VmId &vm,
+                           VmOrderResult result) {
+  Outage &outage = Outages.at(vm);
+  outage.Calling = false;
+  switch (result) {
+  case VmOrderResult::Accepted:
+    outage.Accepted = true;
+    if (!outage.Old.empty())
+      Hooks.Record({jobs::EndpointGone{outage.Old, outage.OldBornMs}},
+                   [](bool) {});
+    return;
+  case VmOrderResult::Busy:
+    Hooks.Log("vm " + vm.str() + " is busy: its upkeep is ordered again later");
+    outage.Ordered = Hooks.Now() + BusyPause;
+    ListedAt = TimeMs{INT64_MIN / 2};
+    refreshListing();
+    return;
+  case VmOrderResult::Refused:
+    finish(wave, vm, "the VM service refuses it");
+    return;
+  case VmOrderResult::Fenced:
+  case VmOrderResult::Throttled:
+  case VmOrderResult::NoAnswer:
+    Hooks.Log("upkeep of vm " + vm.str() + " has no clear answer yet");
+    return;
+  }
+}
+
+void UpkeepDesk::finish(int64_t wave, const VmId &vm, const char *why) {
+  if (!Recording.insert(vm).second)
+    return;
+  Hooks.Log("vm " + vm.str() + " of wave " + std::to_string(wave) +
+            " is finished: " + why);
+  if (Reserved.erase(vm) > 0)
+    Hooks.Reserve(vm, false);
+  Hooks.Record({jobs::UpkeepFinished{wave, vm}},
+               [this, vm, generation = Generation](bool) {
+                 if (generation != Generation)
+                   return;
+                 Recording.erase(vm);
+                 Outages.erase(vm);
+               });
+}
+
+} // namespace almondgate::dispatch
--- /dev/null
+++ b/src/almondgate/encoding/jobs_json.hpp
@@ -0,0 +1,108 @@
+#ifndef ALMONDGATE_SRC_ENCODING_JOBS_JSON_HPP
+#define ALMONDGATE_SRC_ENCODING_JOBS_JSON_HPP
+
+#include "almondgate/jobs/endpoint_calls.hpp"
+#include "almondgate/jobs/job_call.hpp"
+#include "almondgate/jobs/job_reply.hpp"
+#include "almondgate/jobs/ledger.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace almondgate::jobs {
+
+// A job may have thousands of tasks: a row each, and nothing for a new one.
+inline void to_json(nlohmann::json &j, const TaskProgress &task) {
+  j = nlohmann::json::array();
+  if (task != TaskProgress())
+    j = {task.Done, task.Failures, task.LastFailedRun};
+}
+
+inline void from_json(const nlohmann::json &j, TaskProgress &task) {
+  task = {};
+  if (j.empty())
+    return;
+  task.Done = j.at(0).get<bool>();
+  task.Failures = j.at(1).get<int64_t>();
+  task.LastFailedRun = j.at(2).get<int64_t>();
+}
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
+    StepSpec, Count, Need, EstimateMs, After, Checkpointing, Gang, SameRack,
+    Label, Affinity, AntiAffinity, AllowDuplicates, LongRunning, Image,
+    TargetMs, Fills, MayMiss, HasMayMiss)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(JobSpec, Content, Steps,
+                                                Repetitions, StartAtMs,
+                                                IntervalMs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(QueueSpec, Id, Host, PathPrefix,
+                                                Pool, Priority, MaxAttempts,
+                                                Stretch, TargetMs, Open,
+                                                NeedsTicket, TicketLifeMs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(PoolSpec, Id, GuardsCapacity,
+                                                Spare)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(TeamSpec, Id, Keys, Weight,
+                                                Limit)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(FleetConfig, Version, Queues,
+                                                Pools, Teams, Source)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(EndpointFacts, Id, BornMs, Vm,
+                                                Pool, At, Zone, Rack, Labels,
+                                                Capacity, Draining, Idle)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(WaveRecord, Number, Vms,
+                                                UpperLimit, DurationMs,
+                                                StartedWallMs, Begun, Finished)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(JobRecord, Id, Queue, Team,
+                                                Spec, AcceptedWallMs, Epoch,
+                                                Cancelled, Failed, EndedWallMs,
+                                                Tasks, Remaining)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(JobAccepted, Id, Queue, Team,
+                                                Spec, WallMs, Epoch)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(JobCancelled, Id, WallMs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(TaskEnded, Job, Task, Run, Done,
+                                                WallMs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ConfigGiven, Config)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(EndpointRegistered, Facts)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(EndpointGone, Id, BornMs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(EndpointIdled, Id, BornMs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(EpochBegun, Leader)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(WaveStarted, Wave)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(UpkeepBegun, Wave, Vm)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(UpkeepFinished, Wave, Vm)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(JobsExpired, EndedBeforeWallMs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(JobCall, Verb, Host, Path, Key,
+                                                Spec)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(JobReply, Outcome, State,
+                                                Pending, RetryAfterMs, Text)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(EndpointHeartbeat, Facts,
+                                                Sequence)
+
+} // namespace almondgate::jobs
+
+namespace almondgate::encoding {
+
+template <> struct Kinds<jobs::Event> {
+  static constexpr const auto &Names = jobs::EventKinds;
+};
+
+} // namespace almondgate::encoding
+
+namespace nlohmann {
+
+template <> struct adl_serializer<almondgate::jobs::Event> {
+  static void to_json(json &j, const almondgate::jobs::Event &e) {
+    j = almondgate::encoding::variantToJson(e);
+  }
+  static void from_json(const json &j, almondgate::jobs::Event &e) {
+    e = almondgate::encoding::variantFromJson<almondgate::jobs::Event>(
+        j, j.at("Kind").get<std::string>());
+  }
+};
+
+} // namespace nlohmann
+
+namespace almondgate::jobs {
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Ledger, Epoch, Config, Jobs,
+                                                Endpoints, Gone, Waves)
+
+} // namespace almondgate::jobs
+
+#endif
--- a/src/almondgate/encoding/json_types.hpp
+++ b/src/almondgate/encoding/json_types.hpp
@@ -181,6 +181,8 @@
 
 } // namespace nlohmann
 
+#include "jobs_json.hpp"
+
 namespace almondgate::model {
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(CancelRequest, Id, Key)
@@ -226,6 +228,7 @@
                                                 Request, Status)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ExpireIntents, BeforeWallMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(SettleVm, Vm, MovedAt)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RecordJobs, Events)
 
 } // namespace almondgate::state
 
@@ -258,7 +261,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RecordedChange, Digest, Result)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(State, View, OperatorRevision,
                                                 Intents, Changes, ChangeOrder,
-                                                Audit)
+                                                Audit, Jobs)
 
 } // namespace almondgate::state
 
--- a/src/almondgate/http/endpoint_client.cpp
+++ b/src/almondgate/http/endpoint_client.cpp
@@ -221,6 +221,15 @@
   return id;
 }
 
+void EndpointClient::forget(const core::Address &to) {
+  const auto it = S->Idle.find(to);
+  if (it == S->Idle.end())
+    return;
+  for (auto &connection : it->second)
+    S->discard(std::move(connection));
+  S->Idle.erase(it);
+}
+
 void EndpointClient::abort(uint64_t call) {
   const auto it = S->Busy.find(call);
   if (it == S->Busy.end())
--- /dev/null
+++ b/src/almondgate/jobs/ledger.cpp
@@ -0,0 +1,149 @@
+#include "almondgate/jobs/ledger.hpp"
+
+#include <algorithm>
+
+namespace almondgate::jobs {
+
+namespace {
+
+void on(Ledger &ledger, const JobAccepted &event) {
+  if (ledger.Jobs.contains(event.Id))
+    return;
+  JobRecord job;
+  job.Id = event.Id;
+  job.Queue = event.Queue;
+  job.Team = event.Team;
+  job.Spec = event.Spec;
+  job.AcceptedWallMs = event.WallMs;
+  job.Epoch = event.Epoch;
+  const int64_t n = event.Spec.occurrences() * tasksPerOccurrence(event.Spec);
+  job.Tasks.resize(n);
+  job.Remaining = n;
+  ledger.Jobs.emplace(event.Id, std::move(job));
+}
+
+void on(Ledger &ledger, const JobCancelled &event) {
+  const auto it = ledger.Jobs.find(event.Id);
+  if (it == ledger.Jobs.end() || !it->second.isOpen())
+    return;
+  it->second.Cancelled = true;
+  it->second.EndedWallMs = event.WallMs;
+}
+
+// One end of a gang's member speaks for all of them.
+std::pair<size_t, size_t> tasksOfEnd(const JobRecord &job, size_t at) {
+  const TaskRef task = taskAt(job.Id, *job.Spec, at);
+  const StepSpec &step = job.Spec->Steps[task.Step];
+  if (!step.Gang)
+    return {at, at + 1};
+  const size_t first = at - size_t(task.Index);
+  return {first, first + size_t(step.Count)};
+}
+
+int64_t maxAttempts(const Ledger &ledger, const JobRecord &job) {
+  const auto *queue = findQueue(ledger.Config, job.Queue);
+  return queue ? std::max<int64_t>(queue->MaxAttempts, 1) : 1;
+}
+
+void noteDone(JobRecord &job, const TaskEnded &event) {
+  const auto [first, last] = tasksOfEnd(job, event.Task);
+  for (size_t i = first; i < last; ++i) {
+    job.Remaining -= job.Tasks[i].Done ? 0 : 1;
+    job.Tasks[i].Done = true;
+  }
+  if (job.Remaining == 0)
+    job.EndedWallMs = event.WallMs;
+}
+
+void noteFailure(const Ledger &ledger, JobRecord &job,
+                 const TaskEnded &event) {
+  TaskProgress &task = job.Tasks[tasksOfEnd(job, event.Task).first];
+  // The same end may be reported again after a change of leader.
+  if (task.Done || event.Run <= task.LastFailedRun)
+    return;
+  task.LastFailedRun = event.Run;
+  ++task.Failures;
+  if (task.Failures < maxAttempts(ledger, job))
+    return;
+  job.Failed = true;
+  job.EndedWallMs = event.WallMs;
+}
+
+void on(Ledger &ledger, const TaskEnded &event) {
+  const auto it = ledger.Jobs.find(event.Job);
+  const bool open = it != ledger.Jobs.end() && it->second.isOpen() &&
+                    event.Task < it->second.Tasks.size();
+  if (!open)
+    return;
+  if (event.Done)
+    noteDone(it->second, event);
+  else
+    noteFailure(ledger, it->second, event);
+}
+
+void on(Ledger &ledger, const ConfigGiven &event) {
+  if (event.Config.Version > ledger.Config.Version)
+    ledger.Config = event.Config;
+}
+
+void on(Ledger &ledger, const EndpointRegistered &event) {
+  if (!isGone(ledger, event.Facts.Id, event.Facts.BornMs))
+    ledger.Endpoints.insert_or_assign(event.Facts.Id, event.Facts);
+}
+
+void on(Ledger &ledger, const EndpointGone &event) {
+  int64_t &last = ledger.Gone[event.Id];
+  last = std::max(last, event.BornMs);
+  const auto it = ledger.Endpoints.find(event.Id);
+  if (it != ledger.Endpoints.end() && it->second.BornMs <= event.BornMs)
+    ledger.Endpoints.erase(it);
+}
+
+void on(Ledger &ledger, const EndpointIdled &event) {
+  const auto it = ledger.Endpoints.find(event.Id);
+  if (it != ledger.Endpoints.end() && it->second.BornMs == event.BornMs)
+    it->second.Idle = true;
+}
+
+void on(Ledger &ledger, const EpochBegun &) { ++ledger.Epoch; }
+
+void on(Ledger &ledger, const WaveStarted &event) {
+  ledger.Waves.emplace(event.Wave.Number, event.Wave);
+}
+
+void on(Ledger &ledger, const UpkeepBegun &event) {
+  const auto it = ledger.Waves.find(event.Wave);
+  if (it != ledger.Waves.end())
+    it->second.Begun.insert(event.Vm);
+}
+
+void on(Ledger &ledger, const UpkeepFinished &event) {
+  const auto it = ledger.Waves.find(event.Wave);
+  if (it != ledger.Waves.end())
+    it->second.Finished.insert(event.Vm);
+}
+
+void on(Ledger &ledger, const JobsExpired &event) {
+  std::erase_if(ledger.Jobs, [&](const auto &row) {
+    return !row.second.isOpen() &&
+           row.second.EndedWallMs < event.EndedBeforeWallMs;
+  });
+}
+
+} // namespace
+
+void apply(Ledger &ledger, const Event &event) {
+  std::visit([&](const auto &e) { on(ledger, e); }, event);
+}
+
+bool isGone(const Ledger &ledger, const EndpointId &id, int64_t born_ms) {
+  const auto it = ledger.Gone.find(id);
+  return it != ledger.Gone.end() && born_ms <= it->second;
+}
+
+const JobRecord *findJob(const Ledger &ledger, const JobId &id) {
+  const auto it = ledger.Jobs.find(id);
+  return it == ledger.Jobs.end() ? nullptr : &it->second;
+}
+
+} // namespace almondgate::jobs
--- /dev/null
+++ b/src/almondgate/policy/job_timing.cpp
@@ -0,0 +1,83 @@
+#include "almondgate/policy/job_timing.hpp"
+
+#include <algorithm>
+#include <vector>
+
+namespace almondgate::policy {
+
+namespace {
+
+core::Error invalid(std::string text) {
+  return {core::ErrorCode::InvalidArgument, std::move(text)};
+}
+
+core::Status checkStep(const jobs::JobSpec &spec, size_t at) {
+  const auto &step = spec.Steps[at];
+  if (step.Count < 1 || step.Count > MaxTasksOfJob)
+    return invalid("a step needs 1 to 200000 tasks");
+  const bool negative = step.Need.MilliCpus < 0 || step.Need.MemoryMb < 0 ||
+                        step.Need.Accelerators < 0 || step.EstimateMs < 0 ||
+                        step.AntiAffinity < 0 || step.MayMiss < 0;
+  if (negative)
+    return invalid("a step's sizes must not be negative");
+  const bool backwards =
+      std::all_of(step.After.begin(), step.After.end(), [&](int64_t earlier) {
+        return earlier >= 0 && earlier < int64_t(at);
+      });
+  if (!backwards)
+    return invalid("a step may only wait for earlier steps");
+  return core::ok();
+}
+
+} // namespace
+
+core::Status checkJob(const jobs::JobSpec &spec) {
+  if (spec.Steps.empty())
+    return invalid("a job needs at least one step");
+  if (spec.Repetitions < 0 || spec.Repetitions > MaxTasksOfJob)
+    return invalid("a job runs 0 to 200000 times");
+  if (spec.Repetitions > 0 && spec.IntervalMs < 0)
+    return invalid("the interval must not be negative");
+  int64_t tasks = 0;
+  for (size_t i = 0; i < spec.Steps.size(); ++i) {
+    if (auto good = checkStep(spec, i); !good)
+      return good;
+    tasks += spec.Steps[i].Count;
+  }
+  if (tasks * spec.occurrences() > MaxTasksOfJob)
+    return invalid("a job has at most 200000 tasks");
+  return core::ok();
+}
+
+int64_t longestChainMs(const jobs::JobSpec &spec) {
+  std::vector<int64_t> ends;
+  int64_t longest = 0;
+  for (const auto &step : spec.Steps) {
+    int64_t begin = 0;
+    for (const int64_t earlier : step.After)
+      begin = std::max(begin, ends[earlier]);
+    ends.push_back(begin + step.EstimateMs);
+    longest = std::max(longest, ends.back());
+  }
+  return longest;
+}
+
+int64_t chainFromMs(const jobs::JobSpec &spec, int64_t step) {
+  std::vector<int64_t> rest(spec.Steps.size(), 0);
+  for (size_t i = spec.Steps.size(); i-- > 0;) {
+    rest[i] += spec.Steps[i].EstimateMs;
+    for (const int64_t earlier : spec.Steps[i].After)
+      rest[earlier] = std::max(rest[earlier], rest[i]);
+  }
+  return rest[step];
+}
+
+int64_t workOf(const jobs::JobSpec &spec) {
+  int64_t work = 0;
+  for (const auto &step : spec.Steps)
+    if (!step.LongRunning)
+      work += step.Count * step.Need.MilliCpus * step.EstimateMs;
+  return work;
+}
+
+} // namespace almondgate::policy
--- a/src/almondgate/protocol/method.cpp
+++ b/src/almondgate/protocol/method.cpp
@@ -7,7 +7,9 @@
 static constexpr std::array MethodNames = {
     "watch",        "propose",      "audit",    "consensus", "replace-member",
     "list-members", "wave-holdups", "identity", "grant",     "release",
-    "report",       "inventory",    "cancel"};
+    "report",       "inventory",    "cancel",   "job",
+    "heartbeat",    "leave",        "configure", "read-config", "start-wave",
+    "read-wave",    "join"};
 
 const char *methodName(Method method) {
   return MethodNames[static_cast<size_t>(method)];
--- a/src/almondgate/state/state.cpp
+++ b/src/almondgate/state/state.cpp
@@ -73,6 +73,11 @@
     expireIntents(state, *expire);
     return Updates{};
   }
+  if (const auto *events = std::get_if<RecordJobs>(&change.What)) {
+    for (const auto &event : events->Events)
+      jobs::apply(state.Jobs, event);
+    return Updates{};
+  }
   Draft draft(state.View);
   const Status done = std::visit(
       [&](const auto &command) -> Status {
--- a/src/almondgate/watch/control_client.cpp
+++ b/src/almondgate/watch/control_client.cpp
@@ -1,6 +1,8 @@
 #include "almondgate/watch/control_client.hpp"
 #include "almondgate/core/time_ms.hpp"
 
+#include <algorithm>
+
 namespace almondgate::watch {
 
 using core::DurationMs;
@@ -24,12 +26,22 @@
   core::TimeMs Deadline;
   protocol::RpcClient::OnReply Done;
   std::unique_ptr<task::Timer> Retry;
+  bool MayHaveRun = false;
 };
 
 ControlClient::ControlClient(task::Loop &loop, protocol::RpcClient &rpc,
                              std::vector<core::Address> members)
     : Loop(loop), Rpc(rpc), Members(std::move(members)) {}
 
+void ControlClient::setMembers(std::vector<core::Address> members) {
+  if (members.empty() || members == Members)
+    return;
+  const auto leader = Members[Leader];
+  Members = std::move(members);
+  const auto it = std::find(Members.begin(), Members.end(), leader);
+  Leader = it == Members.end() ? 0 : size_t(it - Members.begin());
+}
+
 void ControlClient::call(protocol::Method method, std::string body,
                          DurationMs timeout,
                          protocol::RpcClient::OnReply done) {
@@ -43,7 +55,7 @@
 
 void ControlClient::start(const std::shared_ptr<Attempt> &attempt) {
   const auto left = attempt->Deadline - core::monotonicNow();
-  const size_t asked = Leader;
+  const size_t asked = Leader % Members.size();
   Rpc.call(Members[asked], attempt->Method, attempt->Body,
            std::min(left, LongestTry),
            [this, attempt, asked](core::Result<std::string> reply) {
@@ -57,10 +69,15 @@
     attempt->Done(std::move(reply));
     return;
   }
+  attempt->MayHaveRun =
+      attempt->MayHaveRun || reply.error().Code != ErrorCode::NotLeader;
   if (Leader == asked)
     Leader = (asked + 1) % Members.size();
   if (core::monotonicNow() + RetryDelay >= attempt->Deadline) {
-    attempt->Done(std::move(reply));
+    core::Error error = reply.error();
+    error.Outcome = attempt->MayHaveRun ? core::RunOutcome::Unknown
+                                        : core::RunOutcome::NotRun;
+    attempt->Done(error);
     return;
   }
   attempt->Retry = std::make_unique<task::Timer>(Loop);
