Pace the upkeep of a wave and count tasks on VMs about to go down as missing

Ruled out: stale percent figures (the others were at 100). Change: a VM is doomed once its upkeep is being recorded; a wave takes only as many VMs at once as end it in 65% of its time.

--- a/include/almondgate/dispatch/endpoint_view.hpp
+++ b/include/almondgate/dispatch/endpoint_view.hpp
@@ -43,6 +43,8 @@
   int64_t FailuresInRow = 0;
   /// Being emptied for its upkeep or a move.
   bool Reserved = false;
+  /// An order that ends all that runs there is about to be given.
+  bool Doomed = false;
   bool IdleTold = false;
   core::Size Used;
   std::set<TaskPlace> Runs;
--- a/include/almondgate/dispatch/upkeep_desk.hpp
+++ b/include/almondgate/dispatch/upkeep_desk.hpp
@@ -36,6 +36,7 @@
   };
 
   void runWave(const jobs::WaveRecord &wave);
+  int64_t neededDown(const jobs::WaveRecord &wave) const;
   void followOutage(const jobs::WaveRecord &wave, const core::VmId &vm);
   void prepare(const jobs::WaveRecord &wave, int64_t free_places);
   void takeDown(const jobs::WaveRecord &wave, const core::VmId &vm,
--- a/include/almondgate/dispatch/upkeep_hooks.hpp
+++ b/include/almondgate/dispatch/upkeep_hooks.hpp
@@ -29,9 +29,12 @@
 /// What the upkeep asks of the world around it.
 struct UpkeepHooks {
   core::Clock Now;
+  std::function<int64_t()> WallClock;
   std::function<VmLoad(const core::VmId &)> LoadOf;
   /// Whether new work may go to the VM.
   std::function<void(const core::VmId &, bool reserved)> Reserve;
+  /// All that runs on the VM is about to end; it counts as missing.
+  std::function<void(const core::VmId &)> Doom;
   std::function<void(std::vector<jobs::Event>, std::function<void(bool)>)>
       Record;
   std::function<void(std::function<void(core::Result<std::vector<VmListing>>)>)>
--- a/src/almondgate/dispatch/dispatcher_upkeep.cpp
+++ b/src/almondgate/dispatch/dispatcher_upkeep.cpp
@@ -19,6 +19,12 @@
       if (endpoint.Facts.Vm == vm)
         endpoint.Reserved = reserved;
   };
+  hooks.WallClock = Hooks.WallClock;
+  hooks.Doom = [this](const core::VmId &vm) {
+    for (auto &[id, endpoint] : Endpoints)
+      if (endpoint.Facts.Vm == vm)
+        endpoint.Doomed = true;
+  };
   hooks.Record = [this](std::vector<jobs::Event> events,
                         std::function<void(bool)> done) {
     for (auto &event : events)
@@ -63,8 +69,10 @@
     const auto &tasks = Open.at(step.first).Tasks;
     int64_t missing = n;
     for (size_t i = step.second; i < step.second + size_t(spec->Count); ++i) {
+      const auto at = Endpoints.find(tasks[i].At);
+      const bool doomed = at != Endpoints.end() && at->second.Doomed;
       const bool at_work = tasks[i].Phase == TaskPhase::Running &&
-                           tasks[i].Percent >= AtWorkPercent;
+                           tasks[i].Percent >= AtWorkPercent && !doomed;
       if (!at_work)
         ++missing;
     }
--- a/src/almondgate/dispatch/upkeep_desk.cpp
+++ b/src/almondgate/dispatch/upkeep_desk.cpp
@@ -14,6 +14,11 @@
 // Short runs on a reserved VM are waited for this long.
 constexpr DurationMs LongestEmptying{4000};
 constexpr DurationMs ListInterval{1500};
+// A wave is planned to end after this part of its time.
+constexpr int64_t AimPercent = 65;
+constexpr int64_t Hundred = 100;
+// Emptying a VM before its upkeep takes about this long.
+constexpr int64_t EmptyingMs = 1500;
 constexpr DurationMs OrderRetry{500};
 constexpr DurationMs BusyPause{1500};
 // A VM that is not back by then is looked for in the list.
@@ -91,7 +96,18 @@
     }
   for (const auto &vm : Recording)
     down += wave.Begun.contains(vm) ? 0 : 1;
-  prepare(wave, wave.UpperLimit - down);
+  prepare(wave, std::min(wave.UpperLimit, neededDown(wave)) - down);
+}
+
+// Taking many down at once costs capacity: only as many as end the wave in
+// good time.
+int64_t UpkeepDesk::neededDown(const WaveRecord &wave) const {
+  const int64_t left = int64_t(wave.Vms.size() - wave.Finished.size());
+  const int64_t passed = Hooks.WallClock() - wave.StartedWallMs;
+  const int64_t aim = wave.DurationMs * AimPercent / Hundred;
+  const int64_t time_left = std::max<int64_t>(aim - passed, 1);
+  const int64_t each = Options.Upkeep.Count + EmptyingMs;
+  return std::max<int64_t>(1, (left * each + time_left - 1) / time_left);
 }
 
 // Sees whether a VM whose upkeep has begun is back.
@@ -172,6 +188,7 @@
 void UpkeepDesk::takeDown(const WaveRecord &wave, const VmId &vm,
                           const VmLoad &load) {
   Recording.insert(vm);
+  Hooks.Doom(vm);
   Hooks.Record({jobs::UpkeepBegun{wave.Number, vm}},
                [this, vm, load, number = wave.Number,
                 generation = Generation](bool durable) {
