Let the leases of silent endpoints lapse, and name the life that an upkeep ends

(3) exits with code 129: SIGHUP was not handled. Ruled out: adoption of runs after a change of leader (all were adopted). Change: no extension for a silent endpoint; UpkeepBegun holds the endpoint's life; an unanswered upkeep is repeated only while the budget holds.

--- a/apps/control_program.cpp
+++ b/apps/control_program.cpp
@@ -107,6 +107,9 @@
        [&] { return control.metricsText(); }});
   const task::SignalWatcher term(loop, SIGTERM, stop);
   const task::SignalWatcher interrupt(loop, SIGINT, stop);
+  const task::SignalWatcher reload(loop, SIGHUP, [] {
+    observe::logInfo("reload", "settings are read at the next start");
+  });
   if (auto done = status.listen(settings.Common.StatusAddress); !done)
     return failStart(done.error());
   if (auto done = control.start(); !done)
--- a/include/almondgate/dispatch/lease_clock.hpp
+++ b/include/almondgate/dispatch/lease_clock.hpp
@@ -27,6 +27,9 @@
   /// notes it as given. Needs isKnown().
   int64_t grant(core::TimeMs now, core::DurationMs lease);
 
+  /// The latest deadline given; 0 before the first.
+  int64_t granted() const { return Granted; }
+
   /// Until this time an earlier leader's lease may hold.
   void assumeHeldUntil(core::TimeMs until) { HeldUntil = until; }
 
--- a/include/almondgate/dispatch/upkeep_desk.hpp
+++ b/include/almondgate/dispatch/upkeep_desk.hpp
@@ -28,9 +28,8 @@
 
 private:
   struct Outage {
-    jobs::EndpointId Old;
-    int64_t OldBornMs = 0;
-    core::TimeMs Ordered;
+    jobs::EndpointLife Ends;
+    core::TimeMs Ordered{INT64_MIN / 2};
     bool Accepted = false;
     bool Calling = false;
   };
--- a/include/almondgate/dispatch/upkeep_hooks.hpp
+++ b/include/almondgate/dispatch/upkeep_hooks.hpp
@@ -15,8 +15,7 @@
 /// What a VM's endpoint does, as the upkeep sees it.
 struct VmLoad {
   /// Empty where no endpoint of the VM is known.
-  jobs::EndpointId Endpoint;
-  int64_t BornMs = 0;
+  jobs::EndpointLife Life;
   /// Runs that would be lost.
   int64_t ShortRuns = 0;
   /// Taking the VM down keeps every availability budget.
--- a/include/almondgate/jobs/event.hpp
+++ b/include/almondgate/jobs/event.hpp
@@ -81,6 +81,7 @@
 struct UpkeepBegun {
   int64_t Wave = 0;
   core::VmId Vm;
+  EndpointLife Ends;
   bool operator==(const UpkeepBegun &) const = default;
 };
 
--- a/src/almondgate/dispatch/dispatcher_orders.cpp
+++ b/src/almondgate/dispatch/dispatcher_orders.cpp
@@ -73,7 +73,8 @@
   order.Task = jobs::taskAt(place.first, *record->Spec, place.second);
   order.Run = slot.Run;
   order.Content = record->Spec->Content;
-  order.DeadlineMs = at.Lease.grant(Hooks.Now(), Options.Lease);
+  order.DeadlineMs = at.Suspect ? at.Lease.granted()
+                                : at.Lease.grant(Hooks.Now(), Options.Lease);
   order.Epoch = Epoch;
   order.Checkpoint = slot.Checkpoint;
   const auto tickets =
--- a/src/almondgate/dispatch/dispatcher_renewals.cpp
+++ b/src/almondgate/dispatch/dispatcher_renewals.cpp
@@ -23,7 +23,8 @@
   RenewRequest request;
   request.Epoch = Epoch;
   request.LastSeen = endpoint.LastSeen;
-  if (endpoint.Lease.isKnown() && !facts.Idle)
+  // The lease of an endpoint that does not answer must be left to lapse.
+  if (endpoint.Lease.isKnown() && !facts.Idle && !endpoint.Suspect)
     request.DeadlineMs = endpoint.Lease.grant(now, Options.Lease);
   // The first look reads what is there and does not wait.
   if (endpoint.Contacted && !endpoint.Suspect)
--- a/src/almondgate/dispatch/dispatcher_upkeep.cpp
+++ b/src/almondgate/dispatch/dispatcher_upkeep.cpp
@@ -40,10 +40,9 @@
 VmLoad Dispatcher::loadOf(const core::VmId &vm) const {
   VmLoad load;
   for (const auto &[id, endpoint] : Endpoints) {
-    if (endpoint.Facts.Vm != vm || endpoint.Facts.BornMs < load.BornMs)
+    if (endpoint.Facts.Vm != vm || endpoint.Facts.BornMs < load.Life.BornMs)
       continue;
-    load.Endpoint = id;
-    load.BornMs = endpoint.Facts.BornMs;
+    load.Life = {id, endpoint.Facts.BornMs};
     load.Reachable = !endpoint.Suspect && endpoint.Contacted;
     load.BudgetHolds = budgetHolds(endpoint);
     load.ShortRuns = std::count_if(
@@ -70,7 +69,8 @@
     int64_t missing = n;
     for (size_t i = step.second; i < step.second + size_t(spec->Count); ++i) {
       const auto at = Endpoints.find(tasks[i].At);
-      const bool doomed = at != Endpoints.end() && at->second.Doomed;
+      const bool doomed = at == Endpoints.end() || at->second.Doomed ||
+                          at->second.Suspect;
       const bool at_work = tasks[i].Phase == TaskPhase::Running &&
                            tasks[i].Percent >= AtWorkPercent && !doomed;
       if (!at_work)
--- a/src/almondgate/dispatch/upkeep_desk.cpp
+++ b/src/almondgate/dispatch/upkeep_desk.cpp
@@ -89,7 +89,7 @@
     return;
   }
   int64_t down = 0;
-  for (const auto &vm : wave.Begun)
+  for (const auto &[vm, ends] : wave.Begun)
     if (!wave.Finished.contains(vm)) {
       ++down;
       followOutage(wave, vm);
@@ -113,31 +113,25 @@
 // Sees whether a VM whose upkeep has begun is back.
 void UpkeepDesk::followOutage(const WaveRecord &wave, const VmId &vm) {
   const auto now = Hooks.Now();
-  const auto [it, added] = Outages.try_emplace(vm);
-  Outage &outage = it->second;
-  if (added) {
-    // Begun by an earlier leader: the same order again does no harm.
-    const VmLoad load = Hooks.LoadOf(vm);
-    outage.Old = load.Endpoint;
-    outage.OldBornMs = load.BornMs;
-    order(wave.Number, vm);
-    return;
-  }
+  // Begun by an earlier leader where it is not known here.
+  Outage &outage =
+      Outages.try_emplace(vm, Outage{wave.Begun.at(vm)}).first->second;
   if (outage.Calling)
     return;
-  if (!outage.Accepted) {
-    if (now - outage.Ordered >= OrderRetry)
-      order(wave.Number, vm);
-    return;
-  }
   const VmLoad load = Hooks.LoadOf(vm);
-  const bool new_life =
-      !load.Endpoint.empty() &&
-      (load.Endpoint != outage.Old || load.BornMs != outage.OldBornMs);
-  if (new_life) {
+  if (!load.Life.Id.empty() && load.Life != outage.Ends) {
     finish(wave.Number, vm, "its endpoint is back");
     return;
   }
+  if (!outage.Accepted) {
+    // The same order again does no harm, unless the VM is at work meanwhile.
+    const bool safe = load.Life.Id.empty() || load.BudgetHolds;
+    if (safe && now - outage.Ordered >= OrderRetry) {
+      Hooks.Doom(vm);
+      order(wave.Number, vm);
+    }
+    return;
+  }
   if (now - outage.Ordered < Options.Upkeep + ReturnPatience)
     return;
   const auto listed = Listing.find(vm);
@@ -189,7 +183,7 @@
                           const VmLoad &load) {
   Recording.insert(vm);
   Hooks.Doom(vm);
-  Hooks.Record({jobs::UpkeepBegun{wave.Number, vm}},
+  Hooks.Record({jobs::UpkeepBegun{wave.Number, vm, load.Life}},
                [this, vm, load, number = wave.Number,
                 generation = Generation](bool durable) {
                  if (generation != Generation)
@@ -197,8 +191,7 @@
                  Recording.erase(vm);
                  if (!durable)
                    return;
-                 Outages[vm] = {load.Endpoint, load.BornMs, Hooks.Now(), false,
-                                false};
+                 Outages[vm] = Outage{load.Life};
                  order(number, vm);
                });
 }
@@ -228,8 +221,8 @@
   switch (result) {
   case VmOrderResult::Accepted:
     outage.Accepted = true;
-    if (!outage.Old.empty())
-      Hooks.Record({jobs::EndpointGone{outage.Old, outage.OldBornMs}},
+    if (!outage.Ends.Id.empty())
+      Hooks.Record({jobs::EndpointGone{outage.Ends.Id, outage.Ends.BornMs}},
                    [](bool) {});
     return;
   case VmOrderResult::Busy:
--- a/src/almondgate/encoding/jobs_json.hpp
+++ b/src/almondgate/encoding/jobs_json.hpp
@@ -46,6 +46,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(EndpointFacts, Id, BornMs, Vm,
                                                 Pool, At, Zone, Rack, Labels,
                                                 Capacity, Draining, Idle)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(EndpointLife, Id, BornMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(WaveRecord, Number, Vms,
                                                 UpperLimit, DurationMs,
                                                 StartedWallMs, Begun, Finished)
@@ -64,7 +65,8 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(EndpointIdled, Id, BornMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(EpochBegun, Leader)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(WaveStarted, Wave)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(UpkeepBegun, Wave, Vm)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(UpkeepBegun, Wave, Vm,
+                                                Ends)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(UpkeepFinished, Wave, Vm)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(JobsExpired, EndedBeforeWallMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(JobCall, Verb, Host, Path, Key,
--- a/src/almondgate/jobs/ledger.cpp
+++ b/src/almondgate/jobs/ledger.cpp
@@ -114,7 +114,7 @@
 void on(Ledger &ledger, const UpkeepBegun &event) {
   const auto it = ledger.Waves.find(event.Wave);
   if (it != ledger.Waves.end())
-    it->second.Begun.insert(event.Vm);
+    it->second.Begun.insert_or_assign(event.Vm, event.Ends);
 }
 
 void on(Ledger &ledger, const UpkeepFinished &event) {
