Move VMs between pools to where the demand is, and park what nobody wants

Change: policy vm_balance (pure), VmMover, VmList shared with the upkeep, which now takes switched-off and empty VMs first.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -6,11 +6,13 @@
 #include "almondgate/dispatch/endpoint_view.hpp"
 #include "almondgate/dispatch/open_job.hpp"
 #include "almondgate/dispatch/upkeep_desk.hpp"
+#include "almondgate/dispatch/vm_mover.hpp"
 #include "almondgate/jobs/job_call.hpp"
 #include "almondgate/jobs/job_reply.hpp"
 #include "almondgate/jobs/ledger.hpp"
 #include "almondgate/policy/job_door.hpp"
 
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -157,6 +159,14 @@
   VmLoad loadOf(const core::VmId &vm) const;
   bool budgetHolds(const EndpointView &endpoint) const;
 
+  // dispatcher_moves.cpp
+  void noteArrival(const core::PoolId &pool, int64_t work);
+  int64_t arrivalRate(const core::PoolId &pool);
+  std::map<core::PoolId, int64_t> wantedByPool();
+  std::map<core::PoolId, int64_t> fewestVms() const;
+  std::vector<PoolDemand> poolDemands();
+  void balancePools();
+
   const DispatcherOptions Options;
   const DispatcherHooks Hooks;
   const jobs::Ledger &Ledger;
@@ -177,7 +187,10 @@
   /// Answers of an earlier leadership are told by it.
   uint64_t Generation = 0;
   core::TimeMs ExpiryDue;
+  VmList List;
   UpkeepDesk Upkeep;
+  VmMover Mover;
+  std::map<core::PoolId, std::deque<std::pair<core::TimeMs, int64_t>>> Arrivals;
 };
 
 } // namespace almondgate::dispatch
--- a/include/almondgate/dispatch/upkeep_desk.hpp
+++ b/include/almondgate/dispatch/upkeep_desk.hpp
@@ -3,6 +3,7 @@
 
 #include "almondgate/dispatch/dispatcher_options.hpp"
 #include "almondgate/dispatch/upkeep_hooks.hpp"
+#include "almondgate/dispatch/vm_list.hpp"
 #include "almondgate/jobs/ledger.hpp"
 
 #include <map>
@@ -17,16 +18,21 @@
 class UpkeepDesk {
 public:
   UpkeepDesk(DispatcherOptions options, UpkeepHooks hooks,
-             const jobs::Ledger &ledger);
+             const jobs::Ledger &ledger, VmList &list);
 
   /// The member leads from now on.
   void begin(uint64_t epoch);
   void end();
 
-  /// Takes the next steps of all waves.
-  void run();
+  /// Takes the next steps of all waves; VMs that `moving` names wait.
+  void run(const std::function<bool(const core::VmId &)> &moving);
+
+  /// VMs that are being emptied or are down.
+  std::set<core::VmId> vmsInHand() const;
 
 private:
+  using Moving = std::function<bool(const core::VmId &)>;
+
   struct Outage {
     jobs::EndpointLife Ends;
     core::TimeMs Ordered{INT64_MIN / 2};
@@ -34,16 +40,17 @@
     bool Calling = false;
   };
 
-  void runWave(const jobs::WaveRecord &wave);
+  void runWave(const jobs::WaveRecord &wave, const Moving &moving);
+  std::vector<core::VmId> inOrder(const jobs::WaveRecord &wave) const;
   int64_t neededDown(const jobs::WaveRecord &wave) const;
   void followOutage(const jobs::WaveRecord &wave, const core::VmId &vm);
-  void prepare(const jobs::WaveRecord &wave, int64_t free_places);
+  void prepare(const jobs::WaveRecord &wave, int64_t free_places,
+               const Moving &moving);
   void takeDown(const jobs::WaveRecord &wave, const core::VmId &vm,
                 const VmLoad &load);
   void order(int64_t wave, const core::VmId &vm);
   void onOrdered(int64_t wave, const core::VmId &vm, VmOrderResult result);
   void finish(int64_t wave, const core::VmId &vm, const char *why);
-  void refreshListing();
 
   const DispatcherOptions Options;
   const UpkeepHooks Hooks;
@@ -56,11 +63,7 @@
   std::map<core::VmId, core::TimeMs> Reserved;
   std::map<core::VmId, core::TimeMs> NotBefore;
   std::set<core::VmId> Recording;
-  std::map<core::VmId, VmListing> Listing;
-  bool Listed = false;
-  bool ListWanted = false;
-  bool ListCalling = false;
-  core::TimeMs ListedAt{INT64_MIN / 2};
+  VmList &List;
 };
 
 } // namespace almondgate::dispatch
--- a/include/almondgate/dispatch/upkeep_hooks.hpp
+++ b/include/almondgate/dispatch/upkeep_hooks.hpp
@@ -1,7 +1,6 @@
 #ifndef ALMONDGATE_DISPATCH_UPKEEP_HOOKS_HPP
 #define ALMONDGATE_DISPATCH_UPKEEP_HOOKS_HPP
 
-#include "almondgate/core/result.hpp"
 #include "almondgate/core/time_ms.hpp"
 #include "almondgate/dispatch/vm_listing.hpp"
 #include "almondgate/jobs/event.hpp"
@@ -18,6 +17,7 @@
   jobs::EndpointLife Life;
   /// Runs that would be lost.
   int64_t ShortRuns = 0;
+  int64_t LongRuns = 0;
   /// Taking the VM down keeps every availability budget.
   bool BudgetHolds = true;
   bool Reachable = true;
@@ -36,8 +36,6 @@
   std::function<void(const core::VmId &)> Doom;
   std::function<void(std::vector<jobs::Event>, std::function<void(bool)>)>
       Record;
-  std::function<void(std::function<void(core::Result<std::vector<VmListing>>)>)>
-      ListVms;
   std::function<void(const VmOrder &, std::function<void(VmOrderResult)>)>
       OrderVm;
   observe::LogLine Log;
--- /dev/null
+++ b/include/almondgate/dispatch/vm_list.hpp
@@ -0,0 +1,56 @@
+#ifndef ALMONDGATE_DISPATCH_VM_LIST_HPP
+#define ALMONDGATE_DISPATCH_VM_LIST_HPP
+
+#include "almondgate/core/result.hpp"
+#include "almondgate/core/time_ms.hpp"
+#include "almondgate/dispatch/vm_listing.hpp"
+#include "almondgate/observe/log.hpp"
+
+#include <functional>
+#include <map>
+#include <vector>
+
+namespace almondgate::dispatch {
+
+/// What the VM list asks of the world around it.
+struct VmListHooks {
+  core::Clock Now;
+  std::function<void(std::function<void(core::Result<std::vector<VmListing>>)>)>
+      ListVms;
+  observe::LogLine Log;
+};
+
+/// The VM service's list, read when it is asked for and kept up to date with
+/// our own moves between reads: each read is paid for.
+class VmList {
+public:
+  explicit VmList(VmListHooks hooks);
+
+  void clear();
+
+  /// Reads the list again, unless it was read a moment ago.
+  void refresh();
+
+  /// The list was read after `since`.
+  bool isNewerThan(core::TimeMs since) const;
+  bool isKnown() const { return Known; }
+
+  const std::map<core::VmId, VmListing> &vms() const { return Vms; }
+  const VmListing *find(const core::VmId &vm) const;
+
+  /// A move was accepted.
+  void noteMove(const core::VmId &vm, const core::PoolId &to);
+
+private:
+  const VmListHooks Hooks;
+  std::map<core::VmId, VmListing> Vms;
+  bool Known = false;
+  bool Calling = false;
+  core::TimeMs ReadAt{INT64_MIN / 2};
+  core::TimeMs AskedAt{INT64_MIN / 2};
+  uint64_t Generation = 0;
+};
+
+} // namespace almondgate::dispatch
+
+#endif
--- /dev/null
+++ b/include/almondgate/dispatch/vm_mover.hpp
@@ -0,0 +1,78 @@
+#ifndef ALMONDGATE_DISPATCH_VM_MOVER_HPP
+#define ALMONDGATE_DISPATCH_VM_MOVER_HPP
+
+#include "almondgate/dispatch/dispatcher_options.hpp"
+#include "almondgate/dispatch/upkeep_hooks.hpp"
+#include "almondgate/dispatch/vm_list.hpp"
+#include "almondgate/policy/vm_balance.hpp"
+
+#include <map>
+#include <set>
+
+namespace almondgate::dispatch {
+
+/// A working pool's demand and VMs, as the mover sees them.
+struct PoolDemand {
+  policy::PoolBalance Balance;
+  /// VMs that may leave, emptiest first.
+  std::vector<core::VmId> Movable;
+
+  bool operator==(const PoolDemand &) const = default;
+};
+
+/// Moves VMs between pools: empties a VM, orders its move, and follows it until
+/// it serves its new pool.
+class VmMover {
+public:
+  VmMover(DispatcherOptions options, UpkeepHooks hooks, VmList &list);
+
+  void begin(uint64_t epoch);
+  void end();
+
+  /// Takes the next steps for the demands; `busy` are VMs that others use.
+  void run(const std::vector<PoolDemand> &demands,
+           const std::set<core::PoolId> &spare_pools,
+           const std::set<core::VmId> &busy);
+
+  /// VMs on their way to a pool.
+  int64_t incoming(const core::PoolId &pool) const;
+
+  bool isMoving(const core::VmId &vm) const { return Moves.contains(vm); }
+
+private:
+  struct Move {
+    core::PoolId From;
+    core::PoolId To;
+    jobs::EndpointLife Ends;
+    core::TimeMs Since;
+    bool Ordered = false;
+    bool Calling = false;
+    bool Accepted = false;
+    bool Given = false;
+  };
+
+  void startMove(const core::VmId &vm, const core::PoolId &from,
+                 const core::PoolId &to);
+  /// True once the move is over, one way or the other.
+  bool follow(const core::VmId &vm, Move &move,
+              const std::set<core::PoolId> &spare_pools);
+  void order(const core::VmId &vm, Move &move);
+  void onOrdered(const core::VmId &vm, VmOrderResult result);
+
+  const DispatcherOptions Options;
+  const UpkeepHooks Hooks;
+  VmList &List;
+  bool Active = false;
+  uint64_t Epoch = 0;
+  uint64_t Generation = 0;
+  core::TimeMs Began;
+  std::map<core::VmId, Move> Moves;
+  std::map<core::PoolId, core::TimeMs> SurplusSince;
+  std::map<core::VmId, core::TimeMs> NotBefore;
+  /// Pools that VMs of another pool may not join.
+  std::set<std::pair<core::PoolId, core::PoolId>> Refused;
+};
+
+} // namespace almondgate::dispatch
+
+#endif
--- a/src/almondgate/dispatch/dispatcher.cpp
+++ b/src/almondgate/dispatch/dispatcher.cpp
@@ -27,7 +27,9 @@
 Dispatcher::Dispatcher(DispatcherOptions options, DispatcherHooks hooks,
                        const jobs::Ledger &ledger)
     : Options(std::move(options)), Hooks(std::move(hooks)), Ledger(ledger),
-      Upkeep(Options, upkeepHooks(), ledger) {}
+      List({Hooks.Now, Hooks.ListVms, Hooks.Log}),
+      Upkeep(Options, upkeepHooks(), ledger, List),
+      Mover(Options, upkeepHooks(), List) {}
 
 // --- leadership
 
@@ -48,6 +50,7 @@
             std::to_string(Open.size()) + " open jobs and " +
             std::to_string(Endpoints.size()) + " endpoints to read");
   Upkeep.begin(epoch);
+  Mover.begin(epoch);
   wake();
 }
 
@@ -57,6 +60,9 @@
   Active = false;
   ++Generation;
   Upkeep.end();
+  Mover.end();
+  List.clear();
+  Arrivals.clear();
   Open.clear();
   Endpoints.clear();
   TeamUsed.clear();
@@ -83,7 +89,8 @@
   for (auto &[id, endpoint] : Endpoints)
     onUnreachable(endpoint);
   retryStops();
-  Upkeep.run();
+  Upkeep.run([this](const core::VmId &vm) { return Mover.isMoving(vm); });
+  balancePools();
   expireJobs();
   wake();
 }
@@ -185,8 +192,11 @@
 
 void Dispatcher::onAccepted(const jobs::JobAccepted &event) {
   const auto *record = jobs::findJob(Ledger, event.Id);
-  if (record && record->isOpen())
+  if (record && record->isOpen()) {
     openJob(*record, false);
+    if (const int64_t work = policy::workOf(event.Spec); work > 0)
+      noteArrival(Open.at(event.Id).Pool, work);
+  }
   const auto it = Submissions.find(event.Id);
   if (it == Submissions.end())
     return;
--- /dev/null
+++ b/src/almondgate/dispatch/dispatcher_moves.cpp
@@ -0,0 +1,145 @@
+#include "almondgate/dispatch/dispatcher.hpp"
+
+#include "need.hpp"
+
+#include <algorithm>
+
+namespace almondgate::dispatch {
+
+using core::DurationMs;
+using core::PoolId;
+
+namespace {
+
+// Arrivals are counted over this time to see a burst begin.
+constexpr DurationMs ArrivalWindow{400};
+// What waits now bounds how far arrivals are trusted.
+constexpr int64_t GrowthBound = 2;
+// A pool without work keeps this many VMs, so that the first job can start.
+constexpr int64_t FewestOfPool = 2;
+
+} // namespace
+
+void Dispatcher::noteArrival(const PoolId &pool, int64_t work) {
+  Arrivals[pool].emplace_back(Hooks.Now(), work);
+}
+
+// Work that arrived lately, as a rate in thousandths of a core.
+int64_t Dispatcher::arrivalRate(const PoolId &pool) {
+  const auto found = Arrivals.find(pool);
+  if (found == Arrivals.end())
+    return 0;
+  auto &arrivals = found->second;
+  const auto from = Hooks.Now() - ArrivalWindow;
+  while (!arrivals.empty() && arrivals.front().first < from)
+    arrivals.pop_front();
+  int64_t work = 0;
+  for (const auto &[at, amount] : arrivals)
+    work += amount;
+  return work / ArrivalWindow.Count;
+}
+
+std::map<PoolId, int64_t> Dispatcher::wantedByPool() {
+  std::map<PoolId, int64_t> out;
+  for (const auto &[id, job] : Open) {
+    const auto *record = jobs::findJob(Ledger, id);
+    if (!record || !record->isOpen() || record->Spec->Repetitions > 0)
+      continue;
+    size_t at = 0;
+    for (size_t s = 0; s < record->Spec->Steps.size(); ++s) {
+      const auto &step = record->Spec->Steps[s];
+      const bool counts =
+          !step.Fills && jobs::isStepReady(*record, 0, int64_t(s));
+      for (int64_t i = 0; i < step.Count; ++i, ++at) {
+        const TaskSlot &slot = job.Tasks[at];
+        // What is long-running and placed is not counted as room either.
+        const bool wants = slot.Phase == TaskPhase::Waiting ||
+                           (slot.isPlaced() && !step.LongRunning);
+        if (counts && wants)
+          out[job.Pool] += step.Need.MilliCpus;
+      }
+    }
+  }
+  return out;
+}
+
+// Long-running steps are spread so that the loss of one VM keeps to their
+// budget.
+std::map<PoolId, int64_t> Dispatcher::fewestVms() const {
+  std::map<PoolId, int64_t> out;
+  for (const auto &[id, job] : Open) {
+    const auto *record = jobs::findJob(Ledger, id);
+    if (!record || !record->isOpen())
+      continue;
+    for (const auto &step : record->Spec->Steps) {
+      if (!step.LongRunning)
+        continue;
+      const int64_t together = std::max<int64_t>(step.MayMiss, 1);
+      int64_t &fewest = out[job.Pool];
+      fewest = std::max(fewest, (step.Count + together - 1) / together);
+    }
+  }
+  return out;
+}
+
+std::vector<PoolDemand> Dispatcher::poolDemands() {
+  std::map<PoolId, PoolDemand> pools;
+  for (const auto &pool : Ledger.Config.Pools)
+    if (!pool.Spare)
+      pools[pool.Id].Balance.Pool = pool.Id;
+  std::map<PoolId, std::vector<std::pair<size_t, core::VmId>>> movable;
+  for (const auto &[id, endpoint] : Endpoints) {
+    const auto it = pools.find(endpoint.Facts.Pool);
+    const bool serves = it != pools.end() && endpoint.Contacted &&
+                        !endpoint.Suspect && !endpoint.Facts.Draining &&
+                        !endpoint.Facts.Idle && !endpoint.Reserved;
+    if (!serves)
+      continue;
+    int64_t lasting = 0;
+    bool pinned = false;
+    for (const auto &place : endpoint.Runs) {
+      const auto *step = stepOf(place);
+      if (!step->LongRunning)
+        continue;
+      pinned = true;
+      lasting += needOf(*step).MilliCpus;
+    }
+    auto &balance = it->second.Balance;
+    ++balance.Vms;
+    balance.Usable += endpoint.Facts.Capacity.MilliCpus - lasting;
+    balance.PerVm =
+        std::max(balance.PerVm, endpoint.Facts.Capacity.MilliCpus);
+    if (!pinned && !endpoint.Facts.Vm.empty())
+      movable[it->first].emplace_back(endpoint.Runs.size(), endpoint.Facts.Vm);
+  }
+  const auto wanted = wantedByPool();
+  const auto fewest = fewestVms();
+  std::vector<PoolDemand> out;
+  for (auto &[id, demand] : pools) {
+    const auto found = wanted.find(id);
+    const int64_t now = found == wanted.end() ? 0 : found->second;
+    demand.Balance.Wanted =
+        std::max(now, std::min(arrivalRate(id), now * GrowthBound));
+    const auto least = fewest.find(id);
+    demand.Balance.FewestVms =
+        std::max(FewestOfPool, least == fewest.end() ? 0 : least->second);
+    demand.Balance.Seen = Arrivals.contains(id);
+    auto &vms = movable[id];
+    std::sort(vms.begin(), vms.end());
+    for (const auto &[runs, vm] : vms)
+      demand.Movable.push_back(vm);
+    out.push_back(std::move(demand));
+  }
+  return out;
+}
+
+void Dispatcher::balancePools() {
+  std::set<PoolId> spare;
+  for (const auto &pool : Ledger.Config.Pools)
+    if (pool.Spare)
+      spare.insert(pool.Id);
+  // Without a spare pool, VMs still go where the demand is.
+  Mover.run(poolDemands(), spare, Upkeep.vmsInHand());
+}
+
+} // namespace almondgate::dispatch
--- a/src/almondgate/dispatch/dispatcher_upkeep.cpp
+++ b/src/almondgate/dispatch/dispatcher_upkeep.cpp
@@ -31,7 +31,6 @@
       record(std::move(event));
     afterRecorded(std::move(done));
   };
-  hooks.ListVms = Hooks.ListVms;
   hooks.OrderVm = Hooks.OrderVm;
   hooks.Log = Hooks.Log;
   return hooks;
@@ -48,6 +47,7 @@
     load.ShortRuns = std::count_if(
         endpoint.Runs.begin(), endpoint.Runs.end(),
         [&](const TaskPlace &place) { return !stepOf(place)->LongRunning; });
+    load.LongRuns = int64_t(endpoint.Runs.size()) - load.ShortRuns;
   }
   return load;
 }
--- a/src/almondgate/dispatch/upkeep_desk.cpp
+++ b/src/almondgate/dispatch/upkeep_desk.cpp
@@ -13,7 +13,7 @@
 
 // Short runs on a reserved VM are waited for this long.
 constexpr DurationMs LongestEmptying{4000};
-constexpr DurationMs ListInterval{1500};
+constexpr DurationMs ListLife{1500};
 // A wave is planned to end after this part of its time.
 constexpr int64_t AimPercent = 65;
 constexpr int64_t Hundred = 100;
@@ -29,8 +29,9 @@
 } // namespace
 
 UpkeepDesk::UpkeepDesk(DispatcherOptions options, UpkeepHooks hooks,
-                       const jobs::Ledger &ledger)
-    : Options(std::move(options)), Hooks(std::move(hooks)), Ledger(ledger) {}
+                       const jobs::Ledger &ledger, VmList &list)
+    : Options(std::move(options)), Hooks(std::move(hooks)), Ledger(ledger),
+      List(list) {}
 
 void UpkeepDesk::begin(uint64_t epoch) {
   end();
@@ -46,46 +47,32 @@
   Reserved.clear();
   NotBefore.clear();
   Recording.clear();
-  Listing.clear();
-  Listed = false;
-  ListWanted = false;
-  ListCalling = false;
 }
 
-void UpkeepDesk::run() {
+void UpkeepDesk::run(const Moving &moving) {
   // An earlier leader's orders must be over before ours begin.
   const auto quiet = Options.VmOrderLease + HandoverMargin;
   if (!Active || (Epoch > 1 && Hooks.Now() - Began < quiet))
     return;
   for (const auto &[number, wave] : Ledger.Waves)
     if (!wave.isCompleted())
-      runWave(wave);
+      runWave(wave, moving);
 }
 
-void UpkeepDesk::refreshListing() {
-  const auto now = Hooks.Now();
-  if (ListCalling || now - ListedAt < ListInterval)
-    return;
-  ListCalling = true;
-  ListedAt = now;
-  Hooks.ListVms([this, generation = Generation](const auto &answer) {
-    if (generation != Generation)
-      return;
-    ListCalling = false;
-    if (!answer) {
-      Hooks.Log("the list of VMs can't be read: " + answer.error().Text);
-      return;
-    }
-    Listed = true;
-    Listing.clear();
-    for (const auto &vm : answer.value())
-      Listing[vm.Id] = vm;
-  });
+std::set<VmId> UpkeepDesk::vmsInHand() const {
+  std::set<VmId> out = Recording;
+  for (const auto &[vm, since] : Reserved)
+    out.insert(vm);
+  for (const auto &[number, wave] : Ledger.Waves)
+    for (const auto &[vm, ends] : wave.Begun)
+      if (!wave.Finished.contains(vm))
+        out.insert(vm);
+  return out;
 }
 
-void UpkeepDesk::runWave(const WaveRecord &wave) {
-  if (!Listed) {
-    refreshListing();
+void UpkeepDesk::runWave(const WaveRecord &wave, const Moving &moving) {
+  if (!List.isKnown()) {
+    List.refresh();
     return;
   }
   int64_t down = 0;
@@ -96,7 +83,8 @@
     }
   for (const auto &vm : Recording)
     down += wave.Begun.contains(vm) ? 0 : 1;
-  prepare(wave, std::min(wave.UpperLimit, neededDown(wave)) - down);
+  prepare(wave, std::min(wave.UpperLimit, neededDown(wave)) - down,
+          moving);
 }
 
 // Taking many down at once costs capacity: only as many as end the wave in
@@ -134,31 +122,48 @@
   }
   if (now - outage.Ordered < Options.Upkeep + ReturnPatience)
     return;
-  const auto listed = Listing.find(vm);
-  const bool fresh = ListedAt - outage.Ordered >= Options.Upkeep;
-  if (fresh && !ListCalling && listed == Listing.end())
+  const auto *listed = List.find(vm);
+  const bool fresh = List.isNewerThan(outage.Ordered + Options.Upkeep);
+  if (fresh && !listed)
     finish(wave.Number, vm, "it left the fleet");
-  else if (fresh && !ListCalling && listed->second.State == VmState::Up)
+  else if (fresh && listed->State == VmState::Up)
     finish(wave.Number, vm, "the list says it is up");
   else
-    refreshListing();
+    List.refresh();
 }
 
-void UpkeepDesk::prepare(const WaveRecord &wave, int64_t free_places) {
-  const auto now = Hooks.Now();
+// Switched-off and empty VMs first: their upkeep costs nobody anything.
+std::vector<VmId> UpkeepDesk::inOrder(const WaveRecord &wave) const {
+  std::vector<std::pair<int64_t, VmId>> ranked;
   for (const auto &vm : wave.Vms) {
     if (wave.Begun.contains(vm) || wave.Finished.contains(vm) ||
         Recording.contains(vm))
       continue;
-    const auto listed = Listing.find(vm);
-    if (listed == Listing.end()) {
-      if (now - ListedAt < ListInterval && !ListCalling)
+    const VmLoad load = Hooks.LoadOf(vm);
+    const int64_t runs = load.ShortRuns + load.LongRuns;
+    const bool off = load.Life.Id.empty();
+    // A VM that is being emptied stays first in line.
+    ranked.emplace_back(Reserved.contains(vm) || off ? -1 : runs, vm);
+  }
+  std::sort(ranked.begin(), ranked.end());
+  std::vector<VmId> out;
+  for (const auto &[rank, vm] : ranked)
+    out.push_back(vm);
+  return out;
+}
+
+void UpkeepDesk::prepare(const WaveRecord &wave, int64_t free_places,
+                         const Moving &moving) {
+  const auto now = Hooks.Now();
+  for (const auto &vm : inOrder(wave)) {
+    if (!List.find(vm)) {
+      if (List.isNewerThan(now - ListLife))
         finish(wave.Number, vm, "it is not in the fleet");
       else
-        refreshListing();
+        List.refresh();
       continue;
     }
-    if (free_places <= 0)
+    if (free_places <= 0 || moving(vm))
       continue;
     const auto wait = NotBefore.find(vm);
     if (wait != NotBefore.end() && now < wait->second)
@@ -228,8 +233,7 @@
   case VmOrderResult::Busy:
     Hooks.Log("vm " + vm.str() + " is busy: its upkeep is ordered again later");
     outage.Ordered = Hooks.Now() + BusyPause;
-    ListedAt = TimeMs{INT64_MIN / 2};
-    refreshListing();
+    List.refresh();
     return;
   case VmOrderResult::Refused:
     finish(wave, vm, "the VM service refuses it");
