--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -10,7 +10,9 @@
 #include "almondgate/jobs/job_call.hpp"
 #include "almondgate/jobs/job_reply.hpp"
 #include "almondgate/jobs/ledger.hpp"
+#include "almondgate/policy/duration_model.hpp"
 #include "almondgate/policy/job_door.hpp"
+#include "almondgate/policy/job_timing.hpp"
 
 #include <deque>
 #include <map>
@@ -89,6 +91,8 @@
   void afterRecorded(std::function<void(bool)> done);
   void flush();
   void wake();
+  /// The run times that a queue's steps are expected to have.
+  policy::ExpectStep expecting(const core::QueueId &queue) const;
   void openJob(const jobs::JobRecord &record, bool inherited);
   void onAccepted(const jobs::JobAccepted &event);
   void onCancelled(const jobs::JobId &id);
@@ -160,11 +164,13 @@
   bool budgetHolds(const EndpointView &endpoint) const;
 
   // dispatcher_moves.cpp
+  int64_t lastingOn(const EndpointView &endpoint) const;
   void noteArrival(const core::PoolId &pool, int64_t work);
   int64_t arrivalRate(const core::PoolId &pool);
   std::map<core::PoolId, int64_t> wantedByPool();
   std::map<core::PoolId, int64_t> fewestVms() const;
   std::vector<PoolDemand> poolDemands();
+  void logDemands(const std::vector<PoolDemand> &demands);
   void balancePools();
 
   const DispatcherOptions Options;
@@ -176,6 +182,7 @@
   std::map<jobs::JobId, OpenJob> Open;
   std::map<jobs::EndpointId, EndpointView> Endpoints;
   std::map<core::TeamId, core::Size> TeamUsed;
+  std::map<core::QueueId, policy::DurationModel> Durations;
   std::map<jobs::JobId, Submission> Submissions;
 
   std::vector<jobs::Event> Outbox;
@@ -187,6 +194,9 @@
   /// Answers of an earlier leadership are told by it.
   uint64_t Generation = 0;
   core::TimeMs ExpiryDue;
+  core::TimeMs DemandLogDue;
+  /// What one VM gives; the largest that is known.
+  int64_t PerVmMilliCpus = 0;
   VmList List;
   UpkeepDesk Upkeep;
   VmMover Mover;
--- a/include/almondgate/dispatch/upkeep_desk.hpp
+++ b/include/almondgate/dispatch/upkeep_desk.hpp
@@ -34,7 +34,10 @@
   using Moving = std::function<bool(const core::VmId &)>;
 
   struct Outage {
+    /// The life that was there when the upkeep was begun.
     jobs::EndpointLife Ends;
+    /// The life that was there at the last order.
+    jobs::EndpointLife OrderedAt;
     core::TimeMs Ordered{INT64_MIN / 2};
     bool Accepted = false;
     bool Calling = false;
--- a/include/almondgate/policy/job_door.hpp
+++ b/include/almondgate/policy/job_door.hpp
@@ -10,6 +10,9 @@
 struct DoorInput {
   /// Processor time that the pool can give, in thousandths of a core.
   int64_t CapacityMilliCpus = 0;
+  /// The same on VMs that are on their way, and when they are there.
+  int64_t IncomingMilliCpus = 0;
+  int64_t IncomingInMs = 0;
   /// Work accepted before and not yet done, in milliCPU milliseconds.
   int64_t Backlog = 0;
   /// Work of the job itself, in milliCPU milliseconds.
@@ -35,6 +38,9 @@
 /// load where a queue asks for several times what its pool holds.
 DoorVerdict judgeAtDoor(const DoorInput &input);
 
+/// How long work that comes now waits for what was accepted before, in ms.
+int64_t expectedWaitMs(const DoorInput &input);
+
 } // namespace almondgate::policy
 
 #endif
--- a/src/almondgate/dispatch/dispatcher.cpp
+++ b/src/almondgate/dispatch/dispatcher.cpp
@@ -39,6 +39,7 @@
   Epoch = epoch;
   Began = Hooks.Now();
   ExpiryDue = Began + ExpiryInterval;
+  DemandLogDue = Began;
   for (const auto &[id, facts] : Ledger.Endpoints)
     onRegistered(facts);
   for (auto &[id, endpoint] : Endpoints)
@@ -164,6 +165,14 @@
 
 // --- jobs
 
+policy::ExpectStep Dispatcher::expecting(const core::QueueId &queue) const {
+  const auto it = Durations.find(queue);
+  return [model = it == Durations.end() ? nullptr : &it->second](
+             const jobs::StepSpec &step) {
+    return model ? model->expect(step.EstimateMs) : step.EstimateMs;
+  };
+}
+
 void Dispatcher::openJob(const JobRecord &record, bool inherited) {
   if (Open.contains(record.Id))
     return;
@@ -182,7 +191,7 @@
     if (record.Tasks[i].Done)
       job.Tasks[i].Phase = TaskPhase::Done;
   }
-  const DurationMs chain{policy::longestChainMs(*record.Spec)};
+  const DurationMs chain{policy::longestChainMs(*record.Spec, expecting(record.Queue))};
   const int64_t target = queue ? queue->TargetMs : 0;
   const double stretch = queue ? queue->Stretch : 1;
   job.Due = job.AcceptedAt +
@@ -192,9 +201,12 @@
 
 void Dispatcher::onAccepted(const jobs::JobAccepted &event) {
   const auto *record = jobs::findJob(Ledger, event.Id);
+  for (const auto &step : event.Spec.Steps)
+    if (!step.LongRunning)
+      Durations[event.Queue].noteEstimate(step.EstimateMs);
   if (record && record->isOpen()) {
     openJob(*record, false);
-    if (const int64_t work = policy::workOf(event.Spec); work > 0)
+    if (const int64_t work = policy::workOf(event.Spec, expecting(event.Queue)); work > 0)
       noteArrival(Open.at(event.Id).Pool, work);
   }
   const auto it = Submissions.find(event.Id);
--- a/src/almondgate/dispatch/dispatcher_calls.cpp
+++ b/src/almondgate/dispatch/dispatcher_calls.cpp
@@ -87,6 +87,8 @@
   }
   const auto verdict = door(call.Spec, queue);
   if (!verdict.Accept) {
+    // What is refused comes back: it is demand all the same.
+    noteArrival(queue.Pool, policy::workOf(call.Spec, expecting(queue.Id)));
     Hooks.Log("job " + id.str() + " queue " + queue.Id.str() +
               " refused: " + verdict.Why + ", back in " +
               std::to_string(verdict.RetryAfterMs) + " ms");
@@ -108,13 +110,16 @@
   policy::DoorInput input;
   for (const auto &[id, endpoint] : Endpoints)
     if (endpoint.Facts.Pool == queue.Pool && endpoint.Contacted &&
-        !endpoint.Facts.Draining && !endpoint.Facts.Idle)
-      input.CapacityMilliCpus += endpoint.Facts.Capacity.MilliCpus;
+        !endpoint.Facts.Draining && !endpoint.Facts.Idle &&
+        !endpoint.Suspect && !endpoint.Reserved)
+      input.CapacityMilliCpus +=
+          endpoint.Facts.Capacity.MilliCpus - lastingOn(endpoint);
   for (const auto &[id, job] : Open) {
     const auto *record = jobs::findJob(Ledger, id);
     if (!record || job.Pool != queue.Pool || !record->isOpen())
       continue;
     size_t at = 0;
+    const auto expect = expecting(record->Queue);
     for (const auto &step : record->Spec->Steps)
       for (int64_t i = 0; i < step.Count; ++i, ++at) {
         const TaskPhase phase = job.Tasks[at].Phase;
@@ -122,12 +127,15 @@
         if (step.LongRunning || step.Fills || (!waits && !job.Tasks[at].isPlaced()))
           continue;
         // What runs is half done on average.
-        const int64_t work = step.Need.MilliCpus * step.EstimateMs;
+        const int64_t work = step.Need.MilliCpus * expect(step);
         input.Backlog += waits ? work : work / 2;
       }
   }
-  input.Work = policy::workOf(spec);
-  const int64_t chain = policy::longestChainMs(spec);
+  // VMs on their way come within the time of a move.
+  input.IncomingMilliCpus = Mover.incoming(queue.Pool) * PerVmMilliCpus;
+  input.IncomingInMs = Options.Move.Count;
+  input.Work = policy::workOf(spec, expecting(queue.Id));
+  const int64_t chain = policy::longestChainMs(spec, expecting(queue.Id));
   input.SlackMs = int64_t(double(chain) * (queue.Stretch - 1)) + queue.TargetMs;
   input.LongRunning = std::any_of(
       spec.Steps.begin(), spec.Steps.end(),
--- a/src/almondgate/dispatch/dispatcher_moves.cpp
+++ b/src/almondgate/dispatch/dispatcher_moves.cpp
@@ -14,12 +14,24 @@
 // Arrivals are counted over this time to see a burst begin.
 constexpr DurationMs ArrivalWindow{400};
 // What waits now bounds how far arrivals are trusted.
-constexpr int64_t GrowthBound = 2;
+constexpr int64_t GrowthBound = 3;
 // A pool without work keeps this many VMs, so that the first job can start.
 constexpr int64_t FewestOfPool = 2;
+constexpr DurationMs DemandLogInterval{1000};
+constexpr int64_t MilliCpusOfCore = 1000;
 
 } // namespace
 
+int64_t Dispatcher::lastingOn(const EndpointView &endpoint) const {
+  int64_t used = 0;
+  for (const auto &place : endpoint.Runs) {
+    const auto *step = stepOf(place);
+    if (step->LongRunning)
+      used += needOf(*step).MilliCpus;
+  }
+  return used;
+}
+
 void Dispatcher::noteArrival(const PoolId &pool, int64_t work) {
   Arrivals[pool].emplace_back(Hooks.Now(), work);
 }
@@ -95,20 +107,16 @@
                         !endpoint.Facts.Idle && !endpoint.Reserved;
     if (!serves)
       continue;
-    int64_t lasting = 0;
-    bool pinned = false;
-    for (const auto &place : endpoint.Runs) {
-      const auto *step = stepOf(place);
-      if (!step->LongRunning)
-        continue;
-      pinned = true;
-      lasting += needOf(*step).MilliCpus;
-    }
+    const bool pinned = std::any_of(
+        endpoint.Runs.begin(), endpoint.Runs.end(),
+        [&](const auto &place) { return stepOf(place)->LongRunning; });
     auto &balance = it->second.Balance;
     ++balance.Vms;
-    balance.Usable += endpoint.Facts.Capacity.MilliCpus - lasting;
+    balance.Usable +=
+        endpoint.Facts.Capacity.MilliCpus - lastingOn(endpoint);
     balance.PerVm =
         std::max(balance.PerVm, endpoint.Facts.Capacity.MilliCpus);
+    PerVmMilliCpus = std::max(PerVmMilliCpus, balance.PerVm);
     if (!pinned && !endpoint.Facts.Vm.empty())
       movable[it->first].emplace_back(endpoint.Runs.size(), endpoint.Facts.Vm);
   }
@@ -133,13 +141,32 @@
   return out;
 }
 
+void Dispatcher::logDemands(const std::vector<PoolDemand> &demands) {
+  const auto now = Hooks.Now();
+  if (now < DemandLogDue)
+    return;
+  DemandLogDue = now + DemandLogInterval;
+  std::string line = "pools have/want cores:";
+  for (const auto &demand : demands) {
+    const auto &balance = demand.Balance;
+    line += " " + balance.Pool.str() + " " +
+            std::to_string(balance.Usable / MilliCpusOfCore) + "/" +
+            std::to_string(balance.Wanted / MilliCpusOfCore) + " on " +
+            std::to_string(balance.Vms) + "+" +
+            std::to_string(Mover.incoming(balance.Pool)) + " VMs,";
+  }
+  Hooks.Log(line);
+}
+
 void Dispatcher::balancePools() {
   std::set<PoolId> spare;
   for (const auto &pool : Ledger.Config.Pools)
     if (pool.Spare)
       spare.insert(pool.Id);
+  const auto demands = poolDemands();
+  logDemands(demands);
   // Without a spare pool, VMs still go where the demand is.
-  Mover.run(poolDemands(), spare, Upkeep.vmsInHand());
+  Mover.run(demands, spare, Upkeep.vmsInHand());
 }
 
 } // namespace almondgate::dispatch
--- a/src/almondgate/dispatch/dispatcher_orders.cpp
+++ b/src/almondgate/dispatch/dispatcher_orders.cpp
@@ -59,7 +59,8 @@
   TeamUsed[record->Team] = TeamUsed[record->Team] + step->Need;
   Hooks.Log("task " + nameOf(place) + " run " + std::to_string(run) + " -> " +
             at.Facts.Id.str() + " used " + std::to_string(at.Used.MilliCpus) +
-            "/" + std::to_string(at.Facts.Capacity.MilliCpus) + " late by " +
+            "/" + std::to_string(at.Facts.Capacity.MilliCpus) + " estimate " +
+            std::to_string(step->EstimateMs) + " ms, late by " +
             std::to_string((Hooks.Now() - job.Due).Count) + " ms");
   sendStart(place);
 }
--- a/src/almondgate/dispatch/dispatcher_placing.cpp
+++ b/src/almondgate/dispatch/dispatcher_placing.cpp
@@ -83,6 +83,7 @@
       continue;
     const auto &spec = *record->Spec;
     const auto *queue = jobs::findQueue(Ledger.Config, record->Queue);
+    const auto expect = expecting(record->Queue);
     size_t first = 0;
     for (int64_t k = 0; k < spec.occurrences(); ++k) {
       const int64_t due_ms = spec.StartAtMs + k * spec.IntervalMs;
@@ -102,7 +103,7 @@
         if (waiting && jobs::isStepReady(*record, k, s))
           out.push_back({&job, record, k, s, first, &step,
                          queue ? queue->Priority : 0,
-                         (due - now).Count - policy::chainFromMs(spec, s)});
+                         (due - now).Count - policy::chainFromMs(spec, s, expect)});
         first += size_t(step.Count);
       }
     }
--- a/src/almondgate/dispatch/dispatcher_renewals.cpp
+++ b/src/almondgate/dispatch/dispatcher_renewals.cpp
@@ -188,6 +188,11 @@
     ++endpoint.FailuresInRow;
   if (report.How == RunEnd::Done)
     endpoint.FailuresInRow = 0;
+  if (ours && report.How == RunEnd::Done && !lasting &&
+      slot->Phase == TaskPhase::Running && slot->Checkpoint.empty())
+    Durations[record->Queue].observe(
+        record->Spec->Steps[report.Task.Step].EstimateMs,
+        (Hooks.Now() - slot->Since).Count);
   if (slot)
     slot->Run = std::max(slot->Run, report.Run);
   if (ours) {
--- a/src/almondgate/dispatch/dispatcher_upkeep.cpp
+++ b/src/almondgate/dispatch/dispatcher_upkeep.cpp
@@ -16,8 +16,10 @@
   hooks.LoadOf = [this](const core::VmId &vm) { return loadOf(vm); };
   hooks.Reserve = [this](const core::VmId &vm, bool reserved) {
     for (auto &[id, endpoint] : Endpoints)
-      if (endpoint.Facts.Vm == vm)
+      if (endpoint.Facts.Vm == vm) {
         endpoint.Reserved = reserved;
+        endpoint.Doomed = endpoint.Doomed && reserved;
+      }
   };
   hooks.WallClock = Hooks.WallClock;
   hooks.Doom = [this](const core::VmId &vm) {
--- a/src/almondgate/dispatch/upkeep_desk.cpp
+++ b/src/almondgate/dispatch/upkeep_desk.cpp
@@ -107,19 +107,21 @@
   if (outage.Calling)
     return;
   const VmLoad load = Hooks.LoadOf(vm);
-  if (!load.Life.Id.empty() && load.Life != outage.Ends) {
-    finish(wave.Number, vm, "its endpoint is back");
-    return;
-  }
   if (!outage.Accepted) {
-    // The same order again does no harm, unless the VM is at work meanwhile.
+    // Another life may have come by a crash or a move: only the VM service's
+    // word shows that the upkeep has begun. Ordered twice, it is done once.
     const bool safe = load.Life.Id.empty() || load.BudgetHolds;
     if (safe && now - outage.Ordered >= OrderRetry) {
       Hooks.Doom(vm);
+      outage.OrderedAt = load.Life;
       order(wave.Number, vm);
     }
     return;
   }
+  if (!load.Life.Id.empty() && load.Life != outage.Ends) {
+    finish(wave.Number, vm, "its endpoint is back");
+    return;
+  }
   if (now - outage.Ordered < Options.Upkeep + ReturnPatience)
     return;
   const auto *listed = List.find(vm);
@@ -196,7 +198,7 @@
                  Recording.erase(vm);
                  if (!durable)
                    return;
-                 Outages[vm] = Outage{load.Life};
+                 Outages[vm] = Outage{load.Life, load.Life};
                  order(number, vm);
                });
 }
@@ -226,7 +228,8 @@
   switch (result) {
   case VmOrderResult::Accepted:
     outage.Accepted = true;
-    if (!outage.Ends.Id.empty())
+    // A later life may be untouched, where the upkeep was over already.
+    if (!outage.Ends.Id.empty() && outage.Ends == outage.OrderedAt)
       Hooks.Record({jobs::EndpointGone{outage.Ends.Id, outage.Ends.BornMs}},
                    [](bool) {});
     return;
@@ -251,8 +254,8 @@
     return;
   Hooks.Log("vm " + vm.str() + " of wave " + std::to_string(wave) +
             " is finished: " + why);
-  if (Reserved.erase(vm) > 0)
-    Hooks.Reserve(vm, false);
+  Reserved.erase(vm);
+  Hooks.Reserve(vm, false);
   Hooks.Record({jobs::UpkeepFinished{wave, vm}},
                [this, vm, generation = Generation](bool) {
                  if (generation != Generation)
--- a/src/almondgate/dispatch/vm_mover.cpp
+++ b/src/almondgate/dispatch/vm_mover.cpp
@@ -50,7 +50,8 @@
                   const std::set<VmId> &busy) {
   const auto now = Hooks.Now();
   const auto quiet = Options.VmOrderLease + HandoverMargin;
-  if (!Active || demands.empty() || (Epoch > 1 && now - Began < quiet))
+  // Endpoints take as long to be heard of by a new leader.
+  if (!Active || demands.empty() || now - Began < quiet)
     return;
   if (!List.isKnown() || !List.isNewerThan(now - ListLife))
     List.refresh();
--- a/src/almondgate/policy/job_door.cpp
+++ b/src/almondgate/policy/job_door.cpp
@@ -14,12 +14,20 @@
 
 } // namespace
 
+int64_t expectedWaitMs(const DoorInput &input) {
+  const int64_t until_then = input.CapacityMilliCpus * input.IncomingInMs;
+  if (input.IncomingMilliCpus == 0 || input.Backlog <= until_then)
+    return input.Backlog / std::max<int64_t>(input.CapacityMilliCpus, 1);
+  const int64_t together = input.CapacityMilliCpus + input.IncomingMilliCpus;
+  return input.IncomingInMs + (input.Backlog - until_then) / together;
+}
+
 DoorVerdict judgeAtDoor(const DoorInput &input) {
   if (input.LongRunning)
     return {true, 0, "long-running"};
-  if (input.CapacityMilliCpus <= 0)
+  if (input.CapacityMilliCpus + input.IncomingMilliCpus <= 0)
     return {true, 0, "capacity is not known yet"};
-  const int64_t wait_ms = input.Backlog / input.CapacityMilliCpus;
+  const int64_t wait_ms = expectedWaitMs(input);
   const int64_t patience_ms = input.SlackMs * PatiencePercent / Hundred;
   const std::string figures = "wait " + std::to_string(wait_ms) + " of " +
                               std::to_string(patience_ms) + " ms";
--- a/src/almondgate/policy/job_timing.cpp
+++ b/src/almondgate/policy/job_timing.cpp
@@ -49,34 +49,35 @@
   return core::ok();
 }
 
-int64_t longestChainMs(const jobs::JobSpec &spec) {
+int64_t longestChainMs(const jobs::JobSpec &spec, const ExpectStep &expect) {
   std::vector<int64_t> ends;
   int64_t longest = 0;
   for (const auto &step : spec.Steps) {
     int64_t begin = 0;
     for (const int64_t earlier : step.After)
       begin = std::max(begin, ends[earlier]);
-    ends.push_back(begin + step.EstimateMs);
+    ends.push_back(begin + expect(step));
     longest = std::max(longest, ends.back());
   }
   return longest;
 }
 
-int64_t chainFromMs(const jobs::JobSpec &spec, int64_t step) {
+int64_t chainFromMs(const jobs::JobSpec &spec, int64_t step,
+                    const ExpectStep &expect) {
   std::vector<int64_t> rest(spec.Steps.size(), 0);
   for (size_t i = spec.Steps.size(); i-- > 0;) {
-    rest[i] += spec.Steps[i].EstimateMs;
+    rest[i] += expect(spec.Steps[i]);
     for (const int64_t earlier : spec.Steps[i].After)
       rest[earlier] = std::max(rest[earlier], rest[i]);
   }
   return rest[step];
 }
 
-int64_t workOf(const jobs::JobSpec &spec) {
+int64_t workOf(const jobs::JobSpec &spec, const ExpectStep &expect) {
   int64_t work = 0;
   for (const auto &step : spec.Steps)
     if (!step.LongRunning)
-      work += step.Count * step.Need.MilliCpus * step.EstimateMs;
+      work += step.Count * step.Need.MilliCpus * expect(step);
   return work;
 }
 
