--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -166,6 +166,7 @@
   // dispatcher_moves.cpp
   int64_t lastingOn(const EndpointView &endpoint) const;
   void noteArrival(const core::PoolId &pool, int64_t work);
+  int64_t forecast(const core::PoolId &pool, int64_t wanted);
   int64_t arrivalRate(const core::PoolId &pool);
   std::map<core::PoolId, int64_t> wantedByPool();
   std::map<core::PoolId, int64_t> fewestVms() const;
@@ -201,6 +202,7 @@
   UpkeepDesk Upkeep;
   VmMover Mover;
   std::map<core::PoolId, std::deque<std::pair<core::TimeMs, int64_t>>> Arrivals;
+  std::map<core::PoolId, std::deque<std::pair<core::TimeMs, int64_t>>> Trends;
 };
 
 } // namespace almondgate::dispatch
--- a/src/almondgate/dispatch/dispatcher.cpp
+++ b/src/almondgate/dispatch/dispatcher.cpp
@@ -64,6 +64,7 @@
   Mover.end();
   List.clear();
   Arrivals.clear();
+  Trends.clear();
   Open.clear();
   Endpoints.clear();
   TeamUsed.clear();
--- a/src/almondgate/dispatch/dispatcher_moves.cpp
+++ b/src/almondgate/dispatch/dispatcher_moves.cpp
@@ -13,6 +13,9 @@
 
 // Arrivals are counted over this time to see a burst begin.
 constexpr DurationMs ArrivalWindow{400};
+// The trend of a pool's demand is taken over this time.
+constexpr DurationMs TrendWindow{600};
+constexpr DurationMs ShortestTrend{300};
 // What waits now bounds how far arrivals are trusted.
 constexpr int64_t GrowthBound = 3;
 // A pool without work keeps this many VMs, so that the first job can start.
@@ -51,6 +54,21 @@
   return work / ArrivalWindow.Count;
 }
 
+// Where the demand will be when a VM that is ordered now is there.
+int64_t Dispatcher::forecast(const PoolId &pool, int64_t wanted) {
+  const auto now = Hooks.Now();
+  auto &history = Trends[pool];
+  while (!history.empty() && history.front().first < now - TrendWindow)
+    history.pop_front();
+  history.emplace_back(now, wanted);
+  const auto &[since, before] = history.front();
+  const int64_t passed = (now - since).Count;
+  if (passed < ShortestTrend.Count || wanted <= before)
+    return wanted;
+  const int64_t growth = (wanted - before) * Options.Move.Count / passed;
+  return std::min(wanted + growth, wanted * GrowthBound);
+}
+
 std::map<PoolId, int64_t> Dispatcher::wantedByPool() {
   std::map<PoolId, int64_t> out;
   for (const auto &[id, job] : Open) {
@@ -126,8 +144,8 @@
   for (auto &[id, demand] : pools) {
     const auto found = wanted.find(id);
     const int64_t now = found == wanted.end() ? 0 : found->second;
-    demand.Balance.Wanted =
-        std::max(now, std::min(arrivalRate(id), now * GrowthBound));
+    demand.Balance.Wanted = forecast(
+        id, std::max(now, std::min(arrivalRate(id), now * GrowthBound)));
     const auto least = fewest.find(id);
     demand.Balance.FewestVms =
         std::max(FewestOfPool, least == fewest.end() ? 0 : least->second);
