--- a/include/almondgate/dispatch/dispatcher_hooks.hpp
+++ b/include/almondgate/dispatch/dispatcher_hooks.hpp
@@ -4,6 +4,7 @@
 #include "almondgate/core/result.hpp"
 #include "almondgate/core/time_ms.hpp"
 #include "almondgate/dispatch/advice.hpp"
+#include "almondgate/dispatch/dispatch_policies.hpp"
 #include "almondgate/dispatch/renew_reply.hpp"
 #include "almondgate/dispatch/vm_listing.hpp"
 #include "almondgate/jobs/endpoint_facts.hpp"
@@ -42,6 +43,7 @@
       Advise;
   std::function<void(Done<core::Result<std::vector<VmListing>>>)> ListVms;
   std::function<void(const VmOrder &, Done<VmOrderResult>)> OrderVm;
+  DispatchPolicies Policies;
   observe::LogLine Log;
 };
 
--- a/include/almondgate/dispatch/vm_mover.hpp
+++ b/include/almondgate/dispatch/vm_mover.hpp
@@ -24,7 +24,11 @@
 /// it serves its new pool.
 class VmMover {
 public:
-  VmMover(DispatcherOptions options, UpkeepHooks hooks, VmList &list);
+  using PlanMoves = std::function<std::vector<policy::MoveWish>(
+      std::vector<policy::PoolBalance>, const policy::MoveRules &)>;
+
+  VmMover(DispatcherOptions options, UpkeepHooks hooks, VmList &list,
+          PlanMoves plan);
 
   void begin(uint64_t epoch);
   void end();
@@ -62,6 +66,7 @@
   const DispatcherOptions Options;
   const UpkeepHooks Hooks;
   VmList &List;
+  const PlanMoves Plan;
   bool Active = false;
   uint64_t Epoch = 0;
   uint64_t Generation = 0;
--- a/src/almondgate/control/membership_plan.cpp
+++ b/src/almondgate/control/membership_plan.cpp
@@ -21,13 +21,14 @@
 // good; silence shows that it may be.
 bool isLost(const Member &member, const std::vector<MemberHealth> &known,
             core::DurationMs patience) {
-  const bool replaced =
-      std::any_of(known.begin(), known.end(), [&](const MemberHealth &other) {
+  const auto *health = healthOf(known, member.Id);
+  if (!health || health->Silence >= patience)
+    return true;
+  return std::any_of(
+      known.begin(), known.end(), [&](const MemberHealth &other) {
         return other.Id != member.Id && other.Inner == member.Inner &&
-               other.Silence < patience;
+               other.Silence < health->Silence;
       });
-  const auto *health = healthOf(known, member.Id);
-  return replaced || !health || health->Silence >= patience;
 }
 
 Membership without(const Membership &now, const consensus::MemberId &id) {
--- a/src/almondgate/dispatch/dispatcher.cpp
+++ b/src/almondgate/dispatch/dispatcher.cpp
@@ -29,7 +29,7 @@
     : Options(std::move(options)), Hooks(std::move(hooks)), Ledger(ledger),
       List({Hooks.Now, Hooks.ListVms, Hooks.Log}),
       Upkeep(Options, upkeepHooks(), ledger, List),
-      Mover(Options, upkeepHooks(), List) {}
+      Mover(Options, upkeepHooks(), List, Hooks.Policies.Moves) {}
 
 // --- leadership
 
@@ -168,7 +168,9 @@
 
 policy::ExpectStep Dispatcher::expecting(const core::QueueId &queue) const {
   const auto it = Durations.find(queue);
-  return [model = it == Durations.end() ? nullptr : &it->second](
+  return [model = it == Durations.end() || !Hooks.Policies.LearnRunTimes
+                      ? nullptr
+                      : &it->second](
              const jobs::StepSpec &step) {
     return model ? model->expect(step.EstimateMs) : step.EstimateMs;
   };
--- a/src/almondgate/dispatch/dispatcher_calls.cpp
+++ b/src/almondgate/dispatch/dispatcher_calls.cpp
@@ -140,7 +140,7 @@
   input.LongRunning = std::any_of(
       spec.Steps.begin(), spec.Steps.end(),
       [](const jobs::StepSpec &step) { return step.LongRunning; });
-  return policy::judgeAtDoor(input);
+  return Hooks.Policies.Door(input);
 }
 
 JobReply Dispatcher::look(const jobs::JobId &id) const {
--- a/src/almondgate/dispatch/dispatcher_placing.cpp
+++ b/src/almondgate/dispatch/dispatcher_placing.cpp
@@ -173,7 +173,7 @@
   need.OnlyNearData =
       !step.Affinity.empty() && !step.LongRunning &&
       ready.SlackMs > step.EstimateMs * NearDataPatiencePercent / Hundred;
-  const auto at = policy::choosePlace(options, need);
+  const auto at = Hooks.Policies.Place(options, need);
   return at ? candidates[*at] : nullptr;
 }
 
--- /dev/null
+++ b/src/almondgate/dispatch/dispatcher_test.cpp
@@ -0,0 +1,367 @@
+#include "test_fleet.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace almondgate;
+using namespace almondgate::dispatch;
+using jobs::JobOutcome;
+using jobs::JobSpec;
+using jobs::JobState;
+
+namespace {
+
+std::string jobId(int64_t n) {
+  std::string digits = std::to_string(n);
+  return std::string(16 - digits.size(), '0') + digits;
+}
+
+JobSpec oneStep(int64_t count, int64_t cores, int64_t ms) {
+  JobSpec spec;
+  spec.Steps = {testStep(count, cores, ms)};
+  return spec;
+}
+
+JobSpec lasting(int64_t count, int64_t may_miss) {
+  JobSpec spec = oneStep(count, 2, 0);
+  spec.Steps[0].LongRunning = true;
+  spec.Steps[0].HasMayMiss = true;
+  spec.Steps[0].MayMiss = may_miss;
+  return spec;
+}
+
+struct Fleet : TestFleet {
+  std::vector<core::VmId> VmIds;
+
+  explicit Fleet(int vms, DispatchPolicies policies = {})
+      : TestFleet(std::move(policies)) {
+    for (int i = 0; i < vms; ++i)
+      VmIds.push_back(addVm("p", "r" + std::to_string(i / 4)));
+    lead();
+    advance(200);
+  }
+};
+
+} // namespace
+
+TEST_CASE("a job of two steps runs them one after the other") {
+  Fleet fleet(2);
+  JobSpec spec;
+  spec.Steps = {testStep(4, 8, 300), testStep(3, 8, 200)};
+  spec.Steps[1].After = {0};
+  CHECK(fleet.submit(jobId(1), spec).Outcome == JobOutcome::Done);
+  CHECK(fleet.submit(jobId(1), spec).Outcome == JobOutcome::Done);
+  fleet.advance(100);
+  CHECK(fleet.stateOf(jobId(1)) == JobState::Running);
+  fleet.advance(700);
+  CHECK(fleet.stateOf(jobId(1)) == JobState::Completed);
+  CHECK(fleet.Broken.empty());
+}
+
+TEST_CASE("an order without an answer that is carried out late runs once") {
+  Fleet fleet(3);
+  for (const auto &vm : fleet.VmIds) {
+    fleet.endpointOf(vm).LateStarts = 2;
+    fleet.endpointOf(vm).LateByMs = 2500;
+  }
+  fleet.submit(jobId(1), oneStep(6, 20, 800));
+  fleet.advance(9000);
+  CHECK(fleet.stateOf(jobId(1)) == JobState::Completed);
+  CHECK(fleet.Broken.empty());
+}
+
+TEST_CASE("runs on a silent endpoint start elsewhere once its lease lapsed") {
+  Fleet fleet(2);
+  fleet.submit(jobId(1), oneStep(2, 60, 20000));
+  fleet.advance(500);
+  auto &silent = fleet.endpointOf(fleet.VmIds[0]);
+  REQUIRE(silent.Runs.size() == 1);
+  silent.Cut = true;
+  // The other endpoint is full: a third VM takes the run.
+  const auto third = fleet.addVm("p");
+  fleet.advance(2000);
+  CHECK(fleet.endpointOf(third).Runs.empty());
+  fleet.advance(4000);
+  CHECK(fleet.endpointOf(third).Runs.size() == 1);
+  CHECK(fleet.Broken.empty());
+}
+
+TEST_CASE("a new leader goes on with what runs, and doubles nothing") {
+  Fleet fleet(4);
+  fleet.submit(jobId(1), oneStep(10, 20, 3000));
+  fleet.advance(400);
+  fleet.stopLeading();
+  fleet.advance(600);
+  fleet.lead();
+  fleet.advance(1500);
+  CHECK(fleet.stateOf(jobId(1)) == JobState::Running);
+  fleet.advance(3000);
+  CHECK(fleet.stateOf(jobId(1)) == JobState::Completed);
+  int64_t starts = 0;
+  for (const auto &vm : fleet.VmIds)
+    starts += fleet.endpointOf(vm).Starts;
+  CHECK(starts == 10);
+  CHECK(fleet.Broken.empty());
+}
+
+TEST_CASE("a new leader waits for an endpoint that it can't read") {
+  Fleet fleet(2);
+  fleet.submit(jobId(1), oneStep(2, 40, 2500));
+  fleet.advance(300);
+  fleet.endpointOf(fleet.VmIds[0]).Cut = true;
+  fleet.stopLeading();
+  fleet.advance(300);
+  fleet.lead();
+  fleet.advance(20000);
+  CHECK(fleet.stateOf(jobId(1)) == JobState::Completed);
+  CHECK(fleet.Broken.empty());
+}
+
+TEST_CASE("a task that keeps failing ends its job after the attempts") {
+  Fleet fleet(2);
+  fleet.Fails = [](const jobs::TaskRef &task) { return task.Index == 1; };
+  fleet.submit(jobId(1), oneStep(3, 4, 200));
+  fleet.advance(2000);
+  CHECK(fleet.stateOf(jobId(1)) == JobState::Failed);
+  const auto *job = jobs::findJob(fleet.ledger(), jobs::JobId(jobId(1)));
+  CHECK(job->Tasks[1].Failures == 2);
+  CHECK(fleet.Broken.empty());
+}
+
+TEST_CASE("a cancelled job's runs are stopped") {
+  Fleet fleet(2);
+  fleet.submit(jobId(1), oneStep(4, 8, 60000));
+  fleet.advance(300);
+  CHECK(fleet.cancel(jobId(1)).Outcome == JobOutcome::Done);
+  fleet.advance(300);
+  for (const auto &vm : fleet.VmIds)
+    CHECK(fleet.endpointOf(vm).Runs.empty());
+  CHECK(fleet.stateOf(jobId(1)) == JobState::Cancelled);
+  CHECK(fleet.cancel(jobId(2)).Outcome == JobOutcome::NoJob);
+}
+
+TEST_CASE("a gang starts whole or not at all") {
+  Fleet fleet(2);
+  JobSpec gang = oneStep(3, 40, 500);
+  gang.Steps[0].Gang = true;
+  fleet.submit(jobId(1), gang);
+  fleet.advance(1000);
+  CHECK(fleet.stateOf(jobId(1)) == JobState::Queued);
+  fleet.addVm("p");
+  fleet.advance(2000);
+  CHECK(fleet.stateOf(jobId(1)) == JobState::Completed);
+}
+
+TEST_CASE("no team has more running than its limit") {
+  Fleet fleet(4);
+  fleet.configure([](jobs::FleetConfig &config) {
+    config.Teams[0].Limit.MilliCpus = 50000;
+  });
+  for (int i = 0; i < 6; ++i)
+    fleet.submit(jobId(i), oneStep(4, 8, 700));
+  for (int i = 0; i < 40; ++i) {
+    fleet.advance(50);
+    int64_t used = 0;
+    for (const auto &vm : fleet.VmIds)
+      for (const auto &[task, run] : fleet.endpointOf(vm).Runs)
+        used += run.Need.MilliCpus;
+    CHECK(used <= 50000);
+  }
+}
+
+TEST_CASE("a draining endpoint gets no further run") {
+  Fleet fleet(2);
+  fleet.drain(fleet.VmIds[0]);
+  for (int i = 0; i < 5; ++i)
+    fleet.submit(jobId(i), oneStep(2, 8, 300));
+  fleet.advance(2000);
+  CHECK(fleet.endpointOf(fleet.VmIds[0]).Starts == 0);
+  CHECK(fleet.Broken.empty());
+}
+
+TEST_CASE("a late heartbeat does not bring an ended life back") {
+  Fleet fleet(2);
+  const auto old = fleet.endpointOf(fleet.VmIds[0]).Facts;
+  fleet.restart(fleet.VmIds[0]);
+  fleet.advance(100);
+  fleet.dispatcher().heartbeat(old, 9999, [](const core::Status &) {});
+  fleet.advance(100);
+  CHECK_FALSE(fleet.ledger().Endpoints.contains(old.Id));
+}
+
+TEST_CASE("a wave keeps to its limit and to the availability budgets") {
+  Fleet fleet(8);
+  for (int i = 0; i < 3; ++i)
+    fleet.submit(jobId(i), lasting(5, 1));
+  fleet.advance(2000);
+  fleet.startWave(1, fleet.VmIds, 3, 60000);
+  fleet.advance(60000);
+  CHECK(fleet.MostDown <= 3);
+  CHECK(fleet.dispatcher().isWaveCompleted(1).value());
+  for (const auto &vm : fleet.VmIds)
+    CHECK(fleet.Upkeeps[vm] == 1);
+  CHECK(fleet.Broken.empty());
+}
+
+TEST_CASE("a new leader neither repeats an upkeep nor loses a VM's new life") {
+  Fleet fleet(6);
+  fleet.submit(jobId(1), oneStep(6, 30, 30000));
+  fleet.advance(500);
+  fleet.startWave(1, fleet.VmIds, 2, 60000);
+  fleet.advance(5200);
+  REQUIRE_FALSE(fleet.Upkeeps.empty());
+  fleet.stopLeading();
+  fleet.advance(2500);
+  fleet.lead();
+  fleet.advance(60000);
+  CHECK(fleet.dispatcher().isWaveCompleted(1).value());
+  for (const auto &vm : fleet.VmIds)
+    CHECK(fleet.Upkeeps[vm] == 1);
+  CHECK(fleet.Broken.empty());
+}
+
+TEST_CASE("a restart of a VM is not taken for the end of its upkeep") {
+  Fleet fleet(3);
+  fleet.VmServiceSilent = true;
+  fleet.startWave(1, {fleet.VmIds[0]}, 1, 60000);
+  fleet.advance(1000);
+  fleet.stopLeading();
+  fleet.restart(fleet.VmIds[0]);
+  fleet.lead();
+  fleet.advance(8000);
+  CHECK_FALSE(fleet.dispatcher().isWaveCompleted(1).value());
+  fleet.VmServiceSilent = false;
+  fleet.advance(10000);
+  CHECK(fleet.dispatcher().isWaveCompleted(1).value());
+  CHECK(fleet.Upkeeps[fleet.VmIds[0]] == 1);
+}
+
+TEST_CASE("random loads, silences and changes of leader break no promise") {
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    std::minstd_rand random(seed);
+    const auto below = [&](int64_t n) { return int64_t(random() % n); };
+    Fleet fleet(6);
+    for (int i = 0; i < 40; ++i) {
+      JobSpec spec = oneStep(1 + below(8), 1 + below(40), 100 + below(900));
+      if (below(3) == 0) {
+        spec.Steps.push_back(testStep(1 + below(4), 1 + below(20), 200));
+        spec.Steps[1].After = {0};
+      }
+      fleet.submit(jobId(i), spec);
+      fleet.advance(below(150));
+      auto &endpoint = fleet.endpointOf(fleet.VmIds[below(6)]);
+      if (below(6) == 0) {
+        endpoint.LateStarts = 1;
+        endpoint.LateByMs = 500 + below(4000);
+      }
+      if (below(8) == 0)
+        endpoint.Cut = !endpoint.Cut;
+      if (below(15) == 0)
+        fleet.cancel(jobId(below(40)));
+      if (below(20) == 0) {
+        fleet.stopLeading();
+        fleet.advance(below(1500));
+        fleet.lead();
+      }
+    }
+    for (const auto &vm : fleet.VmIds)
+      fleet.endpointOf(vm).Cut = false;
+    fleet.advance(40000);
+    CAPTURE(seed);
+    CHECK(fleet.Broken == std::vector<std::string>());
+    for (const auto &[id, job] : fleet.ledger().Jobs)
+      CHECK_FALSE(job.isOpen());
+  }
+}
+
+namespace {
+
+/// Two queues take turns: each asks for more than its pool holds for 5 s.
+void playTurns(Fleet &fleet, const std::function<int64_t(int64_t)> &run_ms) {
+  fleet.configure([](jobs::FleetConfig &config) {
+    config.Pools.push_back({core::PoolId("p2")});
+    jobs::QueueSpec queue = config.Queues[0];
+    queue.Id = core::QueueId("q2");
+    queue.PathPrefix = "/q2/";
+    queue.Pool = core::PoolId("p2");
+    config.Queues.push_back(queue);
+  });
+  for (int i = 0; i < 4; ++i)
+    fleet.addVm("p2");
+  for (int i = 0; i < 8; ++i)
+    fleet.addVm("spare");
+  fleet.advance(6000);
+  int64_t n = 0;
+  for (int turn = 0; turn < 4; ++turn)
+    for (int i = 0; i < 50; ++i) {
+      JobSpec spec = oneStep(6, 10, 1000);
+      spec.Steps[0].EstimateMs = run_ms(n);
+      fleet.submit(jobId(1000 + n++), spec, turn % 2 ? "q2" : "q");
+      fleet.advance(95);
+    }
+  fleet.advance(15000);
+}
+
+int64_t inTime(const Fleet &fleet) {
+  // Stretch 2, a second of work, 600 ms more.
+  constexpr int64_t ObjectiveMs = 2600;
+  return std::count_if(
+      fleet.TookMs.begin(), fleet.TookMs.end(),
+      [&](const auto &row) { return row.second <= ObjectiveMs; });
+}
+
+int64_t exactly(int64_t) { return 1000; }
+
+// Estimates between a tenth and ten times the truth.
+int64_t farOff(int64_t n) {
+  constexpr int64_t Wrong[] = {100, 300, 1000, 3000, 10000};
+  return Wrong[n % 5];
+}
+
+} // namespace
+
+TEST_CASE("turns of demand: VMs that move serve what fixed pools refuse") {
+  Fleet moving(4);
+  playTurns(moving, exactly);
+  DispatchPolicies fixed;
+  fixed.Moves = [](auto, const auto &) { return std::vector<policy::MoveWish>(); };
+  Fleet standing(4, fixed);
+  playTurns(standing, exactly);
+  CHECK(moving.Broken.empty());
+  CHECK(moving.Moves > 0);
+  CHECK(inTime(moving) >= 180);
+  CHECK(inTime(standing) < 150);
+}
+
+TEST_CASE("wrong estimates: learned run times keep jobs in time") {
+  Fleet learning(4);
+  learning.RunMs = [](const auto &) { return 1000; };
+  playTurns(learning, farOff);
+  DispatchPolicies trusting;
+  trusting.LearnRunTimes = false;
+  Fleet believing(4, trusting);
+  believing.RunMs = [](const auto &) { return 1000; };
+  playTurns(believing, farOff);
+  CHECK(inTime(learning) > inTime(believing) + 10);
+}
+
+TEST_CASE("overload: the door refuses at once what would be late") {
+  const auto play = [](Fleet &fleet) {
+    for (int i = 0; i < 100; ++i) {
+      fleet.submit(jobId(i), oneStep(6, 10, 1000));
+      fleet.advance(45);
+    }
+    fleet.advance(30000);
+  };
+  Fleet guarded(4);
+  play(guarded);
+  DispatchPolicies open;
+  open.Door = [](const policy::DoorInput &) { return policy::DoorVerdict(); };
+  Fleet flooded(4, open);
+  play(flooded);
+  CHECK(guarded.Refused > 0);
+  // Nearly all that was let in is in time; without the door most is late.
+  CHECK(inTime(guarded) * 10 >= guarded.Accepted * 9);
+  CHECK(inTime(flooded) * 10 < flooded.Accepted * 4);
+  CHECK(inTime(guarded) * 10 >= inTime(flooded) * 8);
+  CHECK(flooded.Broken.empty());
+}
--- /dev/null
+++ b/src/almondgate/dispatch/test_fleet.hpp
@@ -0,0 +1,101 @@
+#ifndef ALMONDGATE_SRC_DISPATCH_TEST_FLEET_HPP
+#define ALMONDGATE_SRC_DISPATCH_TEST_FLEET_HPP
+
+#include "almondgate/dispatch/dispatcher.hpp"
+
+#include "test_endpoint.hpp"
+
+#include <memory>
+#include <random>
+
+namespace almondgate::dispatch {
+
+/// A dispatcher with a ledger, endpoints and a VM service in virtual time.
+/// Watches what every endpoint does and notes each broken promise.
+class TestFleet {
+public:
+  explicit TestFleet(DispatchPolicies policies = {});
+
+  // --- the world
+
+  /// Adds a VM with an endpoint, or a switched-off one in a spare pool.
+  core::VmId addVm(const std::string &pool, const std::string &rack = "r1");
+  TestEndpoint &endpointOf(const core::VmId &vm);
+  /// The VM's endpoint starts anew; what it ran is gone.
+  void restart(const core::VmId &vm);
+  void advance(int64_t ms);
+  int64_t now() const { return Now; }
+
+  // --- leadership
+
+  void lead();
+  void stopLeading();
+
+  // --- callers and operators
+
+  void configure(const std::function<void(jobs::FleetConfig &)> &edit);
+  jobs::JobReply submit(const std::string &id, const jobs::JobSpec &spec,
+                        const std::string &queue = "q");
+  jobs::JobState stateOf(const std::string &id);
+  jobs::JobReply cancel(const std::string &id);
+  void startWave(int64_t number, const std::vector<core::VmId> &vms,
+                 int64_t upper_limit, int64_t duration_ms);
+  void drain(const core::VmId &vm);
+
+  const jobs::Ledger &ledger() const { return Ledger; }
+  Dispatcher &dispatcher() { return *Core; }
+
+  /// Promises that were broken, in words.
+  std::vector<std::string> Broken;
+  /// VMs down for their upkeep now and at most, and upkeeps in all.
+  int64_t Down = 0;
+  int64_t MostDown = 0;
+  std::map<core::VmId, int64_t> Upkeeps;
+  int64_t Moves = 0;
+  int64_t Accepted = 0;
+  int64_t Refused = 0;
+  /// Time from acceptance to completion, by job.
+  std::map<std::string, int64_t> TookMs;
+  /// How long a task runs; by default its estimate.
+  std::function<int64_t(const jobs::StepSpec &)> RunMs;
+  /// Whether a run fails.
+  std::function<bool(const jobs::TaskRef &)> Fails;
+  /// The VM service does not answer.
+  bool VmServiceSilent = false;
+
+private:
+  DispatcherHooks hooks();
+  void at(int64_t time, std::function<void()> fn);
+  void onStart(const jobs::EndpointId &id, const StartOrder &order,
+               const std::function<void(OrderReply)> &done);
+  OrderReply carryOut(TestEndpoint &endpoint, const StartOrder &order);
+  void checkStart(const TestEndpoint &endpoint, const StartOrder &order,
+                  const jobs::StepSpec &step);
+  void onOrderVm(const VmOrder &order, const std::function<void(VmOrderResult)> &);
+  void bringUp(const core::VmId &vm, const core::PoolId &pool);
+  void step();
+  void answerLooks(TestEndpoint &endpoint);
+  void heartbeats();
+  void checkLimits();
+
+  DispatchPolicies Policies;
+  jobs::Ledger Ledger;
+  std::unique_ptr<Dispatcher> Core;
+  int64_t Now = 1000000;
+  std::multimap<int64_t, std::function<void()>> Calendar;
+  std::map<jobs::EndpointId, TestEndpoint> Endpoints;
+  std::map<core::VmId, VmListing> Vms;
+  std::map<core::VmId, std::string> Racks;
+  std::map<core::VmId, std::set<int64_t>> UpkeepDone;
+  std::map<std::string, int64_t> AcceptedAt;
+  int64_t Lives = 0;
+  int64_t Sequence = 0;
+  uint64_t Leadership = 0;
+};
+
+/// A step of `count` tasks of `cores` cores that run `ms`.
+jobs::StepSpec testStep(int64_t count, int64_t cores, int64_t ms);
+
+} // namespace almondgate::dispatch
+
+#endif
--- /dev/null
+++ b/src/almondgate/dispatch/test_fleet_test.cpp
@@ -0,0 +1,484 @@
+#include "test_fleet.hpp"
+
+#include <algorithm>
+
+namespace almondgate::dispatch {
+
+using jobs::EndpointId;
+using jobs::TaskRef;
+
+namespace {
+
+constexpr int64_t LatencyMs = 1;
+constexpr int64_t CommitMs = 5;
+constexpr int64_t HeartbeatMs = 1500;
+constexpr int64_t TickMs = 50;
+constexpr int64_t TimeoutMs = 500;
+constexpr int64_t CoresOfVm = 64;
+constexpr int64_t Thousand = 1000;
+constexpr int64_t MoveMs = 1500;
+constexpr int64_t UpkeepMs = 2000;
+
+std::string nameOf(const TaskRef &task) {
+  return task.Job.str() + "." + std::to_string(task.Occurrence) + "." +
+         std::to_string(task.Step) + "." + std::to_string(task.Index);
+}
+
+} // namespace
+
+jobs::StepSpec testStep(int64_t count, int64_t cores, int64_t ms) {
+  jobs::StepSpec step;
+  step.Count = count;
+  step.Need.MilliCpus = cores * Thousand;
+  step.Need.MemoryMb = 1;
+  step.EstimateMs = ms;
+  return step;
+}
+
+void TestEndpoint::end(const TaskRef &task, RunEnd how) {
+  const auto it = Runs.find(task);
+  if (it == Runs.end())
+    return;
+  Ended.push_back({++EndCount, task, it->second.Run, how, ""});
+  Closed[task] = std::max(Closed[task], it->second.Run);
+  Runs.erase(it);
+}
+
+RunInventory TestEndpoint::inventory(int64_t now, int64_t last_seen) const {
+  RunInventory out;
+  out.ClockMs = clock(now);
+  out.BornMs = Facts.BornMs;
+  for (const auto &[task, run] : Runs)
+    out.Running.push_back({task, run.Run, "", 100, 0});
+  for (const auto &end : Ended)
+    if (end.Number > last_seen)
+      out.Ended.push_back(end);
+  return out;
+}
+
+TestFleet::TestFleet(DispatchPolicies policies)
+    : RunMs([](const jobs::StepSpec &step) { return step.EstimateMs; }),
+      Fails([](const TaskRef &) { return false; }),
+      Policies(std::move(policies)) {
+  configure([](jobs::FleetConfig &config) {
+    config.Pools = {{core::PoolId("p")}, {core::PoolId("spare"), false, true}};
+    config.Teams = {{core::TeamId("t"), {"key"}, 1, {}}};
+    jobs::QueueSpec queue;
+    queue.Id = core::QueueId("q");
+    queue.Host = "h";
+    queue.PathPrefix = "/q/";
+    queue.Pool = core::PoolId("p");
+    queue.MaxAttempts = 2;
+    queue.Stretch = 2;
+    queue.TargetMs = 600;
+    config.Queues = {queue};
+  });
+}
+
+void TestFleet::configure(
+    const std::function<void(jobs::FleetConfig &)> &edit) {
+  jobs::FleetConfig config = Ledger.Config;
+  ++config.Version;
+  edit(config);
+  jobs::apply(Ledger, jobs::ConfigGiven{config});
+}
+
+void TestFleet::at(int64_t time, std::function<void()> fn) {
+  Calendar.emplace(time, std::move(fn));
+}
+
+// --- VMs
+
+core::VmId TestFleet::addVm(const std::string &pool, const std::string &rack) {
+  const core::VmId vm("m" + std::to_string(Vms.size()));
+  Racks[vm] = rack;
+  Vms[vm] = {vm, core::PoolId(pool), VmState::Up, core::RackId(rack), {}};
+  const auto *spec = jobs::findPool(Ledger.Config, core::PoolId(pool));
+  if (!spec || !spec->Spare)
+    bringUp(vm, core::PoolId(pool));
+  return vm;
+}
+
+void TestFleet::bringUp(const core::VmId &vm, const core::PoolId &pool) {
+  auto &listing = Vms.at(vm);
+  listing.Pool = pool;
+  listing.State = VmState::Up;
+  const auto *spec = jobs::findPool(Ledger.Config, pool);
+  if (spec && spec->Spare)
+    return;
+  TestEndpoint endpoint;
+  auto &facts = endpoint.Facts;
+  facts.Id = EndpointId("e" + std::to_string(++Lives));
+  facts.BornMs = Now;
+  facts.Vm = vm;
+  facts.Pool = pool;
+  facts.At = {"10.0.0.1", uint16_t(1000 + Lives)};
+  facts.Rack = core::RackId(Racks[vm]);
+  facts.Labels = {"kind", Racks[vm]};
+  facts.Capacity = {0, CoresOfVm * Thousand, 1 << 20, 0};
+  endpoint.ClockOffset = -Now + 5000;
+  listing.Endpoint = facts.Id;
+  Endpoints[facts.Id] = endpoint;
+  if (Core)
+    Core->heartbeat(facts, ++Sequence, [](const core::Status &) {});
+}
+
+TestEndpoint &TestFleet::endpointOf(const core::VmId &vm) {
+  return Endpoints.at(Vms.at(vm).Endpoint);
+}
+
+void TestFleet::restart(const core::VmId &vm) {
+  Endpoints.erase(Vms.at(vm).Endpoint);
+  bringUp(vm, Vms.at(vm).Pool);
+}
+
+void TestFleet::drain(const core::VmId &vm) {
+  endpointOf(vm).Facts.Draining = true;
+  Core->heartbeat(endpointOf(vm).Facts, ++Sequence, [](const core::Status &) {});
+}
+
+// --- time
+
+void TestFleet::advance(int64_t ms) {
+  const int64_t until = Now + ms;
+  while (Now < until) {
+    ++Now;
+    step();
+  }
+}
+
+void TestFleet::step() {
+  while (!Calendar.empty() && Calendar.begin()->first <= Now) {
+    const auto fn = Calendar.begin()->second;
+    Calendar.erase(Calendar.begin());
+    fn();
+  }
+  for (auto &[id, endpoint] : Endpoints) {
+    std::vector<std::pair<TaskRef, RunEnd>> ends;
+    for (const auto &[task, run] : endpoint.Runs) {
+      if (endpoint.clock(Now) >= endpoint.Deadline)
+        ends.emplace_back(task, RunEnd::Lapsed);
+      else if (Now >= run.EndsAt)
+        ends.emplace_back(task, run.Fails ? RunEnd::Failed : RunEnd::Done);
+    }
+    for (const auto &[task, how] : ends)
+      endpoint.end(task, how);
+    answerLooks(endpoint);
+  }
+  if (!Core)
+    return;
+  if (Now % TickMs == 0)
+    Core->tick();
+  if (Now % HeartbeatMs == 0)
+    heartbeats();
+  for (const auto &[id, accepted] : AcceptedAt) {
+    const auto *job = jobs::findJob(Ledger, jobs::JobId(id));
+    if (job && job->Remaining == 0)
+      TookMs.try_emplace(id, Now - accepted);
+  }
+}
+
+void TestFleet::answerLooks(TestEndpoint &endpoint) {
+  std::vector<TestEndpoint::Look> later;
+  for (auto &look : std::exchange(endpoint.Looks, {})) {
+    const auto found = endpoint.inventory(Now, look.Request.LastSeen);
+    if (found.Ended.empty() && Now < look.Until) {
+      later.push_back(look);
+      continue;
+    }
+    const RenewReply reply{OrderResult::Accepted, found};
+    at(Now + LatencyMs, [done = look.Done, reply] { done(reply); });
+  }
+  endpoint.Looks = std::move(later);
+}
+
+void TestFleet::heartbeats() {
+  for (const auto &[id, endpoint] : Endpoints)
+    if (!endpoint.Cut)
+      Core->heartbeat(endpoint.Facts, ++Sequence, [](const core::Status &) {});
+}
+
+// --- leadership
+
+void TestFleet::lead() {
+  stopLeading();
+  jobs::apply(Ledger, jobs::EpochBegun{"test"});
+  ++Leadership;
+  Core = std::make_unique<Dispatcher>(DispatcherOptions{}, hooks(), Ledger);
+  Core->begin(Ledger.Epoch);
+  heartbeats();
+}
+
+void TestFleet::stopLeading() {
+  if (Core)
+    Core->end();
+  Core.reset();
+  ++Leadership;
+}
+
+DispatcherHooks TestFleet::hooks() {
+  DispatcherHooks hooks;
+  hooks.Policies = Policies;
+  hooks.Now = [this] { return core::TimeMs{Now}; };
+  hooks.WallClock = [this] { return Now; };
+  hooks.MayAct = [] { return true; };
+  // Nothing reaches a dispatcher that has ended.
+  const auto guard = [this, mine = Leadership](std::function<void()> fn) {
+    return [this, mine, fn = std::move(fn)] {
+      if (mine == Leadership)
+        fn();
+    };
+  };
+  hooks.Defer = [this, guard](std::function<void()> fn) {
+    at(Now, guard(std::move(fn)));
+  };
+  hooks.Record = [this, guard](std::vector<jobs::Event> events, auto done) {
+    at(Now + CommitMs, guard([this, events = std::move(events), done] {
+      for (const auto &event : events) {
+        jobs::apply(Ledger, event);
+        Core->applied(event);
+      }
+      done(true);
+    }));
+  };
+  hooks.Start = [this, guard](const auto &to, const auto &order, auto done) {
+    onStart(to.Id, order, [this, guard, done](const OrderReply &reply) {
+      guard([done, reply] { done(reply); })();
+    });
+  };
+  hooks.Stop = [this, guard](const auto &to, const auto &order, auto done) {
+    const auto it = Endpoints.find(to.Id);
+    if (it == Endpoints.end() || it->second.Cut) {
+      at(Now + TimeoutMs, guard([done] { done(OrderReply{}); }));
+      return;
+    }
+    TestEndpoint &endpoint = it->second;
+    const auto run = endpoint.Runs.find(order.Task);
+    if (run != endpoint.Runs.end() && run->second.Run <= order.Run)
+      endpoint.end(order.Task, RunEnd::Stopped);
+    endpoint.Closed[order.Task] =
+        std::max(endpoint.Closed[order.Task], order.Run);
+    at(Now + LatencyMs, guard([done, clock = endpoint.clock(Now)] {
+         done(OrderReply{OrderResult::Accepted, clock});
+       }));
+  };
+  hooks.Renew = [this, guard](const auto &to, const auto &request, auto done) {
+    const auto answer = [guard, done](const RenewReply &reply) {
+      guard([done, reply] { done(reply); })();
+    };
+    const auto it = Endpoints.find(to.Id);
+    if (it == Endpoints.end() || it->second.Cut) {
+      at(Now + request.WaitMs + TimeoutMs, [answer] { answer(RenewReply{}); });
+      return;
+    }
+    TestEndpoint &endpoint = it->second;
+    endpoint.Epoch = std::max(endpoint.Epoch, request.Epoch);
+    endpoint.Deadline = std::max(endpoint.Deadline, request.DeadlineMs);
+    std::erase_if(endpoint.Ended, [&](const EndReport &end) {
+      return end.Number <= request.LastSeen;
+    });
+    endpoint.Looks.push_back({request, Now + request.WaitMs, answer});
+    answerLooks(endpoint);
+  };
+  hooks.ListVms = [this, guard](auto done) {
+    std::vector<VmListing> list;
+    for (const auto &[id, vm] : Vms)
+      list.push_back(vm);
+    at(Now + LatencyMs, guard([done, list] {
+         done(core::Result<std::vector<VmListing>>(list));
+       }));
+  };
+  hooks.OrderVm = [this, guard](const auto &order, auto done) {
+    onOrderVm(order, [guard, done](VmOrderResult result) {
+      guard([done, result] { done(result); })();
+    });
+  };
+  hooks.Log = [](const std::string &) {};
+  return hooks;
+}
+
+// --- orders
+
+void TestFleet::onStart(const EndpointId &id, const StartOrder &order,
+                        const std::function<void(OrderReply)> &done) {
+  const auto it = Endpoints.find(id);
+  if (it == Endpoints.end() || it->second.Cut) {
+    at(Now + TimeoutMs, [done] { done(OrderReply{}); });
+    return;
+  }
+  if (it->second.LateStarts > 0) {
+    --it->second.LateStarts;
+    at(Now + it->second.LateByMs, [this, id, order] {
+      const auto late = Endpoints.find(id);
+      if (late != Endpoints.end())
+        carryOut(late->second, order);
+    });
+    at(Now + TimeoutMs, [done] { done(OrderReply{}); });
+    return;
+  }
+  const OrderReply reply = carryOut(it->second, order);
+  at(Now + LatencyMs, [done, reply] { done(reply); });
+}
+
+OrderReply TestFleet::carryOut(TestEndpoint &endpoint,
+                               const StartOrder &order) {
+  const int64_t clock = endpoint.clock(Now);
+  if (order.Epoch < endpoint.Epoch)
+    return {OrderResult::Fenced, clock};
+  endpoint.Epoch = order.Epoch;
+  if (order.DeadlineMs <= clock)
+    return {OrderResult::Late, clock};
+  endpoint.Deadline = std::max(endpoint.Deadline, order.DeadlineMs);
+  const auto run = endpoint.Runs.find(order.Task);
+  if (run != endpoint.Runs.end() && run->second.Run == order.Run)
+    return {OrderResult::Accepted, clock};
+  if (order.Run <= endpoint.Closed[order.Task])
+    return {OrderResult::Outdated, clock};
+  const auto *job = jobs::findJob(Ledger, order.Task.Job);
+  const auto &step = job->Spec->Steps[order.Task.Step];
+  checkStart(endpoint, order, step);
+  const int64_t lasts =
+      step.LongRunning ? int64_t{1} << 40 : std::max<int64_t>(RunMs(step), 1);
+  endpoint.Runs[order.Task] = {order.Run, Now + lasts, step.Need,
+                               Fails(order.Task)};
+  ++endpoint.Starts;
+  return {OrderResult::Accepted, clock};
+}
+
+void TestFleet::checkStart(const TestEndpoint &endpoint,
+                           const StartOrder &order,
+                           const jobs::StepSpec &step) {
+  core::Size used = step.Need;
+  for (const auto &[task, run] : endpoint.Runs)
+    used = used + run.Need;
+  if (!core::fits(used, endpoint.Facts.Capacity))
+    Broken.push_back("over capacity: " + nameOf(order.Task));
+  for (const auto &[id, other] : Endpoints)
+    if (other.Runs.contains(order.Task))
+      Broken.push_back("twice at a time: " + nameOf(order.Task));
+  const auto *job = jobs::findJob(Ledger, order.Task.Job);
+  if (job->Tasks[*jobs::indexOf(*job->Spec, order.Task)].Done)
+    Broken.push_back("after its end: " + nameOf(order.Task));
+  if (!jobs::isStepReady(*job, order.Task.Occurrence, order.Task.Step))
+    Broken.push_back("out of order: " + nameOf(order.Task));
+  if (job->Cancelled || job->Failed)
+    Broken.push_back("unasked: " + nameOf(order.Task));
+  if (endpoint.Facts.Draining)
+    Broken.push_back("on a draining endpoint: " + nameOf(order.Task));
+}
+
+void TestFleet::onOrderVm(const VmOrder &order,
+                          const std::function<void(VmOrderResult)> &done) {
+  if (VmServiceSilent) {
+    at(Now + TimeoutMs, [done] { done(VmOrderResult::NoAnswer); });
+    return;
+  }
+  auto &vm = Vms.at(order.Vm);
+  const bool upkeep = order.To.empty();
+  const auto tell = [&](VmOrderResult result) {
+    at(Now + LatencyMs, [done, result] { done(result); });
+  };
+  if (upkeep && UpkeepDone[order.Vm].contains(order.Wave))
+    return tell(VmOrderResult::Accepted);
+  if (vm.State != VmState::Up)
+    return tell(VmOrderResult::Busy);
+  if (!vm.Endpoint.empty())
+    for (const auto &[task, run] : Endpoints.at(vm.Endpoint).Runs) {
+      const auto *job = jobs::findJob(Ledger, task.Job);
+      const auto &step = job->Spec->Steps[task.Step];
+      int64_t away = 0;
+      for (int64_t i = 0; i < step.Count; ++i) {
+        const TaskRef other{task.Job, task.Occurrence, task.Step, i};
+        const bool at_work = std::any_of(
+            Endpoints.begin(), Endpoints.end(), [&](const auto &row) {
+              return row.first != vm.Endpoint && row.second.Runs.contains(other);
+            });
+        away += at_work || other == task ? 0 : 1;
+      }
+      if (step.HasMayMiss && !job->Cancelled && away >= step.MayMiss)
+        Broken.push_back("availability: " + nameOf(task));
+    }
+  Endpoints.erase(vm.Endpoint);
+  vm.Endpoint = {};
+  vm.State = upkeep ? VmState::Upkeep : VmState::Moving;
+  if (upkeep) {
+    UpkeepDone[order.Vm].insert(order.Wave);
+    ++Upkeeps[order.Vm];
+    MostDown = std::max(MostDown, ++Down);
+  } else {
+    ++Moves;
+  }
+  const auto pool = upkeep ? vm.Pool : order.To;
+  vm.Pool = pool;
+  at(Now + (upkeep ? UpkeepMs : MoveMs), [this, id = order.Vm, pool, upkeep] {
+    Down -= upkeep ? 1 : 0;
+    bringUp(id, pool);
+  });
+  tell(VmOrderResult::Accepted);
+}
+
+// --- callers
+
+jobs::JobReply TestFleet::submit(const std::string &id,
+                                 const jobs::JobSpec &spec,
+                                 const std::string &queue) {
+  jobs::JobCall call;
+  call.Verb = jobs::JobVerb::Submit;
+  call.Host = "h";
+  call.Path = "/" + queue + "/" + id;
+  call.Key = "key";
+  call.Spec = spec;
+  jobs::JobReply out;
+  bool told = false;
+  Core->call(call, [&](const core::Result<jobs::JobReply> &reply) {
+    told = true;
+    out = reply.value();
+  });
+  for (int i = 0; i < 50 && !told; ++i)
+    advance(1);
+  const bool done = told && out.Outcome == jobs::JobOutcome::Done;
+  if (done)
+    AcceptedAt.try_emplace(id, Now);
+  ++(done ? Accepted : Refused);
+  return out;
+}
+
+jobs::JobState TestFleet::stateOf(const std::string &id) {
+  jobs::JobCall call;
+  call.Host = "h";
+  call.Path = "/q/" + id;
+  call.Key = "key";
+  jobs::JobReply out;
+  Core->call(call, [&](const core::Result<jobs::JobReply> &reply) {
+    out = reply.value();
+  });
+  return out.State;
+}
+
+jobs::JobReply TestFleet::cancel(const std::string &id) {
+  jobs::JobCall call;
+  call.Verb = jobs::JobVerb::Cancel;
+  call.Host = "h";
+  call.Path = "/q/" + id;
+  call.Key = "key";
+  jobs::JobReply out;
+  Core->call(call, [&](const core::Result<jobs::JobReply> &reply) {
+    out = reply.value();
+  });
+  advance(CommitMs * 3);
+  return out;
+}
+
+void TestFleet::startWave(int64_t number, const std::vector<core::VmId> &vms,
+                          int64_t upper_limit, int64_t duration_ms) {
+  jobs::WaveRecord wave;
+  wave.Number = number;
+  wave.Vms = vms;
+  wave.UpperLimit = upper_limit;
+  wave.DurationMs = duration_ms;
+  wave.StartedWallMs = Now;
+  Core->startWave(wave, [](const core::Status &) {});
+  advance(CommitMs * 3);
+}
+
+} // namespace almondgate::dispatch
--- a/src/almondgate/dispatch/vm_mover.cpp
+++ b/src/almondgate/dispatch/vm_mover.cpp
@@ -21,8 +21,10 @@
 
 } // namespace
 
-VmMover::VmMover(DispatcherOptions options, UpkeepHooks hooks, VmList &list)
-    : Options(std::move(options)), Hooks(std::move(hooks)), List(list) {}
+VmMover::VmMover(DispatcherOptions options, UpkeepHooks hooks, VmList &list,
+                 PlanMoves plan)
+    : Options(std::move(options)), Hooks(std::move(hooks)), List(list),
+      Plan(std::move(plan)) {}
 
 void VmMover::begin(uint64_t epoch) {
   end();
@@ -97,7 +99,7 @@
     balance.Movable = int64_t(movable[pool].size());
     pools.push_back(balance);
   }
-  for (const auto &wish : policy::planMoves(pools, {})) {
+  for (const auto &wish : Plan(pools, {})) {
     auto &from = movable[wish.From];
     if (from.empty() || Refused.contains({wish.From, wish.To}))
       continue;
--- /dev/null
+++ b/src/almondgate/jobs/ledger_test.cpp
@@ -0,0 +1,156 @@
+#include "almondgate/jobs/ledger.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace almondgate;
+using namespace almondgate::jobs;
+
+namespace {
+
+const JobId Job("00000000000000aa");
+
+Ledger withJob(const JobSpec &spec, int64_t attempts = 2) {
+  Ledger ledger;
+  FleetConfig config;
+  config.Version = 1;
+  config.Pools = {{core::PoolId("p")}};
+  QueueSpec queue;
+  queue.Id = core::QueueId("q");
+  queue.Pool = core::PoolId("p");
+  queue.MaxAttempts = attempts;
+  config.Queues = {queue};
+  apply(ledger, ConfigGiven{config});
+  apply(ledger, JobAccepted{Job, queue.Id, core::TeamId("t"), spec, 10, 1});
+  return ledger;
+}
+
+JobSpec steps(std::vector<int64_t> counts) {
+  JobSpec spec;
+  for (const int64_t n : counts) {
+    StepSpec step;
+    step.Count = n;
+    spec.Steps.push_back(step);
+  }
+  return spec;
+}
+
+TaskEnded ended(uint64_t task, int64_t run, bool done) {
+  return {Job, task, run, done, 99};
+}
+
+} // namespace
+
+TEST_CASE("a task's place and its name are each other's reverse") {
+  JobSpec spec = steps({2, 3});
+  spec.Repetitions = 3;
+  for (size_t at = 0; at < 15; ++at)
+    CHECK(indexOf(spec, taskAt(Job, spec, at)) == at);
+  CHECK_FALSE(indexOf(spec, {Job, 3, 0, 0}).has_value());
+  CHECK_FALSE(indexOf(spec, {Job, 0, 2, 0}).has_value());
+  CHECK_FALSE(indexOf(spec, {Job, 0, 1, 3}).has_value());
+}
+
+TEST_CASE("a job is over when all its tasks are done") {
+  Ledger ledger = withJob(steps({2}));
+  apply(ledger, ended(0, 1, true));
+  apply(ledger, ended(0, 1, true));
+  CHECK(ledger.Jobs.at(Job).isOpen());
+  apply(ledger, ended(1, 1, true));
+  CHECK_FALSE(ledger.Jobs.at(Job).isOpen());
+  CHECK(ledger.Jobs.at(Job).EndedWallMs == 99);
+}
+
+TEST_CASE("the same failed end counts once, and the attempts are bounded") {
+  Ledger ledger = withJob(steps({2}));
+  apply(ledger, ended(0, 1, false));
+  apply(ledger, ended(0, 1, false));
+  CHECK_FALSE(ledger.Jobs.at(Job).Failed);
+  apply(ledger, ended(0, 2, false));
+  CHECK(ledger.Jobs.at(Job).Failed);
+}
+
+TEST_CASE("one end of a gang speaks for all its members") {
+  JobSpec spec = steps({3});
+  spec.Steps[0].Gang = true;
+  Ledger ledger = withJob(spec);
+  apply(ledger, ended(1, 1, false));
+  CHECK(ledger.Jobs.at(Job).Tasks[0].Failures == 1);
+  apply(ledger, ended(2, 2, true));
+  CHECK(ledger.Jobs.at(Job).Remaining == 0);
+}
+
+TEST_CASE("a cancelled job stays cancelled, and an ended one is not cancelled") {
+  Ledger ledger = withJob(steps({1}));
+  apply(ledger, JobCancelled{Job, 20});
+  apply(ledger, ended(0, 1, true));
+  CHECK(ledger.Jobs.at(Job).Cancelled);
+  CHECK(ledger.Jobs.at(Job).Remaining == 1);
+  Ledger other = withJob(steps({1}));
+  apply(other, ended(0, 1, true));
+  apply(other, JobCancelled{Job, 120});
+  CHECK_FALSE(other.Jobs.at(Job).Cancelled);
+}
+
+TEST_CASE("only a higher configuration takes effect") {
+  Ledger ledger = withJob(steps({1}));
+  FleetConfig same = ledger.Config;
+  same.Queues.clear();
+  apply(ledger, ConfigGiven{same});
+  CHECK(ledger.Config.Queues.size() == 1);
+  same.Version = 2;
+  apply(ledger, ConfigGiven{same});
+  CHECK(ledger.Config.Queues.empty());
+}
+
+TEST_CASE("a life that is gone does not come back, a later one does") {
+  Ledger ledger;
+  EndpointFacts facts;
+  facts.Id = EndpointId("e");
+  facts.BornMs = 5;
+  apply(ledger, EndpointRegistered{facts});
+  apply(ledger, EndpointGone{facts.Id, 5});
+  apply(ledger, EndpointRegistered{facts});
+  CHECK(ledger.Endpoints.empty());
+  facts.BornMs = 6;
+  apply(ledger, EndpointRegistered{facts});
+  CHECK(ledger.Endpoints.size() == 1);
+  apply(ledger, EndpointGone{facts.Id, 5});
+  CHECK(ledger.Endpoints.size() == 1);
+}
+
+TEST_CASE("configurations that can't be in force are refused") {
+  FleetConfig good;
+  good.Pools = {{core::PoolId("p")}};
+  QueueSpec queue;
+  queue.Id = core::QueueId("q");
+  queue.Host = "h";
+  queue.PathPrefix = "/a/";
+  queue.Pool = core::PoolId("p");
+  good.Queues = {queue};
+  good.Teams = {{core::TeamId("t"), {"k"}, 1, {}}};
+  CHECK(bool(checkConfig(good)));
+  FleetConfig bad = good;
+  bad.Queues[0].Pool = core::PoolId("none");
+  CHECK_FALSE(bool(checkConfig(bad)));
+  bad = good;
+  bad.Queues.push_back(queue);
+  CHECK_FALSE(bool(checkConfig(bad)));
+  bad = good;
+  bad.Teams.push_back({core::TeamId("u"), {"k"}, 1, {}});
+  CHECK_FALSE(bool(checkConfig(bad)));
+}
+
+TEST_CASE("the longest prefix names the queue") {
+  FleetConfig config;
+  for (const char *prefix : {"/a/", "/a/b/"}) {
+    QueueSpec queue;
+    queue.Id = core::QueueId(prefix);
+    queue.Host = "h";
+    queue.PathPrefix = prefix;
+    config.Queues.push_back(queue);
+  }
+  CHECK(queueAt(config, "h", "/a/b/1")->Id.str() == "/a/b/");
+  CHECK(queueAt(config, "h", "/a/1")->Id.str() == "/a/");
+  CHECK(queueAt(config, "h", "/c/1") == nullptr);
+  CHECK(queueAt(config, "x", "/a/1") == nullptr);
+}
--- a/src/almondgate/policy/duration_model.cpp
+++ b/src/almondgate/policy/duration_model.cpp
@@ -44,7 +44,7 @@
   const double x = logOf(estimate_ms);
   const double mean_estimate = Estimates > 0 ? EstimateSum / Estimates : x;
   if (Seen < 1)
-    return int64_t(
+    return std::llround(
         std::exp(mean_estimate + PriorSlope * (x - mean_estimate)));
   const double mean_x = SumX / Seen;
   const double mean_y = SumY / Seen;
@@ -56,7 +56,7 @@
       (mean_y * Seen + mean_estimate * PriorRuns) / (Seen + PriorRuns);
   // The mean lies above the logarithmic mean.
   const double lift = std::max(1.0, SumRan / Seen / std::exp(mean_y));
-  return int64_t(lift * std::exp(centre + slope * (x - mean_x)));
+  return std::llround(lift * std::exp(centre + slope * (x - mean_x)));
 }
 
 } // namespace almondgate::policy
--- /dev/null
+++ b/src/almondgate/policy/job_policy_test.cpp
@@ -0,0 +1,165 @@
+#include "almondgate/policy/duration_model.hpp"
+#include "almondgate/policy/job_door.hpp"
+#include "almondgate/policy/job_timing.hpp"
+#include "almondgate/policy/task_placement.hpp"
+#include "almondgate/policy/vm_balance.hpp"
+
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace almondgate;
+using namespace almondgate::policy;
+
+TEST_CASE("estimates that say nothing are drawn to the mean") {
+  DurationModel model;
+  for (int i = 0; i < 100; ++i)
+    for (const int64_t estimate : {100, 1000, 10000})
+      model.observe(estimate, 1000);
+  CHECK(model.expect(100) > 600);
+  CHECK(model.expect(10000) < 1700);
+}
+
+TEST_CASE("estimates that are right are trusted once that was seen") {
+  DurationModel model;
+  for (int i = 0; i < 100; ++i)
+    for (const int64_t estimate : {100, 1000, 10000})
+      model.observe(estimate, estimate);
+  CHECK(model.expect(10000) > 4 * model.expect(1000));
+}
+
+TEST_CASE("before any run the estimates' mean is the guess") {
+  DurationModel model;
+  model.noteEstimate(1000);
+  CHECK(model.expect(1000) == 1000);
+  CHECK(model.expect(10) > 100);
+}
+
+TEST_CASE("malformed jobs are refused") {
+  jobs::JobSpec spec;
+  CHECK_FALSE(bool(checkJob(spec)));
+  spec.Steps.resize(2);
+  CHECK(bool(checkJob(spec)));
+  const auto bad = [&](auto edit) {
+    jobs::JobSpec other = spec;
+    edit(other);
+    return !checkJob(other);
+  };
+  CHECK(bad([](auto &s) { s.Steps[0].Count = 0; }));
+  CHECK(bad([](auto &s) { s.Steps[0].Count = MaxTasksOfJob + 1; }));
+  CHECK(bad([](auto &s) { s.Steps[0].After = {0}; }));
+  CHECK(bad([](auto &s) { s.Steps[1].After = {2}; }));
+  CHECK(bad([](auto &s) { s.Steps[1].After = {-1}; }));
+  CHECK(bad([](auto &s) { s.Steps[1].Need.MilliCpus = -1; }));
+  CHECK(bad([](auto &s) { s.Repetitions = -1; }));
+  CHECK(bad([](auto &s) {
+    s.Repetitions = MaxTasksOfJob;
+    s.Steps[0].Count = 2;
+  }));
+}
+
+TEST_CASE("the longest chain is that of the slowest steps in a row") {
+  jobs::JobSpec spec;
+  spec.Steps.resize(3);
+  spec.Steps[0].EstimateMs = 100;
+  spec.Steps[1].EstimateMs = 500;
+  spec.Steps[2].EstimateMs = 50;
+  spec.Steps[2].After = {0, 1};
+  const auto expect = [](const jobs::StepSpec &s) { return s.EstimateMs; };
+  CHECK(longestChainMs(spec, expect) == 550);
+  CHECK(chainFromMs(spec, 0, expect) == 150);
+  CHECK(chainFromMs(spec, 2, expect) == 50);
+}
+
+TEST_CASE("the door looks at the wait, and at VMs on their way") {
+  DoorInput input;
+  input.CapacityMilliCpus = 1000;
+  input.SlackMs = 1000;
+  input.Backlog = 500 * 1000;
+  CHECK(judgeAtDoor(input).Accept);
+  input.Backlog = 5000 * 1000;
+  const auto refused = judgeAtDoor(input);
+  CHECK_FALSE(refused.Accept);
+  CHECK(refused.RetryAfterMs > 0);
+  input.IncomingMilliCpus = 100000;
+  input.IncomingInMs = 500;
+  CHECK(judgeAtDoor(input).Accept);
+  input.IncomingMilliCpus = 0;
+  input.LongRunning = true;
+  CHECK(judgeAtDoor(input).Accept);
+}
+
+TEST_CASE("short tasks are packed, long-running ones are spread") {
+  PlacementOption empty;
+  empty.Capacity = {0, 64000, 1000, 0};
+  empty.Free = empty.Capacity;
+  PlacementOption half = empty;
+  half.Free.MilliCpus = 32000;
+  half.SameStep = 1;
+  const std::vector<PlacementOption> options = {empty, half};
+  CHECK(choosePlace(options, {{0, 8000, 1, 0}, false, false}) == 1);
+  CHECK(choosePlace(options, {{0, 8000, 1, 0}, true, false}) == 0);
+  CHECK(choosePlace(options, {{0, 40000, 1, 0}, false, false}) == 0);
+  CHECK_FALSE(choosePlace(options, {{0, 65000, 1, 0}, false, false}));
+}
+
+TEST_CASE("an endpoint that fails everything is the last choice") {
+  PlacementOption good;
+  good.Capacity = good.Free = {0, 64000, 1000, 0};
+  PlacementOption bad = good;
+  bad.Free.MilliCpus = 10000;
+  bad.FailuresInRow = 5;
+  CHECK(choosePlace({bad, good}, {{0, 1000, 1, 0}, false, false}) == 1);
+}
+
+namespace {
+
+PoolBalance pool(const char *name, int64_t vms, int64_t wanted) {
+  PoolBalance out;
+  out.Pool = core::PoolId(name);
+  out.PerVm = 64000;
+  out.Vms = vms;
+  out.Usable = vms * 64000;
+  out.Movable = vms;
+  out.Wanted = wanted;
+  out.FewestVms = 1;
+  out.Seen = true;
+  return out;
+}
+
+PoolBalance spare(int64_t vms) {
+  PoolBalance out = pool("spare", vms, 0);
+  out.Spare = true;
+  return out;
+}
+
+int64_t movesTo(const std::vector<MoveWish> &wishes, const char *name) {
+  return std::count_if(wishes.begin(), wishes.end(), [&](const auto &wish) {
+    return wish.To == core::PoolId(name);
+  });
+}
+
+} // namespace
+
+TEST_CASE("a pool in its turn gets spare VMs first, then those of idle pools") {
+  const auto wishes =
+      planMoves({pool("a", 2, 640000), pool("b", 6, 0), spare(3)}, {});
+  CHECK(movesTo(wishes, "a") == 8);
+  CHECK(wishes[0].From == core::PoolId("spare"));
+  CHECK(wishes[3].From == core::PoolId("b"));
+}
+
+TEST_CASE("idle VMs are parked after a while, but not the last ones") {
+  auto idle = pool("a", 5, 0);
+  idle.Surplus = core::DurationMs{100};
+  CHECK(planMoves({idle, spare(0)}, {}).empty());
+  idle.Surplus = core::DurationMs{5000};
+  CHECK(movesTo(planMoves({idle, spare(0)}, {}), "spare") == 4);
+  idle.Seen = false;
+  CHECK(planMoves({idle, spare(0)}, {}).empty());
+}
+
+TEST_CASE("pools that all want more exchange nothing") {
+  CHECK(planMoves({pool("a", 4, 600000), pool("b", 4, 600000)}, {}).empty());
+}
