--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -146,13 +146,17 @@
 
   // dispatcher_placing.cpp
   struct ReadyStep;
+  struct PoolRoom;
   void place();
   void collectReady(std::vector<ReadyStep> &out);
-  void placeStep(const ReadyStep &ready, std::vector<EndpointView *> &pool);
-  void placeGang(const ReadyStep &ready, std::vector<EndpointView *> &pool);
+  /// False where a task found no room.
+  bool placeStep(const ReadyStep &ready,
+                 const std::vector<EndpointView *> &pool);
+  void placeGang(const ReadyStep &ready,
+                 const std::vector<EndpointView *> &pool);
   EndpointView *choose(const ReadyStep &ready,
                        const std::vector<EndpointView *> &pool) const;
-  std::vector<EndpointView *> usableOf(const core::PoolId &pool);
+  std::map<core::PoolId, PoolRoom> usablePools();
   bool withinLimit(const core::TeamId &team, const core::Size &need) const;
   bool hasTickets(const ReadyStep &ready,
                   const std::vector<EndpointView *> &pool);
@@ -164,9 +168,8 @@
   bool budgetHolds(const EndpointView &endpoint) const;
 
   // dispatcher_moves.cpp
-  int64_t lastingOn(const EndpointView &endpoint) const;
   void noteArrival(const core::PoolId &pool, int64_t work);
-  int64_t forecast(const core::PoolId &pool, int64_t wanted);
+  int64_t forecast(const core::PoolId &pool, int64_t waiting);
   int64_t arrivalRate(const core::PoolId &pool);
   std::map<core::PoolId, int64_t> wantedByPool();
   std::map<core::PoolId, int64_t> fewestVms() const;
--- a/include/almondgate/dispatch/endpoint_view.hpp
+++ b/include/almondgate/dispatch/endpoint_view.hpp
@@ -48,6 +48,9 @@
   bool IdleTold = false;
   core::Size Used;
   std::set<TaskPlace> Runs;
+  /// The part of Runs and of Used that is long-running.
+  int64_t LongRuns = 0;
+  int64_t LongMilliCpus = 0;
   /// Stops that got no answer, to be sent again.
   std::set<TaskPlace> StopRetries;
   std::map<StrayKey, StrayRun> Strays;
--- a/include/almondgate/dispatch/open_job.hpp
+++ b/include/almondgate/dispatch/open_job.hpp
@@ -21,6 +21,8 @@
 
 /// A job that has work to do, or runs left to end.
 struct OpenJob {
+  /// Kept by the ledger at least as long as the job is open.
+  const jobs::JobRecord *Record = nullptr;
   core::PoolId Pool;
   core::TimeMs AcceptedAt;
   /// Until then the job is in time, by the submitter's estimates.
--- a/src/almondgate/dispatch/dispatcher.cpp
+++ b/src/almondgate/dispatch/dispatcher.cpp
@@ -181,6 +181,7 @@
     return;
   const auto now = Hooks.Now();
   OpenJob job;
+  job.Record = &record;
   const auto *queue = jobs::findQueue(Ledger.Config, record.Queue);
   if (queue)
     job.Pool = queue->Pool;
--- a/src/almondgate/dispatch/dispatcher_calls.cpp
+++ b/src/almondgate/dispatch/dispatcher_calls.cpp
@@ -113,7 +113,7 @@
         !endpoint.Facts.Draining && !endpoint.Facts.Idle &&
         !endpoint.Suspect && !endpoint.Reserved)
       input.CapacityMilliCpus +=
-          endpoint.Facts.Capacity.MilliCpus - lastingOn(endpoint);
+          endpoint.Facts.Capacity.MilliCpus - endpoint.LongMilliCpus;
   for (const auto &[id, job] : Open) {
     const auto *record = jobs::findJob(Ledger, id);
     if (!record || job.Pool != queue.Pool || !record->isOpen())
--- a/src/almondgate/dispatch/dispatcher_moves.cpp
+++ b/src/almondgate/dispatch/dispatcher_moves.cpp
@@ -25,16 +25,6 @@
 
 } // namespace
 
-int64_t Dispatcher::lastingOn(const EndpointView &endpoint) const {
-  int64_t used = 0;
-  for (const auto &place : endpoint.Runs) {
-    const auto *step = stepOf(place);
-    if (step->LongRunning)
-      used += needOf(*step).MilliCpus;
-  }
-  return used;
-}
-
 void Dispatcher::noteArrival(const PoolId &pool, int64_t work) {
   Arrivals[pool].emplace_back(Hooks.Now(), work);
 }
@@ -55,7 +45,9 @@
 }
 
 // Where the demand will be when a VM that is ordered now is there.
-int64_t Dispatcher::forecast(const PoolId &pool, int64_t wanted) {
+int64_t Dispatcher::forecast(const PoolId &pool, int64_t waiting) {
+  const int64_t most = waiting * GrowthBound;
+  const int64_t wanted = std::max(waiting, std::min(arrivalRate(pool), most));
   const auto now = Hooks.Now();
   auto &history = Trends[pool];
   while (!history.empty() && history.front().first < now - TrendWindow)
@@ -72,8 +64,8 @@
 std::map<PoolId, int64_t> Dispatcher::wantedByPool() {
   std::map<PoolId, int64_t> out;
   for (const auto &[id, job] : Open) {
-    const auto *record = jobs::findJob(Ledger, id);
-    if (!record || !record->isOpen() || record->Spec->Repetitions > 0)
+    const auto *record = job.Record;
+    if (!record->isOpen() || record->Spec->Repetitions > 0)
       continue;
     size_t at = 0;
     for (size_t s = 0; s < record->Spec->Steps.size(); ++s) {
@@ -125,13 +117,11 @@
                         !endpoint.Facts.Idle && !endpoint.Reserved;
     if (!serves)
       continue;
-    const bool pinned = std::any_of(
-        endpoint.Runs.begin(), endpoint.Runs.end(),
-        [&](const auto &place) { return stepOf(place)->LongRunning; });
+    const bool pinned = endpoint.LongRuns > 0;
     auto &balance = it->second.Balance;
     ++balance.Vms;
     balance.Usable +=
-        endpoint.Facts.Capacity.MilliCpus - lastingOn(endpoint);
+        endpoint.Facts.Capacity.MilliCpus - endpoint.LongMilliCpus;
     balance.PerVm =
         std::max(balance.PerVm, endpoint.Facts.Capacity.MilliCpus);
     PerVmMilliCpus = std::max(PerVmMilliCpus, balance.PerVm);
@@ -144,8 +134,7 @@
   for (auto &[id, demand] : pools) {
     const auto found = wanted.find(id);
     const int64_t now = found == wanted.end() ? 0 : found->second;
-    demand.Balance.Wanted = forecast(
-        id, std::max(now, std::min(arrivalRate(id), now * GrowthBound)));
+    demand.Balance.Wanted = forecast(id, now);
     const auto least = fewest.find(id);
     demand.Balance.FewestVms =
         std::max(FewestOfPool, least == fewest.end() ? 0 : least->second);
--- a/src/almondgate/dispatch/dispatcher_orders.cpp
+++ b/src/almondgate/dispatch/dispatcher_orders.cpp
@@ -54,8 +54,7 @@
   slot.Percent = 0;
   job.Started = true;
   ++job.Placed;
-  at.Runs.insert(place);
-  at.Used = at.Used + needOf(*step);
+  addRun(at, place, *step);
   TeamUsed[record->Team] = TeamUsed[record->Team] + step->Need;
   Hooks.Log("task " + nameOf(place) + " run " + std::to_string(run) + " -> " +
             at.Facts.Id.str() + " used " + std::to_string(at.Used.MilliCpus) +
@@ -281,8 +280,8 @@
     --job.Placed;
     TeamUsed[record->Team] = TeamUsed[record->Team] - step->Need;
     const auto at = Endpoints.find(slot.At);
-    if (at != Endpoints.end() && at->second.Runs.erase(place) > 0)
-      at->second.Used = at->second.Used - needOf(*step);
+    if (at != Endpoints.end())
+      dropRun(at->second, place, *step);
   }
   slot.Phase = next;
   slot.Since = Hooks.Now();
--- a/src/almondgate/dispatch/dispatcher_placing.cpp
+++ b/src/almondgate/dispatch/dispatcher_placing.cpp
@@ -45,32 +45,49 @@
   }
 };
 
+/// The endpoints of a pool that take starts, in one pass of placing.
+struct Dispatcher::PoolRoom {
+  std::vector<EndpointView *> Endpoints;
+  /// The most processor time that is free on one of them.
+  int64_t MostFree = 0;
+  /// Work that fits anywhere and needs this much found no room.
+  int64_t Failed = INT64_MAX;
+};
+
 void Dispatcher::place() {
   std::erase_if(Open, [&](const auto &row) {
-    const auto *record = jobs::findJob(Ledger, row.first);
-    return row.second.Placed == 0 && (!record || !record->isOpen());
+    return row.second.Placed == 0 && !row.second.Record->isOpen();
   });
+  auto pools = usablePools();
   std::vector<ReadyStep> ready;
   collectReady(ready);
   std::sort(ready.begin(), ready.end(),
             [](const ReadyStep &a, const ReadyStep &b) {
               return a.rank() < b.rank();
             });
-  std::map<core::PoolId, std::vector<EndpointView *>> pools;
   for (const auto &step : ready) {
-    const auto [it, added] = pools.try_emplace(step.Job->Pool);
-    if (added)
-      it->second = usableOf(step.Job->Pool);
-    if (it->second.empty())
+    const auto it = pools.find(step.Job->Pool);
+    if (it == pools.end())
+      continue;
+    PoolRoom &room = it->second;
+    const int64_t need = needOf(*step.Spec).MilliCpus;
+    if (need > room.MostFree || need >= room.Failed)
       continue;
     if (step.Job->Inherited && !isSettled(step.Job->Pool))
       continue;
-    if (!hasTickets(step, it->second))
+    if (!hasTickets(step, room.Endpoints))
       continue;
-    if (step.Spec->Gang)
-      placeGang(step, it->second);
-    else
-      placeStep(step, it->second);
+    if (step.Spec->Gang) {
+      placeGang(step, room.Endpoints);
+      continue;
+    }
+    const bool placed = placeStep(step, room.Endpoints);
+    const bool anywhere = step.Spec->Affinity.empty() &&
+                          step.Spec->Label.empty() &&
+                          step.Spec->AntiAffinity == 0 &&
+                          step.Job->Tickets.empty();
+    if (!placed && anywhere)
+      room.Failed = std::min(room.Failed, need);
   }
 }
 
@@ -78,8 +95,8 @@
   const auto now = Hooks.Now();
   const int64_t wall = Hooks.WallClock();
   for (auto &[id, job] : Open) {
-    const auto *record = jobs::findJob(Ledger, id);
-    if (!record || !record->isOpen())
+    const auto *record = job.Record;
+    if (!record->isOpen())
       continue;
     const auto &spec = *record->Spec;
     const auto *queue = jobs::findQueue(Ledger.Config, record->Queue);
@@ -110,17 +127,21 @@
   }
 }
 
-std::vector<EndpointView *> Dispatcher::usableOf(const core::PoolId &pool) {
+std::map<core::PoolId, Dispatcher::PoolRoom> Dispatcher::usablePools() {
   const auto now = Hooks.Now();
-  std::vector<EndpointView *> out;
+  std::map<core::PoolId, PoolRoom> out;
   for (auto &[id, endpoint] : Endpoints) {
-    const bool usable = endpoint.Facts.Pool == pool && endpoint.Contacted &&
-                        !endpoint.Suspect && !endpoint.Facts.Idle &&
-                        !endpoint.Facts.Draining && !endpoint.Reserved &&
-                        endpoint.Lease.isKnown() &&
+    const bool usable = endpoint.Contacted && !endpoint.Suspect &&
+                        !endpoint.Facts.Idle && !endpoint.Facts.Draining &&
+                        !endpoint.Reserved && endpoint.Lease.isKnown() &&
                         endpoint.BackOffUntil <= now;
-    if (usable)
-      out.push_back(&endpoint);
+    if (!usable)
+      continue;
+    PoolRoom &room = out[endpoint.Facts.Pool];
+    room.Endpoints.push_back(&endpoint);
+    room.MostFree =
+        std::max(room.MostFree, endpoint.Facts.Capacity.MilliCpus -
+                                    endpoint.Used.MilliCpus);
   }
   return out;
 }
@@ -197,8 +218,8 @@
   return std::max(last, int64_t(Epoch - 1) * RunsOfEpoch) + 1;
 }
 
-void Dispatcher::placeStep(const ReadyStep &ready,
-                           std::vector<EndpointView *> &pool) {
+bool Dispatcher::placeStep(const ReadyStep &ready,
+                           const std::vector<EndpointView *> &pool) {
   const auto now = Hooks.Now();
   const size_t last = ready.First + size_t(ready.Spec->Count);
   for (size_t i = ready.First; i < last; ++i) {
@@ -206,17 +227,18 @@
     if (slot.Phase != TaskPhase::Waiting || slot.NotBefore > now)
       continue;
     if (!withinLimit(ready.Record->Team, ready.Spec->Need))
-      return;
+      return true;
     EndpointView *at = choose(ready, pool);
     if (!at)
-      return;
+      return false;
     start({ready.Record->Id, i}, *at, nextRun(slot.Run));
   }
+  return true;
 }
 
 // All members or none: a gang that waits for its last member wastes the rest.
 void Dispatcher::placeGang(const ReadyStep &ready,
-                           std::vector<EndpointView *> &pool) {
+                           const std::vector<EndpointView *> &pool) {
   const size_t count = size_t(ready.Spec->Count);
   const auto from = ready.Job->Tasks.begin() + int64_t(ready.First);
   const bool all = std::all_of(
--- a/src/almondgate/dispatch/dispatcher_renewals.cpp
+++ b/src/almondgate/dispatch/dispatcher_renewals.cpp
@@ -139,8 +139,7 @@
       slot.AwaySince = slot.Since;
       open->second.Started = true;
       ++open->second.Placed;
-      endpoint.Runs.insert(place);
-      endpoint.Used = endpoint.Used + needOf(step);
+      addRun(endpoint, place, step);
       TeamUsed[record->Team] = TeamUsed[record->Team] + step.Need;
     }
     if (ours || adopt) {
--- a/src/almondgate/dispatch/upkeep_desk.cpp
+++ b/src/almondgate/dispatch/upkeep_desk.cpp
@@ -24,7 +24,7 @@
 // A VM that is not back by then is looked for in the list.
 constexpr DurationMs ReturnPatience{1000};
 // Added to the lease between two leaders' orders, for the calls' own time.
-constexpr DurationMs HandoverMargin{500};
+constexpr DurationMs HandoverMargin{200};
 
 } // namespace
 
--- a/src/almondgate/dispatch/vm_mover.cpp
+++ b/src/almondgate/dispatch/vm_mover.cpp
@@ -17,7 +17,7 @@
 constexpr DurationMs ArrivalPatience{2500};
 constexpr DurationMs LongestEmptying{2500};
 constexpr DurationMs ListLife{15000};
-constexpr DurationMs HandoverMargin{500};
+constexpr DurationMs HandoverMargin{200};
 
 } // namespace
 
--- a/src/almondgate/policy/vm_balance.cpp
+++ b/src/almondgate/policy/vm_balance.cpp
@@ -21,6 +21,13 @@
                   few * std::max<int64_t>(pool.PerVm, 1));
 }
 
+// The part of its wish that a pool lacks: when there is not enough for all,
+// each gets the same part.
+double missingPart(const PoolBalance &pool, const MoveRules &rules) {
+  const int64_t target = std::max<int64_t>(targetOf(pool, rules), pool.PerVm);
+  return double(shortageOf(pool, rules)) / double(std::max<int64_t>(target, 1));
+}
+
 // VMs that a working pool can do without.
 int64_t surplusOf(const PoolBalance &pool, const MoveRules &rules) {
   if (pool.Spare)
@@ -49,11 +56,14 @@
 }
 
 PoolBalance *worstOff(std::vector<PoolBalance> &pools, const MoveRules &rules) {
-  const auto it = std::max_element(
-      pools.begin(), pools.end(), [&](const auto &a, const auto &b) {
-        return shortageOf(a, rules) < shortageOf(b, rules);
-      });
-  return it != pools.end() && shortageOf(*it, rules) > 0 ? &*it : nullptr;
+  PoolBalance *worst = nullptr;
+  for (auto &pool : pools) {
+    if (shortageOf(pool, rules) <= 0)
+      continue;
+    if (!worst || missingPart(pool, rules) > missingPart(*worst, rules))
+      worst = &pool;
+  }
+  return worst;
 }
 
 void take(PoolBalance &giver) {
