Give jobs the product's own interface: HTTP, command line, and a stand-in worker

Cause: jobs could only be reached through the adapter; the product must build, test and run them without it. Ruled out: the platform's HTTP for the stand-in (its words belong to platform/).

--- a/apps/control_main.cpp
+++ b/apps/control_main.cpp
@@ -1,10 +1,15 @@
 #include "control_program.hpp"
 
+#include "almondgate/endpoint/rpc_gateway.hpp"
+
 using namespace almondgate;
 
 int main(int argc, char **argv) {
-  return apps::controlMain(
-      argc, argv, [](task::Loop &, const config::ControlSettings &) {
-        return apps::ControlSide{};
-      });
+  std::unique_ptr<endpoint::RpcGateway> gateway;
+  return apps::controlMain(argc, argv, [&](task::Loop &loop, const auto &s) {
+    gateway = std::make_unique<endpoint::RpcGateway>(loop, s.Common.Secret);
+    apps::ControlSide side;
+    side.Gateway = gateway->hooks();
+    return side;
+  });
 }
--- a/apps/control_program.cpp
+++ b/apps/control_program.cpp
@@ -49,9 +49,9 @@
       settings.Found && std::find(first.begin(), first.end(),
                                   settings.Common.Inner) != first.end();
   const consensus::MemberId id =
-      founds ? firstIdAt(settings.Common.Inner)
-             : consensus::MemberId("joiner-" +
-                                   core::randomHex(IncarnationBytes));
+      founds
+          ? firstIdAt(settings.Common.Inner)
+          : consensus::MemberId("joiner-" + core::randomHex(IncarnationBytes));
   consensus::Membership members;
   if (founds)
     for (const auto &address : first)
--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -49,6 +49,7 @@
 almondgate_package(entry almondgate_http almondgate_watch almondgate_policy
                    almondgate_config)
 almondgate_package(placer almondgate_watch almondgate_policy almondgate_config)
-almondgate_package(control almondgate_protocol almondgate_storage
+almondgate_package(endpoint almondgate_protocol almondgate_dispatch)
+almondgate_package(control almondgate_protocol almondgate_endpoint almondgate_storage
                    almondgate_dispatch almondgate_config)
 almondgate_package(ctl almondgate_http almondgate_core)
--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -17,6 +17,7 @@
 if(NOT ALMONDGATE_BUILD_TESTS)
   return()
 endif()
+almondgate_program(fake-worker tools/fake_worker.cpp almondgate_endpoint)
 almondgate_program(fake-endpoint tools/fake_endpoint.cpp almondgate_http)
 add_executable(almondgate-bench
                bench/main.cpp bench/pool_scenarios.cpp
--- a/include/almondgate/control/membership_plan.hpp
+++ b/include/almondgate/control/membership_plan.hpp
@@ -36,11 +36,9 @@
 /// The next membership, one step away from the present one, or nothing.
 /// A new voter is added before a lost one is removed, so that no step lowers
 /// the number of disks that hold what was acknowledged.
-std::optional<consensus::Membership>
-planMembership(const consensus::Membership &now,
-               const consensus::MemberId &leader,
-               const std::vector<MemberHealth> &known,
-               const MembershipRules &rules);
+std::optional<consensus::Membership> planMembership(
+    const consensus::Membership &now, const consensus::MemberId &leader,
+    const std::vector<MemberHealth> &known, const MembershipRules &rules);
 
 } // namespace almondgate::control
 
--- a/include/almondgate/dispatch/dispatch_policies.hpp
+++ b/include/almondgate/dispatch/dispatch_policies.hpp
@@ -15,8 +15,8 @@
 struct DispatchPolicies {
   std::function<policy::DoorVerdict(const policy::DoorInput &)> Door =
       policy::judgeAtDoor;
-  std::function<std::vector<policy::MoveWish>(
-      std::vector<policy::PoolBalance>, const policy::MoveRules &)>
+  std::function<std::vector<policy::MoveWish>(std::vector<policy::PoolBalance>,
+                                              const policy::MoveRules &)>
       Moves = policy::planMoves;
   std::function<std::optional<size_t>(
       const std::vector<policy::PlacementOption> &,
--- /dev/null
+++ b/include/almondgate/endpoint/rpc_gateway.hpp
@@ -0,0 +1,28 @@
+#ifndef ALMONDGATE_ENDPOINT_RPC_GATEWAY_HPP
+#define ALMONDGATE_ENDPOINT_RPC_GATEWAY_HPP
+
+#include "almondgate/dispatch/dispatcher_hooks.hpp"
+#include "almondgate/protocol/rpc_client.hpp"
+
+#include <string>
+
+namespace almondgate::endpoint {
+
+/// Gives orders to endpoints that speak the inner protocol.
+class RpcGateway {
+public:
+  RpcGateway(task::Loop &loop, const std::string &secret);
+
+  /// The calls that a dispatcher needs; the gateway must outlive them.
+  dispatch::DispatcherHooks hooks();
+
+private:
+  void order(const core::Address &to, protocol::Method method, std::string body,
+             const std::function<void(dispatch::OrderReply)> &done);
+
+  protocol::RpcClient Rpc;
+};
+
+} // namespace almondgate::endpoint
+
+#endif
--- /dev/null
+++ b/include/almondgate/entry/job_api.hpp
@@ -0,0 +1,50 @@
+#ifndef ALMONDGATE_ENTRY_JOB_API_HPP
+#define ALMONDGATE_ENTRY_JOB_API_HPP
+
+#include "almondgate/core/result.hpp"
+#include "almondgate/http/request.hpp"
+#include "almondgate/http/response.hpp"
+#include "almondgate/jobs/fleet_config.hpp"
+#include "almondgate/jobs/job_call.hpp"
+#include "almondgate/jobs/job_reply.hpp"
+
+#include <functional>
+#include <string>
+
+namespace almondgate::entry {
+
+inline constexpr const char *JobsPrefix = "/jobs/";
+inline constexpr const char *FleetPath = "/admin/v1/fleet";
+
+/// What the JobApi asks of the world around it.
+struct JobApiHooks {
+  template <class T> using On = std::function<void(core::Result<T>)>;
+
+  std::function<void(const jobs::JobCall &, On<jobs::JobReply>)> Call;
+  std::function<bool(const http::Request &)> IsOperator;
+  std::function<void(const jobs::FleetConfig &, On<void>)> Configure;
+  std::function<void(On<jobs::FleetConfig>)> ReadConfig;
+};
+
+/// The product's own HTTP interface for jobs, see docs/API.md.
+class JobApi {
+public:
+  using Respond = std::function<void(const http::Response &)>;
+
+  explicit JobApi(JobApiHooks hooks);
+
+  /// Whether a request with this target is for handle().
+  static bool serves(const std::string &target);
+
+  void handle(const http::Request &request, const Respond &respond) const;
+
+private:
+  void fleet(const http::Request &request, const Respond &respond) const;
+  void job(const http::Request &request, const Respond &respond) const;
+
+  const JobApiHooks Hooks;
+};
+
+} // namespace almondgate::entry
+
+#endif
--- a/include/almondgate/entry/route_task.hpp
+++ b/include/almondgate/entry/route_task.hpp
@@ -6,6 +6,7 @@
 #include "almondgate/entry/announcer.hpp"
 #include "almondgate/entry/entry_core.hpp"
 #include "almondgate/entry/front_message.hpp"
+#include "almondgate/entry/job_api.hpp"
 #include "almondgate/entry/release_sender.hpp"
 #include "almondgate/http/endpoint_client.hpp"
 #include "almondgate/observe/metrics.hpp"
@@ -52,6 +53,7 @@
   ReleaseSenderHooks releaseHooks();
   AnnouncerHooks announcerHooks();
   AdminHooks adminHooks();
+  JobApiHooks jobHooks();
   watch::WatcherHooks watcherHooks();
   protocol::RpcServerHooks serverHooks();
 
@@ -81,6 +83,7 @@
   ReleaseSender Releases;
   Announcer Announcements;
   AdminApi Admin;
+  JobApi Jobs;
   task::Timer Ticker;
   std::vector<Applying> Waiting;
   OnReady Ready;
--- a/include/almondgate/jobs/event.hpp
+++ b/include/almondgate/jobs/event.hpp
@@ -106,8 +106,8 @@
 
 /// The names of the kinds, in the order of the variant.
 inline constexpr const char *EventKinds[] = {
-    "job-accepted", "job-cancelled", "task-ended",     "config-given",
-    "registered",   "gone",          "idled",          "epoch-begun",
+    "job-accepted", "job-cancelled", "task-ended",      "config-given",
+    "registered",   "gone",          "idled",           "epoch-begun",
     "wave-started", "upkeep-begun",  "upkeep-finished", "jobs-expired"};
 
 } // namespace almondgate::jobs
--- a/include/almondgate/protocol/method.hpp
+++ b/include/almondgate/protocol/method.hpp
@@ -49,6 +49,14 @@
   StartWave,
   /// Wave number to whether it is completed; control member to the leader.
   ReadWave,
+  /// StartOrder to OrderReply; control leader to an endpoint.
+  StartRun,
+  /// StopOrder to OrderReply; control leader to an endpoint.
+  StopRun,
+  /// PaceOrder to OrderReply; control leader to an endpoint.
+  PaceRun,
+  /// RenewRequest to RunInventory; control leader to an endpoint.
+  RenewRuns,
   /// Member to nothing; a process that wants to be a member to any member.
   Join,
 };
--- a/src/almondgate/config/read_settings.cpp
+++ b/src/almondgate/config/read_settings.cpp
@@ -237,9 +237,9 @@
       !done)
     return done;
   out.Name = flags.text("name");
-  for (const auto &[name, address] :
-       {std::pair{"public", &out.Public}, {"vm-service", &out.VmService},
-        {"advice-service", &out.AdviceService}})
+  for (const auto &[name, address] : {std::pair{"public", &out.Public},
+                                      {"vm-service", &out.VmService},
+                                      {"advice-service", &out.AdviceService}})
     if (auto done = flags.readOptionalAddress(name, *address); !done)
       return done;
   out.InitAs = flags.text("init-as");
--- a/src/almondgate/control/control_core.cpp
+++ b/src/almondgate/control/control_core.cpp
@@ -455,17 +455,16 @@
     if (progress) {
       const auto heard = std::max(progress->AnsweredSent, LeadingSince.Count);
       health.Silence = DurationMs{now.Count - heard};
-      health.CaughtUp =
-          progress->Match > 0 &&
-          progress->Match + CaughtUpEntries >= Node.commitIndex();
+      health.CaughtUp = progress->Match > 0 &&
+                        progress->Match + CaughtUpEntries >= Node.commitIndex();
     }
     known.push_back(std::move(health));
   }
   for (const auto &[id, joining] : Joiners)
     if (!consensus::findMember(members, id))
       known.push_back({id, joining.Inner, now - joining.Asked, false});
-  const auto next = planMembership(members, Node.self(), known,
-                                   {.Voters = Options.Voters});
+  const auto next =
+      planMembership(members, Node.self(), known, {.Voters = Options.Voters});
   if (!next || !Node.changeMembership(*next))
     return;
   std::string names;
--- a/src/almondgate/control/control_task.cpp
+++ b/src/almondgate/control/control_task.cpp
@@ -172,12 +172,12 @@
 // Only a voter that hears a leader is sure of its place.
 void ControlTask::askToJoin() {
   const auto &node = Core.node();
-  const bool settled = consensus::isVoter(node.membership(), Identity) &&
-                       !node.leader().empty();
+  const bool settled =
+      consensus::isVoter(node.membership(), Identity) && !node.leader().empty();
   if (settled)
     return;
-  const std::string body =
-      encoding::encode(consensus::Member{Identity, Settings.Common.Inner, false});
+  const std::string body = encoding::encode(
+      consensus::Member{Identity, Settings.Common.Inner, false});
   std::set<core::Address> peers(Settings.Common.Control.begin(),
                                 Settings.Common.Control.end());
   for (const auto &member : node.membership().Members)
@@ -188,8 +188,8 @@
 }
 
 std::optional<core::Address> ControlTask::leaderInner() const {
-  const auto *member = consensus::findMember(Core.node().membership(),
-                                             Core.node().leader());
+  const auto *member =
+      consensus::findMember(Core.node().membership(), Core.node().leader());
   return member ? std::optional(member->Inner) : std::nullopt;
 }
 
@@ -292,9 +292,8 @@
     encoded<jobs::FleetConfig>(respond)(Jobs.config());
     return true;
   case Method::StartWave:
-    withDecoded<jobs::WaveRecord>(body, respond, [&](const auto &wave) {
-      Jobs.startWave(wave, told);
-    });
+    withDecoded<jobs::WaveRecord>(
+        body, respond, [&](const auto &wave) { Jobs.startWave(wave, told); });
     return true;
   case Method::ReadWave:
     withDecoded<int64_t>(body, respond, [&](int64_t number) {
--- a/src/almondgate/control/membership_plan.cpp
+++ b/src/almondgate/control/membership_plan.cpp
@@ -39,10 +39,10 @@
 
 } // namespace
 
-std::optional<Membership>
-planMembership(const Membership &now, const consensus::MemberId &leader,
-               const std::vector<MemberHealth> &known,
-               const MembershipRules &rules) {
+std::optional<Membership> planMembership(const Membership &now,
+                                         const consensus::MemberId &leader,
+                                         const std::vector<MemberHealth> &known,
+                                         const MembershipRules &rules) {
   for (const auto &health : known)
     if (!findMember(now, health.Id) && health.Silence < rules.ReplaceAfter) {
       Membership out = now;
--- a/src/almondgate/core/core.cpp
+++ b/src/almondgate/core/core.cpp
@@ -13,9 +13,9 @@
 #include <arpa/inet.h>
 #include <charconv>
 #include <chrono>
-#include <ctime>
 #include <cstdio>
 #include <cstdlib>
+#include <ctime>
 #include <vector>
 
 namespace almondgate::core {
--- a/src/almondgate/ctl/client.cpp
+++ b/src/almondgate/ctl/client.cpp
@@ -24,8 +24,10 @@
   http::EndpointClient client(loop, {});
   http::EndpointCall call;
   call.To = entry;
-  call.Request = {
-      method, "/admin/v1/" + path, {{"authorization", "Bearer " + Key}}, body};
+  call.Request = {method,
+                  path.starts_with("/") ? path : "/admin/v1/" + path,
+                  {{"authorization", "Bearer " + Key}},
+                  body};
   call.Timeout = CallTimeout;
   std::optional<core::Result<http::Response>> out;
   client.send(call, [&](const core::Result<http::Response> &answer) {
--- a/src/almondgate/ctl/command_line.cpp
+++ b/src/almondgate/ctl/command_line.cpp
@@ -19,6 +19,8 @@
     "  grant TEAM | withdraw KEY | move VM --from=P --to=P | vm PHASE VM\n"
     "  wave create ID --kind=K [--pool=P] [--rack=R] [--zone=Z]\n"
     "  wave pause|resume|cancel|status ID [--watch]\n"
+    "  submit QUEUE JOB --file=F | job QUEUE [JOB] | cancel QUEUE JOB\n"
+    "  fleet [--file=F]\n"
     "  audit | members | replace-member OLD IP:PORT";
 
 std::string environmentOr(const char *name, const std::string &other) {
--- a/src/almondgate/ctl/run.cpp
+++ b/src/almondgate/ctl/run.cpp
@@ -86,6 +86,8 @@
   }
 
   ExitCode fetch(const std::string &path, json &out) const;
+  ExitCode ask(const char *method, const std::string &path,
+               const std::string &body) const;
   ExitCode failed(const http::Response &response) const;
   ExitCode change(const std::string &kind, const json &body) const;
   ExitCode get() const;
@@ -98,6 +100,9 @@
   ExitCode move() const;
   ExitCode setPhase() const;
   ExitCode replaceMember() const;
+  ExitCode submit() const;
+  ExitCode askJob(const char *method) const;
+  ExitCode configureFleet() const;
   ExitCode wave() const;
   ExitCode waveStatus() const;
   void printWave(const json &wave) const;
@@ -328,6 +333,48 @@
   return change("set-wave-status", {{"Wave", word(2)}, {"Status", it->second}});
 }
 
+ExitCode Runner::submit() const {
+  if (word(2).empty() || Line.File.empty())
+    return usage("submit QUEUE JOB --file=F");
+  const auto spec = Hooks.ReadFile(Line.File);
+  if (!spec) {
+    Hooks.PrintError(spec.error().Text);
+    return BadUsage;
+  }
+  return ask("POST", "/jobs/" + word(1) + "/" + word(2), spec.value());
+}
+
+ExitCode Runner::askJob(const char *method) const {
+  if (word(1).empty())
+    return usage("job|cancel QUEUE JOB");
+  return ask(method, "/jobs/" + word(1) + "/" + word(2), "");
+}
+
+ExitCode Runner::configureFleet() const {
+  if (Line.File.empty())
+    return ask("GET", "/admin/v1/fleet", "");
+  const auto config = Hooks.ReadFile(Line.File);
+  if (!config) {
+    Hooks.PrintError(config.error().Text);
+    return BadUsage;
+  }
+  return ask("PUT", "/admin/v1/fleet", config.value());
+}
+
+ExitCode Runner::ask(const char *method, const std::string &path,
+                     const std::string &body) const {
+  const auto answer = Hooks.Call(method, path, body);
+  if (!answer) {
+    Hooks.PrintError(answer.error().Text);
+    return Unreachable;
+  }
+  constexpr int Good2xx = 200;
+  if (answer.value().Status != Good2xx)
+    return failed(answer.value());
+  Hooks.Print(answer.value().Body);
+  return Good;
+}
+
 ExitCode Runner::run() {
   const std::string &verb = word(0);
   if (verb == "get")
@@ -352,6 +399,14 @@
     return wave();
   if (verb == "replace-member")
     return replaceMember();
+  if (verb == "submit")
+    return submit();
+  if (verb == "job")
+    return askJob("GET");
+  if (verb == "cancel")
+    return askJob("DELETE");
+  if (verb == "fleet")
+    return configureFleet();
   return usage("unknown command '" + verb + "'");
 }
 
--- a/src/almondgate/dispatch/dispatcher.cpp
+++ b/src/almondgate/dispatch/dispatcher.cpp
@@ -170,8 +170,7 @@
   const auto it = Durations.find(queue);
   return [model = it == Durations.end() || !Hooks.Policies.LearnRunTimes
                       ? nullptr
-                      : &it->second](
-             const jobs::StepSpec &step) {
+                      : &it->second](const jobs::StepSpec &step) {
     return model ? model->expect(step.EstimateMs) : step.EstimateMs;
   };
 }
@@ -195,7 +194,8 @@
     if (record.Tasks[i].Done)
       job.Tasks[i].Phase = TaskPhase::Done;
   }
-  const DurationMs chain{policy::longestChainMs(*record.Spec, expecting(record.Queue))};
+  const DurationMs chain{
+      policy::longestChainMs(*record.Spec, expecting(record.Queue))};
   const int64_t target = queue ? queue->TargetMs : 0;
   const double stretch = queue ? queue->Stretch : 1;
   job.Due = job.AcceptedAt +
@@ -210,7 +210,8 @@
       Durations[event.Queue].noteEstimate(step.EstimateMs);
   if (record && record->isOpen()) {
     openJob(*record, false);
-    if (const int64_t work = policy::workOf(event.Spec, expecting(event.Queue)); work > 0)
+    if (const int64_t work = policy::workOf(event.Spec, expecting(event.Queue));
+        work > 0)
       noteArrival(Open.at(event.Id).Pool, work);
   }
   const auto it = Submissions.find(event.Id);
@@ -265,8 +266,8 @@
     return;
   ExpiryDue = now + ExpiryInterval;
   const int64_t before = Hooks.WallClock() - Options.JobMemory.Count;
-  const bool any = std::any_of(
-      Ledger.Jobs.begin(), Ledger.Jobs.end(), [&](const auto &row) {
+  const bool any =
+      std::any_of(Ledger.Jobs.begin(), Ledger.Jobs.end(), [&](const auto &row) {
         return !row.second.isOpen() && row.second.EndedWallMs < before;
       });
   if (any)
@@ -347,9 +348,8 @@
   }
   // A VM, and an address, has one life at a time.
   for (const auto &[id, other] : Endpoints) {
-    const bool same_place =
-        (!facts.Vm.empty() && other.Facts.Vm == facts.Vm) ||
-        other.Facts.At == facts.At;
+    const bool same_place = (!facts.Vm.empty() && other.Facts.Vm == facts.Vm) ||
+                            other.Facts.At == facts.At;
     if (id != facts.Id && same_place && other.Facts.BornMs < facts.BornMs)
       record(jobs::EndpointGone{id, other.Facts.BornMs});
   }
--- a/src/almondgate/dispatch/dispatcher_calls.cpp
+++ b/src/almondgate/dispatch/dispatcher_calls.cpp
@@ -110,8 +110,8 @@
   policy::DoorInput input;
   for (const auto &[id, endpoint] : Endpoints)
     if (endpoint.Facts.Pool == queue.Pool && endpoint.Contacted &&
-        !endpoint.Facts.Draining && !endpoint.Facts.Idle &&
-        !endpoint.Suspect && !endpoint.Reserved)
+        !endpoint.Facts.Draining && !endpoint.Facts.Idle && !endpoint.Suspect &&
+        !endpoint.Reserved)
       input.CapacityMilliCpus +=
           endpoint.Facts.Capacity.MilliCpus - endpoint.LongMilliCpus;
   for (const auto &[id, job] : Open) {
@@ -124,7 +124,8 @@
       for (int64_t i = 0; i < step.Count; ++i, ++at) {
         const TaskPhase phase = job.Tasks[at].Phase;
         const bool waits = phase == TaskPhase::Waiting;
-        if (step.LongRunning || step.Fills || (!waits && !job.Tasks[at].isPlaced()))
+        if (step.LongRunning || step.Fills ||
+            (!waits && !job.Tasks[at].isPlaced()))
           continue;
         // What runs is half done on average.
         const int64_t work = step.Need.MilliCpus * expect(step);
@@ -137,9 +138,9 @@
   input.Work = policy::workOf(spec, expecting(queue.Id));
   const int64_t chain = policy::longestChainMs(spec, expecting(queue.Id));
   input.SlackMs = int64_t(double(chain) * (queue.Stretch - 1)) + queue.TargetMs;
-  input.LongRunning = std::any_of(
-      spec.Steps.begin(), spec.Steps.end(),
-      [](const jobs::StepSpec &step) { return step.LongRunning; });
+  input.LongRunning =
+      std::any_of(spec.Steps.begin(), spec.Steps.end(),
+                  [](const jobs::StepSpec &step) { return step.LongRunning; });
   return Hooks.Policies.Door(input);
 }
 
--- a/src/almondgate/dispatch/dispatcher_moves.cpp
+++ b/src/almondgate/dispatch/dispatcher_moves.cpp
@@ -122,8 +122,7 @@
     ++balance.Vms;
     balance.Usable +=
         endpoint.Facts.Capacity.MilliCpus - endpoint.LongMilliCpus;
-    balance.PerVm =
-        std::max(balance.PerVm, endpoint.Facts.Capacity.MilliCpus);
+    balance.PerVm = std::max(balance.PerVm, endpoint.Facts.Capacity.MilliCpus);
     PerVmMilliCpus = std::max(PerVmMilliCpus, balance.PerVm);
     if (!pinned && !endpoint.Facts.Vm.empty())
       movable[it->first].emplace_back(endpoint.Runs.size(), endpoint.Facts.Vm);
--- a/src/almondgate/dispatch/dispatcher_orders.cpp
+++ b/src/almondgate/dispatch/dispatcher_orders.cpp
@@ -253,15 +253,15 @@
   }
 }
 
-void Dispatcher::stopStray(EndpointView &at, const EndpointView::StrayKey &key) {
+void Dispatcher::stopStray(EndpointView &at,
+                           const EndpointView::StrayKey &key) {
   auto &stray = at.Strays.at(key);
   const auto now = Hooks.Now();
   if (now - stray.StopSent < Options.RetryPause)
     return;
   stray.StopSent = now;
-  Hooks.Log("run " + std::to_string(key.second) + " of " +
-            key.first.Job.str() + " at " + at.Facts.Id.str() +
-            " is wanted by nobody: stopped");
+  Hooks.Log("run " + std::to_string(key.second) + " of " + key.first.Job.str() +
+            " at " + at.Facts.Id.str() + " is wanted by nobody: stopped");
   Hooks.Stop(at.Facts, {key.first, key.second, Epoch},
              [](const OrderReply &) {});
 }
--- a/src/almondgate/dispatch/dispatcher_placing.cpp
+++ b/src/almondgate/dispatch/dispatcher_placing.cpp
@@ -82,10 +82,9 @@
       continue;
     }
     const bool placed = placeStep(step, room.Endpoints);
-    const bool anywhere = step.Spec->Affinity.empty() &&
-                          step.Spec->Label.empty() &&
-                          step.Spec->AntiAffinity == 0 &&
-                          step.Job->Tickets.empty();
+    const bool anywhere =
+        step.Spec->Affinity.empty() && step.Spec->Label.empty() &&
+        step.Spec->AntiAffinity == 0 && step.Job->Tickets.empty();
     if (!placed && anywhere)
       room.Failed = std::min(room.Failed, need);
   }
@@ -113,14 +112,14 @@
       for (int64_t s = 0; s < int64_t(spec.Steps.size()); ++s) {
         const auto &step = spec.Steps[s];
         const auto from = job.Tasks.begin() + int64_t(first);
-        const bool waiting = std::any_of(
-            from, from + step.Count, [&](const TaskSlot &slot) {
+        const bool waiting =
+            std::any_of(from, from + step.Count, [&](const TaskSlot &slot) {
               return slot.Phase == TaskPhase::Waiting && slot.NotBefore <= now;
             });
         if (waiting && jobs::isStepReady(*record, k, s))
-          out.push_back({&job, record, k, s, first, &step,
-                         queue ? queue->Priority : 0,
-                         (due - now).Count - policy::chainFromMs(spec, s, expect)});
+          out.push_back(
+              {&job, record, k, s, first, &step, queue ? queue->Priority : 0,
+               (due - now).Count - policy::chainFromMs(spec, s, expect)});
         first += size_t(step.Count);
       }
     }
@@ -139,9 +138,8 @@
       continue;
     PoolRoom &room = out[endpoint.Facts.Pool];
     room.Endpoints.push_back(&endpoint);
-    room.MostFree =
-        std::max(room.MostFree, endpoint.Facts.Capacity.MilliCpus -
-                                    endpoint.Used.MilliCpus);
+    room.MostFree = std::max(room.MostFree, endpoint.Facts.Capacity.MilliCpus -
+                                                endpoint.Used.MilliCpus);
   }
   return out;
 }
@@ -162,10 +160,9 @@
     const auto &facts = endpoint->Facts;
     const auto count = same.find(facts.Id);
     const int64_t there = count == same.end() ? 0 : count->second;
-    const bool labelled =
-        step.Label.empty() || std::find(facts.Labels.begin(),
-                                        facts.Labels.end(),
-                                        step.Label) != facts.Labels.end();
+    const bool labelled = step.Label.empty() ||
+                          std::find(facts.Labels.begin(), facts.Labels.end(),
+                                    step.Label) != facts.Labels.end();
     const bool apart = step.AntiAffinity == 0 || there < step.AntiAffinity;
     const bool allowed = tickets == ready.Job->Tickets.end() ||
                          tickets->second.Tickets.contains(facts.Id);
@@ -174,10 +171,9 @@
     policy::PlacementOption option;
     option.Free = facts.Capacity - endpoint->Used;
     option.Capacity = facts.Capacity;
-    option.NearData =
-        step.Affinity.empty() ||
-        std::find(facts.Labels.begin(), facts.Labels.end(),
-                  step.Affinity.str()) != facts.Labels.end();
+    option.NearData = step.Affinity.empty() ||
+                      std::find(facts.Labels.begin(), facts.Labels.end(),
+                                step.Affinity.str()) != facts.Labels.end();
     option.SameStep = there;
     option.FailuresInRow = endpoint->FailuresInRow;
     for (const auto &[id, n] : same) {
@@ -204,8 +200,8 @@
   if (!spec)
     return true;
   const auto it = TeamUsed.find(team);
-  const core::Size used = (it == TeamUsed.end() ? core::Size() : it->second) +
-                          need;
+  const core::Size used =
+      (it == TeamUsed.end() ? core::Size() : it->second) + need;
   const auto within = [](int64_t amount, int64_t limit) {
     return limit == 0 || amount <= limit;
   };
@@ -298,8 +294,7 @@
   if (!queue || !queue->NeedsTicket)
     return true;
   const auto now = Hooks.Now();
-  StepTickets &tickets =
-      ready.Job->Tickets[{ready.Occurrence, ready.Step}];
+  StepTickets &tickets = ready.Job->Tickets[{ready.Occurrence, ready.Step}];
   if (!tickets.Tickets.empty() && now < tickets.ValidUntil)
     return true;
   if (std::exchange(tickets.Asked, true))
--- a/src/almondgate/dispatch/dispatcher_renewals.cpp
+++ b/src/almondgate/dispatch/dispatcher_renewals.cpp
@@ -125,9 +125,8 @@
   if (at && open != Open.end()) {
     const TaskPlace place{report.Task.Job, *at};
     TaskSlot &slot = open->second.Tasks[*at];
-    const bool ours =
-        slot.At == endpoint.Facts.Id && slot.Run == report.Run &&
-        slot.isPlaced();
+    const bool ours = slot.At == endpoint.Facts.Id && slot.Run == report.Run &&
+                      slot.isPlaced();
     const bool adopt = slot.Phase == TaskPhase::Waiting && record->isOpen() &&
                        open->second.Inherited && report.Run > slot.Run;
     if (adopt) {
@@ -175,11 +174,11 @@
     return;
   const TaskPlace place{report.Task.Job, *at};
   TaskSlot *slot = slotOf(place);
-  const bool ours = slot && slot->isPlaced() &&
-                    slot->At == endpoint.Facts.Id && slot->Run == report.Run;
+  const bool ours = slot && slot->isPlaced() && slot->At == endpoint.Facts.Id &&
+                    slot->Run == report.Run;
   const bool lasting = record->Spec->Steps[report.Task.Step].LongRunning;
-  const bool final = !lasting && (report.How == RunEnd::Done ||
-                                  report.How == RunEnd::Failed);
+  const bool final =
+      !lasting && (report.How == RunEnd::Done || report.How == RunEnd::Failed);
   Hooks.Log("task " + report.Task.Job.str() + "#" + std::to_string(*at) +
             " run " + std::to_string(report.Run) + " at " +
             endpoint.Facts.Id.str() + " ended " + runEndName(report.How));
@@ -199,9 +198,9 @@
       slot->Checkpoint = report.Checkpoint;
     if (report.How == RunEnd::Failed && lasting)
       slot->NotBefore =
-          Hooks.Now() + std::min(LongestRestartPause,
-                                 DurationMs{RestartPauseStepMs *
-                                            endpoint.FailuresInRow});
+          Hooks.Now() +
+          std::min(LongestRestartPause,
+                   DurationMs{RestartPauseStepMs * endpoint.FailuresInRow});
     release(place, final ? TaskPhase::Ending : TaskPhase::Waiting);
   } else if (final && slot && slot->Phase == TaskPhase::Waiting) {
     slot->Phase = TaskPhase::Ending;
@@ -226,9 +225,8 @@
     const auto task = jobs::taskAt(place.first, *record->Spec, place.second);
     if (there.contains({task, slot.Run}) || slot.Since >= sent)
       continue;
-    const bool answered =
-        slot.Phase == TaskPhase::Running ||
-        (slot.Phase == TaskPhase::Stopping && slot.StopTold);
+    const bool answered = slot.Phase == TaskPhase::Running ||
+                          (slot.Phase == TaskPhase::Stopping && slot.StopTold);
     if (!answered)
       continue;
     Hooks.Log("task " + place.first.str() + "#" + std::to_string(place.second) +
@@ -253,8 +251,7 @@
 
 void Dispatcher::onUnreachable(EndpointView &endpoint) {
   const bool tell = endpoint.Suspect && !endpoint.Facts.Idle &&
-                    !endpoint.IdleTold &&
-                    !endpoint.Lease.mayHold(Hooks.Now());
+                    !endpoint.IdleTold && !endpoint.Lease.mayHold(Hooks.Now());
   if (!tell)
     return;
   endpoint.IdleTold = true;
@@ -264,12 +261,11 @@
 }
 
 bool Dispatcher::isSettled(const core::PoolId &pool) const {
-  return std::none_of(
-      Endpoints.begin(), Endpoints.end(), [&](const auto &row) {
-        const EndpointView &endpoint = row.second;
-        return endpoint.Facts.Pool == pool && !endpoint.Contacted &&
-               !endpoint.Facts.Idle;
-      });
+  return std::none_of(Endpoints.begin(), Endpoints.end(), [&](const auto &row) {
+    const EndpointView &endpoint = row.second;
+    return endpoint.Facts.Pool == pool && !endpoint.Contacted &&
+           !endpoint.Facts.Idle;
+  });
 }
 
 } // namespace almondgate::dispatch
--- a/src/almondgate/dispatch/dispatcher_test.cpp
+++ b/src/almondgate/dispatch/dispatcher_test.cpp
@@ -323,7 +323,9 @@
   Fleet moving(4);
   playTurns(moving, exactly);
   DispatchPolicies fixed;
-  fixed.Moves = [](auto, const auto &) { return std::vector<policy::MoveWish>(); };
+  fixed.Moves = [](auto, const auto &) {
+    return std::vector<policy::MoveWish>();
+  };
   Fleet standing(4, fixed);
   playTurns(standing, exactly);
   CHECK(moving.Broken.empty());
--- a/src/almondgate/dispatch/dispatcher_upkeep.cpp
+++ b/src/almondgate/dispatch/dispatcher_upkeep.cpp
@@ -71,8 +71,8 @@
     int64_t missing = n;
     for (size_t i = step.second; i < step.second + size_t(spec->Count); ++i) {
       const auto at = Endpoints.find(tasks[i].At);
-      const bool doomed = at == Endpoints.end() || at->second.Doomed ||
-                          at->second.Suspect;
+      const bool doomed =
+          at == Endpoints.end() || at->second.Doomed || at->second.Suspect;
       const bool at_work = tasks[i].Phase == TaskPhase::Running &&
                            tasks[i].Percent >= AtWorkPercent && !doomed;
       if (!at_work)
--- a/src/almondgate/dispatch/test_fleet.hpp
+++ b/src/almondgate/dispatch/test_fleet.hpp
@@ -71,7 +71,8 @@
   OrderReply carryOut(TestEndpoint &endpoint, const StartOrder &order);
   void checkStart(const TestEndpoint &endpoint, const StartOrder &order,
                   const jobs::StepSpec &step);
-  void onOrderVm(const VmOrder &order, const std::function<void(VmOrderResult)> &);
+  void onOrderVm(const VmOrder &order,
+                 const std::function<void(VmOrderResult)> &);
   void bringUp(const core::VmId &vm, const core::PoolId &pool);
   void step();
   void answerLooks(TestEndpoint &endpoint);
--- a/src/almondgate/dispatch/test_fleet_test.cpp
+++ b/src/almondgate/dispatch/test_fleet_test.cpp
@@ -134,7 +134,8 @@
 
 void TestFleet::drain(const core::VmId &vm) {
   endpointOf(vm).Facts.Draining = true;
-  Core->heartbeat(endpointOf(vm).Facts, ++Sequence, [](const core::Status &) {});
+  Core->heartbeat(endpointOf(vm).Facts, ++Sequence,
+                  [](const core::Status &) {});
 }
 
 // --- time
@@ -234,12 +235,12 @@
   };
   hooks.Record = [this, guard](std::vector<jobs::Event> events, auto done) {
     at(Now + CommitMs, guard([this, events = std::move(events), done] {
-      for (const auto &event : events) {
-        jobs::apply(Ledger, event);
-        Core->applied(event);
-      }
-      done(true);
-    }));
+         for (const auto &event : events) {
+           jobs::apply(Ledger, event);
+           Core->applied(event);
+         }
+         done(true);
+       }));
   };
   hooks.Start = [this, guard](const auto &to, const auto &order, auto done) {
     onStart(to.Id, order, [this, guard, done](const OrderReply &reply) {
@@ -391,7 +392,8 @@
         const TaskRef other{task.Job, task.Occurrence, task.Step, i};
         const bool at_work = std::any_of(
             Endpoints.begin(), Endpoints.end(), [&](const auto &row) {
-              return row.first != vm.Endpoint && row.second.Runs.contains(other);
+              return row.first != vm.Endpoint &&
+                     row.second.Runs.contains(other);
             });
         away += at_work || other == task ? 0 : 1;
       }
--- a/src/almondgate/dispatch/upkeep_desk.cpp
+++ b/src/almondgate/dispatch/upkeep_desk.cpp
@@ -83,8 +83,7 @@
     }
   for (const auto &vm : Recording)
     down += wave.Begun.contains(vm) ? 0 : 1;
-  prepare(wave, std::min(wave.UpperLimit, neededDown(wave)) - down,
-          moving);
+  prepare(wave, std::min(wave.UpperLimit, neededDown(wave)) - down, moving);
 }
 
 // Taking many down at once costs capacity: only as many as end the wave in
@@ -214,15 +213,14 @@
   order.Wave = wave;
   order.Holder = Options.Holder;
   order.Epoch = Epoch;
-  Hooks.OrderVm(order, [this, wave, vm,
-                        generation = Generation](VmOrderResult result) {
-    if (generation == Generation)
-      onOrdered(wave, vm, result);
-  });
+  Hooks.OrderVm(
+      order, [this, wave, vm, generation = Generation](VmOrderResult result) {
+        if (generation == Generation)
+          onOrdered(wave, vm, result);
+      });
 }
 
-void UpkeepDesk::onOrdered(int64_t wave, const VmId &vm,
-                           VmOrderResult result) {
+void UpkeepDesk::onOrdered(int64_t wave, const VmId &vm, VmOrderResult result) {
   Outage &outage = Outages.at(vm);
   outage.Calling = false;
   switch (result) {
--- a/src/almondgate/encoding/jobs_json.hpp
+++ b/src/almondgate/encoding/jobs_json.hpp
@@ -10,6 +10,12 @@
 
 namespace almondgate::jobs {
 
+NLOHMANN_JSON_SERIALIZE_ENUM(JobState, {{JobState::Queued, "queued"},
+                                        {JobState::Running, "running"},
+                                        {JobState::Completed, "completed"},
+                                        {JobState::Failed, "failed"},
+                                        {JobState::Cancelled, "cancelled"}})
+
 // A job may have thousands of tasks: a row each, and nothing for a new one.
 inline void to_json(nlohmann::json &j, const TaskProgress &task) {
   j = nlohmann::json::array();
@@ -65,8 +71,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(EndpointIdled, Id, BornMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(EpochBegun, Leader)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(WaveStarted, Wave)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(UpkeepBegun, Wave, Vm,
-                                                Ends)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(UpkeepBegun, Wave, Vm, Ends)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(UpkeepFinished, Wave, Vm)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(JobsExpired, EndedBeforeWallMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(JobCall, Verb, Host, Path, Key,
--- /dev/null
+++ b/src/almondgate/endpoint/rpc_gateway.cpp
@@ -0,0 +1,59 @@
+#include "almondgate/endpoint/rpc_gateway.hpp"
+#include "almondgate/endpoint/run_codec.hpp"
+
+namespace almondgate::endpoint {
+
+using core::DurationMs;
+using core::Result;
+using dispatch::OrderReply;
+using dispatch::OrderResult;
+using dispatch::RenewReply;
+using protocol::Method;
+
+namespace {
+
+constexpr DurationMs OrderTimeout{500};
+constexpr DurationMs LookMargin{500};
+
+} // namespace
+
+RpcGateway::RpcGateway(task::Loop &loop, const std::string &secret)
+    : Rpc(loop, {secret}) {}
+
+// After an error the order may have been carried out: the dispatcher finds out.
+void RpcGateway::order(const core::Address &to, Method method, std::string body,
+                       const std::function<void(OrderReply)> &done) {
+  Rpc.call(to, method, std::move(body), OrderTimeout,
+           [done](const Result<std::string> &reply) {
+             const auto read = reply ? decodeRun<OrderReply>(reply.value())
+                                     : Result<OrderReply>(reply.error());
+             done(read ? read.value() : OrderReply{});
+           });
+}
+
+dispatch::DispatcherHooks RpcGateway::hooks() {
+  dispatch::DispatcherHooks hooks;
+  hooks.Start = [this](const auto &to, const auto &start, auto done) {
+    order(to.At, Method::StartRun, encodeRun(start), done);
+  };
+  hooks.Stop = [this](const auto &to, const auto &stop, auto done) {
+    order(to.At, Method::StopRun, encodeRun(stop), done);
+  };
+  hooks.Pace = [this](const auto &to, const auto &pace, auto done) {
+    order(to.At, Method::PaceRun, encodeRun(pace), done);
+  };
+  hooks.Renew = [this](const auto &to, const auto &request, auto done) {
+    const DurationMs timeout = DurationMs{request.WaitMs} + LookMargin;
+    Rpc.call(to.At, Method::RenewRuns, encodeRun(request), timeout,
+             [done](const Result<std::string> &reply) {
+               using dispatch::RunInventory;
+               const auto read = reply ? decodeRun<RunInventory>(reply.value())
+                                       : Result<RunInventory>(reply.error());
+               done(read ? RenewReply{OrderResult::Accepted, read.value()}
+                         : RenewReply{});
+             });
+  };
+  return hooks;
+}
+
+} // namespace almondgate::endpoint
--- /dev/null
+++ b/src/almondgate/entry/job_api.cpp
@@ -0,0 +1,104 @@
+#include "almondgate/entry/job_api.hpp"
+#include "almondgate/encoding/codec.hpp"
+#include "almondgate/entry/front_end.hpp"
+
+namespace almondgate::entry {
+
+using core::Error;
+using core::ErrorCode;
+using core::Result;
+using jobs::JobOutcome;
+
+namespace {
+
+http::Response problem(ErrorCode code, const std::string &text,
+                       core::RunOutcome outcome = core::RunOutcome::NotRun) {
+  return http::problemResponse({code, text, outcome});
+}
+
+http::Response responseTo(const jobs::JobReply &reply) {
+  switch (reply.Outcome) {
+  case JobOutcome::Done:
+  case JobOutcome::State:
+  case JobOutcome::Count:
+    return http::jsonResponse(200, encoding::toJson(reply));
+  case JobOutcome::Refused:
+    return problem(ErrorCode::Overloaded, reply.Text);
+  case JobOutcome::NoQueue:
+    return problem(ErrorCode::NotFound, "no such queue");
+  case JobOutcome::UnknownKey:
+    return problem(ErrorCode::Unauthenticated, "a team's key is needed");
+  case JobOutcome::NoJob:
+    return problem(ErrorCode::NotFound, "no such job");
+  case JobOutcome::Invalid:
+    return problem(ErrorCode::InvalidArgument, reply.Text);
+  }
+  return problem(ErrorCode::InvalidArgument, "not understood");
+}
+
+} // namespace
+
+JobApi::JobApi(JobApiHooks hooks) : Hooks(std::move(hooks)) {}
+
+bool JobApi::serves(const std::string &target) {
+  return target.starts_with(JobsPrefix) || target == FleetPath;
+}
+
+void JobApi::handle(const http::Request &request,
+                    const Respond &respond) const {
+  if (request.Target == FleetPath)
+    fleet(request, respond);
+  else
+    job(request, respond);
+}
+
+void JobApi::job(const http::Request &request, const Respond &respond) const {
+  jobs::JobCall call;
+  call.Path = request.Target;
+  call.Key = bearerKey(request.Headers);
+  if (request.Method == "POST") {
+    auto spec = encoding::fromJson<jobs::JobSpec>(request.Body);
+    if (!spec) {
+      respond(http::problemResponse(spec.error()));
+      return;
+    }
+    call.Verb = jobs::JobVerb::Submit;
+    call.Spec = std::move(spec.value());
+  } else if (request.Method == "DELETE") {
+    call.Verb = jobs::JobVerb::Cancel;
+  } else if (request.Method != "GET") {
+    respond(problem(ErrorCode::InvalidArgument, "GET, POST or DELETE"));
+    return;
+  }
+  Hooks.Call(call, [respond](const Result<jobs::JobReply> &reply) {
+    respond(reply ? responseTo(reply.value())
+                  : http::problemResponse(reply.error()));
+  });
+}
+
+void JobApi::fleet(const http::Request &request, const Respond &respond) const {
+  if (!Hooks.IsOperator(request)) {
+    respond(problem(ErrorCode::Unauthenticated, "an operator's key is needed"));
+    return;
+  }
+  if (request.Method == "GET") {
+    Hooks.ReadConfig([respond](const Result<jobs::FleetConfig> &config) {
+      respond(config ? http::jsonResponse(200, encoding::toJson(config.value()))
+                     : http::problemResponse(config.error()));
+    });
+    return;
+  }
+  const auto config = encoding::fromJson<jobs::FleetConfig>(request.Body);
+  const auto good =
+      config ? jobs::checkConfig(config.value()) : core::Status(config.error());
+  if (!good) {
+    respond(http::problemResponse(good.error()));
+    return;
+  }
+  Hooks.Configure(config.value(), [respond](const core::Status &status) {
+    respond(status ? http::jsonResponse(200, "{}")
+                   : http::problemResponse(status.error()));
+  });
+}
+
+} // namespace almondgate::entry
--- a/src/almondgate/entry/route_task.cpp
+++ b/src/almondgate/entry/route_task.cpp
@@ -17,6 +17,9 @@
 
 namespace {
 
+// Covers a change of leader.
+constexpr DurationMs JobTimeout{4000};
+
 constexpr size_t InboxCapacity = 100000;
 constexpr DurationMs TickInterval{10};
 constexpr DurationMs GrantSlack{1000};
@@ -61,9 +64,10 @@
       Watch(loop, Control, Self, watcherHooks()), Endpoints(loop, {}),
       Core({.Self = Self.Id, .FreshFor = settings.FreshFor}, coreHooks()),
       Releases(releaseHooks()), Announcements(announcerHooks()),
-      Admin(settings.OperatorKeys, adminHooks()), Ticker(loop),
-      Inbox(loop, InboxCapacity,
-            [this](const FrontEvent &event) { onEvent(event); }) {}
+      Admin(settings.OperatorKeys, adminHooks()), Jobs(jobHooks()),
+      Ticker(loop), Inbox(loop, InboxCapacity,
+                          [this](const FrontEvent &event) { onEvent(event); }) {
+}
 
 Status RouteTask::start(OnReady ready) {
   Ready = std::move(ready);
@@ -205,6 +209,29 @@
   return hooks;
 }
 
+JobApiHooks RouteTask::jobHooks() {
+  JobApiHooks hooks;
+  hooks.Call = [this](const jobs::JobCall &call, auto done) {
+    Control.call(
+        Method::Job, encoding::encode(call), JobTimeout,
+        [done](const auto &reply) { done(decoded<jobs::JobReply>(reply)); });
+  };
+  hooks.IsOperator = [this](const http::Request &request) {
+    const auto hash = core::sha256Hex(bearerKey(request.Headers));
+    return Settings.OperatorKeys.contains(hash);
+  };
+  hooks.Configure = [this](const jobs::FleetConfig &config, auto done) {
+    Control.call(Method::Configure, encoding::encode(config), ProposeTimeout,
+                 [done](const auto &reply) { done(statusOf(reply)); });
+  };
+  hooks.ReadConfig = [this](auto done) {
+    Control.call(
+        Method::ReadConfig, "", ReadTimeout,
+        [done](const auto &reply) { done(decoded<jobs::FleetConfig>(reply)); });
+  };
+  return hooks;
+}
+
 watch::WatcherHooks RouteTask::watcherHooks() {
   return {[](model::WatchRequest &) {}, [this] { onView(); }};
 }
@@ -281,6 +308,10 @@
     serveAnnouncement(exchange, arrived.Request);
   } else if (startsWith(target, CancelPrefix)) {
     serveCancel(exchange, arrived.Request);
+  } else if (JobApi::serves(target)) {
+    Jobs.handle(arrived.Request, [this, exchange](const http::Response &r) {
+      answer(exchange, r);
+    });
   } else if (startsWith(target, AdminPrefix)) {
     Admin.handle(arrived.Request, [this, exchange](const http::Response &r) {
       answer(exchange, r);
--- a/src/almondgate/jobs/job_record.cpp
+++ b/src/almondgate/jobs/job_record.cpp
@@ -22,11 +22,10 @@
 }
 
 std::optional<size_t> indexOf(const JobSpec &spec, const TaskRef &task) {
-  const bool known = task.Occurrence >= 0 &&
-                     task.Occurrence < spec.occurrences() && task.Step >= 0 &&
-                     task.Step < int64_t(spec.Steps.size()) &&
-                     task.Index >= 0 &&
-                     task.Index < spec.Steps[task.Step].Count;
+  const bool known =
+      task.Occurrence >= 0 && task.Occurrence < spec.occurrences() &&
+      task.Step >= 0 && task.Step < int64_t(spec.Steps.size()) &&
+      task.Index >= 0 && task.Index < spec.Steps[task.Step].Count;
   if (!known)
     return std::nullopt;
   return task.Occurrence * tasksPerOccurrence(spec) +
--- a/src/almondgate/jobs/ledger.cpp
+++ b/src/almondgate/jobs/ledger.cpp
@@ -55,8 +55,7 @@
     job.EndedWallMs = event.WallMs;
 }
 
-void noteFailure(const Ledger &ledger, JobRecord &job,
-                 const TaskEnded &event) {
+void noteFailure(const Ledger &ledger, JobRecord &job, const TaskEnded &event) {
   TaskProgress &task = job.Tasks[tasksOfEnd(job, event.Task).first];
   // The same end may be reported again after a change of leader.
   if (task.Done || event.Run <= task.LastFailedRun)
--- a/src/almondgate/jobs/ledger_test.cpp
+++ b/src/almondgate/jobs/ledger_test.cpp
@@ -79,7 +79,8 @@
   CHECK(ledger.Jobs.at(Job).Remaining == 0);
 }
 
-TEST_CASE("a cancelled job stays cancelled, and an ended one is not cancelled") {
+TEST_CASE(
+    "a cancelled job stays cancelled, and an ended one is not cancelled") {
   Ledger ledger = withJob(steps({1}));
   apply(ledger, JobCancelled{Job, 20});
   apply(ledger, ended(0, 1, true));
--- a/src/almondgate/policy/job_policy_test.cpp
+++ b/src/almondgate/policy/job_policy_test.cpp
@@ -4,7 +4,6 @@
 #include "almondgate/policy/task_placement.hpp"
 #include "almondgate/policy/vm_balance.hpp"
 
-
 #include <doctest/doctest.h>
 
 #include <algorithm>
--- a/src/almondgate/protocol/method.cpp
+++ b/src/almondgate/protocol/method.cpp
@@ -4,12 +4,31 @@
 
 namespace almondgate::protocol {
 
-static constexpr std::array MethodNames = {
-    "watch",        "propose",      "audit",    "consensus", "replace-member",
-    "list-members", "wave-holdups", "identity", "grant",     "release",
-    "report",       "inventory",    "cancel",   "job",
-    "heartbeat",    "leave",        "configure", "read-config", "start-wave",
-    "read-wave",    "join"};
+static constexpr std::array MethodNames = {"watch",
+                                           "propose",
+                                           "audit",
+                                           "consensus",
+                                           "replace-member",
+                                           "list-members",
+                                           "wave-holdups",
+                                           "identity",
+                                           "grant",
+                                           "release",
+                                           "report",
+                                           "inventory",
+                                           "cancel",
+                                           "job",
+                                           "heartbeat",
+                                           "leave",
+                                           "configure",
+                                           "read-config",
+                                           "start-wave",
+                                           "read-wave",
+                                           "start-run",
+                                           "stop-run",
+                                           "pace-run",
+                                           "renew-runs",
+                                           "join"};
 
 const char *methodName(Method method) {
   return MethodNames[static_cast<size_t>(method)];
