Write JSON log lines to standard output without blocking; count and time what jobs do

Cause: the users ask for structured lines on standard output, bounded and never blocking, and for counters and histograms; lines went to standard error, one write a line.

--- a/apps/control_program.cpp
+++ b/apps/control_program.cpp
@@ -120,6 +120,7 @@
   observe::logInfo("start", "control member serves " +
                                 core::toString(settings.Common.Inner));
   loop.run();
+  observe::stopLogging();
   return code;
 }
 
--- a/apps/placer_main.cpp
+++ b/apps/placer_main.cpp
@@ -48,6 +48,7 @@
   observe::logInfo("start",
                    "placer serves " + core::toString(settings.Common.Inner));
   loop.run();
+  observe::stopLogging();
   return 0;
 }
 
--- a/include/almondgate/control/control_task.hpp
+++ b/include/almondgate/control/control_task.hpp
@@ -5,6 +5,7 @@
 #include "almondgate/control/control_core.hpp"
 #include "almondgate/control/storage_task.hpp"
 #include "almondgate/dispatch/dispatcher.hpp"
+#include "almondgate/observe/metrics.hpp"
 #include "almondgate/protocol/rpc_client.hpp"
 #include "almondgate/protocol/rpc_server.hpp"
 #include "almondgate/storage/store.hpp"
@@ -73,6 +74,7 @@
   task::Mailbox<core::Status> Written;
   StorageTask Storage;
   task::Loop &Loop;
+  observe::Metrics Metrics;
   ControlCore Core;
   dispatch::Dispatcher Jobs;
   task::Timer Ticker;
--- a/include/almondgate/dispatch/dispatcher_hooks.hpp
+++ b/include/almondgate/dispatch/dispatcher_hooks.hpp
@@ -44,6 +44,12 @@
   std::function<void(Done<core::Result<std::vector<VmListing>>>)> ListVms;
   std::function<void(const VmOrder &, Done<VmOrderResult>)> OrderVm;
   DispatchPolicies Policies;
+  /// Adds one to a counter with one label; may be left out.
+  std::function<void(const char *name, const char *label, const char *value)>
+      Count = [](const char *, const char *, const char *) {};
+  /// Notes a time in milliseconds; may be left out.
+  std::function<void(const char *name, int64_t ms)> Time =
+      [](const char *, int64_t) {};
   observe::LogLine Log;
 };
 
--- a/src/almondgate/control/control_task.cpp
+++ b/src/almondgate/control/control_task.cpp
@@ -84,7 +84,13 @@
   line("commit_index", node.commitIndex());
   line("last_index", node.lastIndex());
   line("revision", Core.state().View.Revision);
-  return out;
+  const auto &ledger = Core.state().Jobs;
+  line("epoch", ledger.Epoch);
+  line("config_version", ledger.Config.Version);
+  line("jobs_remembered", ledger.Jobs.size());
+  line("endpoints", ledger.Endpoints.size());
+  line("log_lines_dropped", uint64_t(observe::droppedLines()));
+  return out + Metrics.text();
 }
 
 ControlHooks ControlTask::coreHooks() {
@@ -140,6 +146,13 @@
   gateway.Defer = [this](std::function<void()> fn) {
     Loop.defer(std::move(fn));
   };
+  gateway.Count = [this](const char *name, const char *label,
+                         const char *value) {
+    Metrics.count(name, label, value);
+  };
+  gateway.Time = [this](const char *name, int64_t ms) {
+    Metrics.time(name, double(ms));
+  };
   gateway.Log = observe::infoLine("jobs");
   return gateway;
 }
--- a/src/almondgate/dispatch/dispatcher.cpp
+++ b/src/almondgate/dispatch/dispatcher.cpp
@@ -122,9 +122,11 @@
   Recording = true;
   RecordingDone = std::exchange(OutboxDone, {});
   Hooks.Record(std::exchange(Outbox, {}),
-               [this, generation = Generation](bool durable) {
+               [this, began = Hooks.Now(),
+                generation = Generation](bool durable) {
                  if (generation != Generation)
                    return;
+                 Hooks.Time("commit", (Hooks.Now() - began).Count);
                  Recording = false;
                  for (const auto &done : std::exchange(RecordingDone, {}))
                    done(durable);
--- a/src/almondgate/dispatch/dispatcher_calls.cpp
+++ b/src/almondgate/dispatch/dispatcher_calls.cpp
@@ -88,6 +88,7 @@
   const auto verdict = door(call.Spec, queue);
   if (!verdict.Accept) {
     // What is refused comes back: it is demand all the same.
+    Hooks.Count("jobs", "door", "refused");
     noteArrival(queue.Pool, policy::workOf(call.Spec, expecting(queue.Id)));
     Hooks.Log("job " + id.str() + " queue " + queue.Id.str() +
               " refused: " + verdict.Why + ", back in " +
@@ -100,6 +101,7 @@
   const auto *team = jobs::teamOfKey(Ledger.Config, call.Key);
   Hooks.Log("job " + id.str() + " queue " + queue.Id.str() + " team " +
             (team ? team->Id.str() : "-") + " accepted: " + verdict.Why);
+  Hooks.Count("jobs", "door", "accepted");
   Submissions[id].Waiting.push_back(done);
   record(jobs::JobAccepted{id, queue.Id, team ? team->Id : core::TeamId(),
                            call.Spec, Hooks.WallClock(), Epoch});
--- a/src/almondgate/dispatch/dispatcher_orders.cpp
+++ b/src/almondgate/dispatch/dispatcher_orders.cpp
@@ -52,7 +52,8 @@
   slot.Silences = 0;
   slot.StopTold = false;
   slot.Percent = 0;
-  job.Started = true;
+  if (!std::exchange(job.Started, true))
+    Hooks.Time("job_wait", (slot.Since - job.AcceptedAt).Count);
   ++job.Placed;
   addRun(at, place, *step);
   TeamUsed[record->Team] = TeamUsed[record->Team] + step->Need;
@@ -103,6 +104,7 @@
   const auto now = Hooks.Now();
   if (reply.ClockMs)
     endpoint.Lease.observe(*reply.ClockMs, now);
+  Hooks.Count("start_orders", "result", orderResultName(reply.Result));
   TaskSlot *slot = slotOf(place);
   if (!slot || slot->At != at || slot->Run != run || !slot->isPlaced())
     return;
--- a/src/almondgate/dispatch/dispatcher_renewals.cpp
+++ b/src/almondgate/dispatch/dispatcher_renewals.cpp
@@ -182,6 +182,7 @@
   Hooks.Log("task " + report.Task.Job.str() + "#" + std::to_string(*at) +
             " run " + std::to_string(report.Run) + " at " +
             endpoint.Facts.Id.str() + " ended " + runEndName(report.How));
+  Hooks.Count("run_ends", "how", runEndName(report.How));
   if (report.How == RunEnd::Failed)
     ++endpoint.FailuresInRow;
   if (report.How == RunEnd::Done)
@@ -244,6 +245,8 @@
     TeamUsed[stray.Team] = TeamUsed[stray.Team] - stray.Need;
   endpoint.Strays.clear();
   endpoint.Used = {};
+  for (size_t i = 0; i < places.size(); ++i)
+    Hooks.Count("run_ends", "how", "lost");
   if (!places.empty())
     Hooks.Log("endpoint " + endpoint.Facts.Id.str() + " lost " +
               std::to_string(places.size()) + " runs");
--- a/src/almondgate/observe/log.cpp
+++ b/src/almondgate/observe/log.cpp
@@ -1,5 +1,8 @@
 #include "almondgate/observe/log.hpp"
+#include "almondgate/core/time_ms.hpp"
 
+#include <atomic>
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/jsonlayout.h>
@@ -23,23 +26,58 @@
   return log4cxx::Logger::getLogger(part);
 }
 
+constexpr int BufferedLines = 4096;
+constexpr int64_t MsPerSecond = 1000;
+
+/// Admits so many lines a second. Threads may race for the last few.
+struct LineGate {
+  std::atomic<int64_t> Second{0};
+  std::atomic<int64_t> Lines{0};
+  std::atomic<int64_t> Dropped{0};
+
+  bool admit() {
+    const int64_t now = core::monotonicNow().Count / MsPerSecond;
+    if (Second.exchange(now) != now)
+      Lines = 0;
+    if (++Lines <= MaxLinesPerSecond)
+      return true;
+    ++Dropped;
+    return false;
+  }
+};
+
+LineGate &gate() {
+  static LineGate it;
+  return it;
+}
+
 } // namespace
 
 void startLogging(LogFormat format, const std::string &level) {
-  auto appender = std::make_shared<log4cxx::ConsoleAppender>(
-      makeLayout(format), log4cxx::ConsoleAppender::getSystemErr());
+  const auto console = std::make_shared<log4cxx::ConsoleAppender>(
+      makeLayout(format), log4cxx::ConsoleAppender::getSystemOut());
+  const auto appender = std::make_shared<log4cxx::AsyncAppender>();
+  appender->setBufferSize(BufferedLines);
+  appender->setBlocking(false);
+  appender->addAppender(console);
   const auto root = log4cxx::Logger::getRootLogger();
   root->removeAllAppenders();
   root->addAppender(appender);
   root->setLevel(log4cxx::Level::toLevel(level));
 }
 
+void stopLogging() { log4cxx::LogManager::shutdown(); }
+
+int64_t droppedLines() { return gate().Dropped.load(); }
+
 void logInfo(const char *part, const std::string &line) {
-  LOG4CXX_INFO(loggerOf(part), line);
+  if (gate().admit())
+    LOG4CXX_INFO(loggerOf(part), line);
 }
 
 void logWarn(const char *part, const std::string &line) {
-  LOG4CXX_WARN(loggerOf(part), line);
+  if (gate().admit())
+    LOG4CXX_WARN(loggerOf(part), line);
 }
 
 void logError(const char *part, const std::string &line) {
@@ -48,7 +86,10 @@
 
 LogLine infoLine(const char *part) {
   const auto logger = loggerOf(part);
-  return [logger](const std::string &line) { LOG4CXX_INFO(logger, line); };
+  return [logger](const std::string &line) {
+    if (gate().admit())
+      LOG4CXX_INFO(logger, line);
+  };
 }
 
 } // namespace almondgate::observe
