Resolve a resent order by what is there, and keep long-running work on few VMs

Ruled out: a lost commit (the end was in the next batch), a double adoption. Change: such an answer waits for the next look; any other refusal of a resent order is resolved by a stop. Test seen failing without the mend.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -166,6 +166,9 @@
   UpkeepHooks upkeepHooks();
   VmLoad loadOf(const core::VmId &vm) const;
   bool budgetHolds(const EndpointView &endpoint) const;
+  int64_t missingOf(const TaskPlace &first) const;
+  void evacuate(const core::VmId &vm);
+  bool hasRoomFor(const jobs::StepSpec &step, const core::PoolId &pool);
 
   // dispatcher_moves.cpp
   void noteArrival(const core::PoolId &pool, int64_t work);
--- a/include/almondgate/dispatch/dispatcher_hooks.hpp
+++ b/include/almondgate/dispatch/dispatcher_hooks.hpp
@@ -48,8 +48,8 @@
   std::function<void(const char *name, const char *label, const char *value)>
       Count = [](const char *, const char *, const char *) {};
   /// Notes a time in milliseconds; may be left out.
-  std::function<void(const char *name, int64_t ms)> Time =
-      [](const char *, int64_t) {};
+  std::function<void(const char *name, int64_t ms)> Time = [](const char *,
+                                                              int64_t) {};
   observe::LogLine Log;
 };
 
--- a/include/almondgate/dispatch/upkeep_hooks.hpp
+++ b/include/almondgate/dispatch/upkeep_hooks.hpp
@@ -32,6 +32,8 @@
   std::function<VmLoad(const core::VmId &)> LoadOf;
   /// Whether new work may go to the VM.
   std::function<void(const core::VmId &, bool reserved)> Reserve;
+  /// Moves long-running work off the VM, as far as the budgets allow now.
+  std::function<void(const core::VmId &)> Evacuate;
   /// All that runs on the VM is about to end; it counts as missing.
   std::function<void(const core::VmId &)> Doom;
   std::function<void(std::vector<jobs::Event>, std::function<void(bool)>)>
--- a/include/almondgate/policy/task_placement.hpp
+++ b/include/almondgate/policy/task_placement.hpp
@@ -28,17 +28,24 @@
 /// What a task wants of its place.
 struct PlacementNeed {
   core::Size Need;
-  /// Spread over endpoints and racks, so that one loss takes few of them.
-  bool Spread = false;
+  /// The task is long-running: kept together with others of its kind, so that
+  /// the other VMs can move, but over several racks.
+  bool Lasting = false;
+  /// Long-running tasks of a step that should be on one endpoint at most.
+  int64_t StepCap = 1;
   /// Waits for the rack near the data rather than run elsewhere.
   bool OnlyNearData = false;
 
   bool operator==(const PlacementNeed &) const = default;
 };
 
+/// How many of a step's long-running tasks share an endpoint: a quarter, but
+/// two and what the budget lets go at once.
+int64_t lastingStepCap(int64_t count, int64_t may_miss);
+
 /// The option to take, or nothing where the task does not fit anywhere. Short
 /// tasks are packed tightly, so that wide ones still find room; long-running
-/// ones are spread.
+/// ones share few endpoints on several racks.
 std::optional<size_t> choosePlace(const std::vector<PlacementOption> &options,
                                   const PlacementNeed &need);
 
--- a/src/almondgate/dispatch/dispatcher.cpp
+++ b/src/almondgate/dispatch/dispatcher.cpp
@@ -121,17 +121,17 @@
     return;
   Recording = true;
   RecordingDone = std::exchange(OutboxDone, {});
-  Hooks.Record(std::exchange(Outbox, {}),
-               [this, began = Hooks.Now(),
-                generation = Generation](bool durable) {
-                 if (generation != Generation)
-                   return;
-                 Hooks.Time("commit", (Hooks.Now() - began).Count);
-                 Recording = false;
-                 for (const auto &done : std::exchange(RecordingDone, {}))
-                   done(durable);
-                 wake();
-               });
+  Hooks.Record(
+      std::exchange(Outbox, {}),
+      [this, began = Hooks.Now(), generation = Generation](bool durable) {
+        if (generation != Generation)
+          return;
+        Hooks.Time("commit", (Hooks.Now() - began).Count);
+        Recording = false;
+        for (const auto &done : std::exchange(RecordingDone, {}))
+          done(durable);
+        wake();
+      });
 }
 
 void Dispatcher::wake() {
--- a/src/almondgate/dispatch/dispatcher_moves.cpp
+++ b/src/almondgate/dispatch/dispatcher_moves.cpp
@@ -96,7 +96,7 @@
     for (const auto &step : record->Spec->Steps) {
       if (!step.LongRunning)
         continue;
-      const int64_t together = std::max<int64_t>(step.MayMiss, 1);
+      const int64_t together = policy::lastingStepCap(step.Count, step.MayMiss);
       int64_t &fewest = out[job.Pool];
       fewest = std::max(fewest, (step.Count + together - 1) / together);
     }
--- a/src/almondgate/dispatch/dispatcher_orders.cpp
+++ b/src/almondgate/dispatch/dispatcher_orders.cpp
@@ -114,6 +114,11 @@
   if (slot->Phase == TaskPhase::Stopping)
     return;
   const auto give_back = [&](DurationMs pause) {
+    // An earlier copy of the order may have been carried out all the same.
+    if (slot->Silences > 0) {
+      resolveSilent(place, *slot);
+      return;
+    }
     slot->NotBefore = now + pause;
     release(place, TaskPhase::Waiting);
   };
@@ -145,18 +150,18 @@
   case OrderResult::NotSent:
     endpoint.Suspect = true;
     endpoint.RenewDue = now;
-    // After an earlier send without an answer, the run may still be there.
-    if (slot->Silences > 0)
-      resolveSilent(place, *slot);
-    else
-      give_back({});
+    give_back({});
     return;
   case OrderResult::WrongLife:
     record(jobs::EndpointGone{at, born});
     endpoint.Suspect = true;
     return;
-  case OrderResult::Fenced:
   case OrderResult::Outdated:
+    // It ran and ended, or never will: the next look tells which.
+    slot->Phase = TaskPhase::Running;
+    slot->Since = now;
+    return;
+  case OrderResult::Fenced:
   case OrderResult::Late:
   case OrderResult::Malformed:
     give_back(RestartPause);
--- a/src/almondgate/dispatch/dispatcher_placing.cpp
+++ b/src/almondgate/dispatch/dispatcher_placing.cpp
@@ -3,6 +3,7 @@
 #include "almondgate/policy/task_placement.hpp"
 
 #include "need.hpp"
+#include "pool_room.hpp"
 
 #include <algorithm>
 #include <tuple>
@@ -45,15 +46,6 @@
   }
 };
 
-/// The endpoints of a pool that take starts, in one pass of placing.
-struct Dispatcher::PoolRoom {
-  std::vector<EndpointView *> Endpoints;
-  /// The most processor time that is free on one of them.
-  int64_t MostFree = 0;
-  /// Work that fits anywhere and needs this much found no room.
-  int64_t Failed = INT64_MAX;
-};
-
 void Dispatcher::place() {
   std::erase_if(Open, [&](const auto &row) {
     return row.second.Placed == 0 && !row.second.Record->isOpen();
@@ -175,6 +167,7 @@
                       std::find(facts.Labels.begin(), facts.Labels.end(),
                                 step.Affinity.str()) != facts.Labels.end();
     option.SameStep = there;
+    option.Lasting = endpoint->LongRuns;
     option.FailuresInRow = endpoint->FailuresInRow;
     for (const auto &[id, n] : same) {
       const auto other = Endpoints.find(id);
@@ -186,7 +179,8 @@
   }
   policy::PlacementNeed need;
   need.Need = needOf(step);
-  need.Spread = step.LongRunning;
+  need.Lasting = step.LongRunning;
+  need.StepCap = policy::lastingStepCap(step.Count, step.MayMiss);
   need.OnlyNearData =
       !step.Affinity.empty() && !step.LongRunning &&
       ready.SlackMs > step.EstimateMs * NearDataPatiencePercent / Hundred;
--- a/src/almondgate/dispatch/dispatcher_test.cpp
+++ b/src/almondgate/dispatch/dispatcher_test.cpp
@@ -69,6 +69,28 @@
   CHECK(fleet.Broken.empty());
 }
 
+TEST_CASE("a run that ended before its order was sent again is not repeated") {
+  // Found on havrehuset-sched, trouble-1 with seed 1070026703785: the end
+  // waits for a slow commit, and the second order is answered with "ended".
+  Fleet fleet(2);
+  fleet.submit(jobId(1), oneStep(1, 60, 300));
+  fleet.submit(jobId(2), oneStep(1, 60, 700));
+  fleet.submit(jobId(3), oneStep(1, 60, 50));
+  fleet.advance(100);
+  const bool first = fleet.endpointOf(fleet.VmIds[0])
+                         .Runs.contains({jobs::JobId(jobId(1)), 0, 0, 0});
+  auto &endpoint = fleet.endpointOf(fleet.VmIds[first ? 0 : 1]);
+  fleet.CommitMs = 2000;
+  endpoint.LateStarts = 1;
+  endpoint.LateByMs = 100;
+  fleet.advance(12000);
+  CHECK(fleet.Broken.empty());
+  CHECK(fleet.stateOf(jobId(3)) == JobState::Completed);
+  // The third job ran once, where it was ordered first.
+  CHECK(endpoint.Starts == 2);
+  CHECK(fleet.endpointOf(fleet.VmIds[first ? 1 : 0]).Starts == 1);
+}
+
 TEST_CASE("runs on a silent endpoint start elsewhere once its lease lapsed") {
   Fleet fleet(2);
   fleet.submit(jobId(1), oneStep(2, 60, 20000));
@@ -202,6 +224,20 @@
   CHECK(fleet.Broken.empty());
 }
 
+TEST_CASE("long-running work leaves a VM one task of a step at a time") {
+  Fleet fleet(3);
+  fleet.submit(jobId(1), lasting(6, 1));
+  fleet.advance(2000);
+  size_t busy = 0;
+  for (const auto &vm : fleet.VmIds)
+    busy = std::max(busy, fleet.endpointOf(vm).Runs.size());
+  REQUIRE(busy >= 2);
+  fleet.startWave(1, fleet.VmIds, 1, 60000);
+  fleet.advance(60000);
+  CHECK(fleet.dispatcher().isWaveCompleted(1).value());
+  CHECK(fleet.Broken.empty());
+}
+
 TEST_CASE("a new leader neither repeats an upkeep nor loses a VM's new life") {
   Fleet fleet(6);
   fleet.submit(jobId(1), oneStep(6, 30, 30000));
--- a/src/almondgate/dispatch/dispatcher_upkeep.cpp
+++ b/src/almondgate/dispatch/dispatcher_upkeep.cpp
@@ -1,5 +1,8 @@
 #include "almondgate/dispatch/dispatcher.hpp"
 
+#include "need.hpp"
+#include "pool_room.hpp"
+
 #include <algorithm>
 
 namespace almondgate::dispatch {
@@ -22,6 +25,7 @@
       }
   };
   hooks.WallClock = Hooks.WallClock;
+  hooks.Evacuate = [this](const core::VmId &vm) { evacuate(vm); };
   hooks.Doom = [this](const core::VmId &vm) {
     for (auto &[id, endpoint] : Endpoints)
       if (endpoint.Facts.Vm == vm)
@@ -64,24 +68,66 @@
     if (record->Spec->Steps[task.Step].HasMayMiss && record->isOpen())
       ++taken[{place.first, place.second - size_t(task.Index)}];
   }
-  for (const auto &[step, n] : taken) {
-    const auto *record = jobs::findJob(Ledger, step.first);
-    const auto *spec = stepOf(step);
-    const auto &tasks = Open.at(step.first).Tasks;
-    int64_t missing = n;
-    for (size_t i = step.second; i < step.second + size_t(spec->Count); ++i) {
-      const auto at = Endpoints.find(tasks[i].At);
-      const bool doomed =
-          at == Endpoints.end() || at->second.Doomed || at->second.Suspect;
-      const bool at_work = tasks[i].Phase == TaskPhase::Running &&
-                           tasks[i].Percent >= AtWorkPercent && !doomed;
-      if (!at_work)
-        ++missing;
-    }
-    if (record->isOpen() && missing > spec->MayMiss)
+  for (const auto &[first, n] : taken)
+    if (n + missingOf(first) > stepOf(first)->MayMiss)
       return false;
-  }
   return true;
 }
 
+// Tasks of the step at `first` that are not surely at work.
+int64_t Dispatcher::missingOf(const TaskPlace &first) const {
+  const auto *spec = stepOf(first);
+  const auto &tasks = Open.at(first.first).Tasks;
+  int64_t missing = 0;
+  for (size_t i = first.second; i < first.second + size_t(spec->Count); ++i) {
+    const auto at = Endpoints.find(tasks[i].At);
+    const bool doubtful =
+        at == Endpoints.end() || at->second.Doomed || at->second.Suspect;
+    const bool at_work = tasks[i].Phase == TaskPhase::Running &&
+                         tasks[i].Percent >= AtWorkPercent;
+    missing += at_work && !doubtful ? 0 : 1;
+  }
+  return missing;
+}
+
+// One task after the other of each step is stopped, and starts elsewhere.
+void Dispatcher::evacuate(const core::VmId &vm) {
+  for (auto &[id, endpoint] : Endpoints) {
+    if (endpoint.Facts.Vm != vm || endpoint.Suspect)
+      continue;
+    const auto places = endpoint.Runs;
+    for (const auto &place : places) {
+      const auto *step = stepOf(place);
+      const auto &job = Open.at(place.first);
+      const bool movable = step->LongRunning && job.Record->isOpen() &&
+                           slotOf(place)->Phase == TaskPhase::Running;
+      if (!movable)
+        continue;
+      const auto task =
+          jobs::taskAt(place.first, *job.Record->Spec, place.second);
+      const TaskPlace first{place.first, place.second - size_t(task.Index)};
+      const bool held =
+          step->HasMayMiss && missingOf(first) + 1 > step->MayMiss;
+      if (held || !hasRoomFor(*step, endpoint.Facts.Pool))
+        continue;
+      Hooks.Log("task " + place.first.str() + "#" +
+                std::to_string(place.second) + " leaves " + id.str() +
+                " before its upkeep");
+      stop(place);
+    }
+  }
+}
+
+bool Dispatcher::hasRoomFor(const jobs::StepSpec &step,
+                            const core::PoolId &pool) {
+  const auto pools = usablePools();
+  const auto it = pools.find(pool);
+  return it != pools.end() &&
+         std::any_of(it->second.Endpoints.begin(), it->second.Endpoints.end(),
+                     [&](const EndpointView *at) {
+                       return core::fits(needOf(step),
+                                         at->Facts.Capacity - at->Used);
+                     });
+}
+
 } // namespace almondgate::dispatch
--- a/src/almondgate/dispatch/test_fleet.hpp
+++ b/src/almondgate/dispatch/test_fleet.hpp
@@ -60,6 +60,8 @@
   std::function<int64_t(const jobs::StepSpec &)> RunMs;
   /// Whether a run fails.
   std::function<bool(const jobs::TaskRef &)> Fails;
+  /// How long it takes to make events durable.
+  int64_t CommitMs = 5;
   /// The VM service does not answer.
   bool VmServiceSilent = false;
 
@@ -71,6 +73,9 @@
   OrderReply carryOut(TestEndpoint &endpoint, const StartOrder &order);
   void checkStart(const TestEndpoint &endpoint, const StartOrder &order,
                   const jobs::StepSpec &step);
+  int64_t awayOf(const jobs::TaskRef &task,
+                 const jobs::EndpointId &without) const;
+  void checkStop(const jobs::EndpointId &id, const jobs::TaskRef &task);
   void onOrderVm(const VmOrder &order,
                  const std::function<void(VmOrderResult)> &);
   void bringUp(const core::VmId &vm, const core::PoolId &pool);
--- a/src/almondgate/dispatch/test_fleet_test.cpp
+++ b/src/almondgate/dispatch/test_fleet_test.cpp
@@ -10,7 +10,6 @@
 namespace {
 
 constexpr int64_t LatencyMs = 1;
-constexpr int64_t CommitMs = 5;
 constexpr int64_t HeartbeatMs = 1500;
 constexpr int64_t TickMs = 50;
 constexpr int64_t TimeoutMs = 500;
@@ -248,6 +247,7 @@
     });
   };
   hooks.Stop = [this, guard](const auto &to, const auto &order, auto done) {
+    checkStop(to.Id, order.Task);
     const auto it = Endpoints.find(to.Id);
     if (it == Endpoints.end() || it->second.Cut) {
       at(Now + TimeoutMs, guard([done] { done(OrderReply{}); }));
@@ -368,6 +368,32 @@
     Broken.push_back("on a draining endpoint: " + nameOf(order.Task));
 }
 
+int64_t TestFleet::awayOf(const TaskRef &task,
+                          const EndpointId &without) const {
+  const auto *job = jobs::findJob(Ledger, task.Job);
+  int64_t away = 0;
+  for (int64_t i = 0; i < job->Spec->Steps[task.Step].Count; ++i) {
+    const TaskRef other{task.Job, task.Occurrence, task.Step, i};
+    const bool at_work =
+        std::any_of(Endpoints.begin(), Endpoints.end(), [&](const auto &row) {
+          return row.first != without && row.second.Runs.contains(other);
+        });
+    away += at_work || other == task ? 0 : 1;
+  }
+  return away;
+}
+
+void TestFleet::checkStop(const EndpointId &id, const TaskRef &task) {
+  const auto it = Endpoints.find(id);
+  const auto *job = jobs::findJob(Ledger, task.Job);
+  if (it == Endpoints.end() || !it->second.Runs.contains(task) || !job)
+    return;
+  const auto &step = job->Spec->Steps[task.Step];
+  if (step.HasMayMiss && !job->Cancelled &&
+      awayOf(task, EndpointId()) >= step.MayMiss)
+    Broken.push_back("availability, by a stop: " + nameOf(task));
+}
+
 void TestFleet::onOrderVm(const VmOrder &order,
                           const std::function<void(VmOrderResult)> &done) {
   if (VmServiceSilent) {
@@ -387,17 +413,8 @@
     for (const auto &[task, run] : Endpoints.at(vm.Endpoint).Runs) {
       const auto *job = jobs::findJob(Ledger, task.Job);
       const auto &step = job->Spec->Steps[task.Step];
-      int64_t away = 0;
-      for (int64_t i = 0; i < step.Count; ++i) {
-        const TaskRef other{task.Job, task.Occurrence, task.Step, i};
-        const bool at_work = std::any_of(
-            Endpoints.begin(), Endpoints.end(), [&](const auto &row) {
-              return row.first != vm.Endpoint &&
-                     row.second.Runs.contains(other);
-            });
-        away += at_work || other == task ? 0 : 1;
-      }
-      if (step.HasMayMiss && !job->Cancelled && away >= step.MayMiss)
+      if (step.HasMayMiss && !job->Cancelled &&
+          awayOf(task, vm.Endpoint) >= step.MayMiss)
         Broken.push_back("availability: " + nameOf(task));
     }
   Endpoints.erase(vm.Endpoint);
@@ -436,7 +453,7 @@
     told = true;
     out = reply.value();
   });
-  for (int i = 0; i < 50 && !told; ++i)
+  for (int64_t i = 0; i < 10 * CommitMs && !told; ++i)
     advance(1);
   const bool done = told && out.Outcome == jobs::JobOutcome::Done;
   if (done)
--- a/src/almondgate/dispatch/upkeep_desk.cpp
+++ b/src/almondgate/dispatch/upkeep_desk.cpp
@@ -170,7 +170,7 @@
     if (wait != NotBefore.end() && now < wait->second)
       continue;
     const VmLoad load = Hooks.LoadOf(vm);
-    if (!load.BudgetHolds || !load.Reachable) {
+    if (!load.Reachable) {
       if (Reserved.erase(vm) > 0)
         Hooks.Reserve(vm, false);
       continue;
@@ -179,6 +179,10 @@
     const auto [reserved, added] = Reserved.try_emplace(vm, now);
     if (added)
       Hooks.Reserve(vm, true);
+    if (!load.BudgetHolds) {
+      Hooks.Evacuate(vm);
+      continue;
+    }
     if (load.ShortRuns > 0 && now - reserved->second < LongestEmptying)
       continue;
     takeDown(wave, vm, load);
--- a/src/almondgate/policy/job_policy_test.cpp
+++ b/src/almondgate/policy/job_policy_test.cpp
@@ -89,18 +89,28 @@
   CHECK(judgeAtDoor(input).Accept);
 }
 
-TEST_CASE("short tasks are packed, long-running ones are spread") {
+TEST_CASE("short tasks are packed, long-running ones share few endpoints") {
   PlacementOption empty;
   empty.Capacity = {0, 64000, 1000, 0};
   empty.Free = empty.Capacity;
   PlacementOption half = empty;
   half.Free.MilliCpus = 32000;
   half.SameStep = 1;
-  const std::vector<PlacementOption> options = {empty, half};
-  CHECK(choosePlace(options, {{0, 8000, 1, 0}, false, false}) == 1);
-  CHECK(choosePlace(options, {{0, 8000, 1, 0}, true, false}) == 0);
-  CHECK(choosePlace(options, {{0, 40000, 1, 0}, false, false}) == 0);
-  CHECK_FALSE(choosePlace(options, {{0, 65000, 1, 0}, false, false}));
+  half.Lasting = 4;
+  PlacementNeed need{{0, 8000, 1, 0}};
+  CHECK(choosePlace({empty, half}, need) == 1);
+  need.Lasting = true;
+  need.StepCap = 2;
+  CHECK(choosePlace({empty, half}, need) == 1);
+  half.SameStep = 2;
+  CHECK(choosePlace({empty, half}, need) == 0);
+  half.SameStep = 0;
+  half.SameStepOnRack = 1;
+  CHECK(choosePlace({empty, half}, need) == 0);
+  need.Need.MilliCpus = 65000;
+  CHECK_FALSE(choosePlace({empty, half}, need));
+  CHECK(lastingStepCap(5, 1) == 2);
+  CHECK(lastingStepCap(24, 2) == 6);
 }
 
 TEST_CASE("an endpoint that fails everything is the last choice") {
@@ -109,7 +119,7 @@
   PlacementOption bad = good;
   bad.Free.MilliCpus = 10000;
   bad.FailuresInRow = 5;
-  CHECK(choosePlace({bad, good}, {{0, 1000, 1, 0}, false, false}) == 1);
+  CHECK(choosePlace({bad, good}, {{0, 1000, 1, 0}}) == 1);
 }
 
 namespace {
--- a/src/almondgate/policy/task_placement.cpp
+++ b/src/almondgate/policy/task_placement.cpp
@@ -1,5 +1,6 @@
 #include "almondgate/policy/task_placement.hpp"
 
+#include <algorithm>
 #include <tuple>
 
 namespace almondgate::policy {
@@ -8,6 +9,8 @@
 
 // An endpoint that failed this often in a row is the last choice.
 constexpr int64_t BadStreak = 3;
+// A lost endpoint takes at most one in so many of a step's tasks.
+constexpr int64_t CapPart = 4;
 
 int64_t freePercent(const PlacementOption &option) {
   constexpr int64_t Hundred = 100;
@@ -18,16 +21,21 @@
 // Smaller is better.
 auto rank(const PlacementOption &option, const PlacementNeed &need) {
   const bool bad = option.FailuresInRow >= BadStreak;
-  if (need.Spread)
-    return std::make_tuple(bad, !option.NearData, option.SameStep,
-                           option.SameStepOnRack, -option.Lasting,
-                           -freePercent(option));
-  return std::make_tuple(bad, !option.NearData, int64_t{0}, int64_t{0},
+  if (need.Lasting)
+    return std::make_tuple(bad, !option.NearData,
+                           option.SameStep >= need.StepCap,
+                           option.SameStepOnRack, option.Lasting == 0,
+                           option.SameStep, -freePercent(option));
+  return std::make_tuple(bad, !option.NearData, false, int64_t{0}, false,
                          int64_t{0}, freePercent(option));
 }
 
 } // namespace
 
+int64_t lastingStepCap(int64_t count, int64_t may_miss) {
+  return std::max({int64_t{2}, may_miss, (count + CapPart - 1) / CapPart});
+}
+
 std::optional<size_t> choosePlace(const std::vector<PlacementOption> &options,
                                   const PlacementNeed &need) {
   std::optional<size_t> best;
