--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -51,23 +51,23 @@
 
   /// Serves a caller. Errors given: NotLeader, Unavailable where it is not
   /// known whether the request was accepted.
-  void call(const jobs::JobCall &call, OnReply done);
+  void call(const jobs::JobCall &call, const OnReply &done);
 
   /// An endpoint announced itself. Errors given: NotLeader, Unavailable.
   void heartbeat(const jobs::EndpointFacts &facts, int64_t sequence,
-                 OnStatus done);
+                 const OnStatus &done);
 
   /// An endpoint said that it ends. Errors given: as heartbeat().
-  void leave(const jobs::EndpointId &id, int64_t born_ms, OnStatus done);
+  void leave(const jobs::EndpointId &id, int64_t born_ms, const OnStatus &done);
 
   /// An operator gave a configuration that is valid. Errors: as heartbeat().
-  void configure(const jobs::FleetConfig &config, OnStatus done);
+  void configure(const jobs::FleetConfig &config, const OnStatus &done);
 
   /// The newest configuration. Errors: NotLeader.
   core::Result<jobs::FleetConfig> config() const;
 
   /// An operator asked for a wave. Errors given: as heartbeat().
-  void startWave(const jobs::WaveRecord &wave, OnStatus done);
+  void startWave(const jobs::WaveRecord &wave, const OnStatus &done);
 
   /// Errors: NotLeader, NotFound.
   core::Result<bool> isWaveCompleted(int64_t number) const;
--- a/src/almondgate/control/control_task.cpp
+++ b/src/almondgate/control/control_task.cpp
@@ -140,8 +140,8 @@
   gateway.Now = core::monotonicNow;
   gateway.WallClock = core::wallClockMs;
   gateway.MayAct = [this] { return Core.holdsLease(); };
-  gateway.Record = [this](std::vector<jobs::Event> events, auto done) {
-    Core.recordJobs(std::move(events), std::move(done));
+  gateway.Record = [this](const std::vector<jobs::Event> &events, auto done) {
+    Core.recordJobs(events, std::move(done));
   };
   gateway.Defer = [this](std::function<void()> fn) {
     Loop.defer(std::move(fn));
--- a/src/almondgate/control/membership_plan_test.cpp
+++ b/src/almondgate/control/membership_plan_test.cpp
@@ -4,7 +4,6 @@
 
 using namespace almondgate;
 using namespace almondgate::control;
-using consensus::Member;
 using consensus::MemberId;
 using consensus::Membership;
 using core::DurationMs;
--- a/src/almondgate/dispatch/dispatcher.cpp
+++ b/src/almondgate/dispatch/dispatcher.cpp
@@ -315,7 +315,7 @@
 }
 
 void Dispatcher::heartbeat(const EndpointFacts &facts, int64_t sequence,
-                           OnStatus done) {
+                           const OnStatus &done) {
   if (!active()) {
     done(notLeading());
     return;
@@ -364,7 +364,7 @@
 }
 
 void Dispatcher::leave(const jobs::EndpointId &id, int64_t born_ms,
-                       OnStatus done) {
+                       const OnStatus &done) {
   if (!active()) {
     done(notLeading());
     return;
@@ -380,7 +380,8 @@
 
 // --- operators
 
-void Dispatcher::configure(const jobs::FleetConfig &config, OnStatus done) {
+void Dispatcher::configure(const jobs::FleetConfig &config,
+                           const OnStatus &done) {
   if (!active()) {
     done(notLeading());
     return;
@@ -403,7 +404,7 @@
   return Ledger.Config;
 }
 
-void Dispatcher::startWave(const jobs::WaveRecord &wave, OnStatus done) {
+void Dispatcher::startWave(const jobs::WaveRecord &wave, const OnStatus &done) {
   if (!active()) {
     done(notLeading());
     return;
--- a/src/almondgate/dispatch/dispatcher_calls.cpp
+++ b/src/almondgate/dispatch/dispatcher_calls.cpp
@@ -25,7 +25,7 @@
 
 } // namespace
 
-void Dispatcher::call(const JobCall &call, OnReply done) {
+void Dispatcher::call(const JobCall &call, const OnReply &done) {
   if (!active()) {
     done(Error{ErrorCode::NotLeader, "not the control leader"});
     return;
--- a/src/almondgate/dispatch/dispatcher_orders.cpp
+++ b/src/almondgate/dispatch/dispatcher_orders.cpp
@@ -7,7 +7,6 @@
 namespace almondgate::dispatch {
 
 using core::DurationMs;
-using core::TimeMs;
 using jobs::EndpointId;
 
 namespace {
--- a/src/almondgate/dispatch/test_fleet_test.cpp
+++ b/src/almondgate/dispatch/test_fleet_test.cpp
@@ -89,7 +89,7 @@
 // --- VMs
 
 core::VmId TestFleet::addVm(const std::string &pool, const std::string &rack) {
-  const core::VmId vm("m" + std::to_string(Vms.size()));
+  core::VmId vm("m" + std::to_string(Vms.size()));
   Racks[vm] = rack;
   Vms[vm] = {vm, core::PoolId(pool), VmState::Up, core::RackId(rack), {}};
   const auto *spec = jobs::findPool(Ledger.Config, core::PoolId(pool));
--- a/src/almondgate/dispatch/upkeep_desk.cpp
+++ b/src/almondgate/dispatch/upkeep_desk.cpp
@@ -5,7 +5,6 @@
 namespace almondgate::dispatch {
 
 using core::DurationMs;
-using core::TimeMs;
 using core::VmId;
 using jobs::WaveRecord;
 
@@ -148,6 +147,7 @@
   }
   std::sort(ranked.begin(), ranked.end());
   std::vector<VmId> out;
+  out.reserve(ranked.size());
   for (const auto &[rank, vm] : ranked)
     out.push_back(vm);
   return out;
