Give no run to an endpoint that is being given up

Ruled out: two answers to one order (the runs have two numbers, 4 ms apart). Change: an endpoint told as idle takes nothing until it is registered again. The stand-in endpoints drop looks when they are cut, as real ones do; test seen failing without the mend.

--- a/src/almondgate/dispatch/dispatcher_placing.cpp
+++ b/src/almondgate/dispatch/dispatcher_placing.cpp
@@ -123,7 +123,8 @@
   std::map<core::PoolId, PoolRoom> out;
   for (auto &[id, endpoint] : Endpoints) {
     const bool usable = endpoint.Contacted && !endpoint.Suspect &&
-                        !endpoint.Facts.Idle && !endpoint.Facts.Draining &&
+                        !endpoint.Facts.Idle && !endpoint.IdleTold &&
+                        !endpoint.Facts.Draining &&
                         !endpoint.Reserved && endpoint.Lease.isKnown() &&
                         endpoint.BackOffUntil <= now;
     if (!usable)
--- a/src/almondgate/dispatch/dispatcher_test.cpp
+++ b/src/almondgate/dispatch/dispatcher_test.cpp
@@ -107,6 +107,24 @@
   CHECK(fleet.Broken.empty());
 }
 
+TEST_CASE("an endpoint that comes back while it is being given up gets no run") {
+  // Found on fde-goud, hunt-716f-7: its lease had lapsed, the word of that was
+  // not durable yet, and it took a run that was then given up as well.
+  Fleet fleet(2);
+  fleet.submit(jobId(1), oneStep(1, 60, 20000));
+  fleet.submit(jobId(2), oneStep(1, 60, 4000));
+  fleet.advance(500);
+  auto &silent = fleet.endpointOf(fleet.VmIds[0]);
+  REQUIRE(silent.Runs.size() == 1);
+  silent.Cut = true;
+  fleet.advance(1500);
+  fleet.CommitMs = 2500;
+  fleet.advance(2200);
+  silent.Cut = false;
+  fleet.advance(6000);
+  CHECK(fleet.Broken.empty());
+}
+
 TEST_CASE("a new leader goes on with what runs, and doubles nothing") {
   Fleet fleet(4);
   fleet.submit(jobId(1), oneStep(10, 20, 3000));
--- a/src/almondgate/dispatch/test_fleet_test.cpp
+++ b/src/almondgate/dispatch/test_fleet_test.cpp
@@ -181,6 +181,10 @@
 void TestFleet::answerLooks(TestEndpoint &endpoint) {
   std::vector<TestEndpoint::Look> later;
   for (auto &look : std::exchange(endpoint.Looks, {})) {
+    if (endpoint.Cut) {
+      at(Now + TimeoutMs, [done = look.Done] { done(RenewReply{}); });
+      continue;
+    }
     const auto found = endpoint.inventory(Now, look.Request.LastSeen);
     if (found.Ended.empty() && Now < look.Until) {
       later.push_back(look);
--- a/src/almondgate/dispatch/vm_mover.cpp
+++ b/src/almondgate/dispatch/vm_mover.cpp
@@ -6,7 +6,6 @@
 
 using core::DurationMs;
 using core::PoolId;
-using core::TimeMs;
 using core::VmId;
 
 namespace {
--- a/src/almondgate/entry/job_api.cpp
+++ b/src/almondgate/entry/job_api.cpp
@@ -4,7 +4,6 @@
 
 namespace almondgate::entry {
 
-using core::Error;
 using core::ErrorCode;
 using core::Result;
 using jobs::JobOutcome;
