--- a/src/almondgate/dispatch/dispatcher_orders.cpp
+++ b/src/almondgate/dispatch/dispatcher_orders.cpp
@@ -289,7 +289,9 @@
     if (at != Endpoints.end())
       dropRun(at->second, place, *step);
   }
-  slot.Phase = next;
+  // Another run of the task may have ended meanwhile.
+  const bool done = record->Tasks[place.second].Done;
+  slot.Phase = done ? TaskPhase::Done : next;
   slot.Since = Hooks.Now();
   slot.AwaySince = slot.Since;
   slot.At = EndpointId();
