--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -113,6 +113,8 @@
   int64_t pendingOf(const core::QueueId &queue) const;
 
   // dispatcher_orders.cpp
+  EndpointView *lifeThatAnswered(const jobs::EndpointId &id, int64_t born,
+                                 const OrderReply &reply);
   void start(const TaskPlace &place, EndpointView &at, int64_t run);
   void sendStart(const TaskPlace &place);
   void onStartReply(const TaskPlace &place, int64_t run,
--- a/src/almondgate/dispatch/dispatcher_orders.cpp
+++ b/src/almondgate/dispatch/dispatcher_orders.cpp
@@ -37,6 +37,17 @@
   return &record->Spec->Steps[task.Step];
 }
 
+// Null where that life is over; else its clock is noted.
+EndpointView *Dispatcher::lifeThatAnswered(const EndpointId &id, int64_t born,
+                                           const OrderReply &reply) {
+  const auto it = Endpoints.find(id);
+  if (it == Endpoints.end() || it->second.Facts.BornMs != born)
+    return nullptr;
+  if (reply.ClockMs)
+    it->second.Lease.observe(*reply.ClockMs, Hooks.Now());
+  return &it->second;
+}
+
 // --- starts
 
 void Dispatcher::start(const TaskPlace &place, EndpointView &at, int64_t run) {
@@ -96,13 +107,11 @@
 void Dispatcher::onStartReply(const TaskPlace &place, int64_t run,
                               const EndpointId &at, int64_t born,
                               const OrderReply &reply) {
-  const auto found = Endpoints.find(at);
-  if (found == Endpoints.end() || found->second.Facts.BornMs != born)
+  EndpointView *answering = lifeThatAnswered(at, born, reply);
+  if (!answering)
     return;
-  EndpointView &endpoint = found->second;
+  EndpointView &endpoint = *answering;
   const auto now = Hooks.Now();
-  if (reply.ClockMs)
-    endpoint.Lease.observe(*reply.ClockMs, now);
   Hooks.Count("start_orders", "result", orderResultName(reply.Result));
   TaskSlot *slot = slotOf(place);
   if (!slot || slot->At != at || slot->Run != run || !slot->isPlaced())
@@ -207,12 +216,10 @@
 void Dispatcher::onStopReply(const TaskPlace &place, int64_t run,
                              const EndpointId &at, int64_t born,
                              const OrderReply &reply) {
-  const auto found = Endpoints.find(at);
-  if (found == Endpoints.end() || found->second.Facts.BornMs != born)
+  EndpointView *answering = lifeThatAnswered(at, born, reply);
+  if (!answering)
     return;
-  EndpointView &endpoint = found->second;
-  if (reply.ClockMs)
-    endpoint.Lease.observe(*reply.ClockMs, Hooks.Now());
+  EndpointView &endpoint = *answering;
   TaskSlot *slot = slotOf(place);
   if (!slot || slot->At != at || slot->Run != run ||
       slot->Phase != TaskPhase::Stopping)
--- a/src/almondgate/jobs/ledger_test.cpp
+++ b/src/almondgate/jobs/ledger_test.cpp
@@ -24,7 +24,7 @@
   return ledger;
 }
 
-JobSpec steps(std::vector<int64_t> counts) {
+JobSpec steps(const std::vector<int64_t> &counts) {
   JobSpec spec;
   for (const int64_t n : counts) {
     StepSpec step;
--- a/src/almondgate/policy/job_policy_test.cpp
+++ b/src/almondgate/policy/job_policy_test.cpp
@@ -75,9 +75,9 @@
   DoorInput input;
   input.CapacityMilliCpus = 1000;
   input.SlackMs = 1000;
-  input.Backlog = 500 * 1000;
+  input.Backlog = 500000;
   CHECK(judgeAtDoor(input).Accept);
-  input.Backlog = 5000 * 1000;
+  input.Backlog = 5000000;
   const auto refused = judgeAtDoor(input);
   CHECK_FALSE(refused.Accept);
   CHECK(refused.RetryAfterMs > 0);
