--- a/apps/entry_main.cpp
+++ b/apps/entry_main.cpp
@@ -93,7 +93,6 @@
   if (auto done = route.start(serve); !done)
     return apps::failStart(done.error());
   loop.run();
-  observe::stopLogging();
   return code;
 }
 
