Remove settings and fields of the dispatcher that nothing reads

Cause: the last reading of the whole change: AwaySince was written and never read; LookPause, MissNotice and PlaceWanted had no reader; the upkeep's NotBefore was read and never filled. Ruled out: behaviour; each was without effect. Change: they are gone.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -199,7 +199,6 @@
   std::vector<std::function<void(bool)>> RecordingDone;
   bool Recording = false;
   bool Woken = false;
-  bool PlaceWanted = false;
   /// Answers of an earlier leadership are told by it.
   uint64_t Generation = 0;
   core::TimeMs ExpiryDue;
--- a/include/almondgate/dispatch/dispatcher_options.hpp
+++ b/include/almondgate/dispatch/dispatcher_options.hpp
@@ -19,16 +19,11 @@
   core::DurationMs LongestLease{6000};
   /// How long an endpoint may hold a renewal back for an end to tell.
   core::DurationMs RenewWait{1000};
-  /// Pause between an end's commit and the next look, so that one look tells
-  /// several ends.
-  core::DurationMs LookPause{15};
   core::DurationMs RetryPause{300};
   /// Ended jobs are remembered this long.
   core::DurationMs JobMemory{150000};
   /// Two leaders may not order for one VM within this time.
   core::DurationMs VmOrderLease{3000};
-  /// A long-running task is taken to miss when away for this long.
-  core::DurationMs MissNotice{4500};
   /// How long a VM is gone for its upkeep.
   core::DurationMs Upkeep{2000};
   core::DurationMs Move{1500};
--- a/include/almondgate/dispatch/task_slot.hpp
+++ b/include/almondgate/dispatch/task_slot.hpp
@@ -41,8 +41,6 @@
   bool StopTold = false;
   /// Orders that got no answer, one after the other.
   int64_t Silences = 0;
-  /// Since when a long-running task is not at work.
-  core::TimeMs AwaySince;
 
   bool operator==(const TaskSlot &) const = default;
 
--- a/include/almondgate/dispatch/upkeep_desk.hpp
+++ b/include/almondgate/dispatch/upkeep_desk.hpp
@@ -64,7 +64,6 @@
   core::TimeMs Began;
   std::map<core::VmId, Outage> Outages;
   std::map<core::VmId, core::TimeMs> Reserved;
-  std::map<core::VmId, core::TimeMs> NotBefore;
   std::set<core::VmId> Recording;
   VmList &List;
 };
--- a/src/almondgate/dispatch/dispatcher_orders.cpp
+++ b/src/almondgate/dispatch/dispatcher_orders.cpp
@@ -134,7 +134,6 @@
   case OrderResult::Accepted:
     slot->Phase = TaskPhase::Running;
     slot->Since = now;
-    slot->AwaySince = now;
     return;
   case OrderResult::NoAnswer:
     endpoint.Suspect = true;
@@ -300,7 +299,6 @@
   const bool done = record->Tasks[place.second].Done;
   slot.Phase = done ? TaskPhase::Done : next;
   slot.Since = Hooks.Now();
-  slot.AwaySince = slot.Since;
   slot.At = EndpointId();
   wake();
 }
--- a/src/almondgate/dispatch/dispatcher_renewals.cpp
+++ b/src/almondgate/dispatch/dispatcher_renewals.cpp
@@ -135,7 +135,6 @@
       slot.At = endpoint.Facts.Id;
       slot.Run = report.Run;
       slot.Since = Hooks.Now();
-      slot.AwaySince = slot.Since;
       open->second.Started = true;
       ++open->second.Placed;
       addRun(endpoint, place, step);
--- a/src/almondgate/dispatch/upkeep_desk.cpp
+++ b/src/almondgate/dispatch/upkeep_desk.cpp
@@ -44,7 +44,6 @@
   ++Generation;
   Outages.clear();
   Reserved.clear();
-  NotBefore.clear();
   Recording.clear();
 }
 
@@ -166,9 +165,6 @@
     }
     if (free_places <= 0 || moving(vm))
       continue;
-    const auto wait = NotBefore.find(vm);
-    if (wait != NotBefore.end() && now < wait->second)
-      continue;
     const VmLoad load = Hooks.LoadOf(vm);
     if (!load.Reachable) {
       if (Reserved.erase(vm) > 0)
