Judge the lowered limit by spans on one clock, not by endpoints asked in turn

The test added up four endpoints asked one after another, so a run that ended on one and the run that took its place on another could both be counted. Ruled out: nothing yet of the product; an excess at one instant could not be told from an excess between two instants.

--- a/tests/failure_test.py
+++ b/tests/failure_test.py
@@ -297,20 +297,21 @@
                  for q in ("q", "q2")]
         try:
             wait_until(lambda: fleet.running("t") >= 10, 10, "the limit is used")
-            seen = [fleet.running("t") for _ in range(100)]
-            assert max(seen) <= 12
+            begin = time.monotonic()
+            time.sleep(0.5)
+            assert fleet.most_running("t", begin, time.monotonic()) <= 12
             if fault != "none":
                 fleet.processes[fleet.owner_of("p")].signal(
                     signal.SIGKILL if fault == "kill" else signal.SIGSTOP)
             fleet.put(("team", {"Id": "t", "Share": 1, "Limit": 6}))
             # In force within the bound; what ran before ends by itself.
             time.sleep(BOUND_WITH_SLACK)
-            end = time.monotonic() + 6
-            seen = []
-            while time.monotonic() < end:
-                seen.append(fleet.running("t"))
-            assert max(seen) <= 6
-            assert max(seen[-50:]) >= 4, "the limit is not used"
+            begin = time.monotonic()
+            time.sleep(6)
+            end = time.monotonic()
+            assert fleet.most_running("t", begin, end) <= 6
+            assert fleet.most_running("t", end - 1, end) >= 4, \
+                "the limit is not used"
         finally:
             for process in fleet.processes.values():
                 if process.alive():
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -54,6 +54,21 @@
     raise AssertionError(f"{what}: not within {seconds} s")
 
 
+def most_at_once(rows, team, begin, end):
+    """The most spans [team, begin, end or 0] that hold one instant within
+    begin and end. A span that ends as another begins does not meet it."""
+    steps = []
+    for of, first, last in rows:
+        first, last = max(first, begin), min(last or end, end)
+        if of == team and first < last:
+            steps += [(first, 1), (last, -1)]
+    now = most = 0
+    for _, step in sorted(steps):
+        now += step
+        most = max(most, now)
+    return most
+
+
 def http_call(port, method, path, body=None, headers=None, timeout=30):
     """One request on a connection of its own: (status, headers, body)."""
     conn = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout)
@@ -342,14 +357,22 @@
         return http_call(self.public_ports[entry], method,
                          f"/q/{queue}{path}", body, headers, timeout)
 
+    def ask_endpoints(self, path):
+        """What each endpoint that lives answers to a GET."""
+        return [json.loads(http_call(self.public_ports[n], "GET", path)[2])
+                for n, process in self.processes.items()
+                if "fake-endpoint" in process.args[0] and process.alive()]
+
     def running(self, team):
-        """How many requests of a team run now, over all endpoints."""
-        total = 0
-        for name, process in self.processes.items():
-            if "fake-endpoint" in process.args[0] and process.alive():
-                body = http_call(self.public_ports[name], "GET", "/running")[2]
-                total += json.loads(body).get(team, 0)
-        return total
+        """How many requests of a team run now, about: endpoints answer in turn."""
+        return sum(it.get(team, 0) for it in self.ask_endpoints("/running"))
+
+    def most_running(self, team, begin, end):
+        """The most requests of a team that ran at one instant of
+        time.monotonic() between begin and end, over all endpoints. Exact: each
+        endpoint notes its runs on the machine's one steady clock."""
+        rows = [row for rows in self.ask_endpoints("/spans") for row in rows]
+        return most_at_once(rows, team, begin * 1e6, end * 1e6)
 
     def owner_of(self, pool):
         """The name of the placer that owns a pool."""
@@ -361,11 +384,8 @@
     def ran(self):
         """How often each id ran, over all endpoints that live."""
         out = {}
-        for name, process in self.processes.items():
-            if "fake-endpoint" not in process.args[0] or not process.alive():
-                continue
-            body = http_call(self.public_ports[name], "GET", "/ran")[2]
-            for request, n in json.loads(body).items():
+        for ran in self.ask_endpoints("/ran"):
+            for request, n in ran.items():
                 if not request:
                     continue  # asked by wait_serving()
                 out[request] = out.get(request, 0) + n
--- a/tools/fake_endpoint.cpp
+++ b/tools/fake_endpoint.cpp
@@ -1,5 +1,5 @@
 // A stand-in for a worker's endpoint: announces itself, runs requests that only
-// wait, and keeps the ids of all it ran.
+// wait, and keeps the ids, the starts and the ends of all it ran.
 
 #include "almondgate/core/digest.hpp"
 #include "almondgate/core/size.hpp"
@@ -13,6 +13,7 @@
 #include <nlohmann/json.hpp>
 #include <tclap/CmdLine.h>
 
+#include <chrono>
 #include <csignal>
 #include <map>
 #include <sstream>
@@ -48,6 +49,19 @@
   return {};
 }
 
+/// Microseconds of the machine's steady clock, which all processes share.
+int64_t steadyUs() {
+  const auto since = std::chrono::steady_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::microseconds>(since).count();
+}
+
+/// When a run began and ended; End is 0 while it runs.
+struct Span {
+  std::string Team;
+  int64_t BeginUs = 0;
+  int64_t EndUs = 0;
+};
+
 class FakeEndpoint {
 public:
   FakeEndpoint(task::Loop &loop, Options options)
@@ -91,6 +105,10 @@
       exchange.Respond(http::jsonResponse(200, runningByTeam().dump()));
       return;
     }
+    if (target == "/spans") {
+      exchange.Respond(http::jsonResponse(200, spansAsRows().dump()));
+      return;
+    }
     if (target == "/restart") {
       Boot = core::randomHex(4);
       announce();
@@ -116,8 +134,11 @@
     held.Team = http::headerText(request.Headers, "almondgate-team");
     held.End = std::make_unique<task::Timer>(Loop);
     const auto respond = exchange.Respond;
-    held.End->once({ms.empty() ? 0 : std::stoll(ms)}, [this, key, id, respond] {
+    const size_t span = Spans.size();
+    Spans.push_back({held.Team, steadyUs(), 0});
+    held.End->once({ms.empty() ? 0 : std::stoll(ms)}, [=, this] {
       Loop.defer([this, key] { Running.erase(key); });
+      Spans[span].EndUs = steadyUs();
       respond({200,
                {{"content-type", "text/plain"}, {"x-vm", Opts.Name}},
                "done " + id + "\n"});
@@ -131,6 +152,13 @@
     return out;
   }
 
+  nlohmann::json spansAsRows() const {
+    nlohmann::json out = nlohmann::json::array();
+    for (const Span &it : Spans)
+      out.push_back({it.Team, it.BeginUs, it.EndUs});
+    return out;
+  }
+
   void announce() {
     nlohmann::json running = nlohmann::json::array();
     for (const auto &[key, run] : Running)
@@ -167,6 +195,7 @@
   std::string Boot;
   std::map<std::string, int> Ran;
   std::map<std::string, Run> Running;
+  std::vector<Span> Spans;
   uint64_t NextRun = 0;
   size_t NextEntry = 0;
   bool Leaving = false;
