--- a/apps/control_program.cpp
+++ b/apps/control_program.cpp
@@ -8,7 +8,6 @@
 #include "program.hpp"
 
 #include <algorithm>
-#include <csignal>
 
 namespace almondgate::apps {
 
@@ -120,21 +119,18 @@
   observe::logInfo("start", "control member serves " +
                                 core::toString(settings.Common.Inner));
   loop.run();
-  observe::stopLogging();
   return code;
 }
 
 } // namespace
 
 int controlMain(int argc, char **argv, const MakeControlSide &make_side) {
-  std::signal(SIGPIPE, SIG_IGN);
-  int code = 0;
-  const auto settings = readOrExit<config::ControlSettings>(
-      argc, argv, config::readControlSettings, code);
-  if (!settings)
-    return code;
-  return settings->InitAs.empty() ? run(*settings, make_side)
-                                  : formatFirst(*settings);
+  return programMain<config::ControlSettings>(
+      argc, argv, config::readControlSettings,
+      [&](const config::ControlSettings &settings) {
+        return settings.InitAs.empty() ? run(settings, make_side)
+                                       : formatFirst(settings);
+      });
 }
 
 } // namespace almondgate::apps
--- a/apps/placer_main.cpp
+++ b/apps/placer_main.cpp
@@ -5,7 +5,6 @@
 
 #include "program.hpp"
 
-#include <csignal>
 
 using namespace almondgate;
 
@@ -48,16 +47,11 @@
   observe::logInfo("start",
                    "placer serves " + core::toString(settings.Common.Inner));
   loop.run();
-  observe::stopLogging();
   return 0;
 }
 
 } // namespace
 
 int main(int argc, char **argv) {
-  std::signal(SIGPIPE, SIG_IGN);
-  int code = 0;
-  const auto settings = apps::readOrExit<config::PlacerSettings>(
-      argc, argv, config::readPlacerSettings, code);
-  return settings ? run(*settings) : code;
+  return apps::programMain<config::PlacerSettings>(argc, argv, config::readPlacerSettings, run);
 }
--- a/apps/program.hpp
+++ b/apps/program.hpp
@@ -3,6 +3,7 @@
 
 #include "almondgate/config/read_settings.hpp"
 
+#include <csignal>
 #include <cstdio>
 #include <optional>
 #include <string>
@@ -35,6 +36,21 @@
   return line.value().Values;
 }
 
+/// Runs a program with its settings and gives its exit code. The log is written
+/// out last: by then `run` has closed every socket, so that a caller meets a
+/// closed one at once and none that is open and no longer served.
+template <class Settings, class Read, class Run>
+int programMain(int argc, char **argv, Read read, Run run) {
+  std::signal(SIGPIPE, SIG_IGN);
+  int code = 0;
+  const auto settings = readOrExit<Settings>(argc, argv, read, code);
+  if (settings) {
+    code = run(*settings);
+    observe::stopLogging();
+  }
+  return code;
+}
+
 /// Logs an error that keeps the program from starting, and gives its exit code.
 inline int failStart(const core::Error &error) {
   observe::logError("start", error.Text);
