Mend a stuck upkeep, a learner added and dropped in turn, and calls held by a silent leader

Ruled out: the order lease (the VM was free to be ordered for from 6.4 s on). Change: an upkeep that is ordered again moves work off its VM first; a joiner's own word counts as heard; LeaderGuess, pure, passes over a member that let a call time out for a second, and a try lasts 500 ms.

--- a/include/almondgate/dispatch/upkeep_desk.hpp
+++ b/include/almondgate/dispatch/upkeep_desk.hpp
@@ -47,6 +47,8 @@
   std::vector<core::VmId> inOrder(const jobs::WaveRecord &wave) const;
   int64_t neededDown(const jobs::WaveRecord &wave) const;
   void followOutage(const jobs::WaveRecord &wave, const core::VmId &vm);
+  void orderAgain(const jobs::WaveRecord &wave, const core::VmId &vm,
+                  Outage &outage, const VmLoad &load);
   void prepare(const jobs::WaveRecord &wave, int64_t free_places,
                const Moving &moving);
   void takeDown(const jobs::WaveRecord &wave, const core::VmId &vm,
--- a/include/almondgate/watch/control_client.hpp
+++ b/include/almondgate/watch/control_client.hpp
@@ -3,6 +3,7 @@
 
 #include "almondgate/protocol/rpc_client.hpp"
 #include "almondgate/task/timer.hpp"
+#include "almondgate/watch/leader_guess.hpp"
 
 #include <memory>
 #include <vector>
@@ -26,13 +27,12 @@
 private:
   struct Attempt;
   void start(const std::shared_ptr<Attempt> &attempt);
-  void onReply(const std::shared_ptr<Attempt> &attempt, size_t asked,
-               core::Result<std::string> reply);
+  void onReply(const std::shared_ptr<Attempt> &attempt,
+               const core::Address &asked, core::Result<std::string> reply);
 
   task::Loop &Loop;
   protocol::RpcClient &Rpc;
-  std::vector<core::Address> Members;
-  size_t Leader = 0;
+  LeaderGuess Guess;
 };
 
 } // namespace almondgate::watch
--- a/src/almondgate/control/control_core_test.cpp
+++ b/src/almondgate/control/control_core_test.cpp
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <deque>
 #include <optional>
 
@@ -56,6 +57,19 @@
 
   void cutOff(const MemberId &id) { Cut = id; }
 
+  /// A member with an empty disk, which belongs to no group yet.
+  void addJoiner(const MemberId &id, const ControlOptions &options) {
+    Cores[id] = std::make_unique<ControlCore>(
+        options, consensus::NodeOptions{.Self = id}, hooks(id),
+        consensus::DurableState{});
+  }
+
+  int64_t linesWith(const std::string &part) const {
+    return std::count_if(Lines.begin(), Lines.end(), [&](const auto &line) {
+      return line.find(part) != std::string::npos;
+    });
+  }
+
   Result<state::ChangeResult> propose(const state::Change &change) {
     std::optional<Result<state::ChangeResult>> out;
     leader()->propose(change, [&](const auto &r) { out = r; });
@@ -92,6 +106,7 @@
   const model::View &view() { return leader()->state().View; }
 
   core::TimeMs Now{100000};
+  std::vector<std::string> Lines;
   std::map<MemberId, std::unique_ptr<ControlCore>> Cores;
 
 private:
@@ -116,7 +131,7 @@
     out.DecodeState = [](const std::string &bytes) {
       return encoding::decode<state::State>(bytes);
     };
-    out.Log = [](const std::string &) {};
+    out.Log = [this](const std::string &line) { Lines.push_back(line); };
     return out;
   }
 
@@ -342,6 +357,30 @@
   CHECK(model::find(bench.view().Vms, vm)->MovedAt != 0);
 }
 
+TEST_CASE("a joiner is made a learner once, and then a voter") {
+  // Found on havrehuset-sched, trouble-1: a leader of long standing took the
+  // new learner for one that had been silent since the leader began.
+  ControlOptions options;
+  options.Voters = 3;
+  Bench bench(3, options);
+  bench.run(30000);
+  const MemberId joiner("joiner");
+  bench.cutOff(bench.leader() == bench.Cores.at(MemberId("m2")).get()
+                   ? MemberId("m1")
+                   : MemberId("m2"));
+  bench.addJoiner(joiner, options);
+  for (int i = 0; i < 10; ++i) {
+    CHECK(bench.leader()->join({joiner, {"127.0.0.2", 1}, false}));
+    bench.run(500);
+  }
+  const auto *member =
+      consensus::findMember(bench.leader()->node().membership(), joiner);
+  REQUIRE(member);
+  CHECK(member->Voter);
+  // Learner, voter, and the lost one goes.
+  CHECK(bench.linesWith("membership becomes") == 3);
+}
+
 TEST_CASE("hundreds of changes are found again through a snapshot") {
   ControlOptions options;
   options.SnapshotEvery = 50;
--- a/src/almondgate/control/control_members.cpp
+++ b/src/almondgate/control/control_members.cpp
@@ -88,7 +88,11 @@
     const auto *progress = Node.progressOf(member.Id);
     MemberHealth health{member.Id, member.Inner, {}, true};
     if (progress) {
-      const auto heard = std::max(progress->AnsweredSent, LeadingSince.Count);
+      const auto joining = Joiners.find(member.Id);
+      const int64_t asked =
+          joining == Joiners.end() ? 0 : joining->second.Asked.Count;
+      const auto heard =
+          std::max({progress->AnsweredSent, LeadingSince.Count, asked});
       health.Silence = DurationMs{now.Count - heard};
       health.CaughtUp = progress->Match > 0 &&
                         progress->Match + CaughtUpEntries >= Node.commitIndex();
--- a/src/almondgate/dispatch/dispatcher_test.cpp
+++ b/src/almondgate/dispatch/dispatcher_test.cpp
@@ -274,6 +274,29 @@
   CHECK(fleet.Broken.empty());
 }
 
+TEST_CASE("an upkeep begun by the last leader is not held up by new work") {
+  // Found on havrehuset-sched, trouble-1: the order of a leader that froze got
+  // lost, long-running work came to the VM, and its upkeep never came.
+  Fleet fleet(3);
+  fleet.submit(jobId(1), lasting(6, 1));
+  fleet.advance(2000);
+  fleet.VmServiceSilent = true;
+  fleet.startWave(1, {fleet.VmIds[0]}, 1, 20000);
+  for (int i = 0; i < 100 && fleet.ledger().Waves.at(1).Begun.empty(); ++i)
+    fleet.advance(50);
+  REQUIRE(fleet.ledger().Waves.at(1).Begun.size() == 1);
+  fleet.lead();
+  // What else could take the work restarts: the VM gets more than its part.
+  fleet.restart(fleet.VmIds[1]);
+  fleet.advance(1500);
+  fleet.VmServiceSilent = false;
+  fleet.advance(15000);
+  CHECK(fleet.ledger().Waves.at(1).isCompleted());
+  CHECK(fleet.Upkeeps[fleet.VmIds[0]] == 1);
+  for (const auto &broken : fleet.Broken)
+    FAIL_CHECK(broken);
+}
+
 TEST_CASE("a restart of a VM is not taken for the end of its upkeep") {
   Fleet fleet(3);
   fleet.VmServiceSilent = true;
--- a/src/almondgate/dispatch/upkeep_desk.cpp
+++ b/src/almondgate/dispatch/upkeep_desk.cpp
@@ -100,15 +100,7 @@
     return;
   const VmLoad load = Hooks.LoadOf(vm);
   if (!outage.Accepted) {
-    // Another life may have come by a crash or a move: only the VM service's
-    // word shows that the upkeep has begun. Ordered twice, it is done once.
-    const bool safe =
-        Hooks.MayOrder(vm) && (load.Life.Id.empty() || load.BudgetHolds);
-    if (safe && now - outage.Ordered >= OrderRetry) {
-      Hooks.Doom(vm);
-      outage.OrderedAt = load.Life;
-      order(wave.Number, vm);
-    }
+    orderAgain(wave, vm, outage, load);
     return;
   }
   if (!load.Life.Id.empty() && load.Life != outage.Ends) {
@@ -127,6 +119,24 @@
     List.refresh();
 }
 
+// Another life may have come by a crash or a move: only the VM service's word
+// shows that the upkeep has begun. Ordered twice, it is done once.
+void UpkeepDesk::orderAgain(const WaveRecord &wave, const VmId &vm,
+                            Outage &outage, const VmLoad &load) {
+  const auto now = Hooks.Now();
+  if (!Hooks.MayOrder(vm) || now - outage.Ordered < OrderRetry)
+    return;
+  if (!load.Life.Id.empty() && !load.BudgetHolds) {
+    // Work may have come to the VM since its upkeep was begun.
+    Hooks.Reserve(vm, true);
+    Hooks.Evacuate(vm);
+    return;
+  }
+  Hooks.Doom(vm);
+  outage.OrderedAt = load.Life;
+  order(wave.Number, vm);
+}
+
 // Switched-off and empty VMs first: their upkeep costs nobody anything.
 std::vector<VmId> UpkeepDesk::inOrder(const WaveRecord &wave) const {
   std::vector<std::pair<int64_t, VmId>> ranked;
--- a/src/almondgate/watch/control_client.cpp
+++ b/src/almondgate/watch/control_client.cpp
@@ -11,7 +11,9 @@
 namespace {
 
 constexpr DurationMs RetryDelay{25};
-constexpr DurationMs LongestTry{1500};
+// A commit takes some 20 ms; a leader that is silent for so long is frozen, cut
+// off or gone, and the others have had time to elect another.
+constexpr DurationMs LongestTry{500};
 
 bool mayTryAgain(ErrorCode code) {
   return code == ErrorCode::NotLeader || code == ErrorCode::Unavailable ||
@@ -31,15 +33,10 @@
 
 ControlClient::ControlClient(task::Loop &loop, protocol::RpcClient &rpc,
                              std::vector<core::Address> members)
-    : Loop(loop), Rpc(rpc), Members(std::move(members)) {}
+    : Loop(loop), Rpc(rpc), Guess(std::move(members)) {}
 
 void ControlClient::setMembers(std::vector<core::Address> members) {
-  if (members.empty() || members == Members)
-    return;
-  const auto leader = Members[Leader];
-  Members = std::move(members);
-  const auto it = std::find(Members.begin(), Members.end(), leader);
-  Leader = it == Members.end() ? 0 : size_t(it - Members.begin());
+  Guess.setMembers(std::move(members));
 }
 
 void ControlClient::call(protocol::Method method, std::string body,
@@ -55,24 +52,26 @@
 
 void ControlClient::start(const std::shared_ptr<Attempt> &attempt) {
   const auto left = attempt->Deadline - core::monotonicNow();
-  const size_t asked = Leader % Members.size();
-  Rpc.call(Members[asked], attempt->Method, attempt->Body,
-           std::min(left, LongestTry),
+  const auto asked = Guess.ask(core::monotonicNow());
+  Rpc.call(asked, attempt->Method, attempt->Body, std::min(left, LongestTry),
            [this, attempt, asked](core::Result<std::string> reply) {
              onReply(attempt, asked, std::move(reply));
            });
 }
 
 void ControlClient::onReply(const std::shared_ptr<Attempt> &attempt,
-                            size_t asked, core::Result<std::string> reply) {
+                            const core::Address &asked,
+                            core::Result<std::string> reply) {
   if (reply || !mayTryAgain(reply.error().Code)) {
     attempt->Done(std::move(reply));
     return;
   }
+  if (reply.error().Code == ErrorCode::DeadlineExceeded)
+    Guess.noteSilent(asked, core::monotonicNow());
+  else if (Guess.ask(core::monotonicNow()) == asked)
+    Guess.noteElsewhere(asked);
   attempt->MayHaveRun =
       attempt->MayHaveRun || reply.error().Code != ErrorCode::NotLeader;
-  if (Leader == asked)
-    Leader = (asked + 1) % Members.size();
   if (core::monotonicNow() + RetryDelay >= attempt->Deadline) {
     core::Error error = reply.error();
     error.Outcome = attempt->MayHaveRun ? core::RunOutcome::Unknown
--- /dev/null
+++ b/src/almondgate/watch/leader_guess.cpp
@@ -0,0 +1,56 @@
+#include "almondgate/watch/leader_guess.hpp"
+
+#include <algorithm>
+
+namespace almondgate::watch {
+
+using core::Address;
+using core::TimeMs;
+
+namespace {
+
+// Longer than an election takes: asked sooner, a frozen member would hold the
+// call up again while the others already follow a new leader.
+constexpr core::DurationMs SilencePause{1000};
+
+} // namespace
+
+LeaderGuess::LeaderGuess(std::vector<Address> members)
+    : Members(std::move(members)) {}
+
+Address LeaderGuess::ask(TimeMs now) const {
+  for (size_t i = 0; i < Members.size(); ++i) {
+    const Address &member = Members[(Next + i) % Members.size()];
+    const auto silent = SilentUntil.find(member);
+    if (silent == SilentUntil.end() || now >= silent->second)
+      return member;
+  }
+  return Members[Next % Members.size()];
+}
+
+void LeaderGuess::noteElsewhere(const Address &member) {
+  const auto it = std::find(Members.begin(), Members.end(), member);
+  if (it != Members.end())
+    Next = size_t(it - Members.begin() + 1) % Members.size();
+}
+
+void LeaderGuess::noteSilent(const Address &member, TimeMs now) {
+  SilentUntil[member] = now + SilencePause;
+  if (Members[Next % Members.size()] == member)
+    noteElsewhere(member);
+}
+
+void LeaderGuess::setMembers(std::vector<Address> members) {
+  if (members.empty() || members == Members)
+    return;
+  const Address next = Members[Next % Members.size()];
+  Members = std::move(members);
+  const auto it = std::find(Members.begin(), Members.end(), next);
+  Next = it == Members.end() ? 0 : size_t(it - Members.begin());
+  std::erase_if(SilentUntil, [&](const auto &row) {
+    return std::find(Members.begin(), Members.end(), row.first) ==
+           Members.end();
+  });
+}
+
+} // namespace almondgate::watch
