--- a/include/almondgate/consensus/durable_state.hpp
+++ b/include/almondgate/consensus/durable_state.hpp
@@ -15,6 +15,8 @@
   Snapshot Base;
   /// The entries after Base, without a gap.
   std::vector<LogEntry> Entries;
+  /// Entries up to here were known to be committed; there may be more.
+  uint64_t Commit = 0;
 
   bool operator==(const DurableState &) const = default;
 };
--- a/include/almondgate/consensus/effects.hpp
+++ b/include/almondgate/consensus/effects.hpp
@@ -17,6 +17,8 @@
   /// Where set, the log ends before this index and goes on with Entries.
   std::optional<uint64_t> ReplaceFrom;
   std::vector<LogEntry> Entries;
+  /// What was known to be committed; written along with the rest only.
+  uint64_t Commit = 0;
 
   bool empty() const { return !Voted && !Base && !ReplaceFrom; }
   bool operator==(const DurableBatch &) const = default;
--- a/src/almondgate/consensus/node.cpp
+++ b/src/almondgate/consensus/node.cpp
@@ -22,9 +22,9 @@
   Memberships.emplace_back(Base.Index, Base.Voters);
   for (const auto &entry : state.Entries)
     noteMembership(entry);
-  Commit = Base.Index;
-  Delivered = Base.Index;
   Durable = Entries.lastIndex();
+  Commit = std::clamp(state.Commit, Base.Index, Durable);
+  Delivered = Base.Index;
   HeardLeader = Hooks.Now();
   resetElectionDeadline();
   // Nobody leads where all have just started: the wait needs no wide spread.
@@ -157,6 +157,7 @@
       ChangedFrom.reset();
     }
     Writing = !out.Batch.empty();
+    out.Batch.Commit = Writing ? Commit : 0;
     WritingLast = Entries.lastIndex();
   }
   out.Committed = Entries.slice(Delivered + 1, Commit, SIZE_MAX);
--- a/src/almondgate/consensus/node_test.cpp
+++ b/src/almondgate/consensus/node_test.cpp
@@ -264,6 +264,26 @@
   CHECK(longest <= 2 * ShortestMs);
 }
 
+TEST_CASE("what was known to be committed is applied at the start, alone") {
+  // A member with a long log has this behind it before it may lead.
+  TestCluster cluster(3, 3, {});
+  cluster.run(3000);
+  constexpr size_t Changes = 50;
+  for (size_t i = 0; i < Changes; ++i) {
+    REQUIRE(cluster.propose("change"));
+    cluster.run(20);
+  }
+  for (const auto &id : cluster.ids())
+    cluster.crash(id);
+  for (const auto &id : cluster.ids()) {
+    cluster.restart(id);
+    cluster.run(10);
+    CHECK(cluster.applied(id).size() >= Changes - 5);
+    cluster.crash(id);
+  }
+  CHECK(cluster.violations().empty());
+}
+
 TEST_CASE("leadership moves on request without a wait") {
   TestCluster cluster(13, 3, {});
   cluster.run(2500);
--- a/src/almondgate/consensus/test_cluster_test.cpp
+++ b/src/almondgate/consensus/test_cluster_test.cpp
@@ -130,6 +130,7 @@
       disk.Base = *batch.Base;
       disk.Entries.clear();
     }
+    disk.Commit = std::max(disk.Commit, batch.Commit);
     if (batch.ReplaceFrom) {
       while (!disk.Entries.empty() &&
              disk.Entries.back().Index >= *batch.ReplaceFrom)
--- a/src/almondgate/encoding/json_types.hpp
+++ b/src/almondgate/encoding/json_types.hpp
@@ -285,6 +285,8 @@
     j["Voted"] = *batch.Voted;
   if (batch.Base)
     j["Base"] = *batch.Base;
+  if (batch.Commit > 0)
+    j["Commit"] = batch.Commit;
   if (batch.ReplaceFrom) {
     j["ReplaceFrom"] = *batch.ReplaceFrom;
     j["Entries"] = batch.Entries;
@@ -297,6 +299,7 @@
     batch.Voted = j.at("Voted").get<Vote>();
   if (j.contains("Base"))
     batch.Base = j.at("Base").get<Snapshot>();
+  batch.Commit = j.value("Commit", uint64_t{0});
   if (!j.contains("ReplaceFrom"))
     return;
   batch.ReplaceFrom = j.at("ReplaceFrom").get<uint64_t>();
--- a/src/almondgate/storage/store.cpp
+++ b/src/almondgate/storage/store.cpp
@@ -81,6 +81,7 @@
 void applyBatch(DurableState &state, const DurableBatch &batch) {
   if (batch.Voted)
     state.Voted = *batch.Voted;
+  state.Commit = std::max(state.Commit, batch.Commit);
   if (!batch.ReplaceFrom)
     return;
   auto &entries = state.Entries;
--- a/src/almondgate/storage/store_test.cpp
+++ b/src/almondgate/storage/store_test.cpp
@@ -73,11 +73,13 @@
   auto store = openGood(folder.Path);
   DurableBatch replace = batchOf(2, 5);
   replace.Voted = consensus::Vote{5, MemberId("m2")};
+  replace.Commit = 1;
   REQUIRE(bool(store->write(replace)));
   store.reset();
   const auto state = openGood(folder.Path)->takeState();
   REQUIRE(state.Entries.size() == 2);
   CHECK(state.Entries[1].Term == 5);
+  CHECK(state.Commit == 1);
   CHECK(state.Voted == consensus::Vote{5, MemberId("m2")});
 }
 
