Index the configuration; keep an answer true for all tries of a call

The leader was busy, among others, because each look-up of a queue or a team went through all of them, once for every open job and pass of placing. Ruled out: a second leader (the epoch was the same); the door (it let the job in). Change: JobCall names the call; an accepted job remembers, durably, the call it was accepted for, and every later try of it is told so; one that was refused stays refused. ConfigIndex finds queues, teams and keys in logarithmic time.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -8,6 +8,7 @@
 #include "almondgate/dispatch/upkeep_desk.hpp"
 #include "almondgate/dispatch/vm_mover.hpp"
 #include "almondgate/dispatch/vm_order_book.hpp"
+#include "almondgate/jobs/config_index.hpp"
 #include "almondgate/jobs/job_call.hpp"
 #include "almondgate/jobs/job_reply.hpp"
 #include "almondgate/jobs/ledger.hpp"
@@ -84,10 +85,14 @@
   using TaskPlace = EndpointView::TaskPlace;
 
   struct Submission {
+    std::string Call;
     std::vector<OnReply> Waiting;
   };
 
   // dispatcher.cpp
+  /// Of the ledger's configuration as it is now: other events of one batch are
+  /// told after the ledger has applied all of them.
+  const jobs::ConfigIndex &index() const;
   void record(jobs::Event event, std::function<void(bool)> done = {});
   /// Runs `done` once all that was recorded so far is durable.
   void afterRecorded(std::function<void(bool)> done);
@@ -110,11 +115,13 @@
                            const jobs::QueueSpec &queue,
                            core::TimeMs sent) const;
   policy::DoorLoad doorLoadOf(const OpenJob &job) const;
-  void refuse(const jobs::JobId &id, const jobs::JobSpec &spec,
+  void refuse(const jobs::JobCall &call, const jobs::JobId &id,
               const jobs::QueueSpec &queue, const policy::DoorVerdict &verdict,
               const OnReply &done);
   void submit(const jobs::JobCall &call, const jobs::QueueSpec &queue,
               const jobs::JobId &id, const OnReply &done);
+  bool isAcceptedCall(const jobs::JobCall &call) const;
+  void submitAgain(const jobs::JobId &id, const OnReply &done);
   jobs::JobReply look(const jobs::JobId &id) const;
   void cancel(const jobs::JobId &id, const OnReply &done);
   int64_t pendingOf(const core::QueueId &queue) const;
@@ -196,6 +203,7 @@
   const DispatcherOptions Options;
   const DispatcherHooks Hooks;
   const jobs::Ledger &Ledger;
+  mutable jobs::ConfigIndex Index;
   bool Active = false;
   uint64_t Epoch = 0;
   core::TimeMs Began;
--- a/include/almondgate/jobs/event.hpp
+++ b/include/almondgate/jobs/event.hpp
@@ -18,6 +18,8 @@
   JobSpec Spec;
   int64_t WallMs = 0;
   uint64_t Epoch = 0;
+  /// The call that it was accepted for.
+  std::string Call;
   bool operator==(const JobAccepted &) const = default;
 };
 
--- a/include/almondgate/jobs/job_call.hpp
+++ b/include/almondgate/jobs/job_call.hpp
@@ -15,6 +15,8 @@
   /// Prefix of a queue, and after it the job's id.
   std::string Path;
   std::string Key;
+  /// Names this call, the same at each of an entry's tries; may be empty.
+  std::string Call;
   /// For Submit.
   JobSpec Spec;
 
--- a/include/almondgate/jobs/job_record.hpp
+++ b/include/almondgate/jobs/job_record.hpp
@@ -19,6 +19,8 @@
   int64_t AcceptedWallMs = 0;
   /// The leadership that accepted it.
   uint64_t Epoch = 0;
+  /// The call that it was accepted for; later tries of it are told the same.
+  std::string Call;
   bool Cancelled = false;
   bool Failed = false;
   /// Wall clock of the end; 0 while the job is open.
--- a/include/almondgate/policy/return_memory.hpp
+++ b/include/almondgate/policy/return_memory.hpp
@@ -5,6 +5,8 @@
 #include "almondgate/jobs/ids.hpp"
 
 #include <map>
+#include <set>
+#include <string>
 
 namespace almondgate::policy {
 
@@ -12,18 +14,27 @@
 /// the time that its caller has waited. Bounded by age and by number.
 class ReturnMemory {
 public:
-  /// A job was refused now; its first refusal counts.
-  void noteRefused(const jobs::JobId &id, core::TimeMs now);
+  /// A job was refused to a call now; its first refusal counts.
+  void noteRefused(const jobs::JobId &id, const std::string &call,
+                   core::TimeMs now);
+
+  /// The job was refused to this call: what its caller was told stays true.
+  bool wasRefused(const jobs::JobId &id, const std::string &call) const;
 
   /// When the job was first refused; `now` for one that never was.
   core::TimeMs firstSent(const jobs::JobId &id, core::TimeMs now) const;
 
-  void forget(const jobs::JobId &id) { FirstRefused.erase(id); }
-  void clear() { FirstRefused.clear(); }
-  size_t size() const { return FirstRefused.size(); }
+  void forget(const jobs::JobId &id) { Refused.erase(id); }
+  void clear() { Refused.clear(); }
+  size_t size() const { return Refused.size(); }
 
 private:
-  std::map<jobs::JobId, core::TimeMs> FirstRefused;
+  struct Refusals {
+    core::TimeMs First;
+    std::set<std::string> Calls;
+  };
+
+  std::map<jobs::JobId, Refusals> Refused;
 };
 
 } // namespace almondgate::policy
--- a/src/almondgate/dispatch/dispatcher.cpp
+++ b/src/almondgate/dispatch/dispatcher.cpp
@@ -44,6 +44,7 @@
   Began = Hooks.Now();
   ExpiryDue = Began + ExpiryInterval;
   DemandLogDue = Began;
+  Index = jobs::ConfigIndex(Ledger.Config);
   for (const auto &[id, facts] : Ledger.Endpoints)
     onRegistered(facts);
   for (auto &[id, endpoint] : Endpoints)
@@ -108,6 +109,12 @@
   wake();
 }
 
+const jobs::ConfigIndex &Dispatcher::index() const {
+  if (Index.version() != Ledger.Config.Version)
+    Index = jobs::ConfigIndex(Ledger.Config);
+  return Index;
+}
+
 // --- durable events
 
 void Dispatcher::record(jobs::Event event, std::function<void(bool)> done) {
@@ -201,7 +208,7 @@
   const auto now = Hooks.Now();
   OpenJob job;
   job.Record = &record;
-  const auto *queue = jobs::findQueue(Ledger.Config, record.Queue);
+  const auto *queue = index().queue(record.Queue);
   if (queue)
     job.Pool = queue->Pool;
   const int64_t age =
--- a/src/almondgate/dispatch/dispatcher_calls.cpp
+++ b/src/almondgate/dispatch/dispatcher_calls.cpp
@@ -23,6 +23,10 @@
          text.find_first_not_of("0123456789abcdef") == std::string::npos;
 }
 
+std::string lastSegment(const std::string &path) {
+  return path.substr(path.rfind('/') + 1);
+}
+
 } // namespace
 
 void Dispatcher::call(const JobCall &call, const OnReply &done) {
@@ -36,12 +40,16 @@
                   .Text = "no configuration yet"});
     return;
   }
-  const auto *queue = jobs::queueAt(Ledger.Config, call.Host, call.Path);
+  if (isAcceptedCall(call)) {
+    submitAgain(jobs::JobId(lastSegment(call.Path)), done);
+    return;
+  }
+  const auto *queue = index().queueAt(call.Host, call.Path);
   if (!queue) {
     done(JobReply{.Outcome = JobOutcome::NoQueue});
     return;
   }
-  if (!queue->Open && !jobs::teamOfKey(Ledger.Config, call.Key)) {
+  if (!queue->Open && !index().teamOfKey(call.Key)) {
     done(JobReply{.Outcome = JobOutcome::UnknownKey});
     return;
   }
@@ -70,15 +78,29 @@
   }
 }
 
-void Dispatcher::submit(const JobCall &call, const jobs::QueueSpec &queue,
-                        const jobs::JobId &id, const OnReply &done) {
-  if (jobs::findJob(Ledger, id)) {
-    done(JobReply{.Outcome = JobOutcome::Done});
-    return;
-  }
+// A withdrawn key or queue must not turn a later try of an accepted call away.
+bool Dispatcher::isAcceptedCall(const JobCall &call) const {
+  if (call.Verb != JobVerb::Submit || call.Call.empty())
+    return false;
+  const jobs::JobId id(lastSegment(call.Path));
+  if (const auto *record = jobs::findJob(Ledger, id))
+    return record->Call == call.Call;
   const auto pending = Submissions.find(id);
-  if (pending != Submissions.end()) {
+  return pending != Submissions.end() && pending->second.Call == call.Call;
+}
+
+void Dispatcher::submitAgain(const jobs::JobId &id, const OnReply &done) {
+  const auto pending = Submissions.find(id);
+  if (pending != Submissions.end())
     pending->second.Waiting.push_back(done);
+  else
+    done(JobReply{.Outcome = JobOutcome::Done});
+}
+
+void Dispatcher::submit(const JobCall &call, const jobs::QueueSpec &queue,
+                        const jobs::JobId &id, const OnReply &done) {
+  if (jobs::findJob(Ledger, id) || Submissions.contains(id)) {
+    submitAgain(id, done);
     return;
   }
   if (auto good = policy::checkJob(call.Spec); !good) {
@@ -86,31 +108,39 @@
     return;
   }
   const auto now = Hooks.Now();
+  if (Returns.wasRefused(id, call.Call)) {
+    // An earlier try of this call, overtaken by a later one that was refused.
+    Hooks.Log("job " + id.str() + " was refused to call " + call.Call);
+    done(JobReply{.Outcome = JobOutcome::Refused,
+                  .RetryAfterMs = ShortRetryMs,
+                  .Text = "refused to this call before"});
+    return;
+  }
   const auto sent = Returns.firstSent(id, now);
   const auto verdict = door(call.Spec, queue, sent);
   if (!verdict.Accept) {
-    refuse(id, call.Spec, queue, verdict, done);
+    refuse(call, id, queue, verdict, done);
     return;
   }
-  const auto *team = jobs::teamOfKey(Ledger.Config, call.Key);
+  const auto *team = index().teamOfKey(call.Key);
   Hooks.Log("job " + id.str() + " queue " + queue.Id.str() + " team " +
             (team ? team->Id.str() : "-") + " accepted: " + verdict.Why);
   Hooks.Count("jobs", "door", "accepted");
-  Submissions[id].Waiting.push_back(done);
+  Submissions[id] = {call.Call, {done}};
   record(jobs::JobAccepted{id, queue.Id, team ? team->Id : core::TeamId(),
                            call.Spec, Hooks.WallClock() - (now - sent).Count,
-                           Epoch});
+                           Epoch, call.Call});
 }
 
 // What is refused comes back: it is demand all the same.
-void Dispatcher::refuse(const jobs::JobId &id, const jobs::JobSpec &spec,
+void Dispatcher::refuse(const JobCall &call, const jobs::JobId &id,
                         const jobs::QueueSpec &queue,
                         const policy::DoorVerdict &verdict,
                         const OnReply &done) {
   Hooks.Count("jobs", "door", "refused");
   if (Hooks.Policies.RememberReturns)
-    Returns.noteRefused(id, Hooks.Now());
-  noteArrival(queue.Pool, policy::workOf(spec, expecting(queue.Id)));
+    Returns.noteRefused(id, call.Call, Hooks.Now());
+  noteArrival(queue.Pool, policy::workOf(call.Spec, expecting(queue.Id)));
   Hooks.Log("job " + id.str() + " queue " + queue.Id.str() +
             " refused: " + verdict.Why + ", back in " +
             std::to_string(verdict.RetryAfterMs) + " ms");
--- a/src/almondgate/dispatch/dispatcher_placing.cpp
+++ b/src/almondgate/dispatch/dispatcher_placing.cpp
@@ -90,7 +90,7 @@
     if (!record->isOpen())
       continue;
     const auto &spec = *record->Spec;
-    const auto *queue = jobs::findQueue(Ledger.Config, record->Queue);
+    const auto *queue = index().queue(record->Queue);
     const auto expect = expecting(record->Queue);
     size_t first = 0;
     for (int64_t k = 0; k < spec.occurrences(); ++k) {
@@ -190,7 +190,7 @@
 
 bool Dispatcher::withinLimit(const core::TeamId &team,
                              const core::Size &need) const {
-  const auto *spec = jobs::findTeam(Ledger.Config, team);
+  const auto *spec = index().team(team);
   if (!spec)
     return true;
   const auto it = TeamUsed.find(team);
@@ -284,7 +284,7 @@
 
 bool Dispatcher::hasTickets(const ReadyStep &ready,
                             const std::vector<EndpointView *> &pool) {
-  const auto *queue = jobs::findQueue(Ledger.Config, ready.Record->Queue);
+  const auto *queue = index().queue(ready.Record->Queue);
   if (!queue || !queue->NeedsTicket)
     return true;
   const auto now = Hooks.Now();
--- a/src/almondgate/dispatch/dispatcher_test.cpp
+++ b/src/almondgate/dispatch/dispatcher_test.cpp
@@ -499,6 +499,41 @@
   CHECK(with > without + 5);
 }
 
+TEST_CASE("a call that was refused is not accepted by an earlier try of it") {
+  // Found on havrehuset-sched-grown, scale-1: an entry's first try lay unread
+  // at a busy leader and was carried out after its second try was refused.
+  Fleet fleet(1);
+  for (int i = 0; i < 12; ++i)
+    fleet.submit(jobId(100 + i), oneStep(6, 10, 1000));
+  REQUIRE(fleet.submit(jobId(1), oneStep(6, 10, 1000), "q", "c1").Outcome ==
+          JobOutcome::Refused);
+  fleet.advance(15000);
+  CHECK(fleet.submit(jobId(1), oneStep(6, 10, 1000), "q", "c1").Outcome ==
+        JobOutcome::Refused);
+  CHECK(fleet.submit(jobId(1), oneStep(6, 10, 1000), "q", "c2").Outcome ==
+        JobOutcome::Done);
+}
+
+TEST_CASE(
+    "an accepted call stays accepted when its key is withdrawn meanwhile") {
+  // Found on havrehuset-sched-grown, scale-1: the first try was accepted by a
+  // leader too busy to answer in time, the second met a configuration without
+  // the key and was told 401, and the job ran.
+  Fleet fleet(2);
+  fleet.submit(jobId(1), oneStep(6, 10, 1000), "q", "c1");
+  fleet.configure([](jobs::FleetConfig &config) { config.Teams.clear(); });
+  CHECK(fleet.submit(jobId(1), oneStep(6, 10, 1000), "q", "c1").Outcome ==
+        JobOutcome::Done);
+  CHECK(fleet.submit(jobId(1), oneStep(6, 10, 1000), "q", "c2").Outcome ==
+        JobOutcome::UnknownKey);
+  fleet.lead();
+  CHECK(fleet.submit(jobId(1), oneStep(6, 10, 1000), "q", "c1").Outcome ==
+        JobOutcome::Done);
+  fleet.configure([](jobs::FleetConfig &config) { config.Queues.clear(); });
+  CHECK(fleet.submit(jobId(1), oneStep(6, 10, 1000), "q", "c1").Outcome ==
+        JobOutcome::Done);
+}
+
 TEST_CASE("a turn that begins as the leader changes gets its VMs at once") {
   // Found on fde-goud, scale-2: after the power of all members was lost no VM
   // moved for 3.2 s, the first 3 s of a queue's turn.
--- a/src/almondgate/dispatch/test_fleet.hpp
+++ b/src/almondgate/dispatch/test_fleet.hpp
@@ -35,7 +35,8 @@
 
   void configure(const std::function<void(jobs::FleetConfig &)> &edit);
   jobs::JobReply submit(const std::string &id, const jobs::JobSpec &spec,
-                        const std::string &queue = "q");
+                        const std::string &queue = "q",
+                        const std::string &call = "");
   jobs::JobState stateOf(const std::string &id);
   jobs::JobReply cancel(const std::string &id);
   void startWave(int64_t number, const std::vector<core::VmId> &vms,
--- a/src/almondgate/dispatch/test_fleet_test.cpp
+++ b/src/almondgate/dispatch/test_fleet_test.cpp
@@ -240,10 +240,11 @@
   };
   hooks.Record = [this, guard](std::vector<jobs::Event> events, auto done) {
     at(Now + CommitMs, guard([this, events = std::move(events), done] {
-         for (const auto &event : events) {
+         // As the replicated state does: all of a change, then its events.
+         for (const auto &event : events)
            jobs::apply(Ledger, event);
+         for (const auto &event : events)
            Core->applied(event);
-         }
          done(true);
        }));
   };
@@ -461,8 +462,10 @@
 
 jobs::JobReply TestFleet::submit(const std::string &id,
                                  const jobs::JobSpec &spec,
-                                 const std::string &queue) {
+                                 const std::string &queue,
+                                 const std::string &name) {
   jobs::JobCall call;
+  call.Call = name;
   call.Verb = jobs::JobVerb::Submit;
   call.Host = "h";
   call.Path = "/" + queue + "/" + id;
--- a/src/almondgate/encoding/jobs_json.hpp
+++ b/src/almondgate/encoding/jobs_json.hpp
@@ -58,10 +58,10 @@
                                                 StartedWallMs, Begun, Finished)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(JobRecord, Id, Queue, Team,
                                                 Spec, AcceptedWallMs, Epoch,
-                                                Cancelled, Failed, EndedWallMs,
-                                                Tasks, Remaining)
+                                                Call, Cancelled, Failed,
+                                                EndedWallMs, Tasks, Remaining)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(JobAccepted, Id, Queue, Team,
-                                                Spec, WallMs, Epoch)
+                                                Spec, WallMs, Epoch, Call)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(JobCancelled, Id, WallMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(TaskEnded, Job, Task, Run, Done,
                                                 WallMs)
@@ -77,7 +77,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(VmOrdered, Vm)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(VmOrdersLapsed, Vms)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(JobCall, Verb, Host, Path, Key,
-                                                Spec)
+                                                Call, Spec)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(JobReply, Outcome, State,
                                                 Pending, RetryAfterMs, Text)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(EndpointHeartbeat, Facts,
--- a/src/almondgate/entry/job_relay.cpp
+++ b/src/almondgate/entry/job_relay.cpp
@@ -1,5 +1,6 @@
 #include "almondgate/entry/job_relay.hpp"
 #include "almondgate/consensus/membership.hpp"
+#include "almondgate/core/digest.hpp"
 #include "almondgate/encoding/codec.hpp"
 #include "almondgate/observe/log.hpp"
 
@@ -14,6 +15,7 @@
 constexpr DurationMs FollowInterval{1000};
 constexpr DurationMs FirstFollow{100};
 constexpr DurationMs FollowTimeout{900};
+constexpr int CallNameBytes = 8;
 
 } // namespace
 
@@ -54,7 +56,9 @@
 
 void JobRelay::call(const jobs::JobCall &call, DurationMs timeout,
                     OnReply done) {
-  Control.call(Method::Job, encoding::encode(call), timeout,
+  jobs::JobCall named = call;
+  named.Call = core::randomHex(CallNameBytes);
+  Control.call(Method::Job, encoding::encode(named), timeout,
                [done = std::move(done)](const Result<std::string> &reply) {
                  if (reply)
                    done(encoding::decode<jobs::JobReply>(reply.value()));
--- a/src/almondgate/jobs/ledger.cpp
+++ b/src/almondgate/jobs/ledger.cpp
@@ -16,6 +16,7 @@
   job.Spec = event.Spec;
   job.AcceptedWallMs = event.WallMs;
   job.Epoch = event.Epoch;
+  job.Call = event.Call;
   const int64_t n = event.Spec.occurrences() * tasksPerOccurrence(event.Spec);
   job.Tasks.resize(n);
   job.Remaining = n;
--- a/src/almondgate/policy/job_policy_test.cpp
+++ b/src/almondgate/policy/job_policy_test.cpp
@@ -126,8 +126,11 @@
   ReturnMemory memory;
   const jobs::JobId id("0000000000000001");
   CHECK((memory.firstSent(id, core::TimeMs{500}) == core::TimeMs{500}));
-  memory.noteRefused(id, core::TimeMs{500});
-  memory.noteRefused(id, core::TimeMs{900});
+  memory.noteRefused(id, "call-1", core::TimeMs{500});
+  memory.noteRefused(id, "call-2", core::TimeMs{900});
+  CHECK(memory.wasRefused(id, "call-1"));
+  CHECK_FALSE(memory.wasRefused(id, "call-3"));
+  CHECK_FALSE(memory.wasRefused(id, ""));
   CHECK((memory.firstSent(id, core::TimeMs{1200}) == core::TimeMs{500}));
   memory.forget(id);
   CHECK((memory.firstSent(id, core::TimeMs{1300}) == core::TimeMs{1300}));
@@ -136,7 +139,7 @@
 TEST_CASE("the memory of refused jobs is bounded") {
   ReturnMemory memory;
   for (int i = 0; i < 60000; ++i)
-    memory.noteRefused(jobs::JobId(std::to_string(i)), core::TimeMs{i});
+    memory.noteRefused(jobs::JobId(std::to_string(i)), "", core::TimeMs{i});
   CHECK(memory.size() <= 20000);
   CHECK(memory.size() >= 10000);
 }
