--- a/apps/entry_main.cpp
+++ b/apps/entry_main.cpp
@@ -98,5 +98,6 @@
 } // namespace
 
 int main(int argc, char **argv) {
-  return apps::programMain<config::EntrySettings>(argc, argv, config::readEntrySettings, run);
+  return apps::programMain<config::EntrySettings>(
+      argc, argv, config::readEntrySettings, run);
 }
--- a/apps/placer_main.cpp
+++ b/apps/placer_main.cpp
@@ -5,7 +5,6 @@
 
 #include "program.hpp"
 
-
 using namespace almondgate;
 
 namespace {
@@ -53,5 +52,6 @@
 } // namespace
 
 int main(int argc, char **argv) {
-  return apps::programMain<config::PlacerSettings>(argc, argv, config::readPlacerSettings, run);
+  return apps::programMain<config::PlacerSettings>(
+      argc, argv, config::readPlacerSettings, run);
 }
