Ask for the lease again before an order for a VM is sent

Change: VmOrderBook asks MayAct, by the boot clock, right before it sends; all orders for VMs, moves and upkeep, go through there.

--- a/include/almondgate/dispatch/vm_order_book.hpp
+++ b/include/almondgate/dispatch/vm_order_book.hpp
@@ -16,6 +16,8 @@
 /// What the order book asks of the world around it.
 struct VmOrderBookHooks {
   core::Clock Now;
+  /// False once another member may lead.
+  std::function<bool()> MayAct;
   std::function<void(std::vector<jobs::Event>, std::function<void(bool)>)>
       Record;
   std::function<void(const VmOrder &, std::function<void(VmOrderResult)>)>
@@ -43,7 +45,8 @@
   bool mayOrder(const core::VmId &vm) const;
 
   /// Sends an order once it is durable that the VM has one. `done` gets
-  /// NoAnswer where that is not known, and the order was not sent then.
+  /// NoAnswer where that is not known or another member may lead by then, and
+  /// the order was not sent.
   void order(const VmOrder &order, const OnResult &done);
 
   /// Records which VMs have no order within the lease any more.
--- a/src/almondgate/dispatch/dispatcher.cpp
+++ b/src/almondgate/dispatch/dispatcher.cpp
@@ -26,7 +26,7 @@
     : Options(std::move(options)), Hooks(std::move(hooks)), Ledger(ledger),
       List({Hooks.Now, Hooks.ListVms, Hooks.Log}),
       VmOrders(Options.VmOrderLease,
-               {Hooks.Now,
+               {Hooks.Now, Hooks.MayAct,
                 [this](auto events, auto done) {
                   recordAll(std::move(events), std::move(done));
                 },
--- a/src/almondgate/dispatch/vm_order_book.cpp
+++ b/src/almondgate/dispatch/vm_order_book.cpp
@@ -66,6 +66,13 @@
 }
 
 void VmOrderBook::send(const VmOrder &order, const OnResult &done) {
+  // A leader that was frozen meanwhile learns that its record is durable from
+  // the one that took its place.
+  if (!Hooks.MayAct()) {
+    Hooks.Log("vm " + order.Vm.str() + " is not ordered: another may lead");
+    done(VmOrderResult::NoAnswer);
+    return;
+  }
   Hooks.OrderVm(order, [this, done, vm = order.Vm,
                         generation = Generation](VmOrderResult result) {
     if (generation != Generation)
