Say once when an endpoint counts as room of its pool

Ruled out: a difference between the three; placing adds three parts of its own. Change: EndpointView::serves(); behaviour stays as it is.

--- a/include/almondgate/dispatch/endpoint_view.hpp
+++ b/include/almondgate/dispatch/endpoint_view.hpp
@@ -54,6 +54,11 @@
   /// Stops that got no answer, to be sent again.
   std::set<TaskPlace> StopRetries;
   std::map<StrayKey, StrayRun> Strays;
+
+  /// It counts as room of its pool.
+  bool serves() const {
+    return Contacted && !Suspect && !Facts.Draining && !Facts.Idle && !Reserved;
+  }
 };
 
 } // namespace almondgate::dispatch
--- a/src/almondgate/dispatch/dispatcher_calls.cpp
+++ b/src/almondgate/dispatch/dispatcher_calls.cpp
@@ -177,9 +177,7 @@
                                      core::TimeMs sent) const {
   policy::DoorInput input;
   for (const auto &[id, endpoint] : Endpoints)
-    if (endpoint.Facts.Pool == queue.Pool && endpoint.Contacted &&
-        !endpoint.Facts.Draining && !endpoint.Facts.Idle && !endpoint.Suspect &&
-        !endpoint.Reserved)
+    if (endpoint.Facts.Pool == queue.Pool && endpoint.serves())
       input.CapacityMilliCpus +=
           endpoint.Facts.Capacity.MilliCpus - endpoint.LongMilliCpus;
   for (const auto &[id, job] : Open)
--- a/src/almondgate/dispatch/dispatcher_moves.cpp
+++ b/src/almondgate/dispatch/dispatcher_moves.cpp
@@ -112,10 +112,7 @@
   std::map<PoolId, std::vector<std::pair<size_t, core::VmId>>> movable;
   for (const auto &[id, endpoint] : Endpoints) {
     const auto it = pools.find(endpoint.Facts.Pool);
-    const bool serves = it != pools.end() && endpoint.Contacted &&
-                        !endpoint.Suspect && !endpoint.Facts.Draining &&
-                        !endpoint.Facts.Idle && !endpoint.Reserved;
-    if (!serves)
+    if (it == pools.end() || !endpoint.serves())
       continue;
     const bool pinned = endpoint.LongRuns > 0;
     auto &balance = it->second.Balance;
--- a/src/almondgate/dispatch/dispatcher_placing.cpp
+++ b/src/almondgate/dispatch/dispatcher_placing.cpp
@@ -122,10 +122,9 @@
   const auto now = Hooks.Now();
   std::map<core::PoolId, PoolRoom> out;
   for (auto &[id, endpoint] : Endpoints) {
-    const bool usable =
-        endpoint.Contacted && !endpoint.Suspect && !endpoint.Facts.Idle &&
-        !endpoint.IdleTold && !endpoint.Facts.Draining && !endpoint.Reserved &&
-        endpoint.Lease.isKnown() && endpoint.BackOffUntil <= now;
+    const bool usable = endpoint.serves() && !endpoint.IdleTold &&
+                        endpoint.Lease.isKnown() &&
+                        endpoint.BackOffUntil <= now;
     if (!usable)
       continue;
     PoolRoom &room = out[endpoint.Facts.Pool];
