Log the shape of accepted jobs

Cause: it could not be told from a log why VMs of a pool stay pinned; long-running jobs differ by width, memory and how many may share a VM. Change: the line of an accepted job says so.

--- a/src/almondgate/dispatch/dispatcher_calls.cpp
+++ b/src/almondgate/dispatch/dispatcher_calls.cpp
@@ -23,6 +23,21 @@
          text.find_first_not_of("0123456789abcdef") == std::string::npos;
 }
 
+// "24 tasks of 8200 m 61000 MB, 2 on a VM", a step.
+std::string shapeOf(const jobs::JobSpec &spec) {
+  std::string out;
+  for (const auto &step : spec.Steps) {
+    out += (out.empty() ? "" : "; ") + std::to_string(step.Count) +
+           " tasks of " + std::to_string(step.Need.MilliCpus) + " m " +
+           std::to_string(step.Need.MemoryMb) + " MB";
+    if (step.AntiAffinity > 0)
+      out += ", " + std::to_string(step.AntiAffinity) + " on a VM";
+    if (step.HasMayMiss)
+      out += ", " + std::to_string(step.MayMiss) + " may be away";
+  }
+  return out;
+}
+
 std::string lastSegment(const std::string &path) {
   return path.substr(path.rfind('/') + 1);
 }
@@ -124,7 +139,8 @@
   }
   const auto *team = index().teamOfKey(call.Key);
   Hooks.Log("job " + id.str() + " queue " + queue.Id.str() + " team " +
-            (team ? team->Id.str() : "-") + " accepted: " + verdict.Why);
+            (team ? team->Id.str() : "-") + " accepted: " + verdict.Why + "; " +
+            shapeOf(call.Spec));
   Hooks.Count("jobs", "door", "accepted");
   Submissions[id] = {call.Call, {done}};
   record(jobs::JobAccepted{id, queue.Id, team ? team->Id : core::TeamId(),
