Keep only what a configuration changes in the log, and decode it once

Change: ConfigRevision (what differs, by queue) where one configuration is on its way at a time, whole otherwise; the leader applies the change it proposed without decoding it; ReadConfigSource answers with the text alone. Tests: revisions made and applied, of another version, of queues that share a name; three configurations given one upon the other.

--- a/include/almondgate/control/control_core.hpp
+++ b/include/almondgate/control/control_core.hpp
@@ -76,6 +76,8 @@
 
   struct PendingChange {
     uint64_t Term = 0;
+    /// What was proposed, so that it need not be decoded again.
+    state::Change Change;
     OnChange Done;
   };
 
@@ -88,6 +90,10 @@
 
   void runEffects();
   void apply(const consensus::LogEntry &entry);
+  /// The own proposal that this entry carries, if it is one; a proposal that
+  /// another entry has replaced is told so.
+  std::optional<PendingChange> takePending(const consensus::LogEntry &entry);
+  state::ChangeResult applyChange(const state::Change &change);
   void restore(const consensus::Snapshot &snapshot);
   void keepUpdates(std::vector<model::Update> updates);
   void maybeCompact();
@@ -96,6 +102,8 @@
   void answerWatches(bool all);
   void answerWatch(const WaitingWatch &waiting);
   void runDuties();
+  /// Errors: as Node::propose().
+  core::Status append(const state::Change &change, OnChange done);
   void proposeOwn(const state::Command &command);
   void keepMembership();
   void continueReplacement();
--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -71,6 +71,10 @@
   /// The newest configuration. Errors: NotLeader.
   core::Result<jobs::FleetConfig> config() const;
 
+  /// The text that the newest configuration was read from; empty before the
+  /// first. Errors: NotLeader.
+  core::Result<std::string> configSource() const;
+
   /// An operator asked for a wave. Errors given: as heartbeat().
   void startWave(const jobs::WaveRecord &wave, const OnStatus &done);
 
@@ -107,6 +111,7 @@
   void onAccepted(const jobs::JobAccepted &event);
   void onCancelled(const jobs::JobId &id);
   void onTaskEnded(const jobs::TaskEnded &event);
+  jobs::Event configEvent(const jobs::FleetConfig &config);
   void onRegistered(const jobs::EndpointFacts &facts);
   void onIdled(const jobs::EndpointIdled &event);
   void onGone(const jobs::EndpointId &id, int64_t born_ms);
@@ -223,6 +228,8 @@
   std::vector<std::function<void(bool)>> OutboxDone;
   std::vector<std::function<void(bool)>> RecordingDone;
   bool Recording = false;
+  /// The newest configuration that was recorded, durable or not.
+  uint64_t ConfigRecorded = 0;
   bool Woken = false;
   core::TimeMs LastPass{INT64_MIN / 2};
   /// Answers of an earlier leadership are told by it.
--- a/include/almondgate/jobs/event.hpp
+++ b/include/almondgate/jobs/event.hpp
@@ -1,6 +1,7 @@
 #ifndef ALMONDGATE_JOBS_EVENT_HPP
 #define ALMONDGATE_JOBS_EVENT_HPP
 
+#include "almondgate/jobs/config_revision.hpp"
 #include "almondgate/jobs/endpoint_facts.hpp"
 #include "almondgate/jobs/fleet_config.hpp"
 #include "almondgate/jobs/job_spec.hpp"
@@ -47,6 +48,13 @@
   bool operator==(const ConfigGiven &) const = default;
 };
 
+/// Operators gave a configuration, told by what it changes; one that changes
+/// another version than the ledger's does nothing.
+struct ConfigRevised {
+  ConfigRevision Revision;
+  bool operator==(const ConfigRevised &) const = default;
+};
+
 /// An endpoint was heard of, or came back.
 struct EndpointRegistered {
   EndpointFacts Facts;
@@ -113,18 +121,19 @@
 };
 
 /// Anything that changes the ledger. Kinds are only ever added at the end.
-using Event = std::variant<JobAccepted, JobCancelled, TaskEnded, ConfigGiven,
-                           EndpointRegistered, EndpointGone, EndpointIdled,
-                           EpochBegun, WaveStarted, UpkeepBegun, UpkeepFinished,
-                           JobsExpired, VmOrdered, VmOrdersLapsed>;
+using Event =
+    std::variant<JobAccepted, JobCancelled, TaskEnded, ConfigGiven,
+                 EndpointRegistered, EndpointGone, EndpointIdled, EpochBegun,
+                 WaveStarted, UpkeepBegun, UpkeepFinished, JobsExpired,
+                 VmOrdered, VmOrdersLapsed, ConfigRevised>;
 
 /// The names of the kinds, in the order of the variant.
 inline constexpr const char *EventKinds[] = {
-    "job-accepted", "job-cancelled",   "task-ended",
-    "config-given", "registered",      "gone",
-    "idled",        "epoch-begun",     "wave-started",
-    "upkeep-begun", "upkeep-finished", "jobs-expired",
-    "vm-ordered",   "vm-orders-lapsed"};
+    "job-accepted", "job-cancelled",    "task-ended",
+    "config-given", "registered",       "gone",
+    "idled",        "epoch-begun",      "wave-started",
+    "upkeep-begun", "upkeep-finished",  "jobs-expired",
+    "vm-ordered",   "vm-orders-lapsed", "config-revised"};
 
 } // namespace almondgate::jobs
 
--- a/include/almondgate/protocol/method.hpp
+++ b/include/almondgate/protocol/method.hpp
@@ -45,6 +45,8 @@
   Configure,
   /// Nothing to FleetConfig; control member to the leader.
   ReadConfig,
+  /// Nothing to the text of the configuration; control member to the leader.
+  ReadConfigSource,
   /// WaveRecord to nothing; control member to the leader.
   StartWave,
   /// Wave number to whether it is completed; control member to the leader.
--- a/src/almondgate/control/control_core.cpp
+++ b/src/almondgate/control/control_core.cpp
@@ -24,11 +24,13 @@
           "leadership was lost; the change may have been accepted"};
 }
 
-std::string contentDigest(const ControlHooks &hooks, state::Change change) {
+std::string contentDigest(const ControlHooks &hooks,
+                          const state::Change &change) {
   if (change.Operator.empty())
     return {};
-  change.AtWallMs = 0;
-  return core::sha256Hex(hooks.EncodeChange(change));
+  state::Change content = change;
+  content.AtWallMs = 0;
+  return core::sha256Hex(hooks.EncodeChange(content));
 }
 
 } // namespace
@@ -116,35 +118,46 @@
 
 void ControlCore::apply(const LogEntry &entry) {
   AppliedIndex = entry.Index;
-  const auto it = Pending.find(entry.Index);
-  OnChange done;
-  if (it != Pending.end()) {
-    if (it->second.Term == entry.Term)
-      done = std::move(it->second.Done);
-    else
-      it->second.Done(outcomeUnknown());
-    Pending.erase(it);
-  }
+  const auto own = takePending(entry);
   if (entry.Kind != EntryKind::Command)
     return;
+  if (own) {
+    own->Done(applyChange(own->Change));
+    return;
+  }
   const auto change = Hooks.DecodeChange(entry.Data);
   core::invariant(bool(change), "a log entry can't be decoded");
-  auto applied = state::applyChange(State, change.value(),
-                                    contentDigest(Hooks, change.value()));
-  if (!change.value().Operator.empty())
+  (void)applyChange(change.value());
+}
+
+std::optional<ControlCore::PendingChange>
+ControlCore::takePending(const LogEntry &entry) {
+  const auto it = Pending.find(entry.Index);
+  if (it == Pending.end())
+    return std::nullopt;
+  auto pending = std::move(it->second);
+  Pending.erase(it);
+  if (pending.Term == entry.Term)
+    return pending;
+  pending.Done(outcomeUnknown());
+  return std::nullopt;
+}
+
+state::ChangeResult ControlCore::applyChange(const state::Change &change) {
+  auto applied =
+      state::applyChange(State, change, contentDigest(Hooks, change));
+  if (!change.Operator.empty())
     Hooks.Log("revision " + std::to_string(applied.Result.Revision) + " " +
-              state::kindName(change.value().What) + " by " +
-              change.value().Operator.str() +
+              state::kindName(change.What) + " by " + change.Operator.str() +
               (applied.Result.Accepted
                    ? " accepted"
                    : " refused: " + applied.Result.Refusal.Text));
   keepUpdates(std::move(applied.Updates));
-  const auto *recorded = std::get_if<state::RecordJobs>(&change.value().What);
+  const auto *recorded = std::get_if<state::RecordJobs>(&change.What);
   if (recorded && Hooks.OnJobEvent)
     for (const auto &event : recorded->Events)
       Hooks.OnJobEvent(event);
-  if (done)
-    done(applied.Result);
+  return applied.Result;
 }
 
 void ControlCore::keepUpdates(std::vector<model::Update> updates) {
@@ -297,27 +310,29 @@
     done(notLeader());
     return;
   }
-  const auto index = Node.propose(Hooks.EncodeChange(change));
-  if (!index) {
-    done(index.error());
+  if (const auto appended = append(change, done); !appended) {
+    done(appended.error());
     return;
   }
-  Pending.emplace(index.value(), PendingChange{Node.term(), std::move(done)});
   runEffects();
 }
 
+core::Status ControlCore::append(const state::Change &change, OnChange done) {
+  const auto index = Node.propose(Hooks.EncodeChange(change));
+  if (!index)
+    return index.error();
+  Pending.emplace(index.value(),
+                  PendingChange{Node.term(), change, std::move(done)});
+  return core::ok();
+}
+
 void ControlCore::proposeOwn(const state::Command &command) {
   state::Change change;
   change.AtWallMs = Hooks.WallClock();
   change.What = command;
-  const auto index = Node.propose(Hooks.EncodeChange(change));
-  if (!index)
-    return;
-  ++OwnPending;
-  Pending.emplace(index.value(),
-                  PendingChange{Node.term(), [this](const auto &) {
-                                  OwnPending -= OwnPending > 0 ? 1 : 0;
-                                }});
+  const auto appended = append(
+      change, [this](const auto &) { OwnPending -= OwnPending > 0 ? 1 : 0; });
+  OwnPending += appended ? 1 : 0;
 }
 
 void ControlCore::recordJobs(std::vector<jobs::Event> events,
--- a/src/almondgate/control/control_task.cpp
+++ b/src/almondgate/control/control_task.cpp
@@ -304,6 +304,9 @@
   case Method::ReadConfig:
     encoded<jobs::FleetConfig>(respond)(Jobs.config());
     return true;
+  case Method::ReadConfigSource:
+    respond(Jobs.configSource());
+    return true;
   case Method::StartWave:
     withDecoded<jobs::WaveRecord>(
         body, respond, [&](const auto &wave) { Jobs.startWave(wave, told); });
--- a/src/almondgate/dispatch/dispatcher.cpp
+++ b/src/almondgate/dispatch/dispatcher.cpp
@@ -56,6 +56,7 @@
             std::to_string(Open.size()) + " open jobs and " +
             std::to_string(Endpoints.size()) + " endpoints to read");
   NewFleet = Endpoints.empty();
+  ConfigRecorded = Ledger.Config.Version;
   VmOrders.begin();
   Upkeep.begin(epoch);
   Mover.begin(epoch);
--- a/src/almondgate/dispatch/dispatcher_endpoints.cpp
+++ b/src/almondgate/dispatch/dispatcher_endpoints.cpp
@@ -134,17 +134,39 @@
   Hooks.Log("configuration " + std::to_string(config.Version) + " with " +
             std::to_string(config.Queues.size()) + " queues and " +
             std::to_string(config.Teams.size()) + " teams");
-  record(jobs::ConfigGiven{config}, [done](bool durable) {
-    done(durable ? core::ok() : core::Status(outcomeUnknown()));
+  record(configEvent(config), [this, version = config.Version,
+                               generation = Generation, done](bool durable) {
+    const bool held =
+        durable && generation == Generation && Ledger.Config.Version >= version;
+    done(held ? core::ok() : core::Status(outcomeUnknown()));
   });
 }
 
+// A revision fits the version that the ledger has when it is applied: with
+// another configuration still on its way this one is recorded whole.
+jobs::Event Dispatcher::configEvent(const jobs::FleetConfig &config) {
+  const bool settled = ConfigRecorded <= Ledger.Config.Version;
+  ConfigRecorded = std::max(ConfigRecorded, config.Version);
+  const auto revision = settled && Ledger.Config.Version > 0
+                            ? jobs::revisionOf(Ledger.Config, config)
+                            : std::nullopt;
+  if (revision)
+    return jobs::ConfigRevised{*revision};
+  return jobs::ConfigGiven{config};
+}
+
 core::Result<jobs::FleetConfig> Dispatcher::config() const {
   if (!active())
     return notLeading();
   return Ledger.Config;
 }
 
+core::Result<std::string> Dispatcher::configSource() const {
+  if (!active())
+    return notLeading();
+  return Ledger.Config.Source;
+}
+
 void Dispatcher::startWave(const jobs::WaveRecord &wave, const OnStatus &done) {
   if (!active()) {
     done(notLeading());
--- a/src/almondgate/dispatch/dispatcher_test.cpp
+++ b/src/almondgate/dispatch/dispatcher_test.cpp
@@ -206,6 +206,33 @@
   CHECK(fleet.Broken.empty());
 }
 
+TEST_CASE("configurations given one upon the other end as the last one") {
+  Fleet fleet(1);
+  const auto given = [&fleet](uint64_t version, const std::string &pool) {
+    auto config = fleet.ledger().Config;
+    config.Version = version;
+    config.Queues[0].Pool = core::PoolId(pool);
+    config.Queues.resize(1);
+    config.Queues.push_back(config.Queues[0]);
+    config.Queues[1].Id = core::QueueId("q" + pool);
+    return config;
+  };
+  std::vector<bool> told;
+  const auto done = [&told](const core::Status &status) {
+    told.push_back(bool(status));
+  };
+  fleet.dispatcher().configure(given(10, "p"), done);
+  fleet.dispatcher().configure(given(11, "spare"), done);
+  fleet.advance(100);
+  fleet.dispatcher().configure(given(12, "p"), done);
+  fleet.advance(100);
+  CHECK(told == std::vector{true, true, true});
+  CHECK(fleet.ledger().Config.Version == 12);
+  REQUIRE(fleet.ledger().Config.Queues.size() == 2);
+  CHECK(jobs::findQueue(fleet.ledger().Config, core::QueueId("qp")));
+  CHECK(fleet.ledger().Config.Queues[0].Pool == core::PoolId("p"));
+}
+
 TEST_CASE("no team has more running than its limit") {
   Fleet fleet(4);
   fleet.configure([](jobs::FleetConfig &config) {
--- a/src/almondgate/encoding/jobs_json.hpp
+++ b/src/almondgate/encoding/jobs_json.hpp
@@ -65,6 +65,10 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(JobCancelled, Id, WallMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(TaskEnded, Job, Task, Run, Done,
                                                 WallMs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ConfigRevision, Base, Version,
+                                                QueuesPut, QueuesGone, Pools,
+                                                Teams, Source)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ConfigRevised, Revision)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ConfigGiven, Config)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(EndpointRegistered, Facts)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(EndpointGone, Id, BornMs)
--- a/src/almondgate/jobs/ledger.cpp
+++ b/src/almondgate/jobs/ledger.cpp
@@ -81,6 +81,10 @@
     noteFailure(ledger, it->second, event);
 }
 
+void on(Ledger &ledger, const ConfigRevised &event) {
+  revise(ledger.Config, event.Revision);
+}
+
 void on(Ledger &ledger, const ConfigGiven &event) {
   if (event.Config.Version > ledger.Config.Version)
     ledger.Config = event.Config;
