--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
 BUILD := build
 JOBS := $(shell nproc)
+SEEDS := 1-50
 
 .PHONY: demo test build install format format-check lint bench soak clean
 
@@ -22,7 +23,7 @@
 	@$(BUILD)/almondgate-bench
 
 soak: build
-	@$(BUILD)/almondgate-soak
+	@python3 tools/soak.py $(SEEDS)
 
 format:
 	@./tools/sources.sh | xargs clang-format -i
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -3,6 +3,7 @@
 import selectors
 import socket
 import threading
+import time
 
 
 class Relay:
@@ -11,11 +12,13 @@
     cut("both") loses the bytes of both directions, cut("up") those towards the
     target, cut("down") those from it; connections stay open, as behind a
     network partition. heal() breaks them, so that the ends connect again.
+    reset() only breaks them; `delay` holds each piece back for some seconds.
     """
 
     def __init__(self, target):
         self.target = target
         self.lost = set()
+        self.delay = 0
         self.pairs = {}
         self.selector = selectors.DefaultSelector()
         self.listener = socket.socket()
@@ -33,6 +36,10 @@
 
     def heal(self):
         self.lost = set()
+        self.delay = 0
+        self.reset()
+
+    def reset(self):
         with self.lock:
             for sock in list(self.pairs):
                 self._close(sock)
@@ -77,6 +84,7 @@
             if not data:
                 self._close(sock)
             elif direction not in self.lost:
+                time.sleep(self.delay)
                 other.sendall(data)
         except OSError:
             self._close(sock)
--- a/tools/fake_worker.cpp
+++ b/tools/fake_worker.cpp
@@ -39,6 +39,8 @@
 struct Options {
   std::string Secret;
   core::Address At;
+  /// Where the leader is told to call it.
+  core::Address Announced;
   std::vector<core::Address> Control;
   std::string Pool;
   std::string Vm;
@@ -73,7 +75,7 @@
     Facts.Id =
         jobs::EndpointId(Settings.Vm + "-" + std::to_string(Facts.BornMs));
     Facts.Pool = core::PoolId(Settings.Pool);
-    Facts.At = Settings.At;
+    Facts.At = Settings.Announced;
     Facts.Rack = core::RackId(Settings.Rack);
     Facts.Labels = {"standard", Settings.Rack};
     Facts.Capacity = {0, MilliCpus, MemoryMb, 0};
@@ -241,6 +243,7 @@
   };
   auto secret = flag("secret", "");
   auto at = flag("listen", "");
+  auto announced = flag("announce", "");
   auto control = flag("control", "");
   auto pool = flag("pool", "p");
   auto vm = flag("vm", "vm");
@@ -256,6 +259,8 @@
   const auto own = core::parseAddress(at.getValue());
   if (own)
     out.At = own.value();
+  const auto told = core::parseAddress(announced.getValue());
+  out.Announced = told ? told.value() : out.At;
   std::string rest = control.getValue();
   while (!rest.empty()) {
     const size_t comma = rest.find(',');
