Name the method that reads the configuration's text, and check the names

Cause: ReadConfigSource was added to the methods without a name, so that Join, the last, was sent under bytes behind the table: no wiped member could join again. The soak wipes no disk and kept quiet. Change: the name; a static_assert that each method has one (seen failing).

--- a/src/almondgate/protocol/method.cpp
+++ b/src/almondgate/protocol/method.cpp
@@ -22,6 +22,7 @@
                                            "leave",
                                            "configure",
                                            "read-config",
+                                           "read-config-source",
                                            "start-wave",
                                            "read-wave",
                                            "start-run",
@@ -29,6 +30,8 @@
                                            "pace-run",
                                            "renew-runs",
                                            "join"};
+static_assert(MethodNames.size() == size_t(Method::Join) + 1,
+              "each method has a name");
 
 const char *methodName(Method method) {
   return MethodNames[static_cast<size_t>(method)];
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -57,7 +57,7 @@
 
     def spec(self):
         need = {"MilliCpus": TASK_CORES * 1000, "MemoryMb": 10}
-        ms = self.random.choice([50, 200, 600])
+        ms = self.random.choice([50, 200, 600, 2500])
         count = self.random.randint(1, 3)
         steps = [{"Count": count, "Need": need, "EstimateMs": ms}]
         if self.random.random() < 0.5:
@@ -175,7 +175,8 @@
             due[2]()
             self.held.discard(due[1])
         kinds = [self.kill, self.stop, self.pause, self.cut, self.delay,
-                 self.reset, self.kill_worker, self.cut_worker]
+                 self.reset, self.kill_worker, self.cut_worker,
+                 self.cut_worker, self.cut_worker, self.kill_leader]
         self.random.choice(kinds)()
 
     def finish(self):
@@ -205,6 +206,13 @@
             self.hold(name, self.random.uniform(0.1, 2), self.process(name).start,
                       "kill")
 
+    def kill_leader(self):
+        leader = self.jobs.fleet.leader()
+        if leader and leader not in self.held:
+            self.process(leader).kill()
+            self.hold(leader, self.random.uniform(0.1, 2),
+                      self.process(leader).start, "kill leader")
+
     def stop(self):
         name = self.pick(MEMBERS + ENTRIES)
         if name:
