Let VMs that the list showed on the move serve again

Cause: the list of VMs is read every 15 s and in waves; a VM that was moving into the spare pool when it was read stayed 'moving' for our side until the next reading. Ruled out: the lease of VM orders, refused pairs of pools, VMs in hand for the wave. Test: VMs that the list showed on the move serve the next turn (seen failing: 6 moves instead of 12).

--- a/include/almondgate/dispatch/vm_list.hpp
+++ b/include/almondgate/dispatch/vm_list.hpp
@@ -41,6 +41,12 @@
   /// A move was accepted.
   void noteMove(const core::VmId &vm, const core::PoolId &to);
 
+  /// A move into a spare pool is over.
+  void noteParked(const core::VmId &vm);
+
+  /// A VM was away for its move or its upkeep when the list was read.
+  bool showsAway() const;
+
 private:
   const VmListHooks Hooks;
   std::map<core::VmId, VmListing> Vms;
--- a/src/almondgate/dispatch/dispatcher_test.cpp
+++ b/src/almondgate/dispatch/dispatcher_test.cpp
@@ -595,6 +595,26 @@
   CHECK(fleet.Broken.empty());
 }
 
+TEST_CASE("VMs that the list showed on the move serve the next turn") {
+  // Found on fde-goud-grown, trouble-1: 54 of 350 VMs stood idle in the spare
+  // pool for up to 15 s, each pool short of cores in its turn.
+  Fleet fleet(8);
+  fleet.submit(jobId(1), oneStep(1, 10, 100));
+  for (int i = 0; i < 200 && fleet.Moves < 6; ++i)
+    fleet.advance(50);
+  REQUIRE(fleet.Moves == 6);
+  fleet.advance(300);
+  // The new leader reads the list while they move.
+  fleet.lead();
+  fleet.advance(5000);
+  for (int i = 0; i < 8; ++i)
+    fleet.submit(jobId(10 + i), oneStep(6, 10, 1000));
+  fleet.advance(1000);
+  CHECK(fleet.Moves == 12);
+  fleet.advance(15000);
+  CHECK(fleet.Broken.empty());
+}
+
 TEST_CASE("a VM with an order of the last leader waits out the order's lease") {
   Fleet fleet(4);
   addSecondPool(fleet);
--- a/src/almondgate/dispatch/vm_list.cpp
+++ b/src/almondgate/dispatch/vm_list.cpp
@@ -1,5 +1,7 @@
 #include "almondgate/dispatch/vm_list.hpp"
 
+#include <algorithm>
+
 namespace almondgate::dispatch {
 
 namespace {
@@ -47,6 +49,19 @@
   return it == Vms.end() ? nullptr : &it->second;
 }
 
+void VmList::noteParked(const core::VmId &vm) {
+  const auto it = Vms.find(vm);
+  if (it != Vms.end())
+    it->second.State = VmState::Up;
+}
+
+bool VmList::showsAway() const {
+  return std::any_of(Vms.begin(), Vms.end(), [](const auto &row) {
+    return row.second.State == VmState::Moving ||
+           row.second.State == VmState::Upkeep;
+  });
+}
+
 void VmList::noteMove(const core::VmId &vm, const core::PoolId &to) {
   const auto it = Vms.find(vm);
   if (it != Vms.end())
--- a/src/almondgate/dispatch/vm_mover.cpp
+++ b/src/almondgate/dispatch/vm_mover.cpp
@@ -16,6 +16,8 @@
 constexpr DurationMs ArrivalPatience{2500};
 constexpr DurationMs LongestEmptying{2500};
 constexpr DurationMs ListLife{15000};
+// VMs that were away when the list was read are back by then.
+constexpr DurationMs AwayLife{2500};
 
 } // namespace
 
@@ -51,7 +53,7 @@
   const auto now = Hooks.Now();
   if (!Active || demands.empty())
     return;
-  if (!List.isKnown() || !List.isNewerThan(now - ListLife))
+  if (!List.isNewerThan(now - (List.showsAway() ? AwayLife : ListLife)))
     List.refresh();
   if (!List.isKnown())
     return;
@@ -152,6 +154,8 @@
   const DurationMs patience = Options.Move + ArrivalPatience;
   const bool parked =
       spare_pools.contains(move.To) && now - move.Since >= Options.Move;
+  if (parked)
+    List.noteParked(vm);
   return parked || now - move.Since >= patience;
 }
 
