--- a/include/almondgate/policy/vm_balance.hpp
+++ b/include/almondgate/policy/vm_balance.hpp
@@ -40,8 +40,8 @@
   /// A pool keeps this much more than it wants.
   int64_t HeadroomPercent = 10;
   /// Moving a VM to the spare pool and back costs about as much as two
-  /// VM-seconds in a working pool.
-  core::DurationMs IdleBeforeParking{700};
+  /// VM-seconds in a working pool, and demand that swings asks for it again.
+  core::DurationMs IdleBeforeParking{1500};
   /// The same for a pool whose demand is not known yet.
   core::DurationMs UnseenBeforeParking{6000};
 
