--- a/tools/demo.py
+++ b/tools/demo.py
@@ -1,6 +1,7 @@
 """The main job on a local fleet: two firms' queues, a mixed load, a killed
-placer, a killed control leader and a drained rack. Exits 0 only where nothing
-was lost, doubled or cut."""
+placer, a killed control leader and a drained rack; then jobs of two steps that
+finish through a killed leader. Exits 0 only where nothing was lost, doubled or
+cut."""
 
 import os
 import sys
@@ -10,11 +11,14 @@
                                 "..", "tests"))
 
 from fleet import Fleet  # noqa: E402
+from job_fleet import JobFleet, config, job_id, two_steps  # noqa: E402
 from load import Load  # noqa: E402
 
 POOLS = ["counter", "police", "ledger", "price", "settle"]
 VMS_PER_POOL = 4
 LOAD_SECONDS = 12
+JOBS = 4
+TASKS_OF_A_STEP = 5
 # (queue, pool, team, class, limit)
 QUEUES = [
     ("counter-checks", "counter", "inspectors", "urgent", 200),
@@ -98,6 +102,26 @@
     return bad
 
 
+def run_jobs():
+    """Jobs of two steps on three workers; gives what went wrong."""
+    with Fleet(members=3, placers=0, entries=1) as fleet:
+        fleet.start()
+        jobs = JobFleet(fleet, workers=3)
+        jobs.configure(config())
+        for n in range(JOBS):
+            jobs.submit(job_id(n), two_steps(TASKS_OF_A_STEP, 800))
+        leader = fleet.wait_leader()
+        say(f"{JOBS} jobs of two steps are accepted; killing the leader, {leader}")
+        fleet.processes[leader].kill()
+        for n in range(JOBS):
+            jobs.wait_state(job_id(n), "completed", 60)
+        done = [task for what, task, _, _ in jobs.runs() if what == "done"]
+        expected = JOBS * 2 * TASKS_OF_A_STEP
+        say(f"jobs completed: {JOBS}; tasks done {len(done)} of {expected}, "
+            f"at most {jobs.most_at_once()} run of a task at a time")
+        return int(len(done) != expected or jobs.most_at_once() != 1)
+
+
 def main():
     say("starting 3 control members, 3 placers, 3 entries, 20 endpoints")
     with Fleet(members=3, placers=3, entries=3) as fleet:
@@ -111,8 +135,9 @@
             for load in loads:
                 load.stop()
         bad = report(fleet, loads)
+    bad += run_jobs()
     say("nothing was lost, doubled or cut" if bad == 0
-        else f"{bad} requests were lost, doubled or cut")
+        else f"{bad} requests or jobs were lost, doubled or cut")
     return 1 if bad else 0
 
 
