--- a/tests/soak.py
+++ b/tests/soak.py
@@ -3,6 +3,7 @@
 
 import json
 import random
+import signal
 import threading
 import time
 
@@ -224,7 +225,6 @@
             self.hold(name, self.random.uniform(0.5, 2), again, "stop")
 
     def pause(self):
-        import signal
         name = self.pick(MEMBERS + ENTRIES)
         if name:
             self.process(name).signal(signal.SIGSTOP)
