Count runs that a new leader can't see against the limit

Cause: after a change of leader, work that the last one had started on an endpoint that does not answer is unknown until its lease has lapsed. Only jobs of the last leader waited for it; a new job of the same team started at once. Ruled out: the soak's own count (starts and ends are the workers' own records, and their epochs are those of two leaders). Change: what each inherited job's startable tasks could take on unread endpoints counts against its team's limit, at most what those endpoints hold. Test: a new leader counts runs that it can't see (seen failing: 6 instead of 3).

--- a/include/almondgate/control/control_core.hpp
+++ b/include/almondgate/control/control_core.hpp
@@ -38,7 +38,7 @@
   void watch(const model::WatchRequest &request, OnWatch done);
 
   /// Errors given: NotLeader, and Unavailable where the outcome is not known.
-  void propose(const state::Change &change, OnChange done);
+  void propose(const state::Change &change, const OnChange &done);
 
   /// Puts the member at an address in the place of another, step by step.
   /// Errors given: NotLeader, NotFound, Unavailable.
--- a/include/almondgate/core/size.hpp
+++ b/include/almondgate/core/size.hpp
@@ -1,6 +1,7 @@
 #ifndef ALMONDGATE_CORE_SIZE_HPP
 #define ALMONDGATE_CORE_SIZE_HPP
 
+#include <algorithm>
 #include <compare>
 #include <cstdint>
 
@@ -28,6 +29,13 @@
           a.Accelerators - b.Accelerators};
 }
 
+/// The smaller amount of each resource.
+constexpr Size smaller(const Size &a, const Size &b) {
+  return {std::min(a.Slots, b.Slots), std::min(a.MilliCpus, b.MilliCpus),
+          std::min(a.MemoryMb, b.MemoryMb),
+          std::min(a.Accelerators, b.Accelerators)};
+}
+
 /// Tells whether each resource of `need` is at most that of `room`.
 constexpr bool fits(const Size &need, const Size &room) {
   return need.Slots <= room.Slots && need.MilliCpus <= room.MilliCpus &&
--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -184,6 +184,9 @@
                                const std::vector<EndpointView *> &pool) const;
   std::map<core::PoolId, PoolRoom> usablePools();
   bool withinLimit(const core::TeamId &team, const core::Size &need) const;
+  /// What each team may have running on endpoints that were not read yet.
+  std::map<core::TeamId, core::Size> unseenByTeam() const;
+  core::Size unseenOf(const OpenJob &job) const;
   bool hasTickets(const ReadyStep &ready,
                   const std::vector<EndpointView *> &pool);
   int64_t nextRun(int64_t last) const;
@@ -220,6 +223,8 @@
   std::map<jobs::JobId, OpenJob> Open;
   std::map<jobs::EndpointId, EndpointView> Endpoints;
   std::map<core::TeamId, core::Size> TeamUsed;
+  /// As of the last pass.
+  std::map<core::TeamId, core::Size> TeamUnseen;
   std::map<core::QueueId, policy::DurationModel> Durations;
   std::map<jobs::JobId, Submission> Submissions;
   policy::ReturnMemory Returns;
--- a/src/almondgate/control/control_core.cpp
+++ b/src/almondgate/control/control_core.cpp
@@ -305,7 +305,7 @@
 
 // --- changes
 
-void ControlCore::propose(const state::Change &change, OnChange done) {
+void ControlCore::propose(const state::Change &change, const OnChange &done) {
   if (!Leading) {
     done(notLeader());
     return;
--- a/src/almondgate/dispatch/dispatcher.cpp
+++ b/src/almondgate/dispatch/dispatcher.cpp
@@ -77,6 +77,7 @@
   Open.clear();
   Endpoints.clear();
   TeamUsed.clear();
+  TeamUnseen.clear();
   Returns.clear();
   Outbox.clear();
   Recording = false;
--- a/src/almondgate/dispatch/dispatcher_placing.cpp
+++ b/src/almondgate/dispatch/dispatcher_placing.cpp
@@ -51,6 +51,7 @@
     return row.second.Placed == 0 && !row.second.Record->isOpen();
   });
   auto pools = usablePools();
+  TeamUnseen = unseenByTeam();
   std::vector<ReadyStep> ready;
   collectReady(ready);
   std::sort(ready.begin(), ready.end(),
@@ -162,9 +163,11 @@
   const auto *spec = index().team(team);
   if (!spec)
     return true;
-  const auto it = TeamUsed.find(team);
-  const core::Size used =
-      (it == TeamUsed.end() ? core::Size() : it->second) + need;
+  const auto amountOf = [&team](const auto &amounts) {
+    const auto it = amounts.find(team);
+    return it == amounts.end() ? core::Size() : it->second;
+  };
+  const core::Size used = amountOf(TeamUsed) + amountOf(TeamUnseen) + need;
   const auto within = [](int64_t amount, int64_t limit) {
     return limit == 0 || amount <= limit;
   };
@@ -173,6 +176,39 @@
          within(used.Accelerators, spec->Limit.Accelerators);
 }
 
+// Any task that an earlier leader could start may run where nobody has looked,
+// but no more than those endpoints hold.
+std::map<core::TeamId, core::Size> Dispatcher::unseenByTeam() const {
+  std::map<core::PoolId, core::Size> unread;
+  for (const auto &[id, endpoint] : Endpoints)
+    if (!endpoint.Contacted && !endpoint.Facts.Idle)
+      unread[endpoint.Facts.Pool] =
+          unread[endpoint.Facts.Pool] + endpoint.Facts.Capacity;
+  std::map<core::TeamId, std::map<core::PoolId, core::Size>> waiting;
+  for (const auto &[id, job] : Open)
+    if (job.Inherited && unread.contains(job.Pool)) {
+      core::Size &sum = waiting[job.Record->Team][job.Pool];
+      sum = sum + unseenOf(job);
+    }
+  std::map<core::TeamId, core::Size> out;
+  for (const auto &[team, pools] : waiting)
+    for (const auto &[pool, sum] : pools)
+      out[team] = out[team] + core::smaller(sum, unread.at(pool));
+  return out;
+}
+
+core::Size Dispatcher::unseenOf(const OpenJob &job) const {
+  const auto &record = *job.Record;
+  core::Size out;
+  for (size_t i = 0; i < job.Tasks.size(); ++i) {
+    const auto task = jobs::taskAt(record.Id, *record.Spec, i);
+    if (job.Tasks[i].Phase == TaskPhase::Waiting &&
+        jobs::isStepReady(record, task.Occurrence, task.Step))
+      out = out + record.Spec->Steps[size_t(task.Step)].Need;
+  }
+  return out;
+}
+
 int64_t Dispatcher::nextRun(int64_t last) const {
   return std::max(last, int64_t(Epoch - 1) * RunsOfEpoch) + 1;
 }
--- a/src/almondgate/dispatch/dispatcher_test.cpp
+++ b/src/almondgate/dispatch/dispatcher_test.cpp
@@ -250,6 +250,37 @@
   }
 }
 
+TEST_CASE("a new leader counts runs that it can't see against the limit") {
+  // Found by the soak, seed 18: six tasks of a team ran, its limit was three.
+  Fleet fleet(3);
+  fleet.configure([](jobs::FleetConfig &config) {
+    config.Teams[0].Limit.MilliCpus = 24000;
+  });
+  fleet.submit(jobId(1), oneStep(3, 8, 20000));
+  fleet.advance(200);
+  size_t cut = 0;
+  for (const auto &vm : fleet.VmIds) {
+    auto &endpoint = fleet.endpointOf(vm);
+    endpoint.Cut = !endpoint.Runs.empty();
+    cut += endpoint.Runs.size();
+  }
+  REQUIRE(cut == 3);
+  fleet.lead();
+  fleet.submit(jobId(2), oneStep(3, 8, 300));
+  size_t most = 0;
+  for (int i = 0; i < 800; ++i) {
+    fleet.advance(10);
+    size_t now = 0;
+    for (const auto &vm : fleet.VmIds)
+      now += fleet.endpointOf(vm).Runs.size();
+    most = std::max(most, now);
+  }
+  CHECK(most == 3);
+  fleet.advance(20000);
+  CHECK(fleet.stateOf(jobId(2)) == JobState::Completed);
+  CHECK(fleet.Broken.empty());
+}
+
 TEST_CASE("a draining endpoint gets no further run") {
   Fleet fleet(2);
   fleet.drain(fleet.VmIds[0]);
