--- a/src/almondgate/dispatch/dispatcher_placing.cpp
+++ b/src/almondgate/dispatch/dispatcher_placing.cpp
@@ -163,11 +163,11 @@
   const auto *spec = index().team(team);
   if (!spec)
     return true;
-  const auto amountOf = [&team](const auto &amounts) {
+  const auto amount_of = [&team](const auto &amounts) {
     const auto it = amounts.find(team);
     return it == amounts.end() ? core::Size() : it->second;
   };
-  const core::Size used = amountOf(TeamUsed) + amountOf(TeamUnseen) + need;
+  const core::Size used = amount_of(TeamUsed) + amount_of(TeamUnseen) + need;
   const auto within = [](int64_t amount, int64_t limit) {
     return limit == 0 || amount <= limit;
   };
