Let one piece serve where the change had written twins

A membership without or with a member stood in control_members and membership_plan: consensus::without() and with(). Telling a caller that a record is durable stood three times: tellDurable(). 'Nobody has read the endpoint yet' stood three times: EndpointView::isUnread(). The type of the placing policy stood twice. unseenByTeam() walked all open jobs in each pass: it ends at once where every endpoint has been read. Spare VMs were counted in a second loop.

--- a/include/almondgate/consensus/membership.hpp
+++ b/include/almondgate/consensus/membership.hpp
@@ -42,6 +42,12 @@
 /// Tells whether the member exists and votes.
 bool isVoter(const Membership &membership, const MemberId &id);
 
+/// The same members but the one with this id.
+Membership without(const Membership &membership, const MemberId &id);
+
+/// The same members and this one, in place of any with its id.
+Membership with(const Membership &membership, const Member &member);
+
 /// How many votes make a quorum.
 size_t quorumOf(const Membership &membership);
 
--- a/include/almondgate/dispatch/endpoint_view.hpp
+++ b/include/almondgate/dispatch/endpoint_view.hpp
@@ -55,6 +55,9 @@
   std::set<TaskPlace> StopRetries;
   std::map<StrayKey, StrayRun> Strays;
 
+  /// Work of an earlier leader may run there unseen.
+  bool isUnread() const { return !Contacted && !Facts.Idle; }
+
   /// It counts as room of its pool.
   bool serves() const {
     return Contacted && !Suspect && !Facts.Draining && !Facts.Idle && !Reserved;
--- a/src/almondgate/consensus/membership.cpp
+++ b/src/almondgate/consensus/membership.cpp
@@ -34,6 +34,18 @@
   return member && member->Voter;
 }
 
+Membership without(const Membership &membership, const MemberId &id) {
+  Membership out = membership;
+  std::erase_if(out.Members, [&](const Member &m) { return m.Id == id; });
+  return out;
+}
+
+Membership with(const Membership &membership, const Member &member) {
+  Membership out = without(membership, member.Id);
+  out.Members.push_back(member);
+  return out;
+}
+
 size_t quorumOf(const Membership &membership) {
   return votersOf(membership).size() / 2 + 1;
 }
--- a/src/almondgate/control/control_core.cpp
+++ b/src/almondgate/control/control_core.cpp
@@ -3,6 +3,8 @@
 #include "almondgate/core/digest.hpp"
 #include "almondgate/core/invariant.hpp"
 
+#include "control_errors.hpp"
+
 #include <algorithm>
 
 namespace almondgate::control {
@@ -17,8 +19,6 @@
 
 constexpr DurationMs ExpiryInterval{10000};
 
-Error notLeader() { return {ErrorCode::NotLeader, "not the control leader"}; }
-
 Error outcomeUnknown() {
   return {ErrorCode::Unavailable,
           "leadership was lost; the change may have been accepted"};
--- /dev/null
+++ b/src/almondgate/control/control_errors.hpp
@@ -0,0 +1,15 @@
+#ifndef ALMONDGATE_SRC_CONTROL_CONTROL_ERRORS_HPP
+#define ALMONDGATE_SRC_CONTROL_CONTROL_ERRORS_HPP
+
+#include "almondgate/core/error.hpp"
+
+namespace almondgate::control {
+
+/// For calls that only the leader serves.
+inline core::Error notLeader() {
+  return {core::ErrorCode::NotLeader, "not the control leader"};
+}
+
+} // namespace almondgate::control
+
+#endif
--- a/src/almondgate/control/control_members.cpp
+++ b/src/almondgate/control/control_members.cpp
@@ -1,11 +1,12 @@
 #include "almondgate/control/control_core.hpp"
 #include "almondgate/control/membership_plan.hpp"
 
+#include "control_errors.hpp"
+
 #include <algorithm>
 
 namespace almondgate::control {
 
-using consensus::Membership;
 using core::DurationMs;
 using core::Error;
 using core::ErrorCode;
@@ -16,22 +17,6 @@
 // A learner this close to the leader's log may vote.
 constexpr uint64_t CaughtUpEntries = 100;
 
-Error notLeader() { return {ErrorCode::NotLeader, "not the control leader"}; }
-
-Membership without(const Membership &members, const consensus::MemberId &id) {
-  Membership out;
-  for (const auto &member : members.Members)
-    if (member.Id != id)
-      out.Members.push_back(member);
-  return out;
-}
-
-Membership with(const Membership &members, const consensus::Member &member) {
-  Membership out = without(members, member.Id);
-  out.Members.push_back(member);
-  return out;
-}
-
 } // namespace
 
 // --- members
--- a/src/almondgate/control/control_task.cpp
+++ b/src/almondgate/control/control_task.cpp
@@ -4,6 +4,8 @@
 #include "almondgate/jobs/endpoint_calls.hpp"
 #include "almondgate/task/loop.hpp"
 
+#include "control_errors.hpp"
+
 #include <set>
 #include <unistd.h>
 
@@ -387,7 +389,7 @@
     return;
   }
   if (!Core.leads()) {
-    respond(Error{ErrorCode::NotLeader, "not the control leader"});
+    respond(notLeader());
     return;
   }
   std::vector<state::AuditEntry> trail;
--- a/src/almondgate/control/membership_plan.cpp
+++ b/src/almondgate/control/membership_plan.cpp
@@ -31,12 +31,6 @@
       });
 }
 
-Membership without(const Membership &now, const consensus::MemberId &id) {
-  Membership out = now;
-  std::erase_if(out.Members, [&](const Member &m) { return m.Id == id; });
-  return out;
-}
-
 } // namespace
 
 std::optional<Membership> planMembership(const Membership &now,
@@ -44,11 +38,8 @@
                                          const std::vector<MemberHealth> &known,
                                          const MembershipRules &rules) {
   for (const auto &health : known)
-    if (!findMember(now, health.Id) && health.Silence < rules.ReplaceAfter) {
-      Membership out = now;
-      out.Members.push_back({health.Id, health.Inner, false});
-      return out;
-    }
+    if (!findMember(now, health.Id) && health.Silence < rules.ReplaceAfter)
+      return with(now, {health.Id, health.Inner, false});
   size_t voters = 0;
   size_t live = 0;
   const Member *lost = nullptr;
@@ -66,11 +57,8 @@
       const auto *health = healthOf(known, member.Id);
       const bool ready = !member.Voter && health && health->CaughtUp &&
                          !isLost(member, known, rules.ReplaceAfter);
-      if (!ready)
-        continue;
-      Membership out = without(now, member.Id);
-      out.Members.push_back({member.Id, member.Inner, true});
-      return out;
+      if (ready)
+        return with(now, {member.Id, member.Inner, true});
     }
   if (lost && voters > rules.Voters)
     return without(now, lost->Id);
--- a/src/almondgate/dispatch/dispatcher.cpp
+++ b/src/almondgate/dispatch/dispatcher.cpp
@@ -1,24 +1,19 @@
 #include "almondgate/dispatch/dispatcher.hpp"
 #include "almondgate/policy/job_timing.hpp"
 
+#include "dispatch_errors.hpp"
+
 #include <algorithm>
 
 namespace almondgate::dispatch {
 
 using core::DurationMs;
-using core::Error;
-using core::ErrorCode;
 using jobs::JobRecord;
 
 namespace {
 
 constexpr DurationMs ExpiryInterval{10000};
 
-Error outcomeUnknown() {
-  return {ErrorCode::Unavailable, "leadership was lost before the answer",
-          core::RunOutcome::Unknown};
-}
-
 } // namespace
 
 Dispatcher::Dispatcher(DispatcherOptions options, DispatcherHooks hooks,
@@ -44,6 +39,7 @@
   Began = Hooks.Now();
   ExpiryDue = Began + ExpiryInterval;
   DemandLogDue = Began;
+  // A restored ledger may hold the indexed version at another place.
   Index = jobs::ConfigIndex(Ledger.Config);
   for (const auto &[id, facts] : Ledger.Endpoints)
     onRegistered(facts);
--- a/src/almondgate/dispatch/dispatcher_calls.cpp
+++ b/src/almondgate/dispatch/dispatcher_calls.cpp
@@ -1,6 +1,8 @@
 #include "almondgate/dispatch/dispatcher.hpp"
 #include "almondgate/policy/job_timing.hpp"
 
+#include "dispatch_errors.hpp"
+
 #include <algorithm>
 
 namespace almondgate::dispatch {
@@ -46,7 +48,7 @@
 
 void Dispatcher::call(const JobCall &call, const OnReply &done) {
   if (!active()) {
-    done(Error{ErrorCode::NotLeader, "not the control leader"});
+    done(notLeading());
     return;
   }
   if (Ledger.Config.Version == 0) {
@@ -245,8 +247,7 @@
     if (durable)
       done(JobReply{.Outcome = JobOutcome::Done});
     else
-      done(Error{ErrorCode::Unavailable, "leadership was lost",
-                 core::RunOutcome::Unknown});
+      done(outcomeUnknown());
   };
   if (!record && Submissions.contains(id)) {
     // Accepted, but not durable yet: the order of events keeps it right.
--- a/src/almondgate/dispatch/dispatcher_endpoints.cpp
+++ b/src/almondgate/dispatch/dispatcher_endpoints.cpp
@@ -1,5 +1,7 @@
 #include "almondgate/dispatch/dispatcher.hpp"
 
+#include "dispatch_errors.hpp"
+
 namespace almondgate::dispatch {
 
 using core::Error;
@@ -8,13 +10,13 @@
 
 namespace {
 
-Error outcomeUnknown() {
-  return {ErrorCode::Unavailable, "leadership was lost before the answer",
-          core::RunOutcome::Unknown};
+// Tells the caller once what it asked for is durable.
+std::function<void(bool)> tellDurable(const Dispatcher::OnStatus &done) {
+  return [done](bool durable) {
+    done(durable ? core::ok() : core::Status(outcomeUnknown()));
+  };
 }
 
-Error notLeading() { return {ErrorCode::NotLeader, "not the control leader"}; }
-
 } // namespace
 
 // --- endpoints
@@ -99,9 +101,7 @@
   Hooks.Log("endpoint " + facts.Id.str() + " at " + core::toString(facts.At) +
             " pool " + facts.Pool.str() + " vm " + facts.Vm.str() +
             (next.Draining ? " drains" : " registers"));
-  record(jobs::EndpointRegistered{next}, [done](bool durable) {
-    done(durable ? core::ok() : core::Status(outcomeUnknown()));
-  });
+  record(jobs::EndpointRegistered{next}, tellDurable(done));
 }
 
 void Dispatcher::leave(const jobs::EndpointId &id, int64_t born_ms,
@@ -114,9 +114,7 @@
   const int64_t born =
       born_ms == 0 && it != Endpoints.end() ? it->second.Facts.BornMs : born_ms;
   Hooks.Log("endpoint " + id.str() + " leaves");
-  record(jobs::EndpointGone{id, born}, [done](bool durable) {
-    done(durable ? core::ok() : core::Status(outcomeUnknown()));
-  });
+  record(jobs::EndpointGone{id, born}, tellDurable(done));
 }
 
 // --- operators
@@ -180,9 +178,7 @@
             std::to_string(wave.Vms.size()) + " VMs, at most " +
             std::to_string(wave.UpperLimit) + " at once, in " +
             std::to_string(wave.DurationMs) + " ms");
-  record(jobs::WaveStarted{wave}, [done](bool durable) {
-    done(durable ? core::ok() : core::Status(outcomeUnknown()));
-  });
+  record(jobs::WaveStarted{wave}, tellDurable(done));
 }
 
 core::Result<bool> Dispatcher::isWaveCompleted(int64_t number) const {
--- a/src/almondgate/dispatch/dispatcher_placing.cpp
+++ b/src/almondgate/dispatch/dispatcher_placing.cpp
@@ -181,9 +181,11 @@
 std::map<core::TeamId, core::Size> Dispatcher::unseenByTeam() const {
   std::map<core::PoolId, core::Size> unread;
   for (const auto &[id, endpoint] : Endpoints)
-    if (!endpoint.Contacted && !endpoint.Facts.Idle)
+    if (endpoint.isUnread())
       unread[endpoint.Facts.Pool] =
           unread[endpoint.Facts.Pool] + endpoint.Facts.Capacity;
+  if (unread.empty())
+    return {};
   std::map<core::TeamId, std::map<core::PoolId, core::Size>> waiting;
   for (const auto &[id, job] : Open)
     if (job.Inherited && unread.contains(job.Pool)) {
--- a/src/almondgate/dispatch/dispatcher_renewals.cpp
+++ b/src/almondgate/dispatch/dispatcher_renewals.cpp
@@ -272,16 +272,14 @@
   if (NewFleet)
     return passed >= FirstAnnouncements;
   return passed >= LongestReading ||
-         std::all_of(Endpoints.begin(), Endpoints.end(), [](const auto &row) {
-           return row.second.Contacted || row.second.Facts.Idle;
-         });
+         std::none_of(Endpoints.begin(), Endpoints.end(),
+                      [](const auto &row) { return row.second.isUnread(); });
 }
 
 bool Dispatcher::isSettled(const core::PoolId &pool) const {
   return std::none_of(Endpoints.begin(), Endpoints.end(), [&](const auto &row) {
     const EndpointView &endpoint = row.second;
-    return endpoint.Facts.Pool == pool && !endpoint.Contacted &&
-           !endpoint.Facts.Idle;
+    return endpoint.Facts.Pool == pool && endpoint.isUnread();
   });
 }
 
--- a/src/almondgate/dispatch/step_candidates.hpp
+++ b/src/almondgate/dispatch/step_candidates.hpp
@@ -11,9 +11,7 @@
 /// tasks are placed one after the other.
 class StepCandidates {
 public:
-  using Place = std::function<std::optional<size_t>(
-      const std::vector<policy::PlacementOption> &,
-      const policy::PlacementNeed &)>;
+  using Place = decltype(DispatchPolicies::Place);
 
   /// The step must outlive the candidates.
   explicit StepCandidates(const jobs::StepSpec &step);
--- a/src/almondgate/dispatch/vm_mover.cpp
+++ b/src/almondgate/dispatch/vm_mover.cpp
@@ -81,6 +81,7 @@
           now - SurplusSince.try_emplace(balance.Pool, now).first->second;
     pools.push_back(balance);
   }
+  Spare = 0;
   for (const auto &pool : spare_pools) {
     policy::PoolBalance balance;
     balance.Pool = pool;
@@ -96,11 +97,9 @@
         movable[pool].push_back(id);
     }
     balance.Movable = int64_t(movable[pool].size());
+    Spare += balance.Movable;
     pools.push_back(balance);
   }
-  Spare = 0;
-  for (const auto &pool : spare_pools)
-    Spare += int64_t(movable[pool].size());
   for (const auto &wish : Plan(pools, {})) {
     auto &from = movable[wish.From];
     if (from.empty() || Refused.contains({wish.From, wish.To}))
