Read endpoints' answers with the decoder that bounds their depth

Found in the same reading: the codec of run messages had a copy of encode and decode, and of the JSON form of ids, without the bound on nesting that the inner protocol's own decoder has. An endpoint's answer of 2 MB of opened lists ended the control leader by a stack overflow. Change: encoding/cbor.hpp and id_json.hpp serve both codecs. The platform's adapter reads JSON text, whose parser doesn't recurse.

--- a/src/almondgate/encoding/codec.cpp
+++ b/src/almondgate/encoding/codec.cpp
@@ -1,4 +1,5 @@
 #include "almondgate/encoding/codec.hpp"
+#include "almondgate/encoding/cbor.hpp"
 
 #include "json_types.hpp"
 
@@ -8,42 +9,6 @@
 
 using nlohmann::json;
 
-constexpr size_t MaxDepth = 64;
-
-/// Builds a json value and gives up where it is nested too deeply: the library
-/// reads CBOR by recursion.
-class BoundedBuilder : public nlohmann::detail::json_sax_dom_parser<json> {
-public:
-  explicit BoundedBuilder(json &out) : json_sax_dom_parser(out, true) {}
-
-  bool start_object(size_t n) { // NOLINT(readability-identifier-naming)
-    return ++Depth <= MaxDepth && json_sax_dom_parser::start_object(n);
-  }
-  bool end_object() { // NOLINT(readability-identifier-naming)
-    --Depth;
-    return json_sax_dom_parser::end_object();
-  }
-  bool start_array(size_t n) { // NOLINT(readability-identifier-naming)
-    return ++Depth <= MaxDepth && json_sax_dom_parser::start_array(n);
-  }
-  bool end_array() { // NOLINT(readability-identifier-naming)
-    --Depth;
-    return json_sax_dom_parser::end_array();
-  }
-
-private:
-  size_t Depth = 0;
-};
-
-// Throws json::exception for what is no CBOR.
-json parseCbor(std::string_view bytes) {
-  json out;
-  BoundedBuilder builder(out);
-  if (!json::sax_parse(bytes, &builder, json::input_format_t::cbor))
-    throw json::other_error::create(501, "nested too deeply", nullptr);
-  return out;
-}
-
 // The first member of `given` that `known` does not have, or nothing.
 std::string unknownMember(const json &given, const json &known,
                           const std::string &at) {
@@ -62,18 +27,10 @@
 
 } // namespace
 
-template <class T> std::string encode(const T &value) {
-  std::string out;
-  json::to_cbor(json(value), out);
-  return out;
-}
+template <class T> std::string encode(const T &value) { return toCbor(value); }
 
 template <class T> core::Result<T> decode(std::string_view bytes) {
-  try {
-    return parseCbor(bytes).template get<T>();
-  } catch (const json::exception &e) {
-    return core::Error{core::ErrorCode::Corrupt, e.what()};
-  }
+  return fromCbor<T>(bytes);
 }
 
 template <class T> std::string toJson(const T &value) {
--- a/src/almondgate/encoding/json_types.hpp
+++ b/src/almondgate/encoding/json_types.hpp
@@ -3,6 +3,7 @@
 
 #include "almondgate/consensus/effects.hpp"
 #include "almondgate/consensus/message.hpp"
+#include "almondgate/encoding/id_json.hpp"
 #include "almondgate/model/cancel_request.hpp"
 #include "almondgate/model/grant.hpp"
 #include "almondgate/model/grant_request.hpp"
@@ -16,14 +17,6 @@
 
 namespace almondgate::core {
 
-template <class Tag> void to_json(nlohmann::json &j, const Id<Tag> &id) {
-  j = id.str();
-}
-
-template <class Tag> void from_json(const nlohmann::json &j, Id<Tag> &id) {
-  id = Id<Tag>(j.get<std::string>());
-}
-
 NLOHMANN_JSON_SERIALIZE_ENUM(RunOutcome, {{RunOutcome::NotRun, "not-run"},
                                           {RunOutcome::Unknown, "unknown"},
                                           {RunOutcome::Failed, "failed"}})
--- a/src/almondgate/endpoint/run_codec.cpp
+++ b/src/almondgate/endpoint/run_codec.cpp
@@ -1,18 +1,6 @@
 #include "almondgate/endpoint/run_codec.hpp"
-
-#include <nlohmann/json.hpp>
-
-namespace almondgate::core {
-
-template <class Tag> void to_json(nlohmann::json &j, const Id<Tag> &id) {
-  j = id.str();
-}
-
-template <class Tag> void from_json(const nlohmann::json &j, Id<Tag> &id) {
-  id = Id<Tag>(j.get<std::string>());
-}
-
-} // namespace almondgate::core
+#include "almondgate/encoding/cbor.hpp"
+#include "almondgate/encoding/id_json.hpp"
 
 namespace almondgate::jobs {
 
@@ -54,20 +42,12 @@
 
 namespace almondgate::endpoint {
 
-using nlohmann::json;
-
 template <class T> std::string encodeRun(const T &value) {
-  std::string out;
-  json::to_cbor(json(value), out);
-  return out;
+  return encoding::toCbor(value);
 }
 
 template <class T> core::Result<T> decodeRun(std::string_view bytes) {
-  try {
-    return json::from_cbor(bytes).template get<T>();
-  } catch (const json::exception &e) {
-    return core::Error{core::ErrorCode::Corrupt, e.what()};
-  }
+  return encoding::fromCbor<T>(bytes);
 }
 
 #define ALMONDGATE_RUN_MESSAGE(T)                                              \
