--- a/include/almondgate/entry/admin_api.hpp
+++ b/include/almondgate/entry/admin_api.hpp
@@ -43,11 +43,13 @@
   /// `operators` maps the SHA-256 of a key to its operator.
   AdminApi(std::map<std::string, core::OperatorId> operators, AdminHooks hooks);
 
+  /// Who asks, by the key in the request. Errors: Unauthenticated.
+  core::Result<core::OperatorId> authenticate(const http::Request &r) const;
+
   /// Answers a request whose target starts with AdminPrefix.
   void handle(const http::Request &request, const Respond &respond);
 
 private:
-  core::Result<core::OperatorId> authenticate(const http::Request &r) const;
   void get(const std::string &path, const Respond &respond);
   void post(const core::OperatorId &who, const std::string &path,
             const std::string &body, const Respond &respond);
--- a/src/almondgate/dispatch/dispatcher_calls.cpp
+++ b/src/almondgate/dispatch/dispatcher_calls.cpp
@@ -7,8 +7,6 @@
 
 namespace almondgate::dispatch {
 
-using core::Error;
-using core::ErrorCode;
 using jobs::JobCall;
 using jobs::JobOutcome;
 using jobs::JobReply;
--- a/src/almondgate/entry/job_relay.cpp
+++ b/src/almondgate/entry/job_relay.cpp
@@ -1,9 +1,10 @@
 #include "almondgate/entry/job_relay.hpp"
 #include "almondgate/consensus/membership.hpp"
-#include "almondgate/core/digest.hpp"
-#include "almondgate/encoding/codec.hpp"
+#include "almondgate/entry/send_job_call.hpp"
 #include "almondgate/observe/log.hpp"
 
+#include "reply_reading.hpp"
+
 namespace almondgate::entry {
 
 using core::DurationMs;
@@ -15,7 +16,6 @@
 constexpr DurationMs FollowInterval{1000};
 constexpr DurationMs FirstFollow{100};
 constexpr DurationMs FollowTimeout{900};
-constexpr int CallNameBytes = 8;
 
 } // namespace
 
@@ -32,9 +32,7 @@
   const auto &asked = Members[NextAsked++ % Members.size()];
   Rpc.call(asked, Method::ListMembers, "", FollowTimeout,
            [this](const Result<std::string> &reply) {
-             const auto members =
-                 reply ? encoding::decode<consensus::Membership>(reply.value())
-                       : Result<consensus::Membership>(reply.error());
+             const auto members = decoded<consensus::Membership>(reply);
              if (!members || members.value().Members.empty())
                return;
              Heard = true;
@@ -56,15 +54,7 @@
 
 void JobRelay::call(const jobs::JobCall &call, DurationMs timeout,
                     OnReply done) {
-  jobs::JobCall named = call;
-  named.Call = core::randomHex(CallNameBytes);
-  Control.call(Method::Job, encoding::encode(named), timeout,
-               [done = std::move(done)](const Result<std::string> &reply) {
-                 if (reply)
-                   done(encoding::decode<jobs::JobReply>(reply.value()));
-                 else
-                   done(reply.error());
-               });
+  sendJobCall(Control, call, timeout, std::move(done));
 }
 
 std::string JobRelay::notReady() const {
--- /dev/null
+++ b/src/almondgate/entry/send_job_call.cpp
@@ -0,0 +1,21 @@
+#include "almondgate/entry/send_job_call.hpp"
+#include "almondgate/core/digest.hpp"
+#include "almondgate/encoding/codec.hpp"
+
+#include "reply_reading.hpp"
+
+namespace almondgate::entry {
+
+static constexpr int CallNameBytes = 8;
+
+void sendJobCall(watch::ControlClient &control, jobs::JobCall call,
+                 core::DurationMs timeout,
+                 std::function<void(core::Result<jobs::JobReply>)> done) {
+  call.Call = core::randomHex(CallNameBytes);
+  control.call(protocol::Method::Job, encoding::encode(call), timeout,
+               [done = std::move(done)](const auto &reply) {
+                 done(decoded<jobs::JobReply>(reply));
+               });
+}
+
+} // namespace almondgate::entry
