Read workers' records and address flags in one place each

The soak caught errors by the name of their module, beside a comment that http.client's have no common base; they do (HTTPException), and both of its threads use one list now, which lets any other error through as before. The workers' records were read in JobFleet and again in the soak: JobFleet.rows(). The stand-in worker parsed its address flags by hand and left out bad ones; it uses addressOrExit() of the stand-in endpoint. No check, bound or expectation was loosened.

--- a/tests/job_fleet.py
+++ b/tests/job_fleet.py
@@ -79,15 +79,18 @@
         wait_until(lambda: self.state(job) == state, seconds,
                    f"job {job} {state}")
 
+    def rows(self, worker):
+        """(what, task, run, ms) as a worker wrote them down."""
+        if not os.path.exists(self.records[worker]):
+            return []
+        with open(self.records[worker]) as lines:
+            split = [line.split() for line in lines]
+        return [(w, t, int(r), int(ms)) for w, t, r, ms in split]
+
     def runs(self):
-        """(what, task, run, ms) of all workers, by time."""
-        rows = []
-        for record in self.records:
-            if os.path.exists(record):
-                with open(record) as lines:
-                    rows += [line.split() for line in lines]
-        return sorted(((w, t, int(r), int(ms)) for w, t, r, ms in rows),
-                      key=lambda row: row[3])
+        """The rows of all workers, by time."""
+        rows = [row for i in range(len(self.records)) for row in self.rows(i)]
+        return sorted(rows, key=lambda row: row[3])
 
     def most_at_once(self):
         """The most runs of one task at a time."""
--- a/tests/jobs_test.py
+++ b/tests/jobs_test.py
@@ -10,6 +10,7 @@
 from fleet import BUILD, Fleet, http_call, wait_until
 from job_fleet import JobFleet, config, job_id, two_steps
 
+
 @pytest.fixture
 def jobs():
     with Fleet(members=3, placers=1, entries=1) as fleet:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -1,6 +1,7 @@
 """A seeded soak of jobs: real processes, faults from outside, promises checked
 from what callers see and from what the stand-in workers write down."""
 
+import http.client
 import json
 import random
 import signal
@@ -21,9 +22,11 @@
 # A caller's patience: longer than a lost leader's lease and an election.
 CALL_SECONDS = 10
 SETTLE_SECONDS = 60
+# A connection that failed, or was closed within an answer.
+NO_ANSWER = (OSError, http.client.HTTPException)
 
 
-class Callers(threading.Thread):
+class Caller(threading.Thread):
     """One caller: submits, looks and cancels over either entry."""
 
     def __init__(self, jobs, number, seed):
@@ -44,11 +47,7 @@
         try:
             status, _, answer = self.jobs.call(
                 method, path, body, self.random.choice(ENTRIES))
-        except (OSError, json.JSONDecodeError):
-            return 0, b""
-        except Exception as error:  # http.client's errors have no common base
-            if not type(error).__module__.startswith("http"):
-                raise
+        except NO_ANSWER:
             return 0, b""
         took = time.time() - began
         if took > CALL_SECONDS:
@@ -150,11 +149,8 @@
                         self.broken.append(
                             f"read configuration {held['Version']} after "
                             f"{known} was acknowledged")
-            except (OSError, ValueError):
+            except (*NO_ANSWER, json.JSONDecodeError):
                 pass
-            except Exception as error:
-                if not type(error).__module__.startswith("http"):
-                    raise
             time.sleep(self.random.uniform(0.1, 0.5))
 
 
@@ -282,16 +278,14 @@
     """Runs of all workers: (task, begin, end, how), milliseconds; a killed
     worker's runs end with it."""
     out = []
-    for worker, record in enumerate(jobs.records):
+    for worker in range(len(jobs.records)):
         deaths = sorted(ms for w, ms in kills if w == worker)
         begun = {}
-        with open(record) as lines:
-            rows = [line.split() for line in lines]
-        for what, task, run, ms in rows:
+        for what, task, run, ms in jobs.rows(worker):
             if what == "start":
-                begun[task, run] = int(ms)
+                begun[task, run] = ms
             else:
-                out.append((task, begun.pop((task, run)), int(ms), what))
+                out.append((task, begun.pop((task, run)), ms, what))
         for (task, _), begin in begun.items():
             later = [ms for ms in deaths if ms >= begin]
             out.append((task, begin, later[0] if later else 1 << 62, "lost"))
@@ -372,7 +366,7 @@
         fleet.start()
         jobs = JobFleet(fleet, WORKERS, relayed=True)
         jobs.configure(config(1, LIMIT_CORES * 1000))
-        callers = [Callers(jobs, n, seed) for n in range(1, 4)]
+        callers = [Caller(jobs, n, seed) for n in range(1, 4)]
         operator = Operator(jobs, seed)
         threads = callers + [operator]
         for thread in threads:
--- a/tools/fake_endpoint.cpp
+++ b/tools/fake_endpoint.cpp
@@ -10,6 +10,8 @@
 #include "almondgate/task/signal_watcher.hpp"
 #include "almondgate/task/timer.hpp"
 
+#include "address_or_exit.hpp"
+
 #include <nlohmann/json.hpp>
 #include <tclap/CmdLine.h>
 
@@ -19,6 +21,7 @@
 #include <sstream>
 
 using namespace almondgate;
+using tools::addressOrExit;
 
 namespace {
 
@@ -205,15 +208,6 @@
   task::Timer Ending;
 };
 
-core::Address addressOrExit(const std::string &text) {
-  const auto address = core::parseAddress(text);
-  if (!address) {
-    std::fprintf(stderr, "%s\n", address.error().Text.c_str());
-    std::exit(2);
-  }
-  return address.value();
-}
-
 Options readOptions(int argc, char **argv) {
   TCLAP::CmdLine line("A stand-in for a worker's endpoint", '=');
   using Text = TCLAP::ValueArg<std::string>;
--- a/tools/fake_worker.cpp
+++ b/tools/fake_worker.cpp
@@ -12,6 +12,8 @@
 #include "almondgate/task/loop.hpp"
 #include "almondgate/task/timer.hpp"
 
+#include "address_or_exit.hpp"
+
 #include <tclap/CmdLine.h>
 
 #include <csignal>
@@ -20,12 +22,14 @@
 #include <fstream>
 #include <list>
 #include <map>
+#include <sstream>
 
 using namespace almondgate;
 using dispatch::OrderReply;
 using dispatch::OrderResult;
 using dispatch::RunEnd;
 using protocol::Method;
+using tools::addressOrExit;
 
 namespace {
 
@@ -256,19 +260,14 @@
   out.Vm = vm.getValue();
   out.Rack = rack.getValue();
   out.Record = record.getValue();
-  const auto own = core::parseAddress(at.getValue());
-  if (own)
-    out.At = own.value();
-  const auto told = core::parseAddress(announced.getValue());
-  out.Announced = told ? told.value() : out.At;
-  std::string rest = control.getValue();
-  while (!rest.empty()) {
-    const size_t comma = rest.find(',');
-    const auto member = core::parseAddress(rest.substr(0, comma));
-    if (member)
-      out.Control.push_back(member.value());
-    rest = comma == std::string::npos ? "" : rest.substr(comma + 1);
-  }
+  out.At = addressOrExit(at.getValue());
+  out.Announced = announced.getValue().empty()
+                      ? out.At
+                      : addressOrExit(announced.getValue());
+  std::istringstream members(control.getValue());
+  std::string item;
+  while (std::getline(members, item, ','))
+    out.Control.push_back(addressOrExit(item));
   return out;
 }
 
