Tell of each order that ends runs why it is given and what its budget is

The log could not tell a stop after lost answers from an evacuation, and an order for a VM did not say what runs there. Now a stop tells its reason, the run's phase and progress, and how many others of its step are missing; an order for a VM tells the same of each task it ends, when it leaves and not when it was decided. stop_orders{why}, vm_orders{kind} and budget_exceeded{by} count them. No decision changes.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -142,7 +142,8 @@
   void onStartReply(const TaskPlace &place, int64_t run,
                     const jobs::EndpointId &at, int64_t born,
                     const OrderReply &reply);
-  void stop(const TaskPlace &place);
+  /// `why` is told in the log and counted.
+  void stop(const TaskPlace &place, const char *why);
   void sendStop(const TaskPlace &place);
   void onStopReply(const TaskPlace &place, int64_t run,
                    const jobs::EndpointId &at, int64_t born,
@@ -198,6 +199,12 @@
   VmLoad loadOf(const core::VmId &vm) const;
   bool budgetHolds(const EndpointView &endpoint) const;
   int64_t missingOf(const TaskPlace &first) const;
+  /// Other tasks of its step that are not surely at work.
+  int64_t missingBesides(const TaskPlace &place) const;
+  bool isSurelyAtWork(const TaskSlot &slot) const;
+  TaskPlace firstOfStep(const TaskPlace &place) const;
+  std::string budgetTextOf(const TaskPlace &place) const;
+  void noteVmOrder(const VmOrder &order);
   void evacuate(const core::VmId &vm);
   bool hasRoomFor(const jobs::StepSpec &step, const core::PoolId &pool);
 
--- a/include/almondgate/dispatch/task_slot.hpp
+++ b/include/almondgate/dispatch/task_slot.hpp
@@ -51,6 +51,9 @@
   }
 };
 
+/// The name of a phase, such as "running".
+const char *phaseName(TaskPhase phase);
+
 } // namespace almondgate::dispatch
 
 #endif
--- a/src/almondgate/dispatch/dispatcher.cpp
+++ b/src/almondgate/dispatch/dispatcher.cpp
@@ -25,7 +25,11 @@
                 [this](auto events, auto done) {
                   recordAll(std::move(events), std::move(done));
                 },
-                Hooks.OrderVm, Hooks.Log},
+                [this](const VmOrder &order, auto done) {
+                  noteVmOrder(order);
+                  Hooks.OrderVm(order, std::move(done));
+                },
+                Hooks.Log},
                ledger),
       Upkeep(Options, upkeepHooks(), ledger, List),
       Mover(Options, upkeepHooks(), List, Hooks.Policies.Moves) {}
@@ -259,7 +263,7 @@
     return;
   for (size_t i = 0; i < it->second.Tasks.size(); ++i)
     if (it->second.Tasks[i].isPlaced())
-      stop({id, i});
+      stop({id, i}, "cancelled");
   closeIfEmpty(id);
 }
 
@@ -272,7 +276,7 @@
     TaskSlot &slot = it->second.Tasks[i];
     const bool finished = record->Tasks[i].Done || !record->isOpen();
     if (finished && slot.isPlaced())
-      stop({event.Job, i});
+      stop({event.Job, i}, "ended");
     else if (record->Tasks[i].Done)
       slot.Phase = TaskPhase::Done;
     else if (slot.Phase == TaskPhase::Ending && i == event.Task)
--- a/src/almondgate/dispatch/dispatcher_orders.cpp
+++ b/src/almondgate/dispatch/dispatcher_orders.cpp
@@ -183,15 +183,18 @@
   if (slot.Silences++ < MostSilences)
     sendStart(place);
   else
-    stop(place);
+    stop(place, "unanswered start");
 }
 
 // --- stops
 
-void Dispatcher::stop(const TaskPlace &place) {
+void Dispatcher::stop(const TaskPlace &place, const char *why) {
   TaskSlot &slot = *slotOf(place);
   if (slot.Phase == TaskPhase::Stopping || !slot.isPlaced())
     return;
+  Hooks.Log("stop of " + nameOf(place) + " run " + std::to_string(slot.Run) +
+            " at " + slot.At.str() + " (" + why + "), " + budgetTextOf(place));
+  Hooks.Count("stop_orders", "why", why);
   slot.Phase = TaskPhase::Stopping;
   slot.StopTold = false;
   slot.Since = Hooks.Now();
@@ -272,8 +275,16 @@
   if (now - stray.StopSent < Options.RetryPause)
     return;
   stray.StopSent = now;
-  Hooks.Log("run " + std::to_string(key.second) + " of " + key.first.Job.str() +
-            " at " + at.Facts.Id.str() + " is wanted by nobody: stopped");
+  std::string line = "run " + std::to_string(key.second) + " of " +
+                     key.first.Job.str() + " at " + at.Facts.Id.str() +
+                     " is wanted by nobody: stopped";
+  const auto *record = jobs::findJob(Ledger, key.first.Job);
+  const auto index =
+      record ? jobs::indexOf(*record->Spec, key.first) : std::nullopt;
+  if (index && Open.contains(key.first.Job))
+    line += "; its task is " + budgetTextOf({key.first.Job, *index});
+  Hooks.Log(line);
+  Hooks.Count("stop_orders", "why", "unwanted");
   Hooks.Stop(at.Facts, {key.first, key.second, Epoch},
              [](const OrderReply &) {});
 }
--- a/src/almondgate/dispatch/dispatcher_upkeep.cpp
+++ b/src/almondgate/dispatch/dispatcher_upkeep.cpp
@@ -77,22 +77,75 @@
   return true;
 }
 
+Dispatcher::TaskPlace Dispatcher::firstOfStep(const TaskPlace &place) const {
+  const auto *record = jobs::findJob(Ledger, place.first);
+  const auto task = jobs::taskAt(place.first, *record->Spec, place.second);
+  return {place.first, place.second - size_t(task.Index)};
+}
+
+// "running 100 %, 1 other of its step missing, 1 may be".
+std::string Dispatcher::budgetTextOf(const TaskPlace &place) const {
+  const auto *step = stepOf(place);
+  const auto &slot = Open.at(place.first).Tasks[place.second];
+  std::string text = std::string(phaseName(slot.Phase)) + " " +
+                     std::to_string(slot.Percent) + " %";
+  if (step->HasMayMiss)
+    text += ", " + std::to_string(missingBesides(place)) +
+            " others of its step missing, " + std::to_string(step->MayMiss) +
+            " may be";
+  return text;
+}
+
+// Tells what an order for a VM ends as it leaves, and counts the orders that
+// would exceed a budget.
+void Dispatcher::noteVmOrder(const VmOrder &order) {
+  const char *kind = order.To.empty() ? "upkeep" : "move";
+  std::string line = std::string(kind) + " of vm " + order.Vm.str() + " leaves";
+  bool exceeds = false;
+  for (const auto &[id, endpoint] : Endpoints) {
+    if (endpoint.Facts.Vm != order.Vm)
+      continue;
+    line += ", ends " + id.str() + (endpoint.Contacted ? "" : " (not read)") +
+            (endpoint.Suspect ? " (silent)" : "") + " with " +
+            std::to_string(endpoint.Runs.size()) + " runs, " +
+            std::to_string(endpoint.LongRuns) + " long";
+    for (const auto &place : endpoint.Runs) {
+      const auto *step = stepOf(place);
+      if (!step->HasMayMiss || !Open.at(place.first).Record->isOpen())
+        continue;
+      line += "; " + place.first.str() + "#" + std::to_string(place.second) +
+              " " + budgetTextOf(place);
+      exceeds = exceeds || missingBesides(place) >= step->MayMiss;
+    }
+  }
+  Hooks.Log(line);
+  Hooks.Count("vm_orders", "kind", kind);
+  if (exceeds)
+    Hooks.Count("budget_exceeded", "by", kind);
+}
+
 // Tasks of the step at `first` that are not surely at work.
 int64_t Dispatcher::missingOf(const TaskPlace &first) const {
   const auto *spec = stepOf(first);
   const auto &tasks = Open.at(first.first).Tasks;
   int64_t missing = 0;
-  for (size_t i = first.second; i < first.second + size_t(spec->Count); ++i) {
-    const auto at = Endpoints.find(tasks[i].At);
-    const bool doubtful =
-        at == Endpoints.end() || at->second.Doomed || at->second.Suspect;
-    const bool at_work = tasks[i].Phase == TaskPhase::Running &&
-                         tasks[i].Percent >= AtWorkPercent;
-    missing += at_work && !doubtful ? 0 : 1;
-  }
+  for (size_t i = first.second; i < first.second + size_t(spec->Count); ++i)
+    missing += isSurelyAtWork(tasks[i]) ? 0 : 1;
   return missing;
 }
 
+int64_t Dispatcher::missingBesides(const TaskPlace &place) const {
+  const bool missing =
+      !isSurelyAtWork(Open.at(place.first).Tasks[place.second]);
+  return missingOf(firstOfStep(place)) - (missing ? 1 : 0);
+}
+
+bool Dispatcher::isSurelyAtWork(const TaskSlot &slot) const {
+  const auto at = Endpoints.find(slot.At);
+  return at != Endpoints.end() && !at->second.Doomed && !at->second.Suspect &&
+         slot.Phase == TaskPhase::Running && slot.Percent >= AtWorkPercent;
+}
+
 // One task after the other of each step is stopped, and starts elsewhere.
 void Dispatcher::evacuate(const core::VmId &vm) {
   for (auto &[id, endpoint] : Endpoints) {
@@ -113,10 +166,7 @@
           step->HasMayMiss && missingOf(first) + 1 > step->MayMiss;
       if (held || !hasRoomFor(*step, endpoint.Facts.Pool))
         continue;
-      Hooks.Log("task " + place.first.str() + "#" +
-                std::to_string(place.second) + " leaves " + id.str() +
-                " before its upkeep");
-      stop(place);
+      stop(place, "evacuation");
     }
   }
 }
--- a/src/almondgate/dispatch/names.cpp
+++ b/src/almondgate/dispatch/names.cpp
@@ -1,8 +1,29 @@
 #include "almondgate/dispatch/orders.hpp"
 #include "almondgate/dispatch/run_inventory.hpp"
+#include "almondgate/dispatch/task_slot.hpp"
 
 namespace almondgate::dispatch {
 
+const char *phaseName(TaskPhase phase) {
+  switch (phase) {
+  case TaskPhase::Waiting:
+    return "waiting";
+  case TaskPhase::Ordered:
+    return "ordered";
+  case TaskPhase::Unanswered:
+    return "unanswered";
+  case TaskPhase::Running:
+    return "running";
+  case TaskPhase::Stopping:
+    return "stopping";
+  case TaskPhase::Ending:
+    return "ending";
+  case TaskPhase::Done:
+    return "done";
+  }
+  return "?";
+}
+
 const char *orderResultName(OrderResult result) {
   switch (result) {
   case OrderResult::Accepted:
