--- a/src/almondgate/dispatch/dispatcher_test.cpp
+++ b/src/almondgate/dispatch/dispatcher_test.cpp
@@ -1,4 +1,4 @@
-#include "test_fleet.hpp"
+#include "test_jobs.hpp"
 
 #include <doctest/doctest.h>
 
@@ -8,41 +8,6 @@
 using jobs::JobSpec;
 using jobs::JobState;
 
-namespace {
-
-std::string jobId(int64_t n) {
-  std::string digits = std::to_string(n);
-  return std::string(16 - digits.size(), '0') + digits;
-}
-
-JobSpec oneStep(int64_t count, int64_t cores, int64_t ms) {
-  JobSpec spec;
-  spec.Steps = {testStep(count, cores, ms)};
-  return spec;
-}
-
-JobSpec lasting(int64_t count, int64_t may_miss) {
-  JobSpec spec = oneStep(count, 2, 0);
-  spec.Steps[0].LongRunning = true;
-  spec.Steps[0].HasMayMiss = true;
-  spec.Steps[0].MayMiss = may_miss;
-  return spec;
-}
-
-struct Fleet : TestFleet {
-  std::vector<core::VmId> VmIds;
-
-  explicit Fleet(int vms, DispatchPolicies policies = {})
-      : TestFleet(std::move(policies)) {
-    for (int i = 0; i < vms; ++i)
-      VmIds.push_back(addVm("p", "r" + std::to_string(i / 4)));
-    lead();
-    advance(200);
-  }
-};
-
-} // namespace
-
 TEST_CASE("a job of two steps runs them one after the other") {
   Fleet fleet(2);
   JobSpec spec;
--- a/src/almondgate/dispatch/test_endpoint.hpp
+++ b/src/almondgate/dispatch/test_endpoint.hpp
@@ -14,6 +14,8 @@
 struct TestRun {
   int64_t Run = 0;
   int64_t EndsAt = 0;
+  /// A long-running task is at work from then on.
+  int64_t AtWorkFrom = 0;
   core::Size Need;
   bool Fails = false;
 };
@@ -27,6 +29,8 @@
   /// Starts that are to be carried out this much later, without an answer.
   int64_t LateStarts = 0;
   int64_t LateByMs = 0;
+  /// Starts that are carried out, but whose answer gets lost.
+  int64_t LostAnswers = 0;
   int64_t ClockOffset = 0;
 
   uint64_t Epoch = 0;
--- a/src/almondgate/dispatch/test_fleet.hpp
+++ b/src/almondgate/dispatch/test_fleet.hpp
@@ -11,7 +11,8 @@
 namespace almondgate::dispatch {
 
 /// A dispatcher with a ledger, endpoints and a VM service in virtual time.
-/// Watches what every endpoint does and notes each broken promise.
+/// Watches what every endpoint does and notes each broken promise. With
+/// ALMONDGATE_TEST_LOG set, the dispatcher's lines go to standard error.
 class TestFleet {
 public:
   explicit TestFleet(DispatchPolicies policies = {});
@@ -23,6 +24,8 @@
   TestEndpoint &endpointOf(const core::VmId &vm);
   /// The VM's endpoint starts anew; what it ran is gone.
   void restart(const core::VmId &vm);
+  /// The same under the id that it had.
+  void restartWithSameId(const core::VmId &vm);
   void advance(int64_t ms);
   int64_t now() const { return Now; }
 
@@ -65,6 +68,10 @@
   int64_t CommitMs = 5;
   /// The VM service does not answer.
   bool VmServiceSilent = false;
+  /// Above 0, orders for VMs get no answer and are carried out so much later.
+  int64_t VmOrdersLateMs = 0;
+  /// How long a long-running task takes until it is at work.
+  int64_t StartupMs = 0;
 
 private:
   DispatcherHooks hooks();
@@ -79,8 +86,10 @@
                  const jobs::EndpointId &without) const;
   void checkStop(const jobs::EndpointId &id, const jobs::TaskRef &task);
   void checkVmOrder(const VmOrder &order);
+  VmOrderResult carryOut(const VmOrder &order);
   void onOrderVm(const VmOrder &order,
                  const std::function<void(VmOrderResult)> &);
+  void lose(const jobs::EndpointId &id);
   void bringUp(const core::VmId &vm, const core::PoolId &pool);
   void step();
   void answerLooks(TestEndpoint &endpoint);
@@ -90,7 +99,8 @@
   DispatchPolicies Policies;
   jobs::Ledger Ledger;
   std::unique_ptr<Dispatcher> Core;
-  int64_t Now = 1000000;
+  static constexpr int64_t FirstMs = 1000000;
+  int64_t Now = FirstMs;
   std::multimap<int64_t, std::function<void()>> Calendar;
   std::map<jobs::EndpointId, TestEndpoint> Endpoints;
   std::map<core::VmId, VmListing> Vms;
--- a/src/almondgate/dispatch/test_fleet_test.cpp
+++ b/src/almondgate/dispatch/test_fleet_test.cpp
@@ -1,6 +1,8 @@
 #include "test_fleet.hpp"
 
 #include <algorithm>
+#include <cstdlib>
+#include <iostream>
 
 namespace almondgate::dispatch {
 
@@ -50,7 +52,8 @@
   out.ClockMs = clock(now);
   out.BornMs = Facts.BornMs;
   for (const auto &[task, run] : Runs)
-    out.Running.push_back({task, run.Run, "", 100, 0});
+    out.Running.push_back(
+        {task, run.Run, "", now >= run.AtWorkFrom ? 100 : 0, 0});
   for (const auto &end : Ended)
     if (end.Number > last_seen)
       out.Ended.push_back(end);
@@ -128,11 +131,30 @@
   return Endpoints.at(Vms.at(vm).Endpoint);
 }
 
+// Its connections break.
+void TestFleet::lose(const EndpointId &id) {
+  const auto it = Endpoints.find(id);
+  if (it == Endpoints.end())
+    return;
+  for (const auto &look : it->second.Looks)
+    at(Now + LatencyMs, [done = look.Done] { done(RenewReply{}); });
+  Endpoints.erase(it);
+}
+
 void TestFleet::restart(const core::VmId &vm) {
-  Endpoints.erase(Vms.at(vm).Endpoint);
+  lose(Vms.at(vm).Endpoint);
   bringUp(vm, Vms.at(vm).Pool);
 }
 
+void TestFleet::restartWithSameId(const core::VmId &vm) {
+  TestEndpoint endpoint;
+  endpoint.Facts = endpointOf(vm).Facts;
+  endpoint.Facts.BornMs = Now;
+  endpoint.ClockOffset = -Now;
+  lose(endpoint.Facts.Id);
+  Endpoints[endpoint.Facts.Id] = endpoint;
+}
+
 void TestFleet::drain(const core::VmId &vm) {
   endpointOf(vm).Facts.Draining = true;
   Core->heartbeat(endpointOf(vm).Facts, ++Sequence,
@@ -301,7 +323,12 @@
       guard([done, result] { done(result); })();
     });
   };
-  hooks.Log = [](const std::string &) {};
+  if (std::getenv("ALMONDGATE_TEST_LOG"))
+    hooks.Log = [this](const std::string &line) {
+      std::cerr << Now - FirstMs << " " << line << "\n";
+    };
+  else
+    hooks.Log = [](const std::string &) {};
   return hooks;
 }
 
@@ -325,6 +352,11 @@
     return;
   }
   const OrderReply reply = carryOut(it->second, order, Now);
+  if (it->second.LostAnswers > 0) {
+    --it->second.LostAnswers;
+    at(Now + TimeoutMs, [done] { done(OrderReply{}); });
+    return;
+  }
   at(Now + LatencyMs, [done, reply] { done(reply); });
 }
 
@@ -347,8 +379,9 @@
   checkStart(endpoint, order, step, sent);
   const int64_t lasts =
       step.LongRunning ? int64_t{1} << 40 : std::max<int64_t>(RunMs(step), 1);
-  endpoint.Runs[order.Task] = {order.Run, Now + lasts, step.Need,
-                               Fails(order.Task)};
+  endpoint.Runs[order.Task] = {order.Run, Now + lasts,
+                               Now + (step.LongRunning ? StartupMs : 0),
+                               step.Need, Fails(order.Task)};
   ++endpoint.Starts;
   return {OrderResult::Accepted, clock};
 }
@@ -385,7 +418,9 @@
     const TaskRef other{task.Job, task.Occurrence, task.Step, i};
     const bool at_work =
         std::any_of(Endpoints.begin(), Endpoints.end(), [&](const auto &row) {
-          return row.first != without && row.second.Runs.contains(other);
+          const auto run = row.second.Runs.find(other);
+          return row.first != without && run != row.second.Runs.end() &&
+                 Now >= run->second.AtWorkFrom;
         });
     away += at_work || other == task ? 0 : 1;
   }
@@ -395,7 +430,8 @@
 void TestFleet::checkStop(const EndpointId &id, const TaskRef &task) {
   const auto it = Endpoints.find(id);
   const auto *job = jobs::findJob(Ledger, task.Job);
-  if (it == Endpoints.end() || !it->second.Runs.contains(task) || !job)
+  if (it == Endpoints.end() || !it->second.Runs.contains(task) || !job ||
+      Now < it->second.Runs.at(task).AtWorkFrom)
     return;
   const auto &step = job->Spec->Steps[task.Step];
   if (step.HasMayMiss && !job->Cancelled &&
@@ -422,24 +458,34 @@
     at(Now + TimeoutMs, [done] { done(VmOrderResult::NoAnswer); });
     return;
   }
+  if (VmOrdersLateMs > 0) {
+    at(Now + VmOrdersLateMs, [this, order] { carryOut(order); });
+    at(Now + TimeoutMs, [done] { done(VmOrderResult::NoAnswer); });
+    return;
+  }
+  at(Now + LatencyMs, [done, result = carryOut(order)] { done(result); });
+}
+
+VmOrderResult TestFleet::carryOut(const VmOrder &order) {
   auto &vm = Vms.at(order.Vm);
   const bool upkeep = order.To.empty();
-  const auto tell = [&](VmOrderResult result) {
-    at(Now + LatencyMs, [done, result] { done(result); });
-  };
   if (upkeep && UpkeepDone[order.Vm].contains(order.Wave))
-    return tell(VmOrderResult::Accepted);
+    return VmOrderResult::Accepted;
+  if (!upkeep && vm.Pool == order.To)
+    return VmOrderResult::Accepted;
   if (vm.State != VmState::Up)
-    return tell(VmOrderResult::Busy);
+    return VmOrderResult::Busy;
   if (!vm.Endpoint.empty())
     for (const auto &[task, run] : Endpoints.at(vm.Endpoint).Runs) {
+      if (Now < run.AtWorkFrom)
+        continue;
       const auto *job = jobs::findJob(Ledger, task.Job);
       const auto &step = job->Spec->Steps[task.Step];
       if (step.HasMayMiss && !job->Cancelled &&
           awayOf(task, vm.Endpoint) >= step.MayMiss)
         Broken.push_back("availability: " + nameOf(task));
     }
-  Endpoints.erase(vm.Endpoint);
+  lose(vm.Endpoint);
   vm.Endpoint = {};
   vm.State = upkeep ? VmState::Upkeep : VmState::Moving;
   if (upkeep) {
@@ -455,7 +501,7 @@
     Down -= upkeep ? 1 : 0;
     bringUp(id, pool);
   });
-  tell(VmOrderResult::Accepted);
+  return VmOrderResult::Accepted;
 }
 
 // --- callers
--- /dev/null
+++ b/src/almondgate/dispatch/test_jobs.hpp
@@ -0,0 +1,48 @@
+#ifndef ALMONDGATE_SRC_DISPATCH_TEST_JOBS_HPP
+#define ALMONDGATE_SRC_DISPATCH_TEST_JOBS_HPP
+
+#include "test_fleet.hpp"
+
+#include <string>
+#include <vector>
+
+namespace almondgate::dispatch {
+
+/// The id of the n-th job of a test.
+inline std::string jobId(int64_t n) {
+  std::string digits = std::to_string(n);
+  return std::string(16 - digits.size(), '0') + digits;
+}
+
+/// A job of one step.
+inline jobs::JobSpec oneStep(int64_t count, int64_t cores, int64_t ms) {
+  jobs::JobSpec spec;
+  spec.Steps = {testStep(count, cores, ms)};
+  return spec;
+}
+
+/// A job of long-running tasks with an availability budget.
+inline jobs::JobSpec lasting(int64_t count, int64_t may_miss) {
+  jobs::JobSpec spec = oneStep(count, 2, 0);
+  spec.Steps[0].LongRunning = true;
+  spec.Steps[0].HasMayMiss = true;
+  spec.Steps[0].MayMiss = may_miss;
+  return spec;
+}
+
+/// A led fleet with so many VMs in one pool, four a rack.
+struct Fleet : TestFleet {
+  std::vector<core::VmId> VmIds;
+
+  explicit Fleet(int vms, DispatchPolicies policies = {})
+      : TestFleet(std::move(policies)) {
+    for (int i = 0; i < vms; ++i)
+      VmIds.push_back(addVm("p", "r" + std::to_string(i / 4)));
+    lead();
+    advance(200);
+  }
+};
+
+} // namespace almondgate::dispatch
+
+#endif
