Order an upkeep again whose VM runs more than half of a step's budget

Cause: the order dooms the VM, so its tasks count as missing, and as taken by the order once more; the budget never holds again. Ruled out: the VM service (it answers again), evacuation (the tasks are not to leave a VM whose order may hold). Now the tasks at the VM are counted once, and the others of the step beside them. Evacuation asks the same question for one task.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -198,7 +198,10 @@
                  std::function<void(bool)> done);
   VmLoad loadOf(const core::VmId &vm) const;
   bool budgetHolds(const EndpointView &endpoint) const;
-  int64_t missingOf(const TaskPlace &first) const;
+  /// Ending a run of the task keeps the availability budget of its step.
+  bool mayEnd(const TaskPlace &place) const;
+  int64_t missingOf(const TaskPlace &first,
+                    const jobs::EndpointId &besides) const;
   /// Other tasks of its step that are not surely at work.
   int64_t missingBesides(const TaskPlace &place) const;
   bool isSurelyAtWork(const TaskSlot &slot) const;
--- a/src/almondgate/dispatch/dispatcher_upkeep.cpp
+++ b/src/almondgate/dispatch/dispatcher_upkeep.cpp
@@ -61,8 +61,8 @@
   return load;
 }
 
-// Taking the endpoint away leaves fewer tasks of each step missing than its
-// budget allows, counting those that are missing already.
+// Taking the endpoint away leaves no more tasks of each step missing than its
+// budget allows, counting those that are missing elsewhere already.
 bool Dispatcher::budgetHolds(const EndpointView &endpoint) const {
   std::map<std::pair<jobs::JobId, size_t>, int64_t> taken;
   for (const auto &place : endpoint.Runs) {
@@ -72,7 +72,7 @@
       ++taken[{place.first, place.second - size_t(task.Index)}];
   }
   for (const auto &[first, n] : taken)
-    if (n + missingOf(first) > stepOf(first)->MayMiss)
+    if (n + missingOf(first, endpoint.Facts.Id) > stepOf(first)->MayMiss)
       return false;
   return true;
 }
@@ -124,20 +124,30 @@
     Hooks.Count("budget_exceeded", "by", kind);
 }
 
-// Tasks of the step at `first` that are not surely at work.
-int64_t Dispatcher::missingOf(const TaskPlace &first) const {
+bool Dispatcher::mayEnd(const TaskPlace &place) const {
+  const auto *step = stepOf(place);
+  return !step->HasMayMiss || !Open.at(place.first).Record->isOpen() ||
+         missingBesides(place) < step->MayMiss;
+}
+
+// Tasks of the step at `first` that are not surely at work, apart from those at
+// the endpoint `besides`.
+int64_t Dispatcher::missingOf(const TaskPlace &first,
+                              const jobs::EndpointId &besides) const {
   const auto *spec = stepOf(first);
   const auto &tasks = Open.at(first.first).Tasks;
   int64_t missing = 0;
-  for (size_t i = first.second; i < first.second + size_t(spec->Count); ++i)
-    missing += isSurelyAtWork(tasks[i]) ? 0 : 1;
+  for (size_t i = first.second; i < first.second + size_t(spec->Count); ++i) {
+    const bool counts = besides.empty() || tasks[i].At != besides;
+    missing += counts && !isSurelyAtWork(tasks[i]) ? 1 : 0;
+  }
   return missing;
 }
 
 int64_t Dispatcher::missingBesides(const TaskPlace &place) const {
   const bool missing =
       !isSurelyAtWork(Open.at(place.first).Tasks[place.second]);
-  return missingOf(firstOfStep(place)) - (missing ? 1 : 0);
+  return missingOf(firstOfStep(place), {}) - (missing ? 1 : 0);
 }
 
 bool Dispatcher::isSurelyAtWork(const TaskSlot &slot) const {
@@ -159,12 +169,7 @@
                            slotOf(place)->Phase == TaskPhase::Running;
       if (!movable)
         continue;
-      const auto task =
-          jobs::taskAt(place.first, *job.Record->Spec, place.second);
-      const TaskPlace first{place.first, place.second - size_t(task.Index)};
-      const bool held =
-          step->HasMayMiss && missingOf(first) + 1 > step->MayMiss;
-      if (held || !hasRoomFor(*step, endpoint.Facts.Pool))
+      if (!mayEnd(place) || !hasRoomFor(*step, endpoint.Facts.Pool))
         continue;
       stop(place, "evacuation");
     }
