Do not stop a run at work whose start's answers got lost

Callers saw: tasks of a long-running service stopped while others of their step were away (AVAIL). Cause: two answers to a start got lost, and the run was stopped without a look at the budget, even where the endpoint's inventory had shown it at work meanwhile. Ruled out for these stops: evacuation, cancels, strays (the log names each).

Now an inventory asked for after the last order decides: a run that it shows is at work, whatever answers get lost; one that it does not show is stopped. A stop that got no answer is sent again only while the budget allows it.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -152,6 +152,8 @@
   void stopStray(EndpointView &at, const EndpointView::StrayKey &key);
   void release(const TaskPlace &place, TaskPhase next);
   void resolveSilent(const TaskPlace &place, TaskSlot &slot);
+  /// Ordered as often as it is going to be, without an answer.
+  bool isGivenUp(const TaskSlot &slot) const;
   TaskSlot *slotOf(const TaskPlace &place);
   const jobs::StepSpec *stepOf(const TaskPlace &place) const;
 
--- a/src/almondgate/dispatch/dispatcher_orders.cpp
+++ b/src/almondgate/dispatch/dispatcher_orders.cpp
@@ -121,6 +121,12 @@
               at.str() + ": " + orderResultName(reply.Result));
   if (slot->Phase == TaskPhase::Stopping)
     return;
+  // An inventory has shown the run meanwhile: only the answer got lost.
+  if (slot->Phase == TaskPhase::Running) {
+    endpoint.Suspect =
+        endpoint.Suspect || reply.Result == OrderResult::NoAnswer;
+    return;
+  }
   const auto give_back = [&](DurationMs pause) {
     // An earlier copy of the order may have been carried out all the same.
     if (slot->Silences > 0) {
@@ -177,13 +183,17 @@
 }
 
 // The run may be at work, or start seconds later: it is ordered again, which
-// is harmless if it is there, and after that stopped.
+// is harmless if it is there. After that an inventory decides: a run that it
+// does not show is stopped.
 void Dispatcher::resolveSilent(const TaskPlace &place, TaskSlot &slot) {
   slot.Phase = TaskPhase::Unanswered;
+  slot.Since = Hooks.Now();
   if (slot.Silences++ < MostSilences)
     sendStart(place);
-  else
-    stop(place, "unanswered start");
+}
+
+bool Dispatcher::isGivenUp(const TaskSlot &slot) const {
+  return slot.Phase == TaskPhase::Unanswered && slot.Silences > MostSilences;
 }
 
 // --- stops
@@ -257,7 +267,7 @@
                           slot->Phase == TaskPhase::Stopping && !slot->StopTold;
       if (!wanted)
         continue;
-      if (now - slot->Since < Options.RetryPause) {
+      if (now - slot->Since < Options.RetryPause || !mayEnd(place)) {
         later.insert(place);
         continue;
       }
--- a/src/almondgate/dispatch/dispatcher_renewals.cpp
+++ b/src/almondgate/dispatch/dispatcher_renewals.cpp
@@ -217,7 +217,7 @@
 }
 
 // A run whose order was answered before the look was asked for, and which is
-// in neither list, is not there.
+// in neither list, is not there. One whose orders got no answer may still come.
 void Dispatcher::dropVanished(EndpointView &endpoint, TimeMs sent,
                               const RunInventory &inventory) {
   std::set<EndpointView::StrayKey> there;
@@ -230,6 +230,10 @@
     const auto task = jobs::taskAt(place.first, *record->Spec, place.second);
     if (there.contains({task, slot.Run}) || slot.Since >= sent)
       continue;
+    if (isGivenUp(slot)) {
+      stop(place, "unanswered start");
+      continue;
+    }
     const bool answered = slot.Phase == TaskPhase::Running ||
                           (slot.Phase == TaskPhase::Stopping && slot.StopTold);
     if (!answered)
