Ask the availability budgets when an order for a VM leaves

Callers saw: more tasks of a step away than may be, ended by an upkeep or a move (AVAIL). Cause: the budget was counted when the order was decided. Two records come between the decision and an upkeep, and an order without an answer was sent again with no look (moves) or without one at an endpoint that was not read yet; tasks of the same steps were lost, or came to the VM, meanwhile. Class of fault: check, then act later.

Now VmOrderBook asks right before it sends, for each try; an order that would exceed a budget is withheld: an upkeep is decided anew, a move is given up unless an earlier try may still be carried out.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -202,6 +202,8 @@
   bool budgetHolds(const EndpointView &endpoint) const;
   /// Ending a run of the task keeps the availability budget of its step.
   bool mayEnd(const TaskPlace &place) const;
+  /// The order ends nothing beyond a budget, as far as is known now.
+  bool mayEndAll(const VmOrder &order) const;
   int64_t missingOf(const TaskPlace &first,
                     const jobs::EndpointId &besides) const;
   /// Other tasks of its step that are not surely at work.
--- a/include/almondgate/dispatch/upkeep_desk.hpp
+++ b/include/almondgate/dispatch/upkeep_desk.hpp
@@ -41,6 +41,8 @@
     core::TimeMs Ordered{INT64_MIN / 2};
     bool Accepted = false;
     bool Calling = false;
+    /// An order was sent, and its outcome is not known.
+    bool Unclear = false;
   };
 
   void runWave(const jobs::WaveRecord &wave, const Moving &moving);
--- a/include/almondgate/dispatch/upkeep_hooks.hpp
+++ b/include/almondgate/dispatch/upkeep_hooks.hpp
@@ -34,8 +34,9 @@
   std::function<void(const core::VmId &, bool reserved)> Reserve;
   /// Moves long-running work off the VM, as far as the budgets allow now.
   std::function<void(const core::VmId &)> Evacuate;
-  /// All that runs on the VM is about to end; it counts as missing.
-  std::function<void(const core::VmId &)> Doom;
+  /// Whether all that runs on the VM may end at any time; it then counts as
+  /// missing.
+  std::function<void(const core::VmId &, bool doomed)> Doom;
   std::function<void(std::vector<jobs::Event>, std::function<void(bool)>)>
       Record;
   std::function<void(const VmOrder &, std::function<void(VmOrderResult)>)>
--- a/include/almondgate/dispatch/vm_listing.hpp
+++ b/include/almondgate/dispatch/vm_listing.hpp
@@ -48,6 +48,8 @@
   Refused,
   /// Too many calls; nothing was done.
   Throttled,
+  /// Not sent: what the VM runs may not be ended now.
+  Withheld,
   NoAnswer,
 };
 
--- a/include/almondgate/dispatch/vm_mover.hpp
+++ b/include/almondgate/dispatch/vm_mover.hpp
@@ -56,6 +56,8 @@
     bool Calling = false;
     bool Accepted = false;
     bool Given = false;
+    /// An order was sent, and its outcome is not known.
+    bool Unclear = false;
   };
 
   void startMove(const core::VmId &vm, const core::PoolId &from,
--- a/include/almondgate/dispatch/vm_order_book.hpp
+++ b/include/almondgate/dispatch/vm_order_book.hpp
@@ -18,6 +18,8 @@
   core::Clock Now;
   /// False once another member may lead.
   std::function<bool()> MayAct;
+  /// False while the order would end more than an availability budget allows.
+  std::function<bool(const VmOrder &)> MayEnd;
   std::function<void(std::vector<jobs::Event>, std::function<void(bool)>)>
       Record;
   std::function<void(const VmOrder &, std::function<void(VmOrderResult)>)>
@@ -46,7 +48,7 @@
 
   /// Sends an order once it is durable that the VM has one. `done` gets
   /// NoAnswer where that is not known or another member may lead by then, and
-  /// the order was not sent.
+  /// Withheld where a budget no longer allows it; neither was sent.
   void order(const VmOrder &order, const OnResult &done);
 
   /// Records which VMs have no order within the lease any more.
--- a/src/almondgate/dispatch/dispatcher.cpp
+++ b/src/almondgate/dispatch/dispatcher.cpp
@@ -22,6 +22,7 @@
       List({Hooks.Now, Hooks.ListVms, Hooks.Log}),
       VmOrders(Options.VmOrderLease,
                {Hooks.Now, Hooks.MayAct,
+                [this](const VmOrder &order) { return mayEndAll(order); },
                 [this](auto events, auto done) {
                   recordAll(std::move(events), std::move(done));
                 },
--- a/src/almondgate/dispatch/dispatcher_upkeep.cpp
+++ b/src/almondgate/dispatch/dispatcher_upkeep.cpp
@@ -26,10 +26,10 @@
   };
   hooks.WallClock = Hooks.WallClock;
   hooks.Evacuate = [this](const core::VmId &vm) { evacuate(vm); };
-  hooks.Doom = [this](const core::VmId &vm) {
+  hooks.Doom = [this](const core::VmId &vm, bool doomed) {
     for (auto &[id, endpoint] : Endpoints)
       if (endpoint.Facts.Vm == vm)
-        endpoint.Doomed = true;
+        endpoint.Doomed = doomed;
   };
   hooks.Record = [this](std::vector<jobs::Event> events,
                         std::function<void(bool)> done) {
@@ -130,6 +130,15 @@
          missingBesides(place) < step->MayMiss;
 }
 
+// What an endpoint runs that has not been read is not known.
+bool Dispatcher::mayEndAll(const VmOrder &order) const {
+  return std::all_of(Endpoints.begin(), Endpoints.end(), [&](const auto &row) {
+    const EndpointView &endpoint = row.second;
+    return endpoint.Facts.Vm != order.Vm ||
+           (!endpoint.isUnread() && budgetHolds(endpoint));
+  });
+}
+
 // Tasks of the step at `first` that are not surely at work, apart from those at
 // the endpoint `besides`.
 int64_t Dispatcher::missingOf(const TaskPlace &first,
--- a/src/almondgate/dispatch/upkeep_desk.cpp
+++ b/src/almondgate/dispatch/upkeep_desk.cpp
@@ -95,7 +95,9 @@
   const auto now = Hooks.Now();
   // Begun by an earlier leader where it is not known here.
   Outage &outage =
-      Outages.try_emplace(vm, Outage{wave.Begun.at(vm)}).first->second;
+      Outages
+          .try_emplace(vm, Outage{.Ends = wave.Begun.at(vm), .Unclear = true})
+          .first->second;
   if (outage.Calling)
     return;
   const VmLoad load = Hooks.LoadOf(vm);
@@ -132,7 +134,7 @@
     Hooks.Evacuate(vm);
     return;
   }
-  Hooks.Doom(vm);
+  Hooks.Doom(vm, true);
   outage.OrderedAt = load.Life;
   order(wave.Number, vm);
 }
@@ -194,15 +196,17 @@
 void UpkeepDesk::takeDown(const WaveRecord &wave, const VmId &vm,
                           const VmLoad &load) {
   Recording.insert(vm);
-  Hooks.Doom(vm);
+  Hooks.Doom(vm, true);
   Hooks.Record({jobs::UpkeepBegun{wave.Number, vm, load.Life}},
                [this, vm, load, number = wave.Number,
                 generation = Generation](bool durable) {
                  if (generation != Generation)
                    return;
                  Recording.erase(vm);
-                 if (!durable)
+                 if (!durable) {
+                   Hooks.Doom(vm, false);
                    return;
+                 }
                  Outages[vm] = Outage{load.Life, load.Life};
                  order(number, vm);
                });
@@ -245,9 +249,14 @@
   case VmOrderResult::Refused:
     finish(wave, vm, "the VM service refuses it");
     return;
+  case VmOrderResult::Withheld:
+    // It counts as missing no longer, unless an earlier order may hold.
+    Hooks.Doom(vm, outage.Unclear);
+    return;
   case VmOrderResult::Fenced:
   case VmOrderResult::Throttled:
   case VmOrderResult::NoAnswer:
+    outage.Unclear = outage.Unclear || result == VmOrderResult::NoAnswer;
     Hooks.Log("upkeep of vm " + vm.str() + " has no clear answer yet");
     return;
   }
--- a/src/almondgate/dispatch/vm_mover.cpp
+++ b/src/almondgate/dispatch/vm_mover.cpp
@@ -197,9 +197,14 @@
     move.Given = true;
     List.refresh();
     return;
+  case VmOrderResult::Withheld:
+    // What was sent before may still be carried out: the VM stays reserved.
+    move.Given = !move.Unclear;
+    return;
   case VmOrderResult::Fenced:
   case VmOrderResult::Throttled:
   case VmOrderResult::NoAnswer:
+    move.Unclear = move.Unclear || result == VmOrderResult::NoAnswer;
     Hooks.Log("the move of vm " + vm.str() + " has no clear answer yet");
     return;
   }
--- a/src/almondgate/dispatch/vm_order_book.cpp
+++ b/src/almondgate/dispatch/vm_order_book.cpp
@@ -73,6 +73,12 @@
     done(VmOrderResult::NoAnswer);
     return;
   }
+  // What was true when the order was decided may have changed since.
+  if (!Hooks.MayEnd(order)) {
+    Hooks.Log("vm " + order.Vm.str() + " is not ordered: its work must stay");
+    done(VmOrderResult::Withheld);
+    return;
+  }
   Hooks.OrderVm(order, [this, done, vm = order.Vm,
                         generation = Generation](VmOrderResult result) {
     if (generation != Generation)
--- a/src/almondgate/dispatch/vm_order_book_test.cpp
+++ b/src/almondgate/dispatch/vm_order_book_test.cpp
@@ -13,6 +13,7 @@
 struct Bench {
   core::TimeMs Now{100000};
   bool MayAct = true;
+  bool MayEnd = true;
   jobs::Ledger Ledger;
   std::vector<std::pair<std::vector<jobs::Event>, std::function<void(bool)>>>
       Records;
@@ -41,6 +42,7 @@
     VmOrderBookHooks hooks;
     hooks.Now = [this] { return Now; };
     hooks.MayAct = [this] { return MayAct; };
+    hooks.MayEnd = [this](const VmOrder &) { return MayEnd; };
     hooks.Record = [this](auto events, auto done) {
       Records.emplace_back(std::move(events), std::move(done));
     };
@@ -92,3 +94,12 @@
   CHECK(bench.Sent.size() == 2);
   CHECK(bench.Ledger.VmsOrdered.contains(core::VmId("m1")));
 }
+
+TEST_CASE("an order that a budget forbids by the time it leaves is withheld") {
+  Bench bench;
+  bench.order("m1");
+  bench.MayEnd = false;
+  bench.makeDurable();
+  CHECK(bench.Sent.empty());
+  CHECK(bench.Result == VmOrderResult::Withheld);
+}
