Count a VM with an open order as about to go, in each of its lives

Cause: who had an order was known by the endpoint's life and the leader that gave it. A new leader did not count a VM whose upkeep the last one had begun, and a VM that started anew while its order had no answer took new work.

Now each life that registers is reserved and counts as missing while its VM has an upkeep that began, or a move that was sent, with no clear outcome. A move whose answer got lost is over once the VM serves in its new pool.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -204,6 +204,8 @@
   bool mayEnd(const TaskPlace &place) const;
   /// The order ends nothing beyond a budget, as far as is known now.
   bool mayEndAll(const VmOrder &order) const;
+  /// An order that ends all that the VM runs may still be carried out.
+  bool isOrderOpen(const jobs::EndpointFacts &facts) const;
   int64_t missingOf(const TaskPlace &first,
                     const jobs::EndpointId &besides) const;
   /// Other tasks of its step that are not surely at work.
--- a/include/almondgate/dispatch/upkeep_desk.hpp
+++ b/include/almondgate/dispatch/upkeep_desk.hpp
@@ -27,6 +27,10 @@
   /// Takes the next steps of all waves; VMs that `moving` names wait.
   void run(const std::function<bool(const core::VmId &)> &moving);
 
+  /// An upkeep of the VM has begun, and it is not known whether the VM service
+  /// has taken the order.
+  bool isOpen(const core::VmId &vm) const;
+
   /// VMs that are being emptied or are down.
   std::set<core::VmId> vmsInHand() const;
 
--- a/include/almondgate/dispatch/upkeep_hooks.hpp
+++ b/include/almondgate/dispatch/upkeep_hooks.hpp
@@ -15,6 +15,7 @@
 struct VmLoad {
   /// Empty where no endpoint of the VM is known.
   jobs::EndpointLife Life;
+  core::PoolId Pool;
   /// Runs that would be lost.
   int64_t ShortRuns = 0;
   int64_t LongRuns = 0;
--- a/include/almondgate/dispatch/vm_mover.hpp
+++ b/include/almondgate/dispatch/vm_mover.hpp
@@ -46,6 +46,9 @@
 
   bool isMoving(const core::VmId &vm) const { return Moves.contains(vm); }
 
+  /// A move of the VM out of `pool` is under way and may still be carried out.
+  bool isOpen(const core::VmId &vm, const core::PoolId &pool) const;
+
 private:
   struct Move {
     core::PoolId From;
--- a/src/almondgate/dispatch/availability_test.cpp
+++ b/src/almondgate/dispatch/availability_test.cpp
@@ -98,3 +98,19 @@
   CHECK(fleet.dispatcher().isWaveCompleted(1).value());
   checkPromises(fleet);
 }
+
+TEST_CASE("availability: a VM with an open order takes no work in a new life") {
+  // The order is carried out late, after the VM's endpoint started anew.
+  Fleet fleet(6);
+  fleet.submit(jobId(7), oneStep(1, 1, 10));
+  fleet.advance(3500);
+  fleet.VmOrdersLateMs = 3000;
+  fleet.advance(2000);
+  for (const auto &vm : fleet.VmIds)
+    fleet.restart(vm);
+  fleet.advance(20);
+  fleet.submit(jobId(1), lasting(6, 1));
+  fleet.advance(12000);
+  CHECK(fleet.Moves > 0);
+  checkPromises(fleet);
+}
--- a/src/almondgate/dispatch/dispatcher_endpoints.cpp
+++ b/src/almondgate/dispatch/dispatcher_endpoints.cpp
@@ -38,6 +38,8 @@
   EndpointView view;
   view.Facts = facts;
   view.IdleTold = facts.Idle;
+  // An order that was given for the VM may end this life as well.
+  view.Reserved = view.Doomed = isOrderOpen(facts);
   Endpoints.emplace(facts.Id, std::move(view));
 }
 
--- a/src/almondgate/dispatch/dispatcher_upkeep.cpp
+++ b/src/almondgate/dispatch/dispatcher_upkeep.cpp
@@ -51,6 +51,7 @@
     if (endpoint.Facts.Vm != vm || endpoint.Facts.BornMs < load.Life.BornMs)
       continue;
     load.Life = {id, endpoint.Facts.BornMs};
+    load.Pool = endpoint.Facts.Pool;
     load.Reachable = !endpoint.Suspect && endpoint.Contacted;
     load.BudgetHolds = budgetHolds(endpoint);
     load.ShortRuns = std::count_if(
@@ -139,6 +140,10 @@
   });
 }
 
+bool Dispatcher::isOrderOpen(const jobs::EndpointFacts &facts) const {
+  return Upkeep.isOpen(facts.Vm) || Mover.isOpen(facts.Vm, facts.Pool);
+}
+
 // Tasks of the step at `first` that are not surely at work, apart from those at
 // the endpoint `besides`.
 int64_t Dispatcher::missingOf(const TaskPlace &first,
--- a/src/almondgate/dispatch/upkeep_desk.cpp
+++ b/src/almondgate/dispatch/upkeep_desk.cpp
@@ -52,6 +52,17 @@
       runWave(wave, moving);
 }
 
+bool UpkeepDesk::isOpen(const VmId &vm) const {
+  const auto outage = Outages.find(vm);
+  if (outage != Outages.end())
+    return !outage->second.Accepted;
+  return std::any_of(
+      Ledger.Waves.begin(), Ledger.Waves.end(), [&](const auto &row) {
+        const WaveRecord &wave = row.second;
+        return wave.Begun.contains(vm) && !wave.Finished.contains(vm);
+      });
+}
+
 std::set<VmId> UpkeepDesk::vmsInHand() const {
   std::set<VmId> out = Recording;
   for (const auto &[vm, since] : Reserved)
--- a/src/almondgate/dispatch/vm_mover.cpp
+++ b/src/almondgate/dispatch/vm_mover.cpp
@@ -47,6 +47,12 @@
   });
 }
 
+bool VmMover::isOpen(const VmId &vm, const PoolId &pool) const {
+  const auto it = Moves.find(vm);
+  return it != Moves.end() && !it->second.Accepted && !it->second.Given &&
+         it->second.To != pool;
+}
+
 void VmMover::run(const std::vector<PoolDemand> &demands,
                   const std::set<PoolId> &spare_pools,
                   const std::set<VmId> &busy) {
@@ -143,8 +149,15 @@
       Hooks.Reserve(vm, false);
       return true;
     }
-    if (now - move.Since >= OrderRetry)
+    // The answer got lost, and the VM is there.
+    if (!load.Life.Id.empty() && load.Pool == move.To) {
+      List.noteMove(vm, move.To);
+      return true;
+    }
+    if (now - move.Since >= OrderRetry) {
+      move.Ends = load.Life;
       order(vm, move);
+    }
     return false;
   }
   const bool serves = !load.Life.Id.empty() && load.Life != move.Ends;
