--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -152,6 +152,8 @@
   void stopStray(EndpointView &at, const EndpointView::StrayKey &key);
   void release(const TaskPlace &place, TaskPhase next);
   void resolveSilent(const TaskPlace &place, TaskSlot &slot);
+  /// Ordered as often as it is going to be, without an answer.
+  bool isGivenUp(const TaskSlot &slot) const;
   TaskSlot *slotOf(const TaskPlace &place);
   const jobs::StepSpec *stepOf(const TaskPlace &place) const;
 
@@ -198,7 +200,14 @@
                  std::function<void(bool)> done);
   VmLoad loadOf(const core::VmId &vm) const;
   bool budgetHolds(const EndpointView &endpoint) const;
-  int64_t missingOf(const TaskPlace &first) const;
+  /// Ending a run of the task keeps the availability budget of its step.
+  bool mayEnd(const TaskPlace &place) const;
+  /// The order ends nothing beyond a budget, as far as is known now.
+  bool mayEndAll(const VmOrder &order) const;
+  /// An order that ends all that the VM runs may still be carried out.
+  bool isOrderOpen(const jobs::EndpointFacts &facts) const;
+  int64_t missingOf(const TaskPlace &first,
+                    const jobs::EndpointId &besides) const;
   /// Other tasks of its step that are not surely at work.
   int64_t missingBesides(const TaskPlace &place) const;
   bool isSurelyAtWork(const TaskSlot &slot) const;
--- a/include/almondgate/dispatch/vm_mover.hpp
+++ b/include/almondgate/dispatch/vm_mover.hpp
@@ -46,6 +46,9 @@
 
   bool isMoving(const core::VmId &vm) const { return Moves.contains(vm); }
 
+  /// A move of the VM out of `pool` is under way and may still be carried out.
+  bool isOpen(const core::VmId &vm, const core::PoolId &pool) const;
+
 private:
   struct Move {
     core::PoolId From;
@@ -56,6 +59,8 @@
     bool Calling = false;
     bool Accepted = false;
     bool Given = false;
+    /// An order was sent, and its outcome is not known.
+    bool Unclear = false;
   };
 
   void startMove(const core::VmId &vm, const core::PoolId &from,
