Keep a member up while its disk is full, and write once there is room

Cause: any failed write ended the process, and a full disk is a failed write.

Now NoSpace is an error of its own (a full disk, quota or limit of a file's size). Other errors still end the process. A member that starts on a full disk waits.

--- a/apps/control_program.cpp
+++ b/apps/control_program.cpp
@@ -8,6 +8,8 @@
 #include "program.hpp"
 
 #include <algorithm>
+#include <chrono>
+#include <thread>
 
 namespace almondgate::apps {
 
@@ -15,6 +17,7 @@
 
 constexpr core::DurationMs LeaderCheck{10};
 constexpr core::DurationMs LongestStop{3000};
+constexpr core::DurationMs FullDiskWait{250};
 constexpr int IncarnationBytes = 4;
 
 int formatFirst(const config::ControlSettings &settings) {
@@ -65,9 +68,24 @@
   return storage::Store::open(settings.DataFolder, ops);
 }
 
+// Opening needs little room, but some. Nothing is served yet, so waiting here
+// holds nobody up.
+core::Result<std::unique_ptr<storage::Store>>
+openStoreOnceThereIsRoom(const config::ControlSettings &settings) {
+  auto store = openStore(settings);
+  for (bool told = false;
+       !store && store.error().Code == core::ErrorCode::NoSpace; told = true) {
+    if (!told)
+      observe::logError("storage", store.error().Text + "; waits for room");
+    std::this_thread::sleep_for(std::chrono::milliseconds(FullDiskWait.Count));
+    store = openStore(settings);
+  }
+  return store;
+}
+
 int run(const config::ControlSettings &settings,
         const MakeControlSide &make_side) {
-  auto store = openStore(settings);
+  auto store = openStoreOnceThereIsRoom(settings);
   if (!store)
     return failStart(store.error());
   task::Loop loop;
--- a/apps/program.hpp
+++ b/apps/program.hpp
@@ -42,6 +42,8 @@
 template <class Settings, class Read, class Run>
 int programMain(int argc, char **argv, Read read, Run run) {
   std::signal(SIGPIPE, SIG_IGN);
+  // A file at its limit is an error of the write, as a full disk is.
+  std::signal(SIGXFSZ, SIG_IGN);
   int code = 0;
   const auto settings = readOrExit<Settings>(argc, argv, read, code);
   if (settings) {
--- a/include/almondgate/control/control_task.hpp
+++ b/include/almondgate/control/control_task.hpp
@@ -72,6 +72,7 @@
   /// Where members that sent messages are reached.
   std::map<consensus::MemberId, core::Address> Heard;
   task::Mailbox<core::Status> Written;
+  bool DiskFull = false;
   StorageTask Storage;
   task::Loop &Loop;
   observe::Metrics Metrics;
--- a/include/almondgate/core/error.hpp
+++ b/include/almondgate/core/error.hpp
@@ -23,6 +23,8 @@
   Cancelled,
   EndpointFailed,
   Corrupt,
+  /// A disk, a quota or a limit of a file's size is full; may pass.
+  NoSpace,
   Io,
 };
 
--- a/include/almondgate/storage/file_ops.hpp
+++ b/include/almondgate/storage/file_ops.hpp
@@ -9,7 +9,8 @@
 
 namespace almondgate::storage {
 
-/// The operations on files that may fail; tests replace them.
+/// The operations on files that may fail; tests replace them. Errors: NoSpace
+/// where a disk or a limit is full, Io.
 struct FileOps {
   /// Writes all bytes to an open file.
   std::function<core::Status(int fd, std::string_view data)> Write;
@@ -22,6 +23,10 @@
   std::function<core::Status(const std::string &folder)> SyncFolder;
 };
 
+/// The error that errno holds after a call of the operating system failed:
+/// NoSpace where a disk, a quota or a limit of a file's size is full, else Io.
+core::Error fileError(const std::string &what);
+
 /// The operations of the operating system.
 FileOps systemFileOps();
 
--- a/include/almondgate/storage/store.hpp
+++ b/include/almondgate/storage/store.hpp
@@ -10,7 +10,8 @@
 namespace almondgate::storage {
 
 /// A member's data folder: its identity, a snapshot, and a log of batches.
-/// After an error nothing more is written: the member must stop.
+/// After an error other than NoSpace nothing more is written: the member must
+/// stop.
 class Store {
 public:
   ~Store();
@@ -35,7 +36,9 @@
   /// What the folder held when it was opened; may be taken once.
   consensus::DurableState takeState() { return std::move(Found); }
 
-  /// Writes a batch and makes it durable. Errors: Io.
+  /// Writes a batch and makes it durable. Errors: NoSpace, after which the
+  /// folder holds what it held before, and the same batch may be written again;
+  /// Io.
   core::Status write(const consensus::DurableBatch &batch);
 
 private:
@@ -43,6 +46,7 @@
 
   core::Status load();
   core::Status loadGeneration(uint64_t base);
+  core::Status append(const consensus::DurableBatch &batch);
   core::Status startGeneration(const consensus::DurableBatch &batch);
   void removeOtherGenerations(uint64_t keep);
   std::string path(const std::string &name) const;
@@ -54,6 +58,8 @@
   consensus::Vote LastVote;
   int LockFd = -1;
   int LogFd = -1;
+  /// Bytes of the log that are durable.
+  size_t LogBytes = 0;
   bool Failed = false;
 };
 
--- a/src/almondgate/control/control_task.cpp
+++ b/src/almondgate/control/control_task.cpp
@@ -85,6 +85,7 @@
   line("term", node.term());
   line("commit_index", node.commitIndex());
   line("last_index", node.lastIndex());
+  line("disk_full", DiskFull ? 1 : 0);
   line("revision", Core.state().View.Revision);
   const auto &ledger = Core.state().Jobs;
   line("epoch", ledger.Epoch);
@@ -235,9 +236,17 @@
 }
 
 void ControlTask::onWritten(const core::Status &status) {
+  const bool full = !status && status.error().Code == ErrorCode::NoSpace;
+  if (full)
+    observe::logError("storage", status.error().Text +
+                                     "; this member acknowledges nothing "
+                                     "until there is room");
+  else if (DiskFull)
+    observe::logInfo("storage", "there is room again");
+  DiskFull = full;
   if (status)
     Core.persisted();
-  else
+  else if (!full)
     Failed(status.error());
 }
 
--- a/src/almondgate/core/core.cpp
+++ b/src/almondgate/core/core.cpp
@@ -105,6 +105,8 @@
     return "endpoint-failed";
   case ErrorCode::Corrupt:
     return "corrupt";
+  case ErrorCode::NoSpace:
+    return "no-space";
   case ErrorCode::Io:
     return "io";
   }
--- a/src/almondgate/http/message.cpp
+++ b/src/almondgate/http/message.cpp
@@ -106,6 +106,7 @@
   case core::ErrorCode::Stale:
   case core::ErrorCode::NotLeader:
   case core::ErrorCode::Unavailable:
+  case core::ErrorCode::NoSpace:
   case core::ErrorCode::Io:
     return 503;
   }
--- a/src/almondgate/storage/file_ops.cpp
+++ b/src/almondgate/storage/file_ops.cpp
@@ -8,19 +8,22 @@
 
 namespace almondgate::storage {
 
-namespace {
-
-core::Error ioError(const std::string &what) {
-  return {core::ErrorCode::Io, what + ": " + std::strerror(errno)};
+core::Error fileError(const std::string &what) {
+  const int code = errno;
+  const bool full = code == ENOSPC || code == EDQUOT || code == EFBIG;
+  return {full ? core::ErrorCode::NoSpace : core::ErrorCode::Io,
+          what + ": " + std::strerror(code)};
 }
 
+namespace {
+
 core::Status writeAll(int fd, std::string_view data) {
   while (!data.empty()) {
     const ssize_t n = ::write(fd, data.data(), data.size());
     if (n < 0 && errno == EINTR)
       continue;
     if (n < 0)
-      return ioError("write");
+      return fileError("write");
     data.remove_prefix(size_t(n));
   }
   return core::ok();
@@ -28,22 +31,22 @@
 
 core::Status syncFile(int fd) {
   if (::fdatasync(fd) != 0)
-    return ioError("fdatasync");
+    return fileError("fdatasync");
   return core::ok();
 }
 
 core::Status renameFile(const std::string &from, const std::string &to) {
   if (::rename(from.c_str(), to.c_str()) != 0)
-    return ioError("rename " + from);
+    return fileError("rename " + from);
   return core::ok();
 }
 
 core::Status syncFolder(const std::string &folder) {
   const int fd = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
   if (fd < 0)
-    return ioError("open " + folder);
+    return fileError("open " + folder);
   const bool synced = ::fsync(fd) == 0;
-  const core::Error error = ioError("fsync " + folder);
+  const core::Error error = fileError("fsync " + folder);
   ::close(fd);
   if (!synced)
     return error;
--- a/src/almondgate/storage/store.cpp
+++ b/src/almondgate/storage/store.cpp
@@ -49,11 +49,16 @@
   const int fd =
       ::open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
   if (fd < 0)
-    return Error{ErrorCode::Io, "can't create " + temporary};
+    return fileError("create " + temporary);
   Status done = ops.Write(fd, data);
   if (done)
     done = ops.Sync(fd);
   ::close(fd);
+  if (!done) {
+    // What was written of it takes room that others need.
+    ::unlink(temporary.c_str());
+    return done;
+  }
   if (done)
     done = ops.Rename(temporary, join(folder, name));
   if (done)
@@ -213,8 +218,8 @@
     return withAdvice(good.error(), log_path);
   LastVote = Found.Voted;
   LogFd = ::open(log_path.c_str(), O_WRONLY | O_APPEND | O_CLOEXEC);
-  const auto good_bytes = static_cast<off_t>(frames.value().GoodBytes);
-  if (LogFd < 0 || ::ftruncate(LogFd, good_bytes) != 0)
+  LogBytes = frames.value().GoodBytes;
+  if (LogFd < 0 || ::ftruncate(LogFd, off_t(LogBytes)) != 0)
     return Error{ErrorCode::Io, "can't cut the torn tail of " + log_path};
   return Ops.Sync(LogFd);
 }
@@ -232,11 +237,11 @@
   DurableBatch first = batch;
   first.Base.reset();
   first.Voted = LastVote;
+  const std::string log = encodeFrame(encoding::encode(first));
   Status done = replaceFile(Folder, SnapshotPrefix + number,
                             encodeFrame(encoding::encode(*batch.Base)), Ops);
   if (done)
-    done = replaceFile(Folder, LogPrefix + number,
-                       encodeFrame(encoding::encode(first)), Ops);
+    done = replaceFile(Folder, LogPrefix + number, log, Ops);
   if (!done)
     return done;
   const std::string log_path = path(LogPrefix + number);
@@ -245,24 +250,34 @@
     return Error{ErrorCode::Io, "can't open " + log_path};
   ::close(LogFd);
   LogFd = fd;
+  LogBytes = log.size();
   removeOtherGenerations(batch.Base->Index);
   return core::ok();
 }
 
+Status Store::append(const DurableBatch &batch) {
+  const std::string frame = encodeFrame(encoding::encode(batch));
+  Status done = Ops.Write(LogFd, frame);
+  if (done)
+    done = Ops.Sync(LogFd);
+  if (done) {
+    LogBytes += frame.size();
+    return done;
+  }
+  // A part of the frame may be there, and whole ones must not follow it.
+  if (::ftruncate(LogFd, off_t(LogBytes)) != 0)
+    return Error{ErrorCode::Io,
+                 "can't cut " + Folder + "'s log after: " + done.error().Text};
+  return done;
+}
+
 Status Store::write(const DurableBatch &batch) {
   if (Failed)
     return Error{ErrorCode::Io, "an earlier write failed"};
   if (batch.Voted)
     LastVote = *batch.Voted;
-  Status done = core::ok();
-  if (batch.Base) {
-    done = startGeneration(batch);
-  } else {
-    done = Ops.Write(LogFd, encodeFrame(encoding::encode(batch)));
-    if (done)
-      done = Ops.Sync(LogFd);
-  }
-  Failed = !done;
+  const Status done = batch.Base ? startGeneration(batch) : append(batch);
+  Failed = !done && done.error().Code != ErrorCode::NoSpace;
   return done;
 }
 
--- a/src/almondgate/storage/store_test.cpp
+++ b/src/almondgate/storage/store_test.cpp
@@ -200,3 +200,62 @@
   REQUIRE(!store);
   CHECK(store.error().Code == ErrorCode::NotFound);
 }
+
+TEST_CASE("full disk: a batch that found no space is written once there is") {
+  for (const bool snapshot : {false, true})
+    for (const bool in_sync : {false, true}) {
+      CAPTURE(snapshot);
+      CAPTURE(in_sync);
+      Folder folder;
+      formatWith(folder.Path, 2);
+      bool full = false;
+      const FileOps real = systemFileOps();
+      const core::Status no_space = core::Error{ErrorCode::NoSpace, "full"};
+      FileOps ops = real;
+      ops.Write = [&](int fd, std::string_view data) {
+        if (!full || in_sync)
+          return real.Write(fd, data);
+        // A part still fits.
+        REQUIRE(bool(real.Write(fd, data.substr(0, data.size() / 2))));
+        return no_space;
+      };
+      ops.Sync = [&](int fd) { return full ? no_space : real.Sync(fd); };
+      auto store = openGood(folder.Path, ops);
+      DurableBatch batch = batchOf(3);
+      batch.Voted = consensus::Vote{7, MemberId("m2")};
+      if (snapshot)
+        batch.Base = consensus::Snapshot{2, 1, {}, "state"};
+      full = true;
+      for (int i = 0; i < 3; ++i) {
+        const auto done = store->write(batch);
+        REQUIRE(!done);
+        CHECK(done.error().Code == ErrorCode::NoSpace);
+      }
+      full = false;
+      REQUIRE(bool(store->write(batch)));
+      REQUIRE(bool(store->write(batchOf(4))));
+      store.reset();
+      const auto state = openGood(folder.Path)->takeState();
+      CHECK(state.Base.Index + state.Entries.size() == 4);
+      CHECK(state.Voted.Term == 7);
+    }
+}
+
+TEST_CASE("full disk: what was durable before is found after a crash") {
+  Folder folder;
+  formatWith(folder.Path, 2);
+  const FileOps real = systemFileOps();
+  FileOps ops = real;
+  bool full = false;
+  ops.Write = [&](int fd, std::string_view data) -> core::Status {
+    if (!full)
+      return real.Write(fd, data);
+    REQUIRE(bool(real.Write(fd, data.substr(0, 5))));
+    return core::Error{ErrorCode::NoSpace, "full"};
+  };
+  auto store = openGood(folder.Path, ops);
+  full = true;
+  REQUIRE(!store->write(batchOf(3)));
+  store.reset();
+  CHECK(openGood(folder.Path)->takeState().Entries.size() == 2);
+}
