Let an inventory decide about an order without an answer, in the next life too

Callers could see (virtual fleet): a task at work twice, and the run at work stopped as wanted by nobody while others of its step are away (AVAIL, TWICE). Cause: a start without an answer was sent again at once. Orders name an endpoint's id, and an endpoint may start again under it: the second copy, or the first carried out late, ran in the next life, whose registration then took the task for lost.

Now nothing is sent twice. A start without an answer waits for an inventory that is asked for afterwards, and at once: a run that it shows is at work, one that it does not show is stopped. Orders that were open when a life ended pass to the next one under the id, whose inventory decides likewise.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -113,6 +113,9 @@
   void onTaskEnded(const jobs::TaskEnded &event);
   jobs::Event configEvent(const jobs::FleetConfig &config);
   void onRegistered(const jobs::EndpointFacts &facts);
+  /// Takes the runs off an endpoint's old life whose orders may still be
+  /// carried out by its next one.
+  std::set<TaskPlace> takeOpenOrders(EndpointView &old_life);
   void onIdled(const jobs::EndpointIdled &event);
   void onGone(const jobs::EndpointId &id, int64_t born_ms);
   void closeIfEmpty(const jobs::JobId &id);
@@ -151,14 +154,12 @@
   void retryStops();
   void stopStray(EndpointView &at, const EndpointView::StrayKey &key);
   void release(const TaskPlace &place, TaskPhase next);
-  void resolveSilent(const TaskPlace &place, TaskSlot &slot);
-  /// Ordered as often as it is going to be, without an answer.
-  bool isGivenUp(const TaskSlot &slot) const;
   TaskSlot *slotOf(const TaskPlace &place);
   const jobs::StepSpec *stepOf(const TaskPlace &place) const;
 
   // dispatcher_renewals.cpp
   void renew(EndpointView &endpoint);
+  bool hasUnanswered(const EndpointView &endpoint) const;
   void onRenewed(const jobs::EndpointId &id, int64_t born, core::TimeMs sent,
                  const RenewReply &reply);
   void readInventory(EndpointView &endpoint, core::TimeMs sent,
--- a/include/almondgate/dispatch/task_slot.hpp
+++ b/include/almondgate/dispatch/task_slot.hpp
@@ -39,8 +39,6 @@
   core::TimeMs NotBefore{INT64_MIN / 2};
   /// The endpoint acknowledged the stop.
   bool StopTold = false;
-  /// Orders that got no answer, one after the other.
-  int64_t Silences = 0;
 
   bool operator==(const TaskSlot &) const = default;
 
--- a/src/almondgate/dispatch/availability_test.cpp
+++ b/src/almondgate/dispatch/availability_test.cpp
@@ -114,3 +114,22 @@
   CHECK(fleet.Moves > 0);
   checkPromises(fleet);
 }
+
+TEST_CASE("an order that an endpoint's next life may carry out runs once") {
+  // The endpoint falls silent as orders leave, and starts anew under its id.
+  for (const int64_t late_ms : {0, 3000}) {
+    CAPTURE(late_ms);
+    Fleet fleet(5);
+    fleet.StartupMs = 300;
+    auto &silent = fleet.endpointOf(fleet.VmIds[0]);
+    silent.LateStarts = late_ms > 0 ? 4 : 0;
+    silent.LateByMs = late_ms;
+    silent.Cut = late_ms == 0;
+    fleet.submit(jobId(1), wide(3, 1));
+    fleet.advance(300);
+    fleet.restartWithSameId(fleet.VmIds[0]);
+    fleet.advance(9000);
+    checkPromises(fleet);
+    CHECK(fleet.running() == 3);
+  }
+}
--- a/src/almondgate/dispatch/dispatcher_endpoints.cpp
+++ b/src/almondgate/dispatch/dispatcher_endpoints.cpp
@@ -1,6 +1,7 @@
 #include "almondgate/dispatch/dispatcher.hpp"
 
 #include "dispatch_errors.hpp"
+#include "need.hpp"
 
 namespace almondgate::dispatch {
 
@@ -31,7 +32,9 @@
     return;
   }
   // A new life of the id: what the old one ran ended with it.
+  std::set<TaskPlace> open;
   if (it != Endpoints.end()) {
+    open = takeOpenOrders(it->second);
     loseRuns(it->second);
     Endpoints.erase(it);
   }
@@ -40,9 +43,29 @@
   view.IdleTold = facts.Idle;
   // An order that was given for the VM may end this life as well.
   view.Reserved = view.Doomed = isOrderOpen(facts);
+  for (const auto &place : open)
+    addRun(view, place, *stepOf(place));
   Endpoints.emplace(facts.Id, std::move(view));
 }
 
+// Orders name the id alone, and may be carried out seconds after they were
+// sent: the next life's inventory decides about them.
+std::set<Dispatcher::TaskPlace>
+Dispatcher::takeOpenOrders(EndpointView &old_life) {
+  std::set<TaskPlace> open;
+  for (const auto &place : old_life.Runs) {
+    TaskSlot &slot = *slotOf(place);
+    if (slot.Phase != TaskPhase::Ordered && slot.Phase != TaskPhase::Unanswered)
+      continue;
+    slot.Phase = TaskPhase::Unanswered;
+    slot.Since = Hooks.Now();
+    open.insert(place);
+  }
+  for (const auto &place : open)
+    dropRun(old_life, place, *stepOf(place));
+  return open;
+}
+
 void Dispatcher::onIdled(const jobs::EndpointIdled &event) {
   const auto it = Endpoints.find(event.Id);
   if (it == Endpoints.end() || it->second.Facts.BornMs != event.BornMs)
--- a/src/almondgate/dispatch/dispatcher_orders.cpp
+++ b/src/almondgate/dispatch/dispatcher_orders.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-// An order that was not answered is sent once more before the run is stopped.
-constexpr int64_t MostSilences = 1;
 constexpr DurationMs UnwellPause{300};
 constexpr DurationMs RestartPause{150};
 
@@ -59,7 +57,6 @@
   slot.At = at.Facts.Id;
   slot.Run = run;
   slot.Since = Hooks.Now();
-  slot.Silences = 0;
   slot.StopTold = false;
   slot.Percent = 0;
   if (!std::exchange(job.Started, true))
@@ -128,11 +125,6 @@
     return;
   }
   const auto give_back = [&](DurationMs pause) {
-    // An earlier copy of the order may have been carried out all the same.
-    if (slot->Silences > 0) {
-      resolveSilent(place, *slot);
-      return;
-    }
     slot->NotBefore = now + pause;
     release(place, TaskPhase::Waiting);
   };
@@ -144,7 +136,10 @@
   case OrderResult::NoAnswer:
     endpoint.Suspect = true;
     endpoint.RenewDue = now;
-    resolveSilent(place, *slot);
+    // The run may be at work, or start seconds later, even in the endpoint's
+    // next life: an inventory that is asked for now decides.
+    slot->Phase = TaskPhase::Unanswered;
+    slot->Since = now;
     return;
   case OrderResult::Unwell:
     endpoint.BackOffUntil = now + UnwellPause;
@@ -182,20 +177,6 @@
   }
 }
 
-// The run may be at work, or start seconds later: it is ordered again, which
-// is harmless if it is there. After that an inventory decides: a run that it
-// does not show is stopped.
-void Dispatcher::resolveSilent(const TaskPlace &place, TaskSlot &slot) {
-  slot.Phase = TaskPhase::Unanswered;
-  slot.Since = Hooks.Now();
-  if (slot.Silences++ < MostSilences)
-    sendStart(place);
-}
-
-bool Dispatcher::isGivenUp(const TaskSlot &slot) const {
-  return slot.Phase == TaskPhase::Unanswered && slot.Silences > MostSilences;
-}
-
 // --- stops
 
 void Dispatcher::stop(const TaskPlace &place, const char *why) {
--- a/src/almondgate/dispatch/dispatcher_renewals.cpp
+++ b/src/almondgate/dispatch/dispatcher_renewals.cpp
@@ -31,8 +31,9 @@
   // The lease of an endpoint that does not answer must be left to lapse.
   if (endpoint.Lease.isKnown() && !facts.Idle && !endpoint.Suspect)
     request.DeadlineMs = endpoint.Lease.grant(now, Options.Lease);
-  // The first look reads what is there and does not wait.
-  if (endpoint.Contacted && !endpoint.Suspect)
+  // The first look reads what is there and does not wait; so does one that
+  // decides about an order without an answer.
+  if (endpoint.Contacted && !endpoint.Suspect && !hasUnanswered(endpoint))
     request.WaitMs = Options.RenewWait.Count;
   endpoint.Renewing = true;
   Hooks.Renew(facts, request,
@@ -43,6 +44,14 @@
               });
 }
 
+bool Dispatcher::hasUnanswered(const EndpointView &endpoint) const {
+  return std::any_of(
+      endpoint.Runs.begin(), endpoint.Runs.end(), [this](const auto &place) {
+        const OpenJob &job = Open.at(place.first);
+        return job.Tasks[place.second].Phase == TaskPhase::Unanswered;
+      });
+}
+
 void Dispatcher::onRenewed(const EndpointId &id, int64_t born, TimeMs sent,
                            const RenewReply &reply) {
   const auto it = Endpoints.find(id);
@@ -230,7 +239,7 @@
     const auto task = jobs::taskAt(place.first, *record->Spec, place.second);
     if (there.contains({task, slot.Run}) || slot.Since >= sent)
       continue;
-    if (isGivenUp(slot)) {
+    if (slot.Phase == TaskPhase::Unanswered) {
       stop(place, "unanswered start");
       continue;
     }
--- a/src/almondgate/dispatch/test_fleet.hpp
+++ b/src/almondgate/dispatch/test_fleet.hpp
@@ -27,6 +27,8 @@
   /// The same under the id that it had.
   void restartWithSameId(const core::VmId &vm);
   void advance(int64_t ms);
+  /// Runs at all endpoints.
+  int64_t running() const;
   int64_t now() const { return Now; }
 
   // --- leadership
--- a/src/almondgate/dispatch/test_fleet_test.cpp
+++ b/src/almondgate/dispatch/test_fleet_test.cpp
@@ -141,6 +141,13 @@
   Endpoints.erase(it);
 }
 
+int64_t TestFleet::running() const {
+  int64_t n = 0;
+  for (const auto &[id, endpoint] : Endpoints)
+    n += int64_t(endpoint.Runs.size());
+  return n;
+}
+
 void TestFleet::restart(const core::VmId &vm) {
   lose(Vms.at(vm).Endpoint);
   bringUp(vm, Vms.at(vm).Pool);
