--- a/tests/disk_test.py
+++ b/tests/disk_test.py
@@ -1,5 +1,6 @@
 """Full disks: a member stays up, and acknowledges again once there is room."""
 
+import concurrent.futures
 import resource
 import time
 
@@ -54,10 +55,16 @@
 def test_a_quorum_of_full_disks_acknowledges_again_with_room(fleet):
     for name in ("c0", "c1"):
         set_full(fleet, name, True)
-    time.sleep(3)
-    assert all(fleet.processes[n].alive() for n in ("c0", "c1", "c2"))
-    for name in ("c0", "c1"):
-        set_full(fleet, name, False)
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        change = pool.submit(
+            fleet.try_change, "put",
+            {"Records": [{"Kind": "team",
+                          "Body": {"Id": "meanwhile", "Share": 1, "Limit": 1}}]})
+        time.sleep(3)
+        assert all(fleet.processes[n].alive() for n in ("c0", "c1", "c2"))
+        for name in ("c0", "c1"):
+            set_full(fleet, name, False)
+        change.result()
     fleet.wait_leader()
     fleet.put(("team", {"Id": "after", "Share": 1, "Limit": 1}))
     assert "after" in {t["Id"] for t in fleet.table("teams")}
