Send a start without an answer once more, after an inventory of the same life

The inventory now decides twice: a run that it does not show is sent once more, which is harmless where the first copy comes late, and stopped if the next inventory does not show it either.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -168,6 +168,7 @@
   void readEnd(EndpointView &endpoint, const EndReport &report);
   void dropVanished(EndpointView &endpoint, core::TimeMs sent,
                     const RunInventory &inventory);
+  void resolveUnanswered(const TaskPlace &place, TaskSlot &slot);
   void loseRuns(EndpointView &endpoint);
   void onUnreachable(EndpointView &endpoint);
   bool isSettled(const core::PoolId &pool) const;
--- a/include/almondgate/dispatch/task_slot.hpp
+++ b/include/almondgate/dispatch/task_slot.hpp
@@ -39,6 +39,8 @@
   core::TimeMs NotBefore{INT64_MIN / 2};
   /// The endpoint acknowledged the stop.
   bool StopTold = false;
+  /// The start got no answer, and has been sent once more.
+  bool SentAgain = false;
 
   bool operator==(const TaskSlot &) const = default;
 
--- a/src/almondgate/dispatch/dispatcher_orders.cpp
+++ b/src/almondgate/dispatch/dispatcher_orders.cpp
@@ -58,6 +58,7 @@
   slot.Run = run;
   slot.Since = Hooks.Now();
   slot.StopTold = false;
+  slot.SentAgain = false;
   slot.Percent = 0;
   if (!std::exchange(job.Started, true))
     Hooks.Time("job_wait", (slot.Since - job.SentAt).Count);
@@ -124,7 +125,16 @@
         endpoint.Suspect || reply.Result == OrderResult::NoAnswer;
     return;
   }
+  const auto await_inventory = [&] {
+    slot->Phase = TaskPhase::Unanswered;
+    slot->Since = now;
+  };
   const auto give_back = [&](DurationMs pause) {
+    // The first copy of the order may still be carried out.
+    if (slot->SentAgain) {
+      await_inventory();
+      return;
+    }
     slot->NotBefore = now + pause;
     release(place, TaskPhase::Waiting);
   };
@@ -138,8 +148,7 @@
     endpoint.RenewDue = now;
     // The run may be at work, or start seconds later, even in the endpoint's
     // next life: an inventory that is asked for now decides.
-    slot->Phase = TaskPhase::Unanswered;
-    slot->Since = now;
+    await_inventory();
     return;
   case OrderResult::Unwell:
     endpoint.BackOffUntil = now + UnwellPause;
--- a/src/almondgate/dispatch/dispatcher_renewals.cpp
+++ b/src/almondgate/dispatch/dispatcher_renewals.cpp
@@ -240,7 +240,7 @@
     if (there.contains({task, slot.Run}) || slot.Since >= sent)
       continue;
     if (slot.Phase == TaskPhase::Unanswered) {
-      stop(place, "unanswered start");
+      resolveUnanswered(place, slot);
       continue;
     }
     const bool answered = slot.Phase == TaskPhase::Running ||
@@ -254,6 +254,18 @@
   }
 }
 
+// The endpoint, in the life that was asked, does not have the run. Sent again,
+// the order is harmless where the first copy comes late.
+void Dispatcher::resolveUnanswered(const TaskPlace &place, TaskSlot &slot) {
+  if (std::exchange(slot.SentAgain, true)) {
+    stop(place, "unanswered start");
+    return;
+  }
+  slot.Phase = TaskPhase::Ordered;
+  slot.Since = Hooks.Now();
+  sendStart(place);
+}
+
 void Dispatcher::loseRuns(EndpointView &endpoint) {
   const auto places = endpoint.Runs;
   for (const auto &place : places)
