Give no lease to an endpoint that is being given up, and bar its open orders

Trace: an endpoint's answers got lost until its lease had lapsed; 1.3 ms after that was sent to be recorded its next answer came, it got a new lease while the record was on its way, and a start of 3.3 s before was carried out under it (8.174 s). The record gave the task to another endpoint (8.242 s). A long-running task's first run is then stopped as unwanted while at work (AVAIL). Same class: an order taken for over before its outcome is known.

Now an endpoint that is being given up gets no lease and no order, and once it answers again each start and stop that was open is barred by a stop that it acknowledged before it gets a lease.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -168,6 +168,10 @@
   void readEnd(EndpointView &endpoint, const EndReport &report);
   void dropVanished(EndpointView &endpoint, core::TimeMs sent,
                     const RunInventory &inventory);
+  void noteOpenOrders(EndpointView &endpoint);
+  /// Takes an endpoint back that was given up, once its open orders are barred.
+  void readmit(EndpointView &endpoint);
+  void barOpenOrders(EndpointView &endpoint);
   void resolveUnanswered(const TaskPlace &place, TaskSlot &slot);
   void loseRuns(EndpointView &endpoint);
   void onUnreachable(EndpointView &endpoint);
--- a/include/almondgate/dispatch/endpoint_view.hpp
+++ b/include/almondgate/dispatch/endpoint_view.hpp
@@ -54,6 +54,9 @@
   /// Stops that got no answer, to be sent again.
   std::set<TaskPlace> StopRetries;
   std::map<StrayKey, StrayRun> Strays;
+  /// Runs given up with the endpoint whose orders may still be carried out, and
+  /// when each was last barred by a stop. It gets no lease before all are.
+  std::map<StrayKey, core::TimeMs> OpenOrders;
 
   /// Work of an earlier leader may run there unseen.
   bool isUnread() const { return !Contacted && !Facts.Idle; }
--- a/include/almondgate/dispatch/task_slot.hpp
+++ b/include/almondgate/dispatch/task_slot.hpp
@@ -44,6 +44,12 @@
 
   bool operator==(const TaskSlot &) const = default;
 
+  /// The order to start has no answer, nor has a stop that would bar it.
+  bool mayStillStart() const {
+    return Phase == TaskPhase::Ordered || Phase == TaskPhase::Unanswered ||
+           (Phase == TaskPhase::Stopping && !StopTold);
+  }
+
   /// It takes room on an endpoint.
   bool isPlaced() const {
     return Phase == TaskPhase::Ordered || Phase == TaskPhase::Unanswered ||
--- a/src/almondgate/dispatch/dispatcher_endpoints.cpp
+++ b/src/almondgate/dispatch/dispatcher_endpoints.cpp
@@ -48,6 +48,18 @@
   Endpoints.emplace(facts.Id, std::move(view));
 }
 
+void Dispatcher::noteOpenOrders(EndpointView &endpoint) {
+  for (const auto &place : endpoint.Runs) {
+    const TaskSlot &slot = *slotOf(place);
+    if (!slot.mayStillStart())
+      continue;
+    const auto *record = jobs::findJob(Ledger, place.first);
+    const auto task = jobs::taskAt(place.first, *record->Spec, place.second);
+    endpoint.OpenOrders.emplace(EndpointView::StrayKey{task, slot.Run},
+                                core::TimeMs{INT64_MIN / 2});
+  }
+}
+
 // Orders name the id alone, and may be carried out seconds after they were
 // sent: the next life's inventory decides about them.
 std::set<Dispatcher::TaskPlace>
@@ -71,6 +83,7 @@
   if (it == Endpoints.end() || it->second.Facts.BornMs != event.BornMs)
     return;
   it->second.Facts.Idle = true;
+  noteOpenOrders(it->second);
   loseRuns(it->second);
 }
 
--- a/src/almondgate/dispatch/dispatcher_renewals.cpp
+++ b/src/almondgate/dispatch/dispatcher_renewals.cpp
@@ -29,7 +29,10 @@
   request.Epoch = Epoch;
   request.LastSeen = endpoint.LastSeen;
   // The lease of an endpoint that does not answer must be left to lapse.
-  if (endpoint.Lease.isKnown() && !facts.Idle && !endpoint.Suspect)
+  // So must that of one that is being given up: a lease given now would let
+  // orders be carried out that are about to be taken for lapsed.
+  if (endpoint.Lease.isKnown() && !facts.Idle && !endpoint.IdleTold &&
+      !endpoint.Suspect)
     request.DeadlineMs = endpoint.Lease.grant(now, Options.Lease);
   // The first look reads what is there and does not wait; so does one that
   // decides about an order without an answer.
@@ -86,12 +89,8 @@
   endpoint.Suspect = false;
   readInventory(endpoint, sent, reply.Inventory);
   endpoint.Contacted = true;
-  if (endpoint.Facts.Idle && endpoint.IdleTold) {
-    auto facts = endpoint.Facts;
-    facts.Idle = false;
-    endpoint.IdleTold = false;
-    record(jobs::EndpointRegistered{facts});
-  }
+  if (endpoint.Facts.Idle && endpoint.IdleTold)
+    readmit(endpoint);
   const int64_t reported = endpoint.Reported;
   // Ends are acknowledged once they are durable; until then no look is open.
   endpoint.Renewing = true;
@@ -108,6 +107,41 @@
   wake();
 }
 
+void Dispatcher::readmit(EndpointView &endpoint) {
+  if (!endpoint.OpenOrders.empty()) {
+    barOpenOrders(endpoint);
+    return;
+  }
+  auto facts = endpoint.Facts;
+  facts.Idle = false;
+  endpoint.IdleTold = false;
+  record(jobs::EndpointRegistered{facts});
+}
+
+// A start that comes after the stop of its run is rejected.
+void Dispatcher::barOpenOrders(EndpointView &endpoint) {
+  const auto now = Hooks.Now();
+  for (auto &[key, sent] : endpoint.OpenOrders) {
+    if (now - sent < Options.RetryPause)
+      continue;
+    sent = now;
+    Hooks.Count("stop_orders", "why", "given up");
+    Hooks.Stop(endpoint.Facts, {key.first, key.second, Epoch},
+               [this, key = key, id = endpoint.Facts.Id,
+                born = endpoint.Facts.BornMs,
+                generation = Generation](const OrderReply &reply) {
+                 EndpointView *at = generation == Generation
+                                        ? lifeThatAnswered(id, born, reply)
+                                        : nullptr;
+                 if (!at || reply.Result != OrderResult::Accepted)
+                   return;
+                 at->OpenOrders.erase(key);
+                 if (at->OpenOrders.empty() && at->Facts.Idle && at->IdleTold)
+                   readmit(*at);
+               });
+  }
+}
+
 void Dispatcher::readInventory(EndpointView &endpoint, TimeMs sent,
                                const RunInventory &inventory) {
   for (auto &[key, stray] : endpoint.Strays)
@@ -240,7 +274,8 @@
     if (there.contains({task, slot.Run}) || slot.Since >= sent)
       continue;
     if (slot.Phase == TaskPhase::Unanswered) {
-      resolveUnanswered(place, slot);
+      if (!endpoint.IdleTold)
+        resolveUnanswered(place, slot);
       continue;
     }
     const bool answered = slot.Phase == TaskPhase::Running ||
--- a/src/almondgate/dispatch/dispatcher_test.cpp
+++ b/src/almondgate/dispatch/dispatcher_test.cpp
@@ -91,6 +91,30 @@
   CHECK(fleet.Broken.empty());
 }
 
+TEST_CASE(
+    "an order carried out late runs nowhere once its endpoint is given up") {
+  // Found on fde-goud with half of all orders late: the endpoint came back as
+  // its loss was being recorded, and its new lease revived the order.
+  for (const int64_t late_ms : {3300, 3500, 4000, 6000}) {
+    CAPTURE(late_ms);
+    Fleet fleet(3);
+    fleet.submit(jobId(1), oneStep(3, 40, 9000));
+    fleet.advance(500);
+    auto &silent = fleet.endpointOf(fleet.VmIds[0]);
+    silent.LateStarts = 1;
+    silent.LateByMs = late_ms;
+    fleet.submit(jobId(2), oneStep(1, 24, 3000));
+    fleet.advance(40);
+    silent.Cut = true;
+    fleet.advance(3000);
+    fleet.CommitMs = 300;
+    silent.Cut = false;
+    fleet.advance(12000);
+    for (const auto &broken : fleet.Broken)
+      FAIL_CHECK(broken);
+  }
+}
+
 TEST_CASE("a new leader goes on with what runs, and doubles nothing") {
   Fleet fleet(4);
   fleet.submit(jobId(1), oneStep(10, 20, 3000));
--- a/src/almondgate/dispatch/test_fleet_test.cpp
+++ b/src/almondgate/dispatch/test_fleet_test.cpp
@@ -373,9 +373,10 @@
   if (order.Epoch < endpoint.Epoch)
     return {OrderResult::Fenced, clock};
   endpoint.Epoch = order.Epoch;
-  if (order.DeadlineMs <= clock)
-    return {OrderResult::Late, clock};
+  // One deadline holds for all that the endpoint runs, and never shortens.
   endpoint.Deadline = std::max(endpoint.Deadline, order.DeadlineMs);
+  if (endpoint.Deadline <= clock)
+    return {OrderResult::Late, clock};
   const auto run = endpoint.Runs.find(order.Task);
   if (run != endpoint.Runs.end() && run->second.Run == order.Run)
     return {OrderResult::Accepted, clock};
