Ask whether an order for a VM may leave once its connection is open

Class: check, then act later.

Now EndpointClient asks the caller's MaySend right before the first byte, and an order for a VM asks for the lease and the budgets there. What is left is the time between that question and the write, some microseconds.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -220,6 +220,8 @@
   TaskPlace firstOfStep(const TaskPlace &place) const;
   std::string budgetTextOf(const TaskPlace &place) const;
   void noteVmOrder(const VmOrder &order);
+  /// Whether the order may leave, by what is known when that is asked.
+  std::function<bool()> mayStillOrder(const VmOrder &order);
   void evacuate(const core::VmId &vm);
   bool hasRoomFor(const jobs::StepSpec &step, const core::PoolId &pool);
 
--- a/include/almondgate/dispatch/dispatcher_hooks.hpp
+++ b/include/almondgate/dispatch/dispatcher_hooks.hpp
@@ -42,7 +42,11 @@
                      Done<core::Result<std::vector<Ticket>>>)>
       Advise;
   std::function<void(Done<core::Result<std::vector<VmListing>>>)> ListVms;
-  std::function<void(const VmOrder &, Done<VmOrderResult>)> OrderVm;
+  /// `may_send` is asked again right before the order leaves; where it is false
+  /// by then, the order does not, and gets NoAnswer.
+  std::function<void(const VmOrder &, std::function<bool()> may_send,
+                     Done<VmOrderResult>)>
+      OrderVm;
   DispatchPolicies Policies;
   /// Adds one to a counter with one label; may be left out.
   std::function<void(const char *name, const char *label, const char *value)>
--- a/include/almondgate/http/endpoint_client.hpp
+++ b/include/almondgate/http/endpoint_client.hpp
@@ -40,8 +40,13 @@
   EndpointClient(const EndpointClient &) = delete;
   EndpointClient &operator=(const EndpointClient &) = delete;
 
+  /// Asked right before the first byte leaves, which may be long after send()
+  /// where the process stood still as the connection was opened. False fails
+  /// the call as not run.
+  using MaySend = std::function<bool()>;
+
   /// Gives a number for abort().
-  uint64_t send(EndpointCall call, OnAnswer done);
+  uint64_t send(EndpointCall call, OnAnswer done, MaySend may_send = {});
 
   /// Closes the idle connections to an address, which may be dead.
   void forget(const core::Address &to);
--- a/src/almondgate/dispatch/availability_test.cpp
+++ b/src/almondgate/dispatch/availability_test.cpp
@@ -133,3 +133,22 @@
     CHECK(fleet.running() == 3);
   }
 }
+
+TEST_CASE("availability: an order whose connection opens late stays here") {
+  // Found on fde-goud, hunt-54b9-27 (ONE): a leader froze as the connection
+  // for its order was opened, and sent the order 6 s later.
+  Fleet fleet(6);
+  fleet.submit(jobId(1), wide(4, 1));
+  fleet.advance(4000);
+  fleet.VmConnectMs = 1000;
+  fleet.startWave(1, {fleet.VmIds[0]}, 1, 60000);
+  fleet.advance(500);
+  fleet.MayAct = false;
+  fleet.advance(2000);
+  CHECK(fleet.Upkeeps.empty());
+  fleet.MayAct = true;
+  fleet.VmConnectMs = 0;
+  fleet.advance(20000);
+  CHECK(fleet.dispatcher().isWaveCompleted(1).value());
+  checkPromises(fleet);
+}
--- a/src/almondgate/dispatch/dispatcher.cpp
+++ b/src/almondgate/dispatch/dispatcher.cpp
@@ -28,7 +28,7 @@
                 },
                 [this](const VmOrder &order, auto done) {
                   noteVmOrder(order);
-                  Hooks.OrderVm(order, std::move(done));
+                  Hooks.OrderVm(order, mayStillOrder(order), std::move(done));
                 },
                 Hooks.Log},
                ledger),
--- a/src/almondgate/dispatch/dispatcher_upkeep.cpp
+++ b/src/almondgate/dispatch/dispatcher_upkeep.cpp
@@ -140,6 +140,15 @@
   });
 }
 
+std::function<bool()> Dispatcher::mayStillOrder(const VmOrder &order) {
+  return [this, order, generation = Generation] {
+    const bool may = generation == Generation && active() && mayEndAll(order);
+    if (!may)
+      Hooks.Log("the order for vm " + order.Vm.str() + " comes too late");
+    return may;
+  };
+}
+
 bool Dispatcher::isOrderOpen(const jobs::EndpointFacts &facts) const {
   return Upkeep.isOpen(facts.Vm) || Mover.isOpen(facts.Vm, facts.Pool);
 }
--- a/src/almondgate/dispatch/test_fleet.hpp
+++ b/src/almondgate/dispatch/test_fleet.hpp
@@ -70,6 +70,10 @@
   int64_t CommitMs = 5;
   /// The VM service does not answer.
   bool VmServiceSilent = false;
+  /// How long it takes to reach the VM service.
+  int64_t VmConnectMs = 0;
+  /// Another may lead.
+  bool MayAct = true;
   /// Above 0, orders for VMs get no answer and are carried out so much later.
   int64_t VmOrdersLateMs = 0;
   /// How long a long-running task takes until it is at work.
@@ -89,7 +93,7 @@
   void checkStop(const jobs::EndpointId &id, const jobs::TaskRef &task);
   void checkVmOrder(const VmOrder &order);
   VmOrderResult carryOut(const VmOrder &order);
-  void onOrderVm(const VmOrder &order,
+  void onOrderVm(const VmOrder &order, const std::function<bool()> &may_send,
                  const std::function<void(VmOrderResult)> &);
   void lose(const jobs::EndpointId &id);
   void bringUp(const core::VmId &vm, const core::PoolId &pool);
--- a/src/almondgate/dispatch/test_fleet_test.cpp
+++ b/src/almondgate/dispatch/test_fleet_test.cpp
@@ -256,7 +256,7 @@
   hooks.Policies = Policies;
   hooks.Now = [this] { return core::TimeMs{Now}; };
   hooks.WallClock = [this] { return Now; };
-  hooks.MayAct = [] { return true; };
+  hooks.MayAct = [this] { return MayAct; };
   // Nothing reaches a dispatcher that has ended.
   const auto guard = [this, mine = Leadership](std::function<void()> fn) {
     return [this, mine, fn = std::move(fn)] {
@@ -325,8 +325,8 @@
          done(core::Result<std::vector<VmListing>>(list));
        }));
   };
-  hooks.OrderVm = [this, guard](const auto &order, auto done) {
-    onOrderVm(order, [guard, done](VmOrderResult result) {
+  hooks.OrderVm = [this, guard](const auto &order, auto may_send, auto done) {
+    onOrderVm(order, may_send, [guard, done](VmOrderResult result) {
       guard([done, result] { done(result); })();
     });
   };
@@ -460,7 +460,19 @@
 }
 
 void TestFleet::onOrderVm(const VmOrder &order,
+                          const std::function<bool()> &may_send,
                           const std::function<void(VmOrderResult)> &done) {
+  if (VmConnectMs > 0) {
+    at(Now + VmConnectMs, [this, order, may_send, done] {
+      if (!may_send()) {
+        done(VmOrderResult::NoAnswer);
+        return;
+      }
+      checkVmOrder(order);
+      done(carryOut(order));
+    });
+    return;
+  }
   checkVmOrder(order);
   if (VmServiceSilent) {
     at(Now + TimeoutMs, [done] { done(VmOrderResult::NoAnswer); });
--- a/src/almondgate/http/endpoint_client.cpp
+++ b/src/almondgate/http/endpoint_client.cpp
@@ -39,6 +39,7 @@
   std::unique_ptr<task::TcpStream> Socket;
   std::unique_ptr<AnswerParser> Parser;
   EndpointClient::OnAnswer Done;
+  EndpointClient::MaySend MaySend;
   std::unique_ptr<task::Timer> Timeout;
   bool Sent = false;
   /// 0 while the connection is idle.
@@ -54,7 +55,7 @@
   std::map<Address, std::vector<std::unique_ptr<Connection>>> Idle;
   uint64_t NextId = 1;
 
-  void start(uint64_t id, EndpointCall call, OnAnswer done);
+  void start(uint64_t id, EndpointCall call, OnAnswer done, MaySend may_send);
   std::unique_ptr<Connection> takeIdle(const Address &to);
   void open(uint64_t id, EndpointCall call);
   void write(uint64_t id, const EndpointCall &call);
@@ -83,8 +84,8 @@
   return out;
 }
 
-void EndpointClient::State::start(uint64_t id, EndpointCall call,
-                                  OnAnswer done) {
+void EndpointClient::State::start(uint64_t id, EndpointCall call, OnAnswer done,
+                                  MaySend may_send) {
   auto connection = call.FreshConnection ? nullptr : takeIdle(call.To);
   const bool reused = connection != nullptr;
   if (!reused) {
@@ -93,6 +94,7 @@
     connection->Timeout = std::make_unique<task::Timer>(Loop);
   }
   connection->Done = std::move(done);
+  connection->MaySend = std::move(may_send);
   connection->Sent = false;
   connection->Parser = std::make_unique<AnswerParser>(
       call.Request.Method == "HEAD", Options.MaxAnswerBytes);
@@ -136,6 +138,10 @@
 
 void EndpointClient::State::write(uint64_t id, const EndpointCall &call) {
   Connection &connection = *Busy.at(id);
+  if (connection.MaySend && !connection.MaySend()) {
+    fail(id, {ErrorCode::Cancelled, "not sent: it came too late"});
+    return;
+  }
   connection.Sent = true;
   connection.Socket->write(serialize(call));
   connection.Timeout->once(call.Timeout, [this, id] {
@@ -215,9 +221,10 @@
 
 EndpointClient::~EndpointClient() = default;
 
-uint64_t EndpointClient::send(EndpointCall call, OnAnswer done) {
+uint64_t EndpointClient::send(EndpointCall call, OnAnswer done,
+                              MaySend may_send) {
   const uint64_t id = S->NextId++;
-  S->start(id, std::move(call), std::move(done));
+  S->start(id, std::move(call), std::move(done), std::move(may_send));
   return id;
 }
 
--- a/src/almondgate/http/endpoint_client_test.cpp
+++ b/src/almondgate/http/endpoint_client_test.cpp
@@ -170,3 +170,36 @@
   CHECK(bench.send(endpoint.address()).value().Body == "ok");
   CHECK(endpoint.connections() == 2);
 }
+
+TEST_CASE("a call that may no longer be sent once its connection is open") {
+  Bench bench;
+  Scripted endpoint(bench.Loop,
+                    [](auto &s, int, const auto &) { s.write(Whole); });
+  std::vector<Result<Response>> answers;
+  bool may_send = true;
+  const auto send = [&] {
+    EndpointCall call;
+    call.To = endpoint.address();
+    call.Request = {"POST", "/x", {}, "body"};
+    bench.Client.send(
+        call,
+        [&](const Result<Response> &answer) {
+          answers.push_back(answer);
+          bench.Loop.stop();
+        },
+        [&] { return may_send; });
+  };
+  // True as it is asked for, false by the time the connection is open.
+  send();
+  may_send = false;
+  bench.Loop.run();
+  REQUIRE(answers.size() == 1);
+  REQUIRE(!answers[0]);
+  CHECK(answers[0].error().Outcome == RunOutcome::NotRun);
+  CHECK(endpoint.requests() == 0);
+  may_send = true;
+  send();
+  bench.Loop.run();
+  REQUIRE(answers.size() == 2);
+  CHECK(bool(answers[1]));
+}
