--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -168,6 +168,10 @@
   void readEnd(EndpointView &endpoint, const EndReport &report);
   void dropVanished(EndpointView &endpoint, core::TimeMs sent,
                     const RunInventory &inventory);
+  void noteOpenOrders(EndpointView &endpoint);
+  /// Takes an endpoint back that was given up, once its open orders are barred.
+  void readmit(EndpointView &endpoint);
+  void barOpenOrders(EndpointView &endpoint);
   void resolveUnanswered(const TaskPlace &place, TaskSlot &slot);
   void loseRuns(EndpointView &endpoint);
   void onUnreachable(EndpointView &endpoint);
@@ -216,6 +220,8 @@
   TaskPlace firstOfStep(const TaskPlace &place) const;
   std::string budgetTextOf(const TaskPlace &place) const;
   void noteVmOrder(const VmOrder &order);
+  /// Whether the order may leave, by what is known when that is asked.
+  std::function<bool()> mayStillOrder(const VmOrder &order);
   void evacuate(const core::VmId &vm);
   bool hasRoomFor(const jobs::StepSpec &step, const core::PoolId &pool);
 
