--- a/src/almondgate/storage/store.cpp
+++ b/src/almondgate/storage/store.cpp
@@ -276,7 +276,7 @@
     return Error{ErrorCode::Io, "an earlier write failed"};
   if (batch.Voted)
     LastVote = *batch.Voted;
-  const Status done = batch.Base ? startGeneration(batch) : append(batch);
+  Status done = batch.Base ? startGeneration(batch) : append(batch);
   Failed = !done && done.error().Code != ErrorCode::NoSpace;
   return done;
 }
--- a/src/almondgate/storage/store_test.cpp
+++ b/src/almondgate/storage/store_test.cpp
@@ -210,7 +210,7 @@
       formatWith(folder.Path, 2);
       bool full = false;
       const FileOps real = systemFileOps();
-      const core::Status no_space = core::Error{ErrorCode::NoSpace, "full"};
+      core::Status no_space = core::Error{ErrorCode::NoSpace, "full"};
       FileOps ops = real;
       ops.Write = [&](int fd, std::string_view data) {
         if (!full || in_sync)
