--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -116,6 +116,8 @@
   /// Takes the runs off an endpoint's old life whose orders may still be
   /// carried out by its next one.
   std::set<TaskPlace> takeOpenOrders(EndpointView &old_life);
+  /// Keeps the orders of runs that are given up with their endpoint.
+  void noteOpenOrders(EndpointView &endpoint);
   void onIdled(const jobs::EndpointIdled &event);
   void onGone(const jobs::EndpointId &id, int64_t born_ms);
   void closeIfEmpty(const jobs::JobId &id);
@@ -168,7 +170,6 @@
   void readEnd(EndpointView &endpoint, const EndReport &report);
   void dropVanished(EndpointView &endpoint, core::TimeMs sent,
                     const RunInventory &inventory);
-  void noteOpenOrders(EndpointView &endpoint);
   /// Takes an endpoint back that was given up, once its open orders are barred.
   void readmit(EndpointView &endpoint);
   void barOpenOrders(EndpointView &endpoint);
@@ -206,6 +207,8 @@
                  std::function<void(bool)> done);
   VmLoad loadOf(const core::VmId &vm) const;
   bool budgetHolds(const EndpointView &endpoint) const;
+  /// The task's step has an availability budget, and its job goes on.
+  bool hasBudget(const TaskPlace &place) const;
   /// Ending a run of the task keeps the availability budget of its step.
   bool mayEnd(const TaskPlace &place) const;
   /// The order ends nothing beyond a budget, as far as is known now.
--- a/src/almondgate/dispatch/dispatcher_upkeep.cpp
+++ b/src/almondgate/dispatch/dispatcher_upkeep.cpp
@@ -66,12 +66,9 @@
 // budget allows, counting those that are missing elsewhere already.
 bool Dispatcher::budgetHolds(const EndpointView &endpoint) const {
   std::map<std::pair<jobs::JobId, size_t>, int64_t> taken;
-  for (const auto &place : endpoint.Runs) {
-    const auto *record = jobs::findJob(Ledger, place.first);
-    const auto task = jobs::taskAt(place.first, *record->Spec, place.second);
-    if (record->Spec->Steps[task.Step].HasMayMiss && record->isOpen())
-      ++taken[{place.first, place.second - size_t(task.Index)}];
-  }
+  for (const auto &place : endpoint.Runs)
+    if (hasBudget(place))
+      ++taken[firstOfStep(place)];
   for (const auto &[first, n] : taken)
     if (n + missingOf(first, endpoint.Facts.Id) > stepOf(first)->MayMiss)
       return false;
@@ -111,12 +108,11 @@
             std::to_string(endpoint.Runs.size()) + " runs, " +
             std::to_string(endpoint.LongRuns) + " long";
     for (const auto &place : endpoint.Runs) {
-      const auto *step = stepOf(place);
-      if (!step->HasMayMiss || !Open.at(place.first).Record->isOpen())
+      if (!hasBudget(place))
         continue;
       line += "; " + place.first.str() + "#" + std::to_string(place.second) +
               " " + budgetTextOf(place);
-      exceeds = exceeds || missingBesides(place) >= step->MayMiss;
+      exceeds = exceeds || !mayEnd(place);
     }
   }
   Hooks.Log(line);
@@ -126,9 +122,12 @@
 }
 
 bool Dispatcher::mayEnd(const TaskPlace &place) const {
-  const auto *step = stepOf(place);
-  return !step->HasMayMiss || !Open.at(place.first).Record->isOpen() ||
-         missingBesides(place) < step->MayMiss;
+  return !hasBudget(place) || missingBesides(place) < stepOf(place)->MayMiss;
+}
+
+bool Dispatcher::hasBudget(const TaskPlace &place) const {
+  return stepOf(place)->HasMayMiss &&
+         jobs::findJob(Ledger, place.first)->isOpen();
 }
 
 // What an endpoint runs that has not been read is not known.
