Count the stops of the last leader against availability budgets

Cause: a new leader took an inherited run that the inventory lists at 100 % for ready, although the last leader's stop of it was still being carried out (up to the stop time-out). It then ended another task of the same step.

Callers saw more tasks of a long-running step away than its budget allows.

Ways weighed: a durable record before each stop (a commit more an order, and old records to clear); a list handed over by the outgoing leader (not there after a crash); waiting. Taken: waiting. The first read in an epoch fences the earlier leaders' orders, so a stop accepted before it is over one stop time-out later by the endpoint's own clock. Until an inventory that young has been read, an inherited run counts as not ready. The renewal after the first one waits no longer than that. Crashed leaders and planned stops alike; no state is added.

The stop time-out is a setting (--run-stop-timeout-ms, 1000 by default).

Ruled out: the size of the fleet; the count itself.

--- a/include/almondgate/config/settings.hpp
+++ b/include/almondgate/config/settings.hpp
@@ -68,6 +68,8 @@
   /// Number n of members that may lose their disks at once; the leader keeps
   /// 2 n + 1 voters. Negative if only operators replace members.
   int64_t ToleratedLosses = -1;
+  /// The longest that an endpoint takes to end a run after a stop order.
+  core::DurationMs RunStopTimeout{1000};
   /// Address of the VM service; optional.
   core::Address VmService;
   /// Address of the placement policy service; optional.
--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -184,6 +184,7 @@
 
   // dispatcher_renewals.cpp
   void renew(EndpointView &endpoint);
+  core::DurationMs renewWait(const EndpointView &endpoint) const;
   bool hasUnansweredStarts(const EndpointView &endpoint) const;
   void onRenewed(const jobs::EndpointId &id, int64_t born_ms, core::TimeMs sent,
                  const RenewReply &reply);
@@ -247,6 +248,10 @@
   /// Counts the other tasks of its step that are not confirmed ready.
   int64_t countOtherMissing(const TaskKey &task_key) const;
   bool isConfirmedReady(const TaskState &state) const;
+  /// How much longer, by the endpoint's clock, stops that an earlier leader
+  /// ordered may be in progress there; not above 0 once they are over.
+  core::DurationMs
+  remainingInheritedStopTime(const EndpointView &endpoint) const;
   TaskKey firstTaskOfStep(const TaskKey &task_key) const;
   std::string describeBudget(const TaskKey &task_key) const;
   void reportVmOrder(const VmOrder &order);
--- a/include/almondgate/dispatch/dispatcher_options.hpp
+++ b/include/almondgate/dispatch/dispatcher_options.hpp
@@ -31,6 +31,8 @@
   core::DurationMs EndedJobRetention{150000};
   /// Two leaders must not send orders for one VM within this time.
   core::DurationMs VmOrderLease{3000};
+  /// The longest that an endpoint takes to end a run after a stop order.
+  core::DurationMs RunStopTimeout{1000};
   /// How long a VM is down for its maintenance.
   core::DurationMs MaintenanceDuration{2000};
   /// How long a VM takes to move to another pool.
--- a/include/almondgate/dispatch/endpoint_view.hpp
+++ b/include/almondgate/dispatch/endpoint_view.hpp
@@ -33,6 +33,10 @@
   LeaseClock Lease;
   /// The inventory of the endpoint has been read in this epoch.
   bool InventoryRead = false;
+  /// The endpoint's clock in the first inventory read in this epoch, and in the
+  /// newest one.
+  int64_t FirstReadClockMs = 0;
+  int64_t LastReadClockMs = 0;
   /// The last request to the endpoint failed.
   bool Suspect = false;
   /// A renewal is outstanding, or its result is being made durable.
--- a/include/almondgate/dispatch/task_state.hpp
+++ b/include/almondgate/dispatch/task_state.hpp
@@ -42,6 +42,8 @@
   core::TimeMs NotBefore{INT64_MIN / 2};
   /// The endpoint acknowledged the stop.
   bool StopAcknowledged = false;
+  /// An earlier leader started the run.
+  bool Inherited = false;
   /// The start got no answer and was sent a second time.
   bool StartResent = false;
 
--- a/src/almondgate/config/read_settings.cpp
+++ b/src/almondgate/config/read_settings.cpp
@@ -241,6 +241,9 @@
                                    out.ToleratedLosses);
       !done)
     return done;
+  if (auto done = flags.readDuration("run-stop-timeout-ms", out.RunStopTimeout);
+      !done)
+    return done;
   out.Name = flags.text("name");
   for (const auto &[name, address] : {std::pair{"public", &out.Public},
                                       {"vm-service", &out.VmService},
@@ -319,6 +322,10 @@
             "Number of disks that may be lost at once; the leader replaces "
             "failed members. -1: only operators replace members",
             "-1");
+  flags.add("run-stop-timeout-ms",
+            "The longest that an endpoint takes to end a run after a stop "
+            "order, in milliseconds",
+            "1000");
   flags.add("init-as", "Format the data folder for this first member and exit");
   flags.add("first-members", "All first members, NAME=IP:PORT[,...]");
   return parseSettings<ControlSettings>(flags, args, readControl);
--- a/src/almondgate/control/control_task.cpp
+++ b/src/almondgate/control/control_task.cpp
@@ -60,8 +60,8 @@
               }),
       Loop(loop),
       Core(coreOptions(settings), {.Self = Identity}, coreHooks(), Recovered),
-      Jobs({.Holder = settings.Name}, dispatcherHooks(std::move(gateway)),
-           Core.state().Jobs),
+      Jobs({.Holder = settings.Name, .RunStopTimeout = settings.RunStopTimeout},
+           dispatcherHooks(std::move(gateway)), Core.state().Jobs),
       Ticker(loop) {}
 
 core::Status ControlTask::start() {
--- a/src/almondgate/dispatch/availability_test.cpp
+++ b/src/almondgate/dispatch/availability_test.cpp
@@ -156,3 +156,39 @@
   CHECK(fleet.dispatcher().isWaveCompleted(1).value());
   checkNoViolations(fleet);
 }
+
+TEST_CASE("availability: a new leader counts the stops of the last one") {
+  // Found on fde-goud-large, hand-over-in-a-wave: a stop that the last leader
+  // had ordered was still being carried out, and its run was listed as ready.
+  for (const int64_t handover_ms : {20, 200, 600}) {
+    CAPTURE(handover_ms);
+    Fleet fleet(6);
+    // Two tasks on each of three VMs, one on a fourth, which starts anew.
+    auto spec = longRunning(7, 2);
+    spec.Steps[0].Need.MilliCpus = 30000;
+    fleet.submit(jobId(1), spec);
+    fleet.advance(4000);
+    fleet.StartupMs = 8000;
+    std::vector<core::VmId> full;
+    std::vector<core::VmId> single;
+    for (const auto &vm : fleet.VmIds)
+      if (const size_t n = fleet.endpointOf(vm).Runs.size(); n > 0)
+        (n == 1 ? single : full).push_back(vm);
+    REQUIRE(full.size() == 3);
+    REQUIRE(single.size() == 1);
+    fleet.restart(single[0]);
+    fleet.StopMs = 900;
+    fleet.startWave(2, {full[2]}, 1, 4000);
+    for (int i = 0; i < 100 && fleet.stopping() == 0; ++i)
+      fleet.advance(10);
+    REQUIRE(fleet.stopping() == 1);
+    fleet.advance(handover_ms);
+    fleet.lead();
+    // The new leader looks at the other two VMs first.
+    fleet.startWave(1, {full[0], full[1]}, 2, 4000);
+    fleet.advance(60000);
+    CHECK(fleet.dispatcher().isWaveCompleted(2).value());
+    CHECK(fleet.dispatcher().isWaveCompleted(1).value());
+    checkNoViolations(fleet);
+  }
+}
--- a/src/almondgate/dispatch/dispatcher_maintenance.cpp
+++ b/src/almondgate/dispatch/dispatcher_maintenance.cpp
@@ -11,6 +11,8 @@
 
 // Progress that a long-running task reports once it is ready.
 constexpr int64_t ReadyPercent = 100;
+// Added to the time that a stop takes, for clocks that differ in speed.
+constexpr core::DurationMs StopMargin{100};
 
 } // namespace
 
@@ -188,9 +190,22 @@
 
 bool Dispatcher::isConfirmedReady(const TaskState &state) const {
   const auto at = Endpoints.find(state.Endpoint);
-  return at != Endpoints.end() && !at->second.TerminationPending &&
-         !at->second.Suspect && state.Phase == TaskPhase::Running &&
-         state.Percent >= ReadyPercent;
+  if (at == Endpoints.end())
+    return false;
+  const EndpointView &endpoint = at->second;
+  const bool may_be_stopping =
+      state.Inherited && remainingInheritedStopTime(endpoint).Count > 0;
+  return !endpoint.TerminationPending && !endpoint.Suspect &&
+         state.Phase == TaskPhase::Running && state.Percent >= ReadyPercent &&
+         !may_be_stopping;
+}
+
+// The first read in this epoch fences the orders of earlier leaders, so a stop
+// accepted before it is over once RunStopTimeout has passed.
+core::DurationMs
+Dispatcher::remainingInheritedStopTime(const EndpointView &endpoint) const {
+  return core::DurationMs{endpoint.FirstReadClockMs} + Options.RunStopTimeout +
+         StopMargin - core::DurationMs{endpoint.LastReadClockMs};
 }
 
 // Stops long-running tasks of the VM as far as their budgets and the free
--- a/src/almondgate/dispatch/dispatcher_renewals.cpp
+++ b/src/almondgate/dispatch/dispatcher_renewals.cpp
@@ -39,7 +39,7 @@
   // answered at once; the others may wait for a run to end.
   if (endpoint.InventoryRead && !endpoint.Suspect &&
       !hasUnansweredStarts(endpoint))
-    request.WaitMs = Options.RenewWait.Count;
+    request.WaitMs = renewWait(endpoint).Count;
   endpoint.Renewing = true;
   Hooks.Renew(facts, request,
               [this, id = facts.Id, born_ms = facts.BornMs, sent = now,
@@ -49,6 +49,14 @@
               });
 }
 
+// The earlier leader's stops must be known before budgets can be spent.
+DurationMs Dispatcher::renewWait(const EndpointView &endpoint) const {
+  const DurationMs left = remainingInheritedStopTime(endpoint);
+  return endpoint.LongRunningCount > 0 && left.Count > 0
+             ? std::min(Options.RenewWait, left)
+             : Options.RenewWait;
+}
+
 bool Dispatcher::hasUnansweredStarts(const EndpointView &endpoint) const {
   return std::any_of(
       endpoint.Runs.begin(), endpoint.Runs.end(), [this](const auto &task_key) {
@@ -90,6 +98,9 @@
               std::to_string(reply.Inventory.Ended.size()) + " ended");
   endpoint.Lease.observe(reply.Inventory.ClockMs, now);
   endpoint.Suspect = false;
+  if (!endpoint.InventoryRead)
+    endpoint.FirstReadClockMs = reply.Inventory.ClockMs;
+  endpoint.LastReadClockMs = reply.Inventory.ClockMs;
   applyInventory(endpoint, sent, reply.Inventory);
   endpoint.InventoryRead = true;
   if (endpoint.Facts.Idle && endpoint.DeclaredLost)
@@ -190,6 +201,7 @@
       state.Endpoint = endpoint.Facts.Id;
       state.Run = report.Run;
       state.Since = Hooks.Now();
+      state.Inherited = true;
       open->second.Started = true;
       ++open->second.Placed;
       addRun(endpoint, task_key, step);
--- a/src/almondgate/dispatch/test_endpoint.hpp
+++ b/src/almondgate/dispatch/test_endpoint.hpp
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -18,6 +19,11 @@
   int64_t ReadyAt = 0;
   core::Size Need;
   bool Fails = false;
+  /// When the stop that was ordered ends the run; none was ordered if empty.
+  std::optional<int64_t> StopsAt;
+
+  /// A long-running task is ready and is not being stopped.
+  bool isAtWork(int64_t now) const { return now >= ReadyAt && !StopsAt; }
 };
 
 /// A fake endpoint in virtual time: enforces leases, fences orders by epoch,
--- a/src/almondgate/dispatch/test_fleet.hpp
+++ b/src/almondgate/dispatch/test_fleet.hpp
@@ -30,6 +30,8 @@
   void advance(int64_t ms);
   /// The number of runs at all endpoints.
   int64_t running() const;
+  /// The number of runs whose stop has been ordered and is being carried out.
+  int64_t stopping() const;
   int64_t now() const { return Now; }
 
   // --- leadership
@@ -60,6 +62,8 @@
   int64_t MaxDown = 0;
   std::map<core::VmId, int64_t> MaintenanceCounts;
   int64_t Moves = 0;
+  /// Orders for moves that were sent, carried out or not.
+  int64_t OrderedMoves = 0;
   int64_t Accepted = 0;
   int64_t Refused = 0;
   /// Time from acceptance to completion of each job.
@@ -80,6 +84,8 @@
   int64_t VmOrderDelayMs = 0;
   /// How long a long-running task takes to become ready.
   int64_t StartupMs = 0;
+  /// How long a run goes on, and is listed, after its stop was acknowledged.
+  int64_t StopMs = 0;
 
 private:
   DispatcherHooks hooks();
--- a/src/almondgate/dispatch/test_fleet_test.cpp
+++ b/src/almondgate/dispatch/test_fleet_test.cpp
@@ -147,6 +147,15 @@
   return n;
 }
 
+int64_t TestFleet::stopping() const {
+  int64_t n = 0;
+  for (const auto &[id, endpoint] : Endpoints)
+    n += std::count_if(
+        endpoint.Runs.begin(), endpoint.Runs.end(),
+        [](const auto &row) { return row.second.StopsAt.has_value(); });
+  return n;
+}
+
 void TestFleet::restart(const core::VmId &vm) {
   removeEndpoint(Vms.at(vm).Endpoint);
   bringUp(vm, Vms.at(vm).Pool);
@@ -188,6 +197,8 @@
     for (const auto &[task, run] : endpoint.Runs) {
       if (endpoint.clock(Now) >= endpoint.Deadline)
         ends.emplace_back(task, RunEnd::LeaseExpired);
+      else if (run.StopsAt && Now >= *run.StopsAt)
+        ends.emplace_back(task, RunEnd::Stopped);
       else if (Now >= run.EndsAt)
         ends.emplace_back(task, run.Fails ? RunEnd::Failed : RunEnd::Done);
     }
@@ -293,8 +304,12 @@
     }
     TestEndpoint &endpoint = it->second;
     const auto run = endpoint.Runs.find(order.Task);
-    if (run != endpoint.Runs.end() && run->second.Run <= order.Run)
-      endpoint.end(order.Task, RunEnd::Stopped);
+    if (run != endpoint.Runs.end() && run->second.Run <= order.Run) {
+      if (StopMs == 0)
+        endpoint.end(order.Task, RunEnd::Stopped);
+      else if (!run->second.StopsAt)
+        run->second.StopsAt = Now + StopMs;
+    }
     endpoint.Closed[order.Task] =
         std::max(endpoint.Closed[order.Task], order.Run);
     scheduleAt(Now + LatencyMs, guard([done, clock = endpoint.clock(Now)] {
@@ -390,9 +405,9 @@
   checkStart(endpoint, order, step, sent);
   const int64_t duration =
       step.LongRunning ? int64_t{1} << 40 : std::max<int64_t>(RunMs(step), 1);
-  endpoint.Runs[order.Task] = {order.Run, Now + duration,
-                               Now + (step.LongRunning ? StartupMs : 0),
-                               step.Need, Fails(order.Task)};
+  endpoint.Runs[order.Task] = {
+      order.Run, Now + duration,    Now + (step.LongRunning ? StartupMs : 0),
+      step.Need, Fails(order.Task), std::nullopt};
   ++endpoint.Starts;
   return {OrderResult::Accepted, clock};
 }
@@ -433,7 +448,7 @@
         std::any_of(Endpoints.begin(), Endpoints.end(), [&](const auto &row) {
           const auto run = row.second.Runs.find(other);
           return row.first != without && run != row.second.Runs.end() &&
-                 Now >= run->second.ReadyAt;
+                 run->second.isAtWork(Now);
         });
     missing += ready || other == task ? 0 : 1;
   }
@@ -444,7 +459,7 @@
   const auto it = Endpoints.find(id);
   const auto *job = jobs::findJob(Ledger, task.Job);
   if (it == Endpoints.end() || !it->second.Runs.contains(task) || !job ||
-      Now < it->second.Runs.at(task).ReadyAt)
+      !it->second.Runs.at(task).isAtWork(Now))
     return;
   const auto &step = job->Spec->Steps[task.Step];
   if (step.HasMayMiss && !job->Cancelled &&
@@ -465,6 +480,7 @@
                            order.Vm.str());
   }
   LastVmOrder[order.Vm] = {order.Epoch, Now};
+  OrderedMoves += order.To.empty() ? 0 : 1;
 }
 
 void TestFleet::onOrderVm(const VmOrder &order,
@@ -506,7 +522,7 @@
     return VmOrderResult::Busy;
   if (!vm.Endpoint.empty())
     for (const auto &[task, run] : Endpoints.at(vm.Endpoint).Runs) {
-      if (Now < run.ReadyAt)
+      if (!run.isAtWork(Now))
         continue;
       const auto *job = jobs::findJob(Ledger, task.Job);
       const auto &step = job->Spec->Steps[task.Step];
