Place no work on a VM that the last leader may still be moving

Cause: the same class as the stops of the last leader: an order in flight at a change of leader is unknown to the next one. For maintenance the ledger tells (MaintenanceBegun); of a move it told only that the VM has some order. A new leader ordered nothing for such a VM for 3.2 s, but placed long-running work on it, which the move then ended, budget or not.

Callers would see tasks of a long-running step end by a move of the system.

Change: VmOrdered records where a move goes, the ledger keeps it until the order lapses, and a new leader reserves a VM that is still in another pool than that for the order lease. A move to another pool than the recorded one is recorded anew. Stored data of before reads with no targets; a member of an earlier build ignores the new field.

Ruled out by reading: capacity and team limits (unread endpoints, fenced starts), waves' limits (begun is durable before the order), gangs (a member that waits alone ends by itself and is read).

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -243,6 +243,9 @@
   /// A maintenance or move order that ends all runs of the VM may still be
   /// carried out.
   bool hasUnresolvedVmOrder(const jobs::EndpointFacts &facts) const;
+  /// Gives VMs back to placement whose move by an earlier leader was not
+  /// carried out within the order lease.
+  void releaseInheritedMoves();
   int64_t countMissing(const TaskKey &first,
                        const jobs::EndpointId &excluded) const;
   /// Counts the other tasks of its step that are not confirmed ready.
--- a/include/almondgate/dispatch/vm_order_sender.hpp
+++ b/include/almondgate/dispatch/vm_order_sender.hpp
@@ -53,12 +53,20 @@
   /// been sent.
   void order(const VmOrder &order, const OnResult &done);
 
+  /// An earlier leader's order, not known to have been carried out, may still
+  /// move the VM away from `pool`.
+  bool mayBeMovedFrom(const core::VmId &vm, const core::PoolId &pool) const;
+
+  /// Returns, once each, the VMs for which mayBeMovedFrom() no longer holds
+  /// because this leader may send orders for them.
+  std::vector<core::VmId> takeExpiredMoves();
+
   /// Records which VMs no longer have an order within the lease.
   void recordExpiredLeases();
 
 private:
   void send(const VmOrder &order, const OnResult &done);
-  bool hasRecordedLease(const core::VmId &vm) const;
+  bool hasRecordedLease(const VmOrder &order) const;
 
   /// The order lease with a margin.
   const core::DurationMs Lease;
@@ -70,6 +78,8 @@
   /// VMs for which an earlier leader sent orders, and when this leader may send
   /// one.
   std::map<core::VmId, core::TimeMs> OrderableAt;
+  /// Where earlier leaders moved VMs to, by the same orders.
+  std::map<core::VmId, core::PoolId> InheritedMoves;
   /// When this leader last sent an order or got an answer.
   std::map<core::VmId, core::TimeMs> LastUse;
   /// VMs whose lease expiry is being recorded.
--- a/include/almondgate/jobs/event.hpp
+++ b/include/almondgate/jobs/event.hpp
@@ -117,6 +117,8 @@
 /// An order to move or maintain a VM is about to be sent.
 struct VmOrdered {
   core::VmId Vm;
+  /// The pool that the VM is moved to; empty for maintenance.
+  core::PoolId To;
   bool operator==(const VmOrdered &) const = default;
 };
 
--- a/include/almondgate/jobs/ledger.hpp
+++ b/include/almondgate/jobs/ledger.hpp
@@ -24,6 +24,8 @@
   std::map<int64_t, WaveRecord> Waves;
   /// VMs with an order whose order lease may not have expired.
   std::set<core::VmId> VmsOrdered;
+  /// Where those of them that have a move order are moved to.
+  std::map<core::VmId, core::PoolId> MoveTargets;
 
   bool operator==(const Ledger &) const = default;
 };
--- a/src/almondgate/dispatch/availability_test.cpp
+++ b/src/almondgate/dispatch/availability_test.cpp
@@ -192,3 +192,21 @@
     checkNoViolations(fleet);
   }
 }
+
+TEST_CASE(
+    "availability: no work comes to a VM that the last leader is moving") {
+  // The last leader's order is carried out after the hand-over.
+  Fleet fleet(6);
+  fleet.submit(jobId(7), oneStep(1, 1, 10));
+  fleet.advance(3500);
+  fleet.VmOrderDelayMs = 2000;
+  for (int i = 0; i < 300 && fleet.OrderedMoves == 0; ++i)
+    fleet.advance(10);
+  REQUIRE(fleet.OrderedMoves > 0);
+  fleet.advance(20);
+  fleet.lead();
+  fleet.submit(jobId(1), longRunning(6, 1));
+  fleet.advance(12000);
+  CHECK(fleet.Moves > 0);
+  checkNoViolations(fleet);
+}
--- a/src/almondgate/dispatch/dispatcher.cpp
+++ b/src/almondgate/dispatch/dispatcher.cpp
@@ -47,6 +47,7 @@
   // After a restore, the ledger may hold the indexed version at another
   // address.
   Index = jobs::ConfigIndex(Ledger.Config);
+  VmOrders.begin();
   for (const auto &[id, facts] : Ledger.Endpoints)
     onEndpointRegistered(facts);
   for (auto &[id, endpoint] : Endpoints)
@@ -59,7 +60,6 @@
             std::to_string(Endpoints.size()) + " endpoints to read");
   FleetWasEmpty = Endpoints.empty();
   RecordedConfigVersion = Ledger.Config.Version;
-  VmOrders.begin();
   Maintenance.begin(epoch);
   Mover.begin(epoch);
   schedulePass();
@@ -104,6 +104,7 @@
   for (auto &[id, endpoint] : Endpoints)
     declareLostIfExpired(endpoint);
   retryStops();
+  releaseInheritedMoves();
   if (isFleetRead()) {
     Maintenance.run(
         [this](const core::VmId &vm) { return Mover.isMoving(vm); });
--- a/src/almondgate/dispatch/dispatcher_maintenance.cpp
+++ b/src/almondgate/dispatch/dispatcher_maintenance.cpp
@@ -165,7 +165,19 @@
 
 bool Dispatcher::hasUnresolvedVmOrder(const jobs::EndpointFacts &facts) const {
   return Maintenance.hasUnconfirmedMaintenance(facts.Vm) ||
-         Mover.hasUnconfirmedMove(facts.Vm, facts.Pool);
+         Mover.hasUnconfirmedMove(facts.Vm, facts.Pool) ||
+         VmOrders.mayBeMovedFrom(facts.Vm, facts.Pool);
+}
+
+void Dispatcher::releaseInheritedMoves() {
+  const auto expired = VmOrders.takeExpiredMoves();
+  if (expired.empty())
+    return;
+  const std::set<core::VmId> vms(expired.begin(), expired.end());
+  for (auto &[id, endpoint] : Endpoints)
+    if (vms.contains(endpoint.Facts.Vm))
+      endpoint.Reserved = endpoint.TerminationPending =
+          hasUnresolvedVmOrder(endpoint.Facts);
 }
 
 // Counts the tasks of a step that are not confirmed ready, without those at
--- a/src/almondgate/dispatch/vm_order_sender.cpp
+++ b/src/almondgate/dispatch/vm_order_sender.cpp
@@ -25,6 +25,7 @@
   ExpiryDue = Hooks.Now() + ExpiryInterval;
   for (const auto &vm : Ledger.VmsOrdered)
     OrderableAt[vm] = Hooks.Now() + Lease;
+  InheritedMoves = Ledger.MoveTargets;
   if (!OrderableAt.empty())
     Hooks.Log(std::to_string(OrderableAt.size()) +
               " VMs have orders of an earlier leader; waiting " +
@@ -36,6 +37,7 @@
   Active = false;
   ++Generation;
   OrderableAt.clear();
+  InheritedMoves.clear();
   LastUse.clear();
   Expiring.clear();
 }
@@ -45,18 +47,41 @@
   return it == OrderableAt.end() || Hooks.Now() >= it->second;
 }
 
-// An expiry that is being recorded counts as recorded.
-bool VmOrderSender::hasRecordedLease(const VmId &vm) const {
-  return Ledger.VmsOrdered.contains(vm) && !Expiring.contains(vm);
+bool VmOrderSender::mayBeMovedFrom(const VmId &vm,
+                                   const core::PoolId &pool) const {
+  const auto it = InheritedMoves.find(vm);
+  return it != InheritedMoves.end() && it->second != pool && !mayOrder(vm);
+}
+
+std::vector<VmId> VmOrderSender::takeExpiredMoves() {
+  std::vector<VmId> out;
+  std::erase_if(InheritedMoves, [&](const auto &row) {
+    const bool expired = mayOrder(row.first);
+    if (expired)
+      out.push_back(row.first);
+    return expired;
+  });
+  return out;
+}
+
+// An expiry that is being recorded counts as recorded. A move to another pool
+// than the recorded one is recorded anew.
+bool VmOrderSender::hasRecordedLease(const VmOrder &order) const {
+  const auto target = Ledger.MoveTargets.find(order.Vm);
+  const bool same_target =
+      order.To.empty() ||
+      (target != Ledger.MoveTargets.end() && target->second == order.To);
+  return Ledger.VmsOrdered.contains(order.Vm) && same_target &&
+         !Expiring.contains(order.Vm);
 }
 
 void VmOrderSender::order(const VmOrder &order, const OnResult &done) {
   LastUse[order.Vm] = Hooks.Now();
-  if (hasRecordedLease(order.Vm)) {
+  if (hasRecordedLease(order)) {
     send(order, done);
     return;
   }
-  Hooks.Record({jobs::VmOrdered{order.Vm}},
+  Hooks.Record({jobs::VmOrdered{order.Vm, order.To}},
                [this, order, done, generation = Generation](bool durable) {
                  if (generation != Generation)
                    return;
--- a/src/almondgate/encoding/jobs_json.hpp
+++ b/src/almondgate/encoding/jobs_json.hpp
@@ -80,7 +80,7 @@
                                                 Ends)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(MaintenanceFinished, Wave, Vm)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(JobsExpired, EndedBeforeWallMs)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(VmOrdered, Vm)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(VmOrdered, Vm, To)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(VmOrdersLapsed, Vms)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(JobCall, Verb, Host, Path, Key,
                                                 Call, Spec)
@@ -117,7 +117,7 @@
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Ledger, Epoch, Config, Jobs,
                                                 Endpoints, Gone, Waves,
-                                                VmsOrdered)
+                                                VmsOrdered, MoveTargets)
 
 } // namespace almondgate::jobs
 
--- a/src/almondgate/jobs/ledger.cpp
+++ b/src/almondgate/jobs/ledger.cpp
@@ -138,11 +138,15 @@
 
 void on(Ledger &ledger, const VmOrdered &event) {
   ledger.VmsOrdered.insert(event.Vm);
+  if (!event.To.empty())
+    ledger.MoveTargets.insert_or_assign(event.Vm, event.To);
 }
 
 void on(Ledger &ledger, const VmOrdersLapsed &event) {
-  for (const auto &vm : event.Vms)
+  for (const auto &vm : event.Vms) {
     ledger.VmsOrdered.erase(vm);
+    ledger.MoveTargets.erase(vm);
+  }
 }
 
 } // namespace
