Check an order to an endpoint again right before it is sent

Cause: orders to one endpoint wait behind three in flight.

Callers saw work that had run, and was known to have, run again.

Change: starts and stops carry a MaySend, as orders for VMs did already. It is asked when the first byte is about to leave, by the HTTP client, by the queue of the platform's gateway and by the inner protocol's client, which holds calls while it connects. It answers whether the member leads in the same term and the run is still in the phase that the order belongs to; for a stop also whether the budget still allows it. A connection whose call was withdrawn is kept for the next call.

Ruled out: an end that is acknowledged too early. The endpoint's lease was over by then, and an order that the endpoint itself carries out late is covered by the wait for it.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -170,6 +170,13 @@
   void onStartReply(const TaskKey &task_key, int64_t run,
                     const jobs::EndpointId &at, int64_t born_ms,
                     const OrderReply &reply);
+  /// Returns a function that tells whether an order for the task's run may be
+  /// sent: the member leads, and the run is still in `phase`.
+  DispatcherHooks::MaySend makeSendCheck(const TaskKey &task_key,
+                                         const TaskState &ordered,
+                                         TaskPhase phase);
+  /// Returns a function that tells whether the member still leads in this term.
+  DispatcherHooks::MaySend makeLeaderCheck();
   /// Stops the task's run; `reason` is logged and counted in "stop_orders".
   void stopTask(const TaskKey &task_key, const char *reason);
   void sendStop(const TaskKey &task_key);
@@ -260,7 +267,7 @@
   void reportVmOrder(const VmOrder &order);
   /// Returns a function that tells whether the order may be sent, by what is
   /// known at the time of its call.
-  std::function<bool()> makeSendCheck(const VmOrder &order);
+  DispatcherHooks::MaySend makeSendCheck(const VmOrder &order);
   void evacuate(const core::VmId &vm);
   bool hasCapacityFor(const jobs::StepSpec &step, const core::PoolId &pool);
 
--- a/include/almondgate/dispatch/dispatcher_hooks.hpp
+++ b/include/almondgate/dispatch/dispatcher_hooks.hpp
@@ -20,6 +20,10 @@
 struct DispatcherHooks {
   template <class T> using Done = std::function<void(T)>;
   using Endpoint = jobs::EndpointFacts;
+  /// To be called right before the first byte of an order is sent, which may be
+  /// long after the order was given. If it returns false, the order must not be
+  /// sent.
+  using MaySend = std::function<bool()>;
 
   core::Clock Now;
   std::function<int64_t()> WallClock;
@@ -32,9 +36,12 @@
   /// loop.
   std::function<void(core::DurationMs, std::function<void()>)> Defer;
 
-  std::function<void(const Endpoint &, const StartOrder &, Done<OrderReply>)>
+  /// Orders to an endpoint; one that was not sent has the result NotSent.
+  std::function<void(const Endpoint &, const StartOrder &, MaySend,
+                     Done<OrderReply>)>
       Start;
-  std::function<void(const Endpoint &, const StopOrder &, Done<OrderReply>)>
+  std::function<void(const Endpoint &, const StopOrder &, MaySend,
+                     Done<OrderReply>)>
       Stop;
   std::function<void(const Endpoint &, const PaceOrder &, Done<OrderReply>)>
       Pace;
@@ -44,12 +51,9 @@
                      Done<core::Result<std::vector<Ticket>>>)>
       Advise;
   std::function<void(Done<core::Result<std::vector<VmListing>>>)> ListVms;
-  /// Orders maintenance or a move of a VM. `may_send` is to be called right
-  /// before the order is sent; if it returns false then, the order is not sent
-  /// and its result is NoAnswer.
-  std::function<void(const VmOrder &, std::function<bool()> may_send,
-                     Done<VmOrderResult>)>
-      OrderVm;
+  /// Orders maintenance or a move of a VM; one that was not sent has the result
+  /// NoAnswer.
+  std::function<void(const VmOrder &, MaySend, Done<VmOrderResult>)> OrderVm;
   DispatchPolicies Policies;
   /// Increments a counter that has one label; optional.
   std::function<void(const char *name, const char *label, const char *value)>
--- a/include/almondgate/endpoint/rpc_gateway.hpp
+++ b/include/almondgate/endpoint/rpc_gateway.hpp
@@ -18,7 +18,7 @@
 
 private:
   void sendOrder(const core::Address &to, protocol::Method method,
-                 std::string body,
+                 std::string body, const protocol::RpcClient::MaySend &may_send,
                  const std::function<void(dispatch::OrderReply)> &done);
 
   protocol::RpcClient Rpc;
--- a/include/almondgate/protocol/rpc_client.hpp
+++ b/include/almondgate/protocol/rpc_client.hpp
@@ -31,9 +31,13 @@
   RpcClient(const RpcClient &) = delete;
   RpcClient &operator=(const RpcClient &) = delete;
 
+  /// Called right before a call is sent, which may be after a connection has
+  /// been opened. False fails the call with Cancelled.
+  using MaySend = std::function<bool()>;
+
   /// Calls `method` on the process at `to`; `done` receives the result.
   void call(const core::Address &to, Method method, std::string body,
-            core::DurationMs timeout, OnReply done);
+            core::DurationMs timeout, OnReply done, MaySend may_send = {});
 
 private:
   struct State;
--- a/src/almondgate/dispatch/dispatcher_maintenance.cpp
+++ b/src/almondgate/dispatch/dispatcher_maintenance.cpp
@@ -151,10 +151,9 @@
   });
 }
 
-std::function<bool()> Dispatcher::makeSendCheck(const VmOrder &order) {
-  return [this, order, generation = Generation] {
-    const bool may =
-        generation == Generation && isActive() && mayEndAllRuns(order);
+DispatcherHooks::MaySend Dispatcher::makeSendCheck(const VmOrder &order) {
+  return [this, order, leads = makeLeaderCheck()] {
+    const bool may = leads() && mayEndAllRuns(order);
     if (!may)
       Hooks.Log("order for vm " + order.Vm.str() +
                 " not sent: leadership was lost, or the runs of the VM may no "
--- a/src/almondgate/dispatch/dispatcher_orders.cpp
+++ b/src/almondgate/dispatch/dispatcher_orders.cpp
@@ -100,7 +100,7 @@
       order.Ticket = ticket->second;
   }
   const auto facts = at.Facts;
-  Hooks.Start(facts, order,
+  Hooks.Start(facts, order, makeSendCheck(task_key, state, TaskPhase::Ordered),
               [this, task_key, run = state.Run, id = facts.Id,
                born_ms = facts.BornMs,
                generation = Generation](const OrderReply &reply) {
@@ -196,6 +196,27 @@
   }
 }
 
+// An order may wait for a connection or behind others while the state that it
+// was decided on changes.
+DispatcherHooks::MaySend Dispatcher::makeSendCheck(const TaskKey &task_key,
+                                                   const TaskState &ordered,
+                                                   TaskPhase phase) {
+  return [this, task_key, phase, run = ordered.Run, at = ordered.Endpoint,
+          generation = Generation] {
+    if (generation != Generation || !isActive())
+      return false;
+    const TaskState *state = findTaskState(task_key);
+    return state && state->Phase == phase && state->Run == run &&
+           state->Endpoint == at;
+  };
+}
+
+DispatcherHooks::MaySend Dispatcher::makeLeaderCheck() {
+  return [this, generation = Generation] {
+    return generation == Generation && isActive();
+  };
+}
+
 // --- stops
 
 void Dispatcher::stopTask(const TaskKey &task_key, const char *reason) {
@@ -219,13 +240,15 @@
   const StopOrder order{
       jobs::taskAt(task_key.first, *record->Spec, task_key.second), state.Run,
       Epoch};
-  Hooks.Stop(facts, order,
-             [this, task_key, run = state.Run, id = facts.Id,
-              born_ms = facts.BornMs,
-              generation = Generation](const OrderReply &reply) {
-               if (generation == Generation)
-                 onStopReply(task_key, run, id, born_ms, reply);
-             });
+  Hooks.Stop(
+      facts, order,
+      [check = makeSendCheck(task_key, state, TaskPhase::Stopping), this,
+       task_key] { return check() && mayEndRun(task_key); },
+      [this, task_key, run = state.Run, id = facts.Id, born_ms = facts.BornMs,
+       generation = Generation](const OrderReply &reply) {
+        if (generation == Generation)
+          onStopReply(task_key, run, id, born_ms, reply);
+      });
 }
 
 void Dispatcher::onStopReply(const TaskKey &task_key, int64_t run,
@@ -255,10 +278,12 @@
   }
   if (reply.Result == OrderResult::Fenced)
     return;
+  endpoint.StopRetries.insert(task_key);
+  const bool withheld =
+      reply.Result == OrderResult::NotSent && !mayEndRun(task_key);
   endpoint.Suspect = endpoint.Suspect ||
                      reply.Result == OrderResult::NoAnswer ||
-                     reply.Result == OrderResult::NotSent;
-  endpoint.StopRetries.insert(task_key);
+                     (reply.Result == OrderResult::NotSent && !withheld);
 }
 
 void Dispatcher::retryStops() {
@@ -300,7 +325,7 @@
     line += "; its task is " + describeBudget({key.first.Job, *index});
   Hooks.Log(line);
   Hooks.IncrementCounter("stop_orders", "why", "unwanted");
-  Hooks.Stop(at.Facts, {key.first, key.second, Epoch},
+  Hooks.Stop(at.Facts, {key.first, key.second, Epoch}, makeLeaderCheck(),
              [](const OrderReply &) {});
 }
 
--- a/src/almondgate/dispatch/dispatcher_renewals.cpp
+++ b/src/almondgate/dispatch/dispatcher_renewals.cpp
@@ -141,21 +141,21 @@
       continue;
     sent = now;
     Hooks.IncrementCounter("stop_orders", "why", "given up");
-    Hooks.Stop(endpoint.Facts, {key.first, key.second, Epoch},
-               [this, key = key, id = endpoint.Facts.Id,
-                born_ms = endpoint.Facts.BornMs,
-                generation = Generation](const OrderReply &reply) {
-                 EndpointView *at =
-                     generation == Generation
-                         ? findAnsweringIncarnation(id, born_ms, reply)
-                         : nullptr;
-                 if (!at || reply.Result != OrderResult::Accepted)
-                   return;
-                 at->UnresolvedStarts.erase(key);
-                 if (at->UnresolvedStarts.empty() && at->Facts.Idle &&
-                     at->DeclaredLost)
-                   readmit(*at);
-               });
+    Hooks.Stop(
+        endpoint.Facts, {key.first, key.second, Epoch}, makeLeaderCheck(),
+        [this, key = key, id = endpoint.Facts.Id,
+         born_ms = endpoint.Facts.BornMs,
+         generation = Generation](const OrderReply &reply) {
+          EndpointView *at = generation == Generation
+                                 ? findAnsweringIncarnation(id, born_ms, reply)
+                                 : nullptr;
+          if (!at || reply.Result != OrderResult::Accepted)
+            return;
+          at->UnresolvedStarts.erase(key);
+          if (at->UnresolvedStarts.empty() && at->Facts.Idle &&
+              at->DeclaredLost)
+            readmit(*at);
+        });
   }
 }
 
--- a/src/almondgate/dispatch/dispatcher_test.cpp
+++ b/src/almondgate/dispatch/dispatcher_test.cpp
@@ -702,3 +702,38 @@
   CHECK(countInTime(controlled) * 10 >= countInTime(uncontrolled) * 8);
   CHECK(uncontrolled.Violations.empty());
 }
+
+TEST_CASE("a start that waited to be sent is dropped once its task has ended") {
+  // Found on fde-goud, late-orders-after-lost-leader, seed 11 (TWICE): a start
+  // left after 1.5 s behind orders without an answer; an endpoint that was
+  // reachable again had reported the end of the task's earlier run meanwhile.
+  Fleet fleet(2);
+  fleet.submit(jobId(1), oneStep(1, 1, 500));
+  fleet.advance(50);
+  const auto &first = fleet.endpointOf(fleet.VmIds[0]).Starts > 0
+                          ? fleet.VmIds[0]
+                          : fleet.VmIds[1];
+  auto &lost = fleet.endpointOf(first);
+  REQUIRE(lost.Runs.size() == 1);
+  lost.Unreachable = true;
+  fleet.OrderQueueMs = 1500;
+  fleet.advance(3800);
+  lost.Unreachable = false;
+  fleet.advance(5000);
+  CHECK((fleet.stateOf(jobId(1)) == jobs::JobState::Completed));
+  for (const auto &violation : fleet.Violations)
+    FAIL_CHECK(violation);
+}
+
+TEST_CASE("an order that waited to be sent is dropped once the lease is over") {
+  // The leader is suspended with the order in its queue.
+  Fleet fleet(2);
+  fleet.OrderQueueMs = 300;
+  fleet.submit(jobId(1), oneStep(1, 1, 500));
+  fleet.advance(50);
+  fleet.MayAct = false;
+  fleet.advance(1000);
+  CHECK(fleet.running() == 0);
+  for (const auto &vm : fleet.VmIds)
+    CHECK(fleet.endpointOf(vm).Starts == 0);
+}
--- a/src/almondgate/dispatch/test_fleet.hpp
+++ b/src/almondgate/dispatch/test_fleet.hpp
@@ -84,6 +84,8 @@
   int64_t VmOrderDelayMs = 0;
   /// How long a long-running task takes to become ready.
   int64_t StartupMs = 0;
+  /// How long orders to endpoints wait behind others before they are sent.
+  int64_t OrderQueueMs = 0;
   /// How long a run goes on, and is listed, after its stop was acknowledged.
   int64_t StopMs = 0;
 
@@ -92,6 +94,8 @@
   void scheduleAt(int64_t time, std::function<void()> fn);
   void onStart(const jobs::EndpointId &id, const StartOrder &order,
                const std::function<void(OrderReply)> &done);
+  void onStop(const jobs::EndpointId &id, const StopOrder &order,
+              const std::function<void(OrderReply)> &done);
   OrderReply execute(TestEndpoint &endpoint, const StartOrder &order,
                      int64_t sent);
   void checkStart(const TestEndpoint &endpoint, const StartOrder &order,
--- a/src/almondgate/dispatch/test_fleet_test.cpp
+++ b/src/almondgate/dispatch/test_fleet_test.cpp
@@ -290,31 +290,34 @@
                  done(true);
                }));
   };
-  hooks.Start = [this, guard](const auto &to, const auto &order, auto done) {
-    onStart(to.Id, order, [this, guard, done](const OrderReply &reply) {
-      guard([done, reply] { done(reply); })();
-    });
-  };
-  hooks.Stop = [this, guard](const auto &to, const auto &order, auto done) {
-    checkStop(to.Id, order.Task);
-    const auto it = Endpoints.find(to.Id);
-    if (it == Endpoints.end() || it->second.Unreachable) {
-      scheduleAt(Now + TimeoutMs, guard([done] { done(OrderReply{}); }));
+  // Sends an order after its wait, unless it is no longer permitted.
+  const auto enqueue = [this, guard](auto may_send, auto done, auto send) {
+    if (OrderQueueMs == 0) {
+      send();
       return;
     }
-    TestEndpoint &endpoint = it->second;
-    const auto run = endpoint.Runs.find(order.Task);
-    if (run != endpoint.Runs.end() && run->second.Run <= order.Run) {
-      if (StopMs == 0)
-        endpoint.end(order.Task, RunEnd::Stopped);
-      else if (!run->second.StopsAt)
-        run->second.StopsAt = Now + StopMs;
-    }
-    endpoint.Closed[order.Task] =
-        std::max(endpoint.Closed[order.Task], order.Run);
-    scheduleAt(Now + LatencyMs, guard([done, clock = endpoint.clock(Now)] {
-                 done(OrderReply{OrderResult::Accepted, clock});
-               }));
+    scheduleAt(Now + OrderQueueMs, [may_send, done, send, guard] {
+      if (may_send())
+        send();
+      else
+        guard([done] { done(OrderReply{OrderResult::NotSent, {}}); })();
+    });
+  };
+  hooks.Start = [this, guard, enqueue](const auto &to, const auto &order,
+                                       auto may_send, auto done) {
+    enqueue(may_send, done, [this, guard, done, id = to.Id, order] {
+      onStart(id, order, [guard, done](const OrderReply &reply) {
+        guard([done, reply] { done(reply); })();
+      });
+    });
+  };
+  hooks.Stop = [this, guard, enqueue](const auto &to, const auto &order,
+                                      auto may_send, auto done) {
+    enqueue(may_send, done, [this, guard, done, id = to.Id, order] {
+      onStop(id, order, [guard, done](const OrderReply &reply) {
+        guard([done, reply] { done(reply); })();
+      });
+    });
   };
   hooks.Renew = [this, guard](const auto &to, const auto &request, auto done) {
     const auto answer = [guard, done](const RenewReply &reply) {
@@ -385,6 +388,29 @@
   scheduleAt(Now + LatencyMs, [done, reply] { done(reply); });
 }
 
+void TestFleet::onStop(const EndpointId &id, const StopOrder &order,
+                       const std::function<void(OrderReply)> &done) {
+  checkStop(id, order.Task);
+  const auto it = Endpoints.find(id);
+  if (it == Endpoints.end() || it->second.Unreachable) {
+    scheduleAt(Now + TimeoutMs, [done] { done(OrderReply{}); });
+    return;
+  }
+  TestEndpoint &endpoint = it->second;
+  const auto run = endpoint.Runs.find(order.Task);
+  if (run != endpoint.Runs.end() && run->second.Run <= order.Run) {
+    if (StopMs == 0)
+      endpoint.end(order.Task, RunEnd::Stopped);
+    else if (!run->second.StopsAt)
+      run->second.StopsAt = Now + StopMs;
+  }
+  endpoint.Closed[order.Task] =
+      std::max(endpoint.Closed[order.Task], order.Run);
+  scheduleAt(Now + LatencyMs, [done, clock = endpoint.clock(Now)] {
+    done(OrderReply{OrderResult::Accepted, clock});
+  });
+}
+
 OrderReply TestFleet::execute(TestEndpoint &endpoint, const StartOrder &order,
                               int64_t sent) {
   const int64_t clock = endpoint.clock(Now);
--- a/src/almondgate/endpoint/rpc_gateway.cpp
+++ b/src/almondgate/endpoint/rpc_gateway.cpp
@@ -9,6 +9,7 @@
 using dispatch::OrderResult;
 using dispatch::RenewReply;
 using protocol::Method;
+using protocol::RpcClient;
 
 namespace {
 
@@ -23,26 +24,34 @@
 // After an error the order may still have been carried out; the default reply
 // leaves it to the dispatcher to find out.
 void RpcGateway::sendOrder(const core::Address &to, Method method,
-                           std::string body,
+                           std::string body, const RpcClient::MaySend &may_send,
                            const std::function<void(OrderReply)> &done) {
-  Rpc.call(to, method, std::move(body), OrderTimeout,
-           [done](const Result<std::string> &reply) {
-             const auto read = reply ? decodeRun<OrderReply>(reply.value())
-                                     : Result<OrderReply>(reply.error());
-             done(read ? read.value() : OrderReply{});
-           });
+  Rpc.call(
+      to, method, std::move(body), OrderTimeout,
+      [done](const Result<std::string> &reply) {
+        if (!reply && reply.error().Code == core::ErrorCode::Cancelled) {
+          done(OrderReply{OrderResult::NotSent, {}});
+          return;
+        }
+        const auto read = reply ? decodeRun<OrderReply>(reply.value())
+                                : Result<OrderReply>(reply.error());
+        done(read ? read.value() : OrderReply{});
+      },
+      may_send);
 }
 
 dispatch::DispatcherHooks RpcGateway::hooks() {
   dispatch::DispatcherHooks hooks;
-  hooks.Start = [this](const auto &to, const auto &start, auto done) {
-    sendOrder(to.At, Method::StartRun, encodeRun(start), done);
+  hooks.Start = [this](const auto &to, const auto &start, auto may_send,
+                       auto done) {
+    sendOrder(to.At, Method::StartRun, encodeRun(start), may_send, done);
   };
-  hooks.Stop = [this](const auto &to, const auto &stop, auto done) {
-    sendOrder(to.At, Method::StopRun, encodeRun(stop), done);
+  hooks.Stop = [this](const auto &to, const auto &stop, auto may_send,
+                      auto done) {
+    sendOrder(to.At, Method::StopRun, encodeRun(stop), may_send, done);
   };
   hooks.Pace = [this](const auto &to, const auto &pace, auto done) {
-    sendOrder(to.At, Method::PaceRun, encodeRun(pace), done);
+    sendOrder(to.At, Method::PaceRun, encodeRun(pace), {}, done);
   };
   hooks.Renew = [this](const auto &to, const auto &request, auto done) {
     const DurationMs timeout = DurationMs{request.WaitMs} + RenewMargin;
--- a/src/almondgate/http/endpoint_client.cpp
+++ b/src/almondgate/http/endpoint_client.cpp
@@ -61,6 +61,7 @@
   void write(uint64_t id, const EndpointCall &call);
   void onData(uint64_t id, std::string_view data);
   void finish(uint64_t id);
+  void withdraw(uint64_t id);
   void keep(std::unique_ptr<Connection> connection);
   void dropIdle(const Connection *connection);
   void fail(uint64_t id, const Error &error);
@@ -141,8 +142,7 @@
 void EndpointClient::State::write(uint64_t id, const EndpointCall &call) {
   Connection &connection = *Busy.at(id);
   if (connection.MaySend && !connection.MaySend()) {
-    fail(id,
-         {ErrorCode::Cancelled, "not sent: the caller no longer permits it"});
+    withdraw(id);
     return;
   }
   connection.Sent = true;
@@ -176,6 +176,18 @@
   done(std::move(answer));
 }
 
+// Nothing was sent, so the connection can carry another call.
+void EndpointClient::State::withdraw(uint64_t id) {
+  auto connection = std::move(Busy.at(id));
+  Busy.erase(id);
+  connection->Timeout->stop();
+  const auto done = std::move(connection->Done);
+  connection->CallId = 0;
+  keep(std::move(connection));
+  done(
+      Error{ErrorCode::Cancelled, "not sent: the caller no longer permits it"});
+}
+
 void EndpointClient::State::keep(std::unique_ptr<Connection> connection) {
   auto &idle = Idle[connection->To];
   if (idle.size() >= Options.MaxIdle) {
--- a/src/almondgate/protocol/rpc_client.cpp
+++ b/src/almondgate/protocol/rpc_client.cpp
@@ -36,6 +36,7 @@
   Method CallMethod;
   std::string Body;
   PendingCall Pending;
+  RpcClient::MaySend MaySend;
 };
 
 /// The connection to one process.
@@ -47,7 +48,7 @@
         DeadlineTimer(loop), Jitter(std::random_device{}()) {}
 
   void call(Method method, std::string body, DurationMs timeout,
-            RpcClient::OnReply done);
+            RpcClient::OnReply done, RpcClient::MaySend may_send);
 
 private:
   void connect();
@@ -79,7 +80,8 @@
 };
 
 void PeerConnection::call(Method method, std::string body, DurationMs timeout,
-                          RpcClient::OnReply done) {
+                          RpcClient::OnReply done,
+                          RpcClient::MaySend may_send) {
   const TimeMs now = core::monotonicNow();
   if (!Socket && now < RetryAt) {
     // Deferred to a later loop iteration: callers do not expect `done` to run
@@ -91,8 +93,10 @@
     });
     return;
   }
-  QueuedCall queued{
-      method, std::move(body), {std::move(done), now, now + timeout}};
+  QueuedCall queued{method,
+                    std::move(body),
+                    {std::move(done), now, now + timeout},
+                    std::move(may_send)};
   startDeadlineTimer();
   if (Connected) {
     send(std::move(queued));
@@ -150,6 +154,13 @@
 }
 
 void PeerConnection::send(QueuedCall call) {
+  if (call.MaySend && !call.MaySend()) {
+    Loop.defer([done = std::move(call.Pending.Done)] {
+      done(Error{ErrorCode::Cancelled,
+                 "not sent: the caller no longer permits it"});
+    });
+    return;
+  }
   const std::string path =
       std::string(PathPrefix) + methodName(call.CallMethod);
   const int32_t id = Session->request({{":method", "POST"},
@@ -276,11 +287,12 @@
 RpcClient::~RpcClient() = default;
 
 void RpcClient::call(const core::Address &to, Method method, std::string body,
-                     core::DurationMs timeout, OnReply done) {
+                     core::DurationMs timeout, OnReply done, MaySend may_send) {
   auto &peer = S->Peers[to];
   if (!peer)
     peer = std::make_unique<PeerConnection>(S->Loop, to, S->Options);
-  peer->call(method, std::move(body), timeout, std::move(done));
+  peer->call(method, std::move(body), timeout, std::move(done),
+             std::move(may_send));
 }
 
 } // namespace almondgate::protocol
