Refuse HTTP/1 requests that servers may read differently

Cause: h2o keeps one of several Host or Content-Length headers and hands the target on as it came.

Change: the server reads the head again, from the connection's buffer, which begins with the request until it is answered: RFC 9112, 3.2, 5.2 and 6.3. What is ambiguous gets 400 and the connection closes. Absolute-form targets are accepted, and their host replaces the Host header. Paths with dot segments, plain or percent-encoded, get 400: normalising them would let the router and an endpoint differ over what was asked.

--- a/src/almondgate/http/server.cpp
+++ b/src/almondgate/http/server.cpp
@@ -2,6 +2,7 @@
 #include "almondgate/core/address.hpp"
 #include "almondgate/core/invariant.hpp"
 #include "almondgate/core/time_ms.hpp"
+#include "almondgate/http/request_head.hpp"
 #include "almondgate/task/loop.hpp"
 #include "almondgate/task/tcp_listener.hpp"
 #include "almondgate/task/timer.hpp"
@@ -32,11 +33,11 @@
 };
 
 constexpr core::DurationMs DisconnectCheckInterval{250};
+constexpr int Http2Version = 0x200;
 
 // h2o 2.2 does not read from an HTTP/1 connection while a request is pending,
 // so it does not notice that the caller has closed it.
 bool callerDisconnected(h2o_req_t *raw) {
-  constexpr int Http2Version = 0x200;
   if (raw->version >= Http2Version)
     return false;
   h2o_socket_t *socket = raw->conn->callbacks->get_socket(raw->conn);
@@ -48,6 +49,16 @@
 
 std::string text(h2o_iovec_t v) { return {v.base, v.len}; }
 
+// h2o keeps only one of several Host or Content-Length headers. The input
+// buffer of an HTTP/1 connection begins with the request until it is answered.
+core::Status checkHead(h2o_req_t *raw) {
+  if (raw->version >= Http2Version)
+    return core::ok();
+  const h2o_buffer_t *input =
+      raw->conn->callbacks->get_socket(raw->conn)->input;
+  return checkRequestHead({input->bytes, input->size});
+}
+
 } // namespace
 
 struct Server::State {
@@ -75,6 +86,7 @@
   bool Checking = false;
 
   int onRequest(h2o_req_t *raw);
+  void refuse(h2o_req_t *raw, uint64_t id, const core::Error &error);
   void startDisconnectChecks();
   void checkDisconnects();
   void onDispose(uint64_t id);
@@ -91,17 +103,28 @@
         static_cast<State *>(m->Owner)->onDispose(m->Id);
       }));
   *tag = {this, id};
+  if (const auto valid = checkHead(raw); !valid) {
+    refuse(raw, id, valid.error());
+    return 0;
+  }
+  auto target = parseRequestTarget(text(raw->path));
+  if (!target) {
+    refuse(raw, id, target.error());
+    return 0;
+  }
   Exchange exchange;
   exchange.Request.Method = text(raw->method);
-  exchange.Request.Target = text(raw->path);
+  exchange.Request.Target = std::move(target.value().Path);
   exchange.Request.Body = text(raw->entity);
   for (size_t i = 0; i < raw->headers.size; ++i) {
     const h2o_header_t &header = raw->headers.entries[i];
     exchange.Request.Headers.push_back(
         {text(*header.name), text(header.value)});
   }
-  if (raw->authority.len > 0)
-    exchange.Request.Headers.push_back({"host", text(raw->authority)});
+  const std::string host =
+      target.value().Host.empty() ? text(raw->authority) : target.value().Host;
+  if (!host.empty())
+    exchange.Request.Headers.push_back({"host", host});
   const std::weak_ptr<State *> weak = Self;
   exchange.Respond = [weak, id](const Response &response) {
     if (const auto self = weak.lock())
@@ -120,6 +143,13 @@
   return 0;
 }
 
+// What follows on the connection can't be told apart from the request.
+void Server::State::refuse(h2o_req_t *raw, uint64_t id,
+                           const core::Error &error) {
+  raw->http1_is_persistent = 0;
+  respond(id, problemResponse(error));
+}
+
 void Server::State::startDisconnectChecks() {
   if (std::exchange(Checking, true))
     return;
