Renew leases while the ends of runs are slow to become durable

Cause: the renewal after one that reported ends waited until these were durable.

Change: the renewal waits 0.5 s at most; later ones acknowledge the ends once they are durable. When records take less than that, nothing changes.

--- a/include/almondgate/dispatch/endpoint_view.hpp
+++ b/include/almondgate/dispatch/endpoint_view.hpp
@@ -39,7 +39,7 @@
   int64_t LastReadClockMs = 0;
   /// The last request to the endpoint failed.
   bool Suspect = false;
-  /// A renewal is outstanding, or its result is being made durable.
+  /// A renewal is outstanding.
   bool Renewing = false;
   core::TimeMs RenewDue{INT64_MIN / 2};
   /// No starts are sent to the endpoint before this time.
--- a/src/almondgate/dispatch/dispatcher_renewals.cpp
+++ b/src/almondgate/dispatch/dispatcher_renewals.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr DurationMs MaxRestartDelay{1000};
+// How long a renewal waits for the ends of the one before to become durable.
+constexpr DurationMs MaxRenewalDelay{500};
 constexpr int64_t RestartDelayStepMs = 100;
 // A new leader reads nearly all endpoints within 100 ms. An unreachable
 // endpoint must not delay the maintenance and moves of the other VMs for longer
@@ -106,18 +108,17 @@
   if (endpoint.Facts.Idle && endpoint.DeclaredLost)
     readmit(endpoint);
   const int64_t reported = endpoint.LastReadEnd;
-  // Ends are acknowledged to the endpoint once they are durable; no other
-  // renewal is sent until then.
-  endpoint.Renewing = true;
+  // Ends are acknowledged to the endpoint once they are durable. If that takes
+  // long, the lease is renewed before.
+  endpoint.RenewDue = now + MaxRenewalDelay;
   afterRecorded([this, id, born_ms, reported](bool durable) {
     const auto at = Endpoints.find(id);
-    if (at == Endpoints.end() || at->second.Facts.BornMs != born_ms)
-      return;
-    at->second.Renewing = false;
-    if (!durable || !isActive())
+    if (at == Endpoints.end() || at->second.Facts.BornMs != born_ms ||
+        !durable || !isActive())
       return;
     at->second.LastDurableEnd = std::max(at->second.LastDurableEnd, reported);
-    renew(at->second);
+    if (!at->second.Renewing)
+      renew(at->second);
   });
   schedulePass();
 }
--- a/src/almondgate/dispatch/dispatcher_test.cpp
+++ b/src/almondgate/dispatch/dispatcher_test.cpp
@@ -737,3 +737,25 @@
   for (const auto &vm : fleet.VmIds)
     CHECK(fleet.endpointOf(vm).Starts == 0);
 }
+
+TEST_CASE("slow commits do not let the leases of running work expire") {
+  // Each renewal used to wait until the ends before it were durable.
+  for (const int64_t commit_ms : {1200, 2500}) {
+    CAPTURE(commit_ms);
+    Fleet fleet(3);
+    fleet.submit(jobId(1), longRunning(6, 1));
+    fleet.advance(1000);
+    for (int64_t i = 2; i < 14; ++i)
+      fleet.submit(jobId(i), oneStep(1, 12, 600 + 250 * i));
+    fleet.advance(200);
+    fleet.CommitMs = commit_ms;
+    fleet.advance(15000);
+    fleet.CommitMs = 5;
+    fleet.advance(5000);
+    CHECK(fleet.Lapsed == 0);
+    for (int64_t i = 2; i < 14; ++i)
+      CHECK((fleet.stateOf(jobId(i)) == jobs::JobState::Completed));
+    for (const auto &violation : fleet.Violations)
+      FAIL_CHECK(violation);
+  }
+}
--- a/src/almondgate/dispatch/test_fleet.hpp
+++ b/src/almondgate/dispatch/test_fleet.hpp
@@ -64,6 +64,8 @@
   int64_t Moves = 0;
   /// Orders for moves that were sent, carried out or not.
   int64_t OrderedMoves = 0;
+  /// Runs that ended because the lease of their endpoint expired.
+  int64_t Lapsed = 0;
   int64_t Accepted = 0;
   int64_t Refused = 0;
   /// Time from acceptance to completion of each job.
--- a/src/almondgate/dispatch/test_fleet_test.cpp
+++ b/src/almondgate/dispatch/test_fleet_test.cpp
@@ -202,8 +202,10 @@
       else if (Now >= run.EndsAt)
         ends.emplace_back(task, run.Fails ? RunEnd::Failed : RunEnd::Done);
     }
-    for (const auto &[task, how] : ends)
+    for (const auto &[task, how] : ends) {
       endpoint.end(task, how);
+      Lapsed += how == RunEnd::LeaseExpired ? 1 : 0;
+    }
     answerRenewals(endpoint);
   }
   if (!Core)
