Stop runs that are not at work without asking for their budget

A stop gives up a start that got no answer twice and that no inventory lists. When the starts of a whole step had no answer, each stop waited for the others' tasks to be back, for good.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -244,6 +244,8 @@
   bool hasBudget(const TaskKey &task_key) const;
   /// Ending a run of the task keeps to the availability budget of its step.
   bool mayEndRun(const TaskKey &task_key) const;
+  /// The task's run is not known to be at work, or mayEndRun().
+  bool mayStop(const TaskKey &task_key) const;
   /// As far as is known now, the runs that the order ends are within their
   /// availability budgets.
   bool mayEndAllRuns(const VmOrder &order) const;
--- a/src/almondgate/dispatch/availability_test.cpp
+++ b/src/almondgate/dispatch/availability_test.cpp
@@ -210,3 +210,18 @@
   CHECK(fleet.Moves > 0);
   checkNoViolations(fleet);
 }
+
+TEST_CASE("starts without answers are given up though the whole step waits") {
+  // Found on fde-goud, late-orders-after-lost-leader, seed 11 (LOST): the stops
+  // of runs that no inventory had listed waited for each other's budget.
+  Fleet fleet(4);
+  fleet.OrderQueueMs = 1;
+  for (const auto &vm : fleet.VmIds) {
+    fleet.endpointOf(vm).DelayedStarts = 2;
+    fleet.endpointOf(vm).StartDelayMs = 60000;
+  }
+  fleet.submit(jobId(1), onePerVm(4, 1));
+  fleet.advance(20000);
+  CHECK(fleet.running() == 4);
+  checkNoViolations(fleet);
+}
--- a/src/almondgate/dispatch/dispatcher_maintenance.cpp
+++ b/src/almondgate/dispatch/dispatcher_maintenance.cpp
@@ -136,6 +136,11 @@
          countOtherMissing(task_key) < findStep(task_key)->MayMiss;
 }
 
+bool Dispatcher::mayStop(const TaskKey &task_key) const {
+  const auto &state = OpenJobs.at(task_key.first).Tasks[task_key.second];
+  return state.Percent < ReadyPercent || mayEndRun(task_key);
+}
+
 bool Dispatcher::hasBudget(const TaskKey &task_key) const {
   return findStep(task_key)->HasMayMiss &&
          jobs::findJob(Ledger, task_key.first)->isOpen();
--- a/src/almondgate/dispatch/dispatcher_orders.cpp
+++ b/src/almondgate/dispatch/dispatcher_orders.cpp
@@ -243,7 +243,7 @@
   Hooks.Stop(
       facts, order,
       [check = makeSendCheck(task_key, state, TaskPhase::Stopping), this,
-       task_key] { return check() && mayEndRun(task_key); },
+       task_key] { return check() && mayStop(task_key); },
       [this, task_key, run = state.Run, id = facts.Id, born_ms = facts.BornMs,
        generation = Generation](const OrderReply &reply) {
         if (generation == Generation)
@@ -280,7 +280,7 @@
     return;
   endpoint.StopRetries.insert(task_key);
   const bool withheld =
-      reply.Result == OrderResult::NotSent && !mayEndRun(task_key);
+      reply.Result == OrderResult::NotSent && !mayStop(task_key);
   endpoint.Suspect = endpoint.Suspect ||
                      reply.Result == OrderResult::NoAnswer ||
                      (reply.Result == OrderResult::NotSent && !withheld);
@@ -297,7 +297,7 @@
                           !state->StopAcknowledged;
       if (!wanted)
         continue;
-      if (now - state->Since < Options.RetryInterval || !mayEndRun(task_key)) {
+      if (now - state->Since < Options.RetryInterval || !mayStop(task_key)) {
         later.insert(task_key);
         continue;
       }
