--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,10 @@
 BUILD := build
 JOBS := $(shell nproc)
 SEEDS := 1-50
+FUZZ_SECONDS := 15
+FUZZ_SEED := 1
 
-.PHONY: demo test build install format format-check lint bench soak clean
+.PHONY: demo test build install format format-check lint bench soak fuzz clean
 
 install:
 	@./tools/install.sh
@@ -25,6 +27,9 @@
 soak: build
 	@python3 tools/soak.py $(SEEDS)
 
+fuzz: install
+	@./tools/fuzz.sh $(FUZZ_SECONDS) $(FUZZ_SEED)
+
 format:
 	@./tools/sources.sh | xargs clang-format -i
 
@@ -35,4 +40,4 @@
 	@./tools/sources.sh | grep '\.cpp$$' | xargs -P $(JOBS) -n 2 clang-tidy --quiet -p $(BUILD)
 
 clean:
-	@cmake -E rm -rf $(BUILD)
+	@cmake -E rm -rf $(BUILD) build-fuzz
