--- a/tests/jobs_test.py
+++ b/tests/jobs_test.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import signal
 import subprocess
 import time
 
@@ -88,3 +89,101 @@
     assert ctl("cancel", "q", job_id(5)).returncode == 0
     jobs.wait_state(job_id(5), "cancelled")
     assert ctl("job", "q", job_id(6)).returncode == 1
+
+
+def leader_other_than(fleet, paused):
+    """Returns the leader among the other members, or None."""
+    for name in ("c0", "c1", "c2"):
+        if (name != paused
+                and fleet.metric(name, "almondgate_control_leads") == 1):
+            return name
+    return None
+
+
+def assert_ran_once(jobs, tasks):
+    done = [task for event, task, _, _ in jobs.runs() if event == "done"]
+    assert len(done) == len(set(done)) == tasks
+    assert jobs.peak_runs_per_task() == 1
+
+
+def test_a_paused_leader_wakes_and_repeats_no_order(jobs):
+    """The leader is paused in the middle of its orders, for 4 s."""
+    for n in range(6):
+        jobs.submit(job_id(n), two_step_job(5, 700))
+    paused = jobs.fleet.wait_leader()
+    jobs.fleet.processes[paused].signal(signal.SIGSTOP)
+    try:
+        wait_until(lambda: leader_other_than(jobs.fleet, paused), 10,
+                   f"a member other than {paused} leads")
+        time.sleep(4)
+    finally:
+        jobs.fleet.processes[paused].signal(signal.SIGCONT)
+    for n in range(6):
+        jobs.wait_state(job_id(n), "completed", 60)
+    assert_ran_once(jobs, 60)
+
+
+def test_a_worker_silent_for_less_than_its_lease_keeps_its_runs(jobs):
+    jobs.submit(job_id(1), two_step_job(6, 4000))
+    wait_until(lambda: len(jobs.runs()) == 6, 10, "all first tasks run")
+    worker = jobs.fleet.processes["worker0"]
+    worker.signal(signal.SIGSTOP)
+    time.sleep(1.5)
+    worker.signal(signal.SIGCONT)
+    jobs.wait_state(job_id(1), "completed", 60)
+    starts = [task for event, task, _, _ in jobs.runs() if event == "start"]
+    assert len(starts) == len(set(starts)) == 12
+    assert_ran_once(jobs, 12)
+
+
+def test_a_worker_silent_for_more_than_its_lease_runs_nothing_twice():
+    """Its link is cut for 6 s; its runs end with its lease of 3 s."""
+    with Fleet(members=3, placers=1, entries=1) as fleet:
+        fleet.start()
+        jobs = JobFleet(fleet, workers=3, relayed=True)
+        jobs.configure(config())
+        jobs.submit(job_id(1), two_step_job(6, 5000))
+        wait_until(lambda: len(jobs.runs()) == 6, 10, "all first tasks run")
+        jobs.relays[0].cut("both")
+        time.sleep(6)
+        jobs.relays[0].heal()
+        jobs.wait_state(job_id(1), "completed", 60)
+        assert any(event == "lapsed" for event, _, _, _ in jobs.rows(0))
+        assert_ran_once(jobs, 12)
+
+
+def test_what_was_withdrawn_stays_so_through_a_restart_of_all_members(jobs):
+    """A key is withdrawn and a worker is lost; then all members are killed."""
+    content = config(version=2)
+    content["Teams"][0]["Keys"] = ["key-new"]
+    jobs.configure(content)
+    path = "/jobs/q/" + job_id(1)
+    spec = two_step_job(6, 300)
+    assert jobs.call("POST", path, spec)[0] == 401
+    jobs.fleet.processes["worker0"].kill()
+    members = [jobs.fleet.processes[name] for name in ("c0", "c1", "c2")]
+    for member in members:
+        member.kill()
+    for member in members:
+        member.start()
+    jobs.fleet.wait_leader()
+    new_key = {"authorization": "Bearer key-new"}
+    port = jobs.fleet.public_ports["entry0"]
+
+    def submit(headers):
+        return http_call(port, "POST", path, json.dumps(spec), headers)[0]
+
+    wait_until(lambda: submit(new_key) == 200, 20, "the job is accepted")
+    other = "/jobs/q/" + job_id(2)
+    assert jobs.call("POST", other, spec)[0] == 401
+    # An older configuration with the key changes nothing.
+    jobs.configure(config(version=1))
+    assert jobs.call("POST", other, spec)[0] == 401
+
+    def state():
+        body = http_call(port, "GET", path, None, new_key)[2]
+        return json.loads(body)["State"]
+
+    wait_until(lambda: state() == "completed", 60, "the job is completed")
+    assert not any(event == "start" for event, _, _, _ in jobs.rows(0))
+    assert_ran_once(jobs, 12)
