Find a VM's endpoints by an index

Change: the dispatcher keeps the ids of the endpoints on each VM, one or two, beside the endpoints. Decisions are the same.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -238,6 +238,12 @@
   VmOperationHooks maintenanceHooks();
   void recordEvents(std::vector<jobs::Event> events,
                     std::function<void(bool)> done);
+  /// The endpoints known on a VM: one, or two while the older of them is not
+  /// known to be gone.
+  std::vector<EndpointView *> endpointsOf(const core::VmId &vm);
+  std::vector<const EndpointView *> endpointsOf(const core::VmId &vm) const;
+  void addEndpoint(EndpointView view);
+  void removeEndpoint(const jobs::EndpointId &id);
   VmLoad loadOf(const core::VmId &vm) const;
   bool keepsBudgets(const EndpointView &endpoint) const;
   /// The task's step has an availability budget, and its job is open.
@@ -294,6 +300,8 @@
   bool FleetWasEmpty = false;
   std::map<jobs::JobId, OpenJob> OpenJobs;
   std::map<jobs::EndpointId, EndpointView> Endpoints;
+  /// The endpoints in Endpoints by the VM that they run on.
+  std::map<core::VmId, std::set<jobs::EndpointId>> EndpointsByVm;
   std::map<core::TeamId, core::Size> TeamUsage;
   /// Result of unreadUsageByTeam() in the last pass.
   std::map<core::TeamId, core::Size> TeamUnreadUsage;
--- a/src/almondgate/dispatch/dispatcher.cpp
+++ b/src/almondgate/dispatch/dispatcher.cpp
@@ -78,6 +78,7 @@
   DemandHistory.clear();
   OpenJobs.clear();
   Endpoints.clear();
+  EndpointsByVm.clear();
   TeamUsage.clear();
   TeamUnreadUsage.clear();
   Resubmissions.clear();
--- a/src/almondgate/dispatch/dispatcher_endpoints.cpp
+++ b/src/almondgate/dispatch/dispatcher_endpoints.cpp
@@ -27,6 +27,8 @@
     return;
   const auto it = Endpoints.find(facts.Id);
   if (it != Endpoints.end() && it->second.Facts.BornMs == facts.BornMs) {
+    EndpointsByVm[it->second.Facts.Vm].erase(facts.Id);
+    EndpointsByVm[facts.Vm].insert(facts.Id);
     it->second.Facts = facts;
     it->second.DeclaredLost = facts.Idle;
     return;
@@ -36,7 +38,7 @@
   if (it != Endpoints.end()) {
     open = takeUnresolvedStarts(it->second);
     releaseLostRuns(it->second);
-    Endpoints.erase(it);
+    removeEndpoint(facts.Id);
   }
   EndpointView view;
   view.Facts = facts;
@@ -45,7 +47,41 @@
   view.Reserved = view.TerminationPending = hasUnresolvedVmOrder(facts);
   for (const auto &task_key : open)
     addRun(view, task_key, *findStep(task_key));
-  Endpoints.emplace(facts.Id, std::move(view));
+  addEndpoint(std::move(view));
+}
+
+void Dispatcher::addEndpoint(EndpointView view) {
+  EndpointsByVm[view.Facts.Vm].insert(view.Facts.Id);
+  const auto id = view.Facts.Id;
+  Endpoints.emplace(id, std::move(view));
+}
+
+void Dispatcher::removeEndpoint(const jobs::EndpointId &id) {
+  const auto it = Endpoints.find(id);
+  const auto on_vm = EndpointsByVm.find(it->second.Facts.Vm);
+  on_vm->second.erase(id);
+  if (on_vm->second.empty())
+    EndpointsByVm.erase(on_vm);
+  Endpoints.erase(it);
+}
+
+std::vector<EndpointView *> Dispatcher::endpointsOf(const core::VmId &vm) {
+  std::vector<EndpointView *> out;
+  const auto it = EndpointsByVm.find(vm);
+  if (it != EndpointsByVm.end())
+    for (const auto &id : it->second)
+      out.push_back(&Endpoints.at(id));
+  return out;
+}
+
+std::vector<const EndpointView *>
+Dispatcher::endpointsOf(const core::VmId &vm) const {
+  std::vector<const EndpointView *> out;
+  const auto it = EndpointsByVm.find(vm);
+  if (it != EndpointsByVm.end())
+    for (const auto &id : it->second)
+      out.push_back(&Endpoints.at(id));
+  return out;
 }
 
 void Dispatcher::recordUnresolvedStarts(EndpointView &endpoint) {
@@ -95,7 +131,7 @@
   if (it == Endpoints.end() || it->second.Facts.BornMs > born_ms)
     return;
   releaseLostRuns(it->second);
-  Endpoints.erase(it);
+  removeEndpoint(id);
 }
 
 void Dispatcher::handleHeartbeat(const EndpointFacts &facts, int64_t sequence,
--- a/src/almondgate/dispatch/dispatcher_maintenance.cpp
+++ b/src/almondgate/dispatch/dispatcher_maintenance.cpp
@@ -21,18 +21,16 @@
   hooks.Now = Hooks.Now;
   hooks.LoadOf = [this](const core::VmId &vm) { return loadOf(vm); };
   hooks.Reserve = [this](const core::VmId &vm, bool reserved) {
-    for (auto &[id, endpoint] : Endpoints)
-      if (endpoint.Facts.Vm == vm) {
-        endpoint.Reserved = reserved;
-        endpoint.TerminationPending = endpoint.TerminationPending && reserved;
-      }
+    for (auto *endpoint : endpointsOf(vm)) {
+      endpoint->Reserved = reserved;
+      endpoint->TerminationPending = endpoint->TerminationPending && reserved;
+    }
   };
   hooks.WallClock = Hooks.WallClock;
   hooks.Evacuate = [this](const core::VmId &vm) { evacuate(vm); };
   hooks.SetTerminating = [this](const core::VmId &vm, bool terminating) {
-    for (auto &[id, endpoint] : Endpoints)
-      if (endpoint.Facts.Vm == vm)
-        endpoint.TerminationPending = terminating;
+    for (auto *endpoint : endpointsOf(vm))
+      endpoint->TerminationPending = terminating;
   };
   hooks.Record = [this](std::vector<jobs::Event> events,
                         std::function<void(bool)> done) {
@@ -50,11 +48,11 @@
 
 VmLoad Dispatcher::loadOf(const core::VmId &vm) const {
   VmLoad load;
-  for (const auto &[id, endpoint] : Endpoints) {
-    if (endpoint.Facts.Vm != vm ||
-        endpoint.Facts.BornMs < load.Incarnation.BornMs)
+  for (const auto *known : endpointsOf(vm)) {
+    const EndpointView &endpoint = *known;
+    if (endpoint.Facts.BornMs < load.Incarnation.BornMs)
       continue;
-    load.Incarnation = {id, endpoint.Facts.BornMs};
+    load.Incarnation = {endpoint.Facts.Id, endpoint.Facts.BornMs};
     load.Pool = endpoint.Facts.Pool;
     load.Reachable = !endpoint.Suspect && endpoint.InventoryRead;
     load.WithinBudget = keepsBudgets(endpoint);
@@ -109,10 +107,9 @@
                      std::string(order.To.empty() ? "maintenance" : "move") +
                      " of vm " + order.Vm.str();
   bool exceeds = false;
-  for (const auto &[id, endpoint] : Endpoints) {
-    if (endpoint.Facts.Vm != order.Vm)
-      continue;
-    line += ", ends " + id.str() +
+  for (const auto *known : endpointsOf(order.Vm)) {
+    const EndpointView &endpoint = *known;
+    line += ", ends " + endpoint.Facts.Id.str() +
             (endpoint.InventoryRead ? "" : " (inventory not read)") +
             (endpoint.Suspect ? " (unresponsive)" : "") + " with " +
             std::to_string(endpoint.Runs.size()) + " runs, " +
@@ -149,11 +146,11 @@
 // The runs of an endpoint that has not been read are unknown, so none of them
 // may be ended.
 bool Dispatcher::mayEndAllRuns(const VmOrder &order) const {
-  return std::all_of(Endpoints.begin(), Endpoints.end(), [&](const auto &row) {
-    const EndpointView &endpoint = row.second;
-    return endpoint.Facts.Vm != order.Vm ||
-           (!endpoint.isUnread() && keepsBudgets(endpoint));
-  });
+  const auto endpoints = endpointsOf(order.Vm);
+  return std::all_of(endpoints.begin(), endpoints.end(),
+                     [this](const EndpointView *endpoint) {
+                       return !endpoint->isUnread() && keepsBudgets(*endpoint);
+                     });
 }
 
 DispatcherHooks::MaySend Dispatcher::makeSendCheck(const VmOrder &order) {
@@ -175,13 +172,10 @@
 
 void Dispatcher::releaseInheritedMoves() {
   const auto expired = VmOrders.takeExpiredMoves();
-  if (expired.empty())
-    return;
-  const std::set<core::VmId> vms(expired.begin(), expired.end());
-  for (auto &[id, endpoint] : Endpoints)
-    if (vms.contains(endpoint.Facts.Vm))
-      endpoint.Reserved = endpoint.TerminationPending =
-          hasUnresolvedVmOrder(endpoint.Facts);
+  for (const auto &vm : expired)
+    for (auto *endpoint : endpointsOf(vm))
+      endpoint->Reserved = endpoint->TerminationPending =
+          hasUnresolvedVmOrder(endpoint->Facts);
 }
 
 // Counts the tasks of a step that are not confirmed ready, without those at
@@ -228,8 +222,9 @@
 // capacity allow now. The stopped tasks start elsewhere; later calls stop the
 // next ones.
 void Dispatcher::evacuate(const core::VmId &vm) {
-  for (auto &[id, endpoint] : Endpoints) {
-    if (endpoint.Facts.Vm != vm || endpoint.Suspect)
+  for (auto *known : endpointsOf(vm)) {
+    const EndpointView &endpoint = *known;
+    if (endpoint.Suspect)
       continue;
     const auto task_keys = endpoint.Runs;
     for (const auto &task_key : task_keys) {
