--- a/src/almondgate/config/read_settings.cpp
+++ b/src/almondgate/config/read_settings.cpp
@@ -241,7 +241,8 @@
                                    out.ToleratedLosses);
       !done)
     return done;
-  if (auto done = flags.readDuration("run-stop-timeout-ms", out.RunStopTimeout);
+  if (auto done =
+          flags.readDuration("stop-order-timeout-ms", out.RunStopTimeout);
       !done)
     return done;
   out.Name = flags.text("name");
@@ -322,7 +323,7 @@
             "Number of disks that may be lost at once; the leader replaces "
             "failed members. -1: only operators replace members",
             "-1");
-  flags.add("run-stop-timeout-ms",
+  flags.add("stop-order-timeout-ms",
             "The longest that an endpoint takes to end a run after a stop "
             "order, in milliseconds",
             "1000");
--- a/src/almondgate/dispatch/dispatcher_test.cpp
+++ b/src/almondgate/dispatch/dispatcher_test.cpp
@@ -739,7 +739,7 @@
 }
 
 TEST_CASE("slow commits do not let the leases of running work expire") {
-  // Each renewal used to wait until the ends before it were durable.
+  // Renewals go on while the ends before them are being recorded.
   for (const int64_t commit_ms : {1200, 2500}) {
     CAPTURE(commit_ms);
     Fleet fleet(3);
--- a/src/almondgate/placer/placer_core_test.cpp
+++ b/src/almondgate/placer/placer_core_test.cpp
@@ -264,7 +264,7 @@
 }
 
 TEST_CASE("a returned portion that has grown again is used") {
-  // Found by failure_test, "a lowered limit holds" (KNOWN-RED): a view showed
+  // Found by failure_test, "a lowered limit holds", beside load: a view showed
   // the return and the growth after it at once, and the pool kept to the
   // returned portion while requests waited.
   Fixture fixture(2, 8, 10);
