Compare names in request heads with the existing function

request_head.cpp brought a lower-casing of its own, with a string for each header of each request, beside sameName() of the same package. sameName() is declared in header.hpp now and serves both; dot segments are read in place. Behaviour is the same: the tables of request_head_test pass unchanged.

--- a/include/almondgate/http/header.hpp
+++ b/include/almondgate/http/header.hpp
@@ -17,6 +17,9 @@
 
 using Headers = std::vector<Header>;
 
+/// Compares header names, or other names without regard to ASCII case.
+bool sameName(std::string_view a, std::string_view b);
+
 /// The value of the first header with this name, or an empty string.
 std::string_view headerValue(const Headers &headers, std::string_view name);
 
--- a/src/almondgate/http/message.cpp
+++ b/src/almondgate/http/message.cpp
@@ -9,8 +9,6 @@
 
 namespace almondgate::http {
 
-namespace {
-
 bool sameName(std::string_view a, std::string_view b) {
   const auto same = [](unsigned char x, unsigned char y) {
     return std::tolower(x) == std::tolower(y);
@@ -18,6 +16,8 @@
   return std::equal(a.begin(), a.end(), b.begin(), b.end(), same);
 }
 
+namespace {
+
 bool listsName(std::string_view list, std::string_view name) {
   while (!list.empty()) {
     const size_t comma = list.find(',');
--- a/src/almondgate/http/request_head.cpp
+++ b/src/almondgate/http/request_head.cpp
@@ -1,7 +1,7 @@
 #include "almondgate/http/request_head.hpp"
+#include "almondgate/http/header.hpp"
 
 #include <algorithm>
-#include <cctype>
 
 namespace almondgate::http {
 
@@ -12,13 +12,6 @@
 
 Error invalid(const char *text) { return {ErrorCode::InvalidArgument, text}; }
 
-std::string lowerCase(std::string_view text) {
-  std::string out(text);
-  std::transform(out.begin(), out.end(), out.begin(),
-                 [](unsigned char c) { return char(std::tolower(c)); });
-  return out;
-}
-
 /// Removes the first line from `text` and returns it without its end.
 std::string_view takeLine(std::string_view &text) {
   const size_t end = text.find('\n');
@@ -32,10 +25,17 @@
 bool isBlank(char c) { return c == ' ' || c == '\t'; }
 
 bool isDotSegment(std::string_view segment) {
-  std::string plain = lowerCase(segment);
-  for (size_t at = 0; (at = plain.find("%2e", at)) != std::string::npos;)
-    plain.replace(at, 3, ".");
-  return plain == "." || plain == "..";
+  constexpr std::string_view EncodedDot = "%2e";
+  int dots = 0;
+  for (; !segment.empty(); ++dots) {
+    if (segment.front() == '.')
+      segment.remove_prefix(1);
+    else if (sameName(segment.substr(0, EncodedDot.size()), EncodedDot))
+      segment.remove_prefix(EncodedDot.size());
+    else
+      return false;
+  }
+  return dots == 1 || dots == 2;
 }
 
 bool hasDotSegment(std::string_view path) {
@@ -63,10 +63,9 @@
     const std::string_view name = line.substr(0, line.find(':'));
     if (name.empty() || name.size() == line.size() || isBlank(name.back()))
       return invalid("a header name must end with its colon");
-    const std::string lower = lowerCase(name);
-    hosts += lower == "host" ? 1 : 0;
-    lengths += lower == "content-length" ? 1 : 0;
-    encodings += lower == "transfer-encoding" ? 1 : 0;
+    hosts += sameName(name, "host") ? 1 : 0;
+    lengths += sameName(name, "content-length") ? 1 : 0;
+    encodings += sameName(name, "transfer-encoding") ? 1 : 0;
   }
   if (hosts > 1)
     return invalid("a request must have only one Host header");
@@ -88,8 +87,8 @@
   const bool absolute =
       scheme != std::string_view::npos && !target.starts_with('/');
   if (absolute) {
-    const std::string name = lowerCase(target.substr(0, scheme));
-    if (name != "http" && name != "https")
+    const std::string_view name = target.substr(0, scheme);
+    if (!sameName(name, "http") && !sameName(name, "https"))
       return invalid("the request target has an unknown scheme");
     target.remove_prefix(scheme + 3);
     const size_t end = std::min(target.find_first_of("/?"), target.size());
