Share the decoding of inner replies between entry and placer

The placer's new reading of a proposal's answer, and its older one of an inventory, repeated decodeReply() of the entry. The header moves to the protocol package and serves both. Behaviour is the same.

--- a/include/almondgate/protocol/reply_decoding.hpp
+++ b/include/almondgate/protocol/reply_decoding.hpp
@@ -1,9 +1,9 @@
-#ifndef ALMONDGATE_SRC_ENTRY_REPLY_DECODING_HPP
-#define ALMONDGATE_SRC_ENTRY_REPLY_DECODING_HPP
+#ifndef ALMONDGATE_PROTOCOL_REPLY_DECODING_HPP
+#define ALMONDGATE_PROTOCOL_REPLY_DECODING_HPP
 
 #include "almondgate/encoding/codec.hpp"
 
-namespace almondgate::entry {
+namespace almondgate::protocol {
 
 /// Decodes the reply of an inner call, or passes its error on.
 template <class T>
@@ -20,6 +20,6 @@
   return core::ok();
 }
 
-} // namespace almondgate::entry
+} // namespace almondgate::protocol
 
 #endif
--- a/src/almondgate/entry/job_relay.cpp
+++ b/src/almondgate/entry/job_relay.cpp
@@ -3,7 +3,7 @@
 #include "almondgate/entry/send_job_call.hpp"
 #include "almondgate/observe/log.hpp"
 
-#include "reply_decoding.hpp"
+#include "almondgate/protocol/reply_decoding.hpp"
 
 namespace almondgate::entry {
 
@@ -32,7 +32,8 @@
   const auto &member_address = Members[NextMember++ % Members.size()];
   Rpc.call(member_address, Method::ListMembers, "", RefreshTimeout,
            [this](const Result<std::string> &reply) {
-             const auto members = decodeReply<consensus::Membership>(reply);
+             const auto members =
+                 protocol::decodeReply<consensus::Membership>(reply);
              if (!members || members.value().Members.empty())
                return;
              HasReply = true;
--- a/src/almondgate/entry/route_hooks.cpp
+++ b/src/almondgate/entry/route_hooks.cpp
@@ -2,7 +2,7 @@
 #include "almondgate/entry/route_task.hpp"
 #include "almondgate/entry/send_job_call.hpp"
 
-#include "reply_decoding.hpp"
+#include "almondgate/protocol/reply_decoding.hpp"
 
 namespace almondgate::entry {
 
@@ -30,7 +30,7 @@
                         EntryHooks::OnChange done) {
   Control.call(Method::Propose, encoding::encode(change), ProposeTimeout,
                [done = std::move(done)](const auto &reply) {
-                 done(decodeReply<state::ChangeResult>(reply));
+                 done(protocol::decodeReply<state::ChangeResult>(reply));
                });
 }
 
@@ -44,7 +44,7 @@
     Rpc.call(to, Method::Grant, encoding::encode(request),
              DurationMs{request.WaitMs} + GrantSlack,
              [done = std::move(done)](const auto &reply) {
-               done(decodeReply<model::Grant>(reply));
+               done(protocol::decodeReply<model::Grant>(reply));
              });
   };
   hooks.Release = [this](const model::Release &release) {
@@ -74,7 +74,7 @@
     }
     Rpc.call(owner->Placer, Method::Release, encoding::encode(release),
              ReleaseTimeout,
-             [done](const auto &reply) { done(replyStatus(reply)); });
+             [done](const auto &reply) { done(protocol::replyStatus(reply)); });
   };
   return hooks;
 }
@@ -95,7 +95,7 @@
   hooks.Report = [this](const core::Address &to,
                         const model::Announcement &announcement, auto done) {
     Rpc.call(to, Method::Report, encoding::encode(announcement), ReportTimeout,
-             [done](const auto &reply) { done(replyStatus(reply)); });
+             [done](const auto &reply) { done(protocol::replyStatus(reply)); });
   };
   return hooks;
 }
@@ -115,24 +115,25 @@
   };
   hooks.Audit = [this](auto done) {
     Control.call(Method::Audit, "", ReadTimeout, [done](const auto &reply) {
-      done(decodeReply<std::vector<state::AuditEntry>>(reply));
+      done(protocol::decodeReply<std::vector<state::AuditEntry>>(reply));
     });
   };
   hooks.WaveHoldups = [this](const core::WaveId &wave, auto done) {
     Control.call(Method::WaveHoldups, wave.str(), ReadTimeout,
                  [done](const auto &reply) {
-                   done(decodeReply<std::vector<std::string>>(reply));
+                   done(protocol::decodeReply<std::vector<std::string>>(reply));
                  });
   };
   hooks.Members = [this](auto done) {
     Control.call(Method::ListMembers, "", ReadTimeout,
                  [done](const auto &reply) {
-                   done(decodeReply<consensus::Membership>(reply));
+                   done(protocol::decodeReply<consensus::Membership>(reply));
                  });
   };
   hooks.Replace = [this](const consensus::MemberReplacement &r, auto done) {
-    Control.call(Method::ReplaceMember, encoding::encode(r), ReplaceTimeout,
-                 [done](const auto &reply) { done(replyStatus(reply)); });
+    Control.call(
+        Method::ReplaceMember, encoding::encode(r), ReplaceTimeout,
+        [done](const auto &reply) { done(protocol::replyStatus(reply)); });
   };
   return hooks;
 }
@@ -146,13 +147,14 @@
     return bool(Admin.authenticate(request));
   };
   hooks.Configure = [this](const jobs::FleetConfig &config, auto done) {
-    Control.call(Method::Configure, encoding::encode(config), ProposeTimeout,
-                 [done](const auto &reply) { done(replyStatus(reply)); });
+    Control.call(
+        Method::Configure, encoding::encode(config), ProposeTimeout,
+        [done](const auto &reply) { done(protocol::replyStatus(reply)); });
   };
   hooks.ReadConfig = [this](auto done) {
     Control.call(Method::ReadConfig, "", ReadTimeout,
                  [done](const auto &reply) {
-                   done(decodeReply<jobs::FleetConfig>(reply));
+                   done(protocol::decodeReply<jobs::FleetConfig>(reply));
                  });
   };
   return hooks;
--- a/src/almondgate/entry/send_job_call.cpp
+++ b/src/almondgate/entry/send_job_call.cpp
@@ -2,7 +2,7 @@
 #include "almondgate/core/digest.hpp"
 #include "almondgate/encoding/codec.hpp"
 
-#include "reply_decoding.hpp"
+#include "almondgate/protocol/reply_decoding.hpp"
 
 namespace almondgate::entry {
 
@@ -14,7 +14,7 @@
   call.Call = core::randomHex(CallIdBytes);
   control.call(protocol::Method::Job, encoding::encode(call), timeout,
                [done = std::move(done)](const auto &reply) {
-                 done(decodeReply<jobs::JobReply>(reply));
+                 done(protocol::decodeReply<jobs::JobReply>(reply));
                });
 }
 
--- a/src/almondgate/placer/placer_task.cpp
+++ b/src/almondgate/placer/placer_task.cpp
@@ -1,6 +1,7 @@
 #include "almondgate/placer/placer_task.hpp"
 #include "almondgate/core/digest.hpp"
 #include "almondgate/encoding/codec.hpp"
+#include "almondgate/protocol/reply_decoding.hpp"
 
 #include <algorithm>
 
@@ -74,20 +75,14 @@
                                   PlacerHooks::OnInventory done) {
     Rpc.call(to, Method::Inventory, encoding::encode(request), InventoryTimeout,
              [done = std::move(done)](const Result<std::string> &reply) {
-               if (reply)
-                 done(encoding::decode<model::Inventory>(reply.value()));
-               else
-                 done(reply.error());
+               done(protocol::decodeReply<model::Inventory>(reply));
              });
   };
   hooks.Propose = [this](const state::Change &change,
                          PlacerHooks::OnChange done) {
     Control.call(Method::Propose, encoding::encode(change), ProposeTimeout,
                  [done = std::move(done)](const Result<std::string> &reply) {
-                   if (reply)
-                     done(encoding::decode<state::ChangeResult>(reply.value()));
-                   else
-                     done(reply.error());
+                   done(protocol::decodeReply<state::ChangeResult>(reply));
                  });
   };
   hooks.DemandChanged = [this] { Watch.pollNow(); };
--- a/src/almondgate/placer/pool_scheduler.cpp
+++ b/src/almondgate/placer/pool_scheduler.cpp
@@ -53,8 +53,7 @@
     Teams[id].Share = team->Share;
   for (auto &[id, team] : Teams) {
     const auto *portion = model::find(view.Portions, std::pair(id, Pool));
-    const int64_t amount = portion ? portion->Amount : 0;
-    team.Portion = amount;
+    team.Portion = portion ? portion->Amount : 0;
   }
 }
 
