Keep the endpoints of a VM by pointer, with one look-up

The index held ids and had a const and a mutable look-up with the same loop, and left an empty entry behind an endpoint that changed its VM. It holds pointers to the map's nodes now, linked and unlinked in one place each. Behaviour is the same.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -240,10 +240,9 @@
                     std::function<void(bool)> done);
   /// The endpoints known on a VM: one, or two while the older of them is not
   /// known to be gone.
-  std::vector<EndpointView *> endpointsOf(const core::VmId &vm);
-  std::vector<const EndpointView *> endpointsOf(const core::VmId &vm) const;
-  void addEndpoint(EndpointView view);
-  void removeEndpoint(const jobs::EndpointId &id);
+  std::vector<EndpointView *> endpointsOf(const core::VmId &vm) const;
+  void linkToVm(EndpointView &endpoint);
+  void unlinkFromVm(const EndpointView &endpoint);
   VmLoad loadOf(const core::VmId &vm) const;
   bool keepsBudgets(const EndpointView &endpoint) const;
   /// The task's step has an availability budget, and its job is open.
@@ -301,7 +300,8 @@
   std::map<jobs::JobId, OpenJob> OpenJobs;
   std::map<jobs::EndpointId, EndpointView> Endpoints;
   /// The endpoints in Endpoints by the VM that they run on.
-  std::map<core::VmId, std::set<jobs::EndpointId>> EndpointsByVm;
+  std::map<core::VmId, std::map<jobs::EndpointId, EndpointView *>>
+      EndpointsByVm;
   std::map<core::TeamId, core::Size> TeamUsage;
   /// Result of unreadUsageByTeam() in the last pass.
   std::map<core::TeamId, core::Size> TeamUnreadUsage;
--- a/src/almondgate/dispatch/dispatcher_endpoints.cpp
+++ b/src/almondgate/dispatch/dispatcher_endpoints.cpp
@@ -27,9 +27,9 @@
     return;
   const auto it = Endpoints.find(facts.Id);
   if (it != Endpoints.end() && it->second.Facts.BornMs == facts.BornMs) {
-    EndpointsByVm[it->second.Facts.Vm].erase(facts.Id);
-    EndpointsByVm[facts.Vm].insert(facts.Id);
+    unlinkFromVm(it->second);
     it->second.Facts = facts;
+    linkToVm(it->second);
     it->second.DeclaredLost = facts.Idle;
     return;
   }
@@ -38,7 +38,8 @@
   if (it != Endpoints.end()) {
     open = takeUnresolvedStarts(it->second);
     releaseLostRuns(it->second);
-    removeEndpoint(facts.Id);
+    unlinkFromVm(it->second);
+    Endpoints.erase(it);
   }
   EndpointView view;
   view.Facts = facts;
@@ -47,40 +48,27 @@
   view.Reserved = view.TerminationPending = hasUnresolvedVmOrder(facts);
   for (const auto &task_key : open)
     addRun(view, task_key, *findStep(task_key));
-  addEndpoint(std::move(view));
+  linkToVm(Endpoints.emplace(facts.Id, std::move(view)).first->second);
 }
 
-void Dispatcher::addEndpoint(EndpointView view) {
-  EndpointsByVm[view.Facts.Vm].insert(view.Facts.Id);
-  const auto id = view.Facts.Id;
-  Endpoints.emplace(id, std::move(view));
+void Dispatcher::linkToVm(EndpointView &endpoint) {
+  EndpointsByVm[endpoint.Facts.Vm].emplace(endpoint.Facts.Id, &endpoint);
 }
 
-void Dispatcher::removeEndpoint(const jobs::EndpointId &id) {
-  const auto it = Endpoints.find(id);
-  const auto on_vm = EndpointsByVm.find(it->second.Facts.Vm);
-  on_vm->second.erase(id);
+void Dispatcher::unlinkFromVm(const EndpointView &endpoint) {
+  const auto on_vm = EndpointsByVm.find(endpoint.Facts.Vm);
+  on_vm->second.erase(endpoint.Facts.Id);
   if (on_vm->second.empty())
     EndpointsByVm.erase(on_vm);
-  Endpoints.erase(it);
-}
-
-std::vector<EndpointView *> Dispatcher::endpointsOf(const core::VmId &vm) {
-  std::vector<EndpointView *> out;
-  const auto it = EndpointsByVm.find(vm);
-  if (it != EndpointsByVm.end())
-    for (const auto &id : it->second)
-      out.push_back(&Endpoints.at(id));
-  return out;
 }
 
-std::vector<const EndpointView *>
+std::vector<EndpointView *>
 Dispatcher::endpointsOf(const core::VmId &vm) const {
-  std::vector<const EndpointView *> out;
+  std::vector<EndpointView *> out;
   const auto it = EndpointsByVm.find(vm);
   if (it != EndpointsByVm.end())
-    for (const auto &id : it->second)
-      out.push_back(&Endpoints.at(id));
+    for (const auto &[id, endpoint] : it->second)
+      out.push_back(endpoint);
   return out;
 }
 
@@ -131,7 +119,8 @@
   if (it == Endpoints.end() || it->second.Facts.BornMs > born_ms)
     return;
   releaseLostRuns(it->second);
-  removeEndpoint(id);
+  unlinkFromVm(it->second);
+  Endpoints.erase(it);
 }
 
 void Dispatcher::handleHeartbeat(const EndpointFacts &facts, int64_t sequence,
