--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -397,14 +397,10 @@
         self.name, self.service, self.cpu = name, service, cpu
         self.run_ms, self.heartbeat_s = run_ms, heartbeat_s
         self.cut = False
+        self.down = False
+        self.machine = None  # the machine-id, where machines are managed
+        self.life = 0
         self.holds = 0
-        self.runs = {}       # task -> [run, end time]
-        self.ended = []      # [N, task, run, how, saved]
-        self.last_end = 0
-        self.highest = {}    # task -> highest run stopped or ended here
-        self.fence = 0
-        self.lease = 0       # on the own clock
-        self.sequence = 0
         self.starts = []     # (time, task, run)
         self.ends = []       # (time, task, run, how)
         self.seen = {}       # (task, run) -> time when its end was taken note of
@@ -420,9 +416,33 @@
     def clock(self):
         return int((time.monotonic() - self.born_at) * 1000)
 
-    async def begin(self):
+    def new_life(self):
+        """Starts a life that holds and knows nothing of before."""
+        self.life += 1
+        self.id = f"i-{self.name}-{self.life}"
         self.born_at = time.monotonic()
         self.born = int(time.time() * 1000)
+        self.runs = {}       # task -> [run, begin, end time]
+        self.ended = []      # [N, task, run, how, saved]
+        self.last_end = 0
+        self.highest = {}    # task -> highest run stopped or ended here
+        self.fence = 0
+        self.lease = 0       # on the own clock
+        self.sequence = 0
+        self.down = False
+        self.record(f"worker {self.name}: life {self.id} begins")
+
+    def crash(self):
+        """Ends the life with all that runs in it, silently."""
+        now = time.monotonic()
+        for task, (run, begin, _) in self.runs.items():
+            self.spans.append((task, run, begin, now))
+        self.runs = {}
+        self.down = True
+        self.record(f"worker {self.name}: life {self.id} ends")
+
+    async def begin(self):
+        self.new_life()
         await asyncio.start_server(
             lambda r, w: serve_http(r, w, self.answer), self.ip, self.port)
         asyncio.ensure_future(self.beat())
@@ -431,6 +451,10 @@
     async def beat(self):
         i = random.randrange(3)
         while not self.d.stopping:
+            if self.down:
+                await asyncio.sleep(0.02)
+                continue
+            life = self.life
             self.sequence += 1
             body = {"service": self.service, "address": f"{self.ip}:{self.port}",
                     "zone": "zone-a", "version": "v1", "slots": 8,
@@ -438,17 +462,21 @@
                     "capacity": self.capacity(), "labels": ["a", "r1-1"],
                     "clock-ms": self.clock(), "sequence": self.sequence,
                     "born": self.born}
+            if self.machine:
+                body["machine-id"] = self.machine
             for _ in range(3):
-                if self.cut:
+                if self.cut or self.down:
                     break
                 ip = self.d.control_ips[i % 3]
                 status, _ = await asyncio.to_thread(
-                    self.d.http, ip, "PUT", "/instances/i-" + self.name, body,
+                    self.d.http, ip, "PUT", "/instances/" + self.id, body,
                     None, 1.0, True)
                 if 200 <= status < 300:
                     break
                 i += 1
-            await asyncio.sleep(self.heartbeat_s)
+            until = time.monotonic() + self.heartbeat_s
+            while time.monotonic() < until and life == self.life:
+                await asyncio.sleep(0.02)
 
     def end(self, task, how):
         run, begin, _ = self.runs.pop(task)
@@ -474,11 +502,13 @@
         self.lease = max(self.lease, min(deadline, self.clock() + MAX_HOLD_MS))
 
     async def answer(self, method, path, headers, body):
+        if self.down:
+            raise ConnectionResetError
         while self.cut:
             await asyncio.sleep(0.05)
             if not self.cut:
                 raise ConnectionResetError
-        if headers.get("expected-instance", "i-" + self.name) != "i-" + self.name:
+        if headers.get("expected-instance", self.id) != self.id:
             return 421, {}
         order = json.loads(body) if body else {}
         token = order.get("fencing-token", 0)
@@ -532,9 +562,11 @@
                 self.seen[(row[1], row[2])] = time.monotonic()
         self.ended = [r for r in self.ended if r[0] > order["last-seen"]]
         until = time.monotonic() + order.get("wait-ms", 0) / 1000
+        life = self.life
         while not self.ended and time.monotonic() < until:
             await asyncio.sleep(0.005)
-        now = time.monotonic()
+            if self.down or life != self.life:
+                raise ConnectionResetError
         status, out = self.reply(200)
         out["running"] = [[t, r[0], "", 100, 10] for t, r in self.runs.items()]
         out["ended"] = self.ended[:MAX_ENDS_LISTED]
