Show what a process holds and how it ends

A process that was killed at its memory limit left no line, and one that ended by an exception left only the library's text on standard error, so that the hypotheses of the incident couldn't be told apart from logs and metrics.

- A warning at 50, 70, 80 and 90 % of the limit with what holds bytes; peak, limit and budgets on /metrics.
- Abnormal ends write one line: the exception or the signal.
Planned ends write exit code and peak memory.
- Budgets are empty so far; their owners follow one by one.

--- a/apps/control_program.cpp
+++ b/apps/control_program.cpp
@@ -5,6 +5,7 @@
 #include "almondgate/task/loop.hpp"
 #include "almondgate/task/signal_watcher.hpp"
 
+#include "memory_report.hpp"
 #include "program.hpp"
 
 #include <algorithm>
@@ -123,10 +124,17 @@
         loop.stop();
     });
   };
+  const MemoryReport memory(loop, settings.Common.Memory.Limit, [&] {
+    auto out = control.budgets();
+    if (adapter.Budgets)
+      for (auto &reading : adapter.Budgets())
+        out.push_back(std::move(reading));
+    return out;
+  });
   http::StatusServer status(
       loop,
       {[&] { return stopped ? std::string("stopping") : control.notReady(); },
-       [&] { return control.metricsText(); }});
+       [&] { return control.metricsText() + memory.metricsText(); }});
   const task::SignalWatcher term(loop, SIGTERM, stop);
   const task::SignalWatcher interrupt(loop, SIGINT, stop);
   const task::SignalWatcher reload(loop, SIGHUP, [] {
--- a/apps/control_program.hpp
+++ b/apps/control_program.hpp
@@ -2,9 +2,11 @@
 #define ALMONDGATE_APPS_CONTROL_PROGRAM_HPP
 
 #include "almondgate/control/control_task.hpp"
+#include "almondgate/core/budget_reading.hpp"
 #include "almondgate/task/loop.hpp"
 
 #include <functional>
+#include <vector>
 
 namespace almondgate::apps {
 
@@ -16,6 +18,8 @@
   std::function<core::Status(control::ControlTask &)> Start;
   /// Stops accepting requests; called before the process ends. Optional.
   std::function<void()> Stop;
+  /// Returns the state of its byte budgets. Optional.
+  std::function<std::vector<core::BudgetReading>()> Budgets;
 };
 
 using MakeControlAdapter = std::function<ControlAdapter(
--- a/apps/entry_main.cpp
+++ b/apps/entry_main.cpp
@@ -4,6 +4,7 @@
 #include "almondgate/task/loop.hpp"
 #include "almondgate/task/signal_watcher.hpp"
 
+#include "memory_report.hpp"
 #include "program.hpp"
 
 #include <memory>
@@ -71,12 +72,15 @@
         return route.mailbox().post(std::move(event));
       });
   GracefulShutdown shutdown(loop, *front, route, settings.Common.StopDelay);
-  http::StatusServer status(loop, {[&] {
-                                     return shutdown.stopping()
-                                                ? std::string("stopping")
-                                                : route.notReady();
-                                   },
-                                   [&] { return route.metricsText(); }});
+  const apps::MemoryReport memory(loop, settings.Common.Memory.Limit, [] {
+    return std::vector<core::BudgetReading>();
+  });
+  http::StatusServer status(
+      loop, {[&] {
+               return shutdown.stopping() ? std::string("stopping")
+                                          : route.notReady();
+             },
+             [&] { return route.metricsText() + memory.metricsText(); }});
   const task::SignalWatcher term(loop, SIGTERM, [&] { shutdown.begin(); });
   const task::SignalWatcher interrupt(loop, SIGINT, [&] { shutdown.begin(); });
   if (auto done = status.listen(settings.Common.StatusAddress); !done)
--- /dev/null
+++ b/apps/memory_report.hpp
@@ -0,0 +1,56 @@
+#ifndef ALMONDGATE_APPS_MEMORY_REPORT_HPP
+#define ALMONDGATE_APPS_MEMORY_REPORT_HPP
+
+#include "almondgate/observe/process_report.hpp"
+#include "almondgate/task/timer.hpp"
+
+#include <array>
+#include <functional>
+#include <utility>
+
+namespace almondgate::apps {
+
+/// Warns when the peak memory of the process passes a part of its limit, and
+/// names what holds bytes: a process that is killed at the limit writes
+/// nothing.
+class MemoryReport {
+public:
+  using Budgets = std::function<std::vector<core::BudgetReading>()>;
+
+  MemoryReport(task::Loop &loop, size_t limit_bytes, Budgets budgets)
+      : Limit(limit_bytes), ReadBudgets(std::move(budgets)), Timer(loop) {
+    Timer.every(CheckInterval, [this] { check(); });
+  }
+
+  std::string metricsText() const {
+    return observe::memoryMetrics(Limit, ReadBudgets());
+  }
+
+private:
+  static constexpr core::DurationMs CheckInterval{1000};
+  static constexpr size_t Percent = 100;
+  static constexpr std::array<size_t, 4> WarnAtPercent = {50, 70, 80, 90};
+
+  void check() {
+    const size_t peak = observe::peakResidentBytes();
+    while (NextWarning < WarnAtPercent.size() &&
+           peak >= Limit / Percent * WarnAtPercent.at(NextWarning)) {
+      observe::logWarn("memory",
+                       "peak memory passed " +
+                           std::to_string(WarnAtPercent.at(NextWarning)) +
+                           " % of the limit: " + std::to_string(peak) + " of " +
+                           std::to_string(Limit) + " bytes; " +
+                           observe::formatBudgets(ReadBudgets()));
+      ++NextWarning;
+    }
+  }
+
+  const size_t Limit;
+  Budgets ReadBudgets;
+  size_t NextWarning = 0;
+  task::Timer Timer;
+};
+
+} // namespace almondgate::apps
+
+#endif
--- a/apps/placer_main.cpp
+++ b/apps/placer_main.cpp
@@ -3,6 +3,7 @@
 #include "almondgate/task/loop.hpp"
 #include "almondgate/task/signal_watcher.hpp"
 
+#include "memory_report.hpp"
 #include "program.hpp"
 
 using namespace almondgate;
@@ -36,10 +37,13 @@
         loop.stop();
     });
   };
+  const apps::MemoryReport memory(loop, settings.Common.Memory.Limit, [] {
+    return std::vector<core::BudgetReading>();
+  });
   http::StatusServer status(
       loop,
       {[&] { return stopped ? std::string("stopping") : placer.notReady(); },
-       [] { return std::string(); }});
+       [&] { return memory.metricsText(); }});
   const task::SignalWatcher term(loop, SIGTERM, stop);
   const task::SignalWatcher interrupt(loop, SIGINT, stop);
   if (auto done = status.listen(settings.Common.StatusAddress); !done)
--- a/apps/program.hpp
+++ b/apps/program.hpp
@@ -2,6 +2,7 @@
 #define ALMONDGATE_APPS_PROGRAM_HPP
 
 #include "almondgate/config/read_settings.hpp"
+#include "almondgate/observe/process_report.hpp"
 
 #include <csignal>
 #include <cstdio>
@@ -35,6 +36,9 @@
   }
   const auto &common = line.value().Values.Common;
   observe::startLogging(common.Format, common.LogLevel);
+  observe::logFatalErrors(common.Format);
+  observe::logInfo("start", "settings are valid; memory limit " +
+                                std::to_string(common.Memory.Limit) + " bytes");
   return line.value().Values;
 }
 
@@ -51,6 +55,10 @@
   const auto settings = readOrExit<Settings>(argc, argv, read, code);
   if (settings) {
     code = run(*settings);
+    observe::logInfo("stop", "the process ends with exit code " +
+                                 std::to_string(code) + "; peak memory " +
+                                 std::to_string(observe::peakResidentBytes()) +
+                                 " bytes");
     observe::stopLogging();
   }
   return code;
--- a/include/almondgate/config/settings.hpp
+++ b/include/almondgate/config/settings.hpp
@@ -4,6 +4,7 @@
 #include "almondgate/core/address.hpp"
 #include "almondgate/core/duration_ms.hpp"
 #include "almondgate/core/id.hpp"
+#include "almondgate/core/memory_plan.hpp"
 #include "almondgate/observe/log.hpp"
 
 #include <map>
@@ -27,6 +28,8 @@
   /// How long a stopping process continues to serve after it has reported that
   /// it is stopping.
   core::DurationMs StopDelay{1000};
+  /// What the process may hold for others, by the memory limit of its VM.
+  core::MemoryPlan Memory = core::planMemory(0);
 
   bool operator==(const CommonSettings &) const = default;
 };
--- a/include/almondgate/control/control_task.hpp
+++ b/include/almondgate/control/control_task.hpp
@@ -4,6 +4,7 @@
 #include "almondgate/config/settings.hpp"
 #include "almondgate/control/control_core.hpp"
 #include "almondgate/control/storage_task.hpp"
+#include "almondgate/core/budget_reading.hpp"
 #include "almondgate/dispatch/dispatcher.hpp"
 #include "almondgate/observe/metrics.hpp"
 #include "almondgate/protocol/rpc_client.hpp"
@@ -17,6 +18,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <vector>
 
 namespace almondgate::control {
 
@@ -53,6 +55,9 @@
   /// The metrics in the Prometheus text format.
   std::string metricsText() const;
 
+  /// Returns the state of the byte budgets of its sockets and its state.
+  std::vector<core::BudgetReading> budgets() const;
+
 private:
   ControlHooks coreHooks();
   protocol::RpcServerHooks serverHooks();
--- a/src/almondgate/config/read_settings.cpp
+++ b/src/almondgate/config/read_settings.cpp
@@ -21,6 +21,7 @@
 constexpr int64_t MaxPort = 65535;
 // With a higher value, each change would wait for too many disks.
 constexpr int64_t MaxToleratedLosses = 4;
+constexpr int64_t MaxMemoryLimitMb = int64_t{1} << 20;
 
 std::string environmentName(const std::string &flag) {
   std::string out = "ALMONDGATE_";
@@ -170,6 +171,8 @@
   flags.add("stop-delay-ms",
             "How long a stopping process continues to serve, in milliseconds",
             "1000");
+  flags.add("memory-limit-mb",
+            "Memory limit of the process, in megabytes; 0: not known", "0");
 }
 
 Status readCommon(const Flags &flags, CommonSettings &out) {
@@ -201,6 +204,12 @@
       out.LogLevel != "warn" && out.LogLevel != "error")
     return badValue("log-level", out.LogLevel,
                     "must be debug, info, warn or error");
+  int64_t limit_mb = 0;
+  if (auto done =
+          flags.readNumber("memory-limit-mb", 0, MaxMemoryLimitMb, limit_mb);
+      !done)
+    return done;
+  out.Memory = core::planMemory(limit_mb);
   return flags.readDuration("stop-delay-ms", out.StopDelay);
 }
 
--- a/src/almondgate/control/control_task.cpp
+++ b/src/almondgate/control/control_task.cpp
@@ -102,6 +102,8 @@
   return out + Metrics.text();
 }
 
+std::vector<core::BudgetReading> ControlTask::budgets() const { return {}; }
+
 ControlHooks ControlTask::coreHooks() {
   ControlHooks hooks;
   hooks.Node.Now = core::monotonicNow;
--- /dev/null
+++ b/src/almondgate/observe/process_report.cpp
@@ -0,0 +1,122 @@
+#include "almondgate/observe/process_report.hpp"
+
+#include <array>
+#include <atomic>
+#include <csignal>
+#include <cstdlib>
+#include <exception>
+#include <string_view>
+#include <sys/resource.h>
+#include <unistd.h>
+
+namespace almondgate::observe {
+
+namespace {
+
+constexpr size_t BytesPerKb = size_t{1} << 10;
+constexpr size_t BytesPerMb = size_t{1} << 20;
+
+struct FatalSignal {
+  int Number;
+  std::string_view Text;
+  std::string_view Json;
+};
+
+// Written by a signal handler, so the lines are complete in advance.
+constexpr std::array<FatalSignal, 5> FatalSignals = {{
+    {SIGSEGV, "FATAL process: ended by SIGSEGV\n",
+     R"({"level":"FATAL","logger":"process","message":"ended by SIGSEGV"})"
+     "\n"},
+    {SIGBUS, "FATAL process: ended by SIGBUS\n",
+     R"({"level":"FATAL","logger":"process","message":"ended by SIGBUS"})"
+     "\n"},
+    {SIGFPE, "FATAL process: ended by SIGFPE\n",
+     R"({"level":"FATAL","logger":"process","message":"ended by SIGFPE"})"
+     "\n"},
+    {SIGILL, "FATAL process: ended by SIGILL\n",
+     R"({"level":"FATAL","logger":"process","message":"ended by SIGILL"})"
+     "\n"},
+    {SIGABRT, "FATAL process: ended by SIGABRT\n",
+     R"({"level":"FATAL","logger":"process","message":"ended by SIGABRT"})"
+     "\n"},
+}};
+
+std::atomic<bool> WritesJson{false};
+
+void onFatalSignal(int number) {
+  for (const auto &row : FatalSignals) {
+    if (row.Number != number)
+      continue;
+    const std::string_view line = WritesJson ? row.Json : row.Text;
+    [[maybe_unused]] const ssize_t n =
+        ::write(STDOUT_FILENO, line.data(), line.size());
+  }
+  // The handler was reset to the default action when it was called.
+  std::raise(number);
+}
+
+[[noreturn]] void onTerminate() {
+  std::string why = "terminated without an exception";
+  if (const auto error = std::current_exception()) {
+    try {
+      std::rethrow_exception(error);
+    } catch (const std::exception &e) {
+      why = std::string("unhandled exception: ") + e.what();
+    } catch (...) {
+      why = "unhandled exception of an unknown type";
+    }
+  }
+  logError("process", why);
+  stopLogging();
+  std::abort();
+}
+
+std::string toMb(size_t bytes) { return std::to_string(bytes / BytesPerMb); }
+
+} // namespace
+
+size_t peakResidentBytes() {
+  rusage usage{};
+  if (::getrusage(RUSAGE_SELF, &usage) != 0)
+    return 0;
+  return size_t(usage.ru_maxrss) * BytesPerKb;
+}
+
+void logFatalErrors(LogFormat format) {
+  WritesJson = format == LogFormat::Json;
+  std::set_terminate(onTerminate);
+  struct sigaction action {};
+  action.sa_handler = onFatalSignal;
+  action.sa_flags = int(SA_RESETHAND) | int(SA_NODEFER);
+  for (const auto &row : FatalSignals)
+    ::sigaction(row.Number, &action, nullptr);
+}
+
+std::string formatBudgets(const std::vector<core::BudgetReading> &budgets) {
+  std::string out;
+  for (const auto &budget : budgets)
+    out += (out.empty() ? "" : "; ") + budget.Name + " " + toMb(budget.Used) +
+           "/" + toMb(budget.Limit) + " MB, " + std::to_string(budget.Refused) +
+           " refused";
+  return out;
+}
+
+std::string memoryMetrics(size_t limit_bytes,
+                          const std::vector<core::BudgetReading> &budgets) {
+  std::string out;
+  const auto line = [&](const std::string &name, uint64_t n) {
+    out += "almondgate_" + name + " " + std::to_string(n) + "\n";
+  };
+  line("memory_limit_bytes", limit_bytes);
+  line("memory_peak_bytes", peakResidentBytes());
+  for (const auto &budget : budgets) {
+    const std::string label = "{budget=\"" + budget.Name + "\"}";
+    line("budget_used_bytes" + label, budget.Used);
+    line("budget_peak_bytes" + label, budget.Peak);
+    line("budget_limit_bytes" + label, budget.Limit);
+    line("budget_refused_total" + label, budget.Refused);
+  }
+  return out;
+}
+
+} // namespace almondgate::observe
