Pass all file operations of the store through FileOps

Creating, truncating, removing, listing, reading and locking used system calls and std::filesystem directly, so no test could stand in for a disk, and std::filesystem::directory_iterator threw on a folder that vanished or could not be read. All of them are hooks of FileOps now and return outcomes. Writes carry their offset. No rule of the store changes.

--- a/src/almondgate/storage/store.cpp
+++ b/src/almondgate/storage/store.cpp
@@ -3,16 +3,9 @@
 #include "almondgate/storage/frame.hpp"
 
 #include <algorithm>
-#include <cerrno>
 #include <charconv>
 #include <cstring>
-#include <fcntl.h>
-#include <filesystem>
-#include <fstream>
 #include <set>
-#include <sstream>
-#include <sys/file.h>
-#include <unistd.h>
 
 namespace almondgate::storage {
 
@@ -29,51 +22,40 @@
 constexpr const char *LockName = "lock";
 constexpr const char *LogPrefix = "log-";
 constexpr const char *SnapshotPrefix = "snapshot-";
+constexpr const char *TemporarySuffix = ".tmp";
 constexpr const char *FormatLine = "almondgate-data 1\n";
 
 std::string join(const std::string &folder, const std::string &name) {
   return folder + "/" + name;
 }
 
-Result<std::string> readFile(const std::string &path) {
-  std::ifstream in(path, std::ios::binary);
-  if (!in)
-    return Error{ErrorCode::Io, "cannot open " + path};
-  std::ostringstream out;
-  out << in.rdbuf();
-  return std::move(out).str();
-}
-
 Status replaceFile(const std::string &folder, const std::string &name,
                    std::string_view data, const FileOps &ops) {
-  const std::string temporary = join(folder, name + ".tmp");
-  const int fd =
-      ::open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
-  if (fd < 0)
-    return errorFromErrno("create " + temporary);
-  Status status = ops.Write(fd, data);
+  const std::string temporary = join(folder, name + TemporarySuffix);
+  const auto fd = ops.Create(temporary);
+  if (!fd)
+    return fd.error();
+  Status status = ops.Write(fd.value(), 0, data);
   if (status)
-    status = ops.Sync(fd);
-  ::close(fd);
+    status = ops.Sync(fd.value());
+  ops.Close(fd.value());
   if (!status) {
     // Remove the partial file: its space is needed on a full disk.
-    ::unlink(temporary.c_str());
+    (void)ops.Remove(temporary);
     return status;
   }
-  if (status)
-    status = ops.Rename(temporary, join(folder, name));
+  status = ops.Rename(temporary, join(folder, name));
   if (status)
     status = ops.SyncFolder(folder);
   return status;
 }
 
-// Returns the numbers of the files named `prefix` + number: the base index of
-// each generation.
-std::set<uint64_t> generations(const std::string &folder,
+// The numbers of the files named `prefix` + number: the base index of each
+// generation.
+std::set<uint64_t> generations(const std::vector<std::string> &names,
                                const std::string &prefix) {
   std::set<uint64_t> out;
-  for (const auto &file : std::filesystem::directory_iterator(folder)) {
-    const std::string name = file.path().filename().string();
+  for (const auto &name : names) {
     if (name.rfind(prefix, 0) != 0)
       continue;
     uint64_t n = 0;
@@ -85,6 +67,26 @@
   return out;
 }
 
+bool contains(const std::vector<std::string> &names, const std::string &name) {
+  return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+Status createFolders(const std::string &folder, const FileOps &ops) {
+  const auto created = ops.CreateFolder(folder);
+  if (created)
+    return core::ok();
+  const size_t slash = folder.find_last_of('/');
+  const bool has_parent = slash != std::string::npos && slash > 0;
+  if (created.error().Code != ErrorCode::NotFound || !has_parent)
+    return created.error();
+  if (auto parent = createFolders(folder.substr(0, slash), ops); !parent)
+    return parent;
+  const auto again = ops.CreateFolder(folder);
+  if (!again)
+    return again.error();
+  return core::ok();
+}
+
 void applyBatch(DurableState &state, const DurableBatch &batch) {
   if (batch.Voted)
     state.Voted = *batch.Voted;
@@ -121,9 +123,9 @@
 
 Store::~Store() {
   if (LogFd >= 0)
-    ::close(LogFd);
+    Ops.Close(LogFd);
   if (LockFd >= 0)
-    ::close(LockFd);
+    Ops.Close(LockFd);
 }
 
 std::string Store::path(const std::string &name) const {
@@ -132,12 +134,12 @@
 
 Status Store::format(const std::string &folder, const consensus::MemberId &id,
                      const consensus::Membership &first, const FileOps &ops) {
-  std::error_code ec;
-  std::filesystem::create_directories(folder, ec);
-  if (ec)
-    return Error{ErrorCode::Io,
-                 "cannot create " + folder + ": " + ec.message()};
-  if (std::filesystem::exists(join(folder, IdentityName)))
+  if (auto created = createFolders(folder, ops); !created)
+    return created;
+  const auto names = ops.List(folder);
+  if (!names)
+    return names.error();
+  if (contains(names.value(), IdentityName))
     return Error{ErrorCode::Conflict, folder + " already has an identity"};
   DurableBatch empty;
   empty.ReplaceFrom = 1;
@@ -157,31 +159,32 @@
 Result<std::unique_ptr<Store>> Store::open(const std::string &folder,
                                            FileOps ops) {
   std::unique_ptr<Store> store(new Store(folder, std::move(ops)));
-  const auto identity = readFile(store->path(IdentityName));
+  const auto identity = store->Ops.Read(store->path(IdentityName));
+  if (!identity && identity.error().Code != ErrorCode::NotFound)
+    return identity.error();
   if (!identity)
     return Error{ErrorCode::NotFound,
-                 folder +
-                     " is not formatted: it has no readable identity file"};
+                 folder + " is not formatted: it has no identity file"};
   if (identity.value().rfind(FormatLine, 0) != 0)
     return Error{ErrorCode::Corrupt,
                  folder + ": the identity file has an unknown format version"};
   store->Identity =
       consensus::MemberId(identity.value().substr(std::strlen(FormatLine)));
-  const std::string lock = store->path(LockName);
-  store->LockFd = ::open(lock.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
-  if (store->LockFd < 0 || ::flock(store->LockFd, LOCK_EX | LOCK_NB) != 0)
-    return Error{ErrorCode::Conflict,
-                 folder +
-                     " cannot be locked; another process may be using it: " +
-                     std::strerror(errno)};
+  const auto lock = store->Ops.Lock(store->path(LockName));
+  if (!lock)
+    return lock.error();
+  store->LockFd = lock.value();
   if (auto loaded = store->load(); !loaded)
     return loaded.error();
   return store;
 }
 
 Status Store::load() {
-  const auto snapshots = generations(Folder, SnapshotPrefix);
-  const auto logs = generations(Folder, LogPrefix);
+  const auto names = Ops.List(Folder);
+  if (!names)
+    return names.error();
+  const auto snapshots = generations(names.value(), SnapshotPrefix);
+  const auto logs = generations(names.value(), LogPrefix);
   for (auto it = logs.rbegin(); it != logs.rend(); ++it) {
     if (!snapshots.contains(*it))
       continue;
@@ -198,7 +201,7 @@
   const std::string number = std::to_string(base);
   const std::string snapshot_path = path(SnapshotPrefix + number);
   const std::string log_path = path(LogPrefix + number);
-  const auto snapshot_file = readFile(snapshot_path);
+  const auto snapshot_file = Ops.Read(snapshot_path);
   if (!snapshot_file)
     return snapshot_file.error();
   const auto snapshot = decodeFrames(snapshot_file.value());
@@ -211,7 +214,7 @@
     return withRecoveryHint(decoded.error(), snapshot_path);
   Recovered.Base = decoded.value();
 
-  const auto log_file = readFile(log_path);
+  const auto log_file = Ops.Read(log_path);
   if (!log_file)
     return log_file.error();
   const auto frames = decodeFrames(log_file.value());
@@ -231,21 +234,24 @@
   if (auto checked = checkNoGaps(Recovered); !checked)
     return withRecoveryHint(checked.error(), log_path);
   LastVote = Recovered.Voted;
-  LogFd = ::open(log_path.c_str(), O_WRONLY | O_APPEND | O_CLOEXEC);
+  const auto fd = Ops.Open(log_path);
+  if (!fd)
+    return fd.error();
+  LogFd = fd.value();
   LogBytes = frames.value().ValidBytes;
-  if (LogFd < 0 || ::ftruncate(LogFd, off_t(LogBytes)) != 0)
-    return Error{ErrorCode::Io, "cannot truncate the torn tail of " + log_path +
-                                    " at byte " + std::to_string(LogBytes) +
-                                    ": " + std::strerror(errno)};
+  if (auto cut = Ops.Truncate(LogFd, LogBytes); !cut)
+    return cut;
   return Ops.Sync(LogFd);
 }
 
 void Store::removeOtherGenerations(uint64_t keep) {
-  std::error_code ec;
+  const auto names = Ops.List(Folder);
+  if (!names)
+    return;
   for (const char *prefix : {LogPrefix, SnapshotPrefix})
-    for (const uint64_t n : generations(Folder, prefix))
+    for (const uint64_t n : generations(names.value(), prefix))
       if (n != keep)
-        std::filesystem::remove(path(prefix + std::to_string(n)), ec);
+        (void)Ops.Remove(path(prefix + std::to_string(n)));
 }
 
 Status Store::startGeneration(const DurableBatch &batch) {
@@ -260,13 +266,11 @@
     status = replaceFile(Folder, LogPrefix + number, log, Ops);
   if (!status)
     return status;
-  const std::string log_path = path(LogPrefix + number);
-  const int fd = ::open(log_path.c_str(), O_WRONLY | O_APPEND | O_CLOEXEC);
-  if (fd < 0)
-    return Error{ErrorCode::Io,
-                 "cannot open " + log_path + ": " + std::strerror(errno)};
-  ::close(LogFd);
-  LogFd = fd;
+  const auto fd = Ops.Open(path(LogPrefix + number));
+  if (!fd)
+    return fd.error();
+  Ops.Close(LogFd);
+  LogFd = fd.value();
   LogBytes = log.size();
   removeOtherGenerations(batch.Base->Index);
   return core::ok();
@@ -274,7 +278,7 @@
 
 Status Store::append(const DurableBatch &batch) {
   const std::string frame = encodeFrame(encoding::encode(batch));
-  Status status = Ops.Write(LogFd, frame);
+  Status status = Ops.Write(LogFd, LogBytes, frame);
   if (status)
     status = Ops.Sync(LogFd);
   if (status) {
@@ -283,7 +287,7 @@
   }
   // The file may end with a part of the frame; intact frames must not follow
   // it.
-  if (::ftruncate(LogFd, off_t(LogBytes)) != 0)
+  if (!Ops.Truncate(LogFd, LogBytes))
     return Error{ErrorCode::Io,
                  "cannot truncate the log in " + Folder + " to byte " +
                      std::to_string(LogBytes) +
--- a/src/almondgate/storage/store_test.cpp
+++ b/src/almondgate/storage/store_test.cpp
@@ -155,10 +155,11 @@
     bool failing = false;
     const FileOps real = systemFileOps();
     const core::Status error = core::Error{ErrorCode::Io, "no space left"};
-    FileOps ops;
-    ops.Write = [&](int fd, std::string_view data) {
-      return failing && failing_op == FailingOp::Write ? error
-                                                       : real.Write(fd, data);
+    FileOps ops = real;
+    ops.Write = [&](int fd, uint64_t at, std::string_view data) {
+      return failing && failing_op == FailingOp::Write
+                 ? error
+                 : real.Write(fd, at, data);
     };
     ops.Sync = [&](int fd) {
       return failing && failing_op == FailingOp::Sync ? error : real.Sync(fd);
@@ -219,11 +220,11 @@
       const FileOps real = systemFileOps();
       core::Status no_space = core::Error{ErrorCode::NoSpace, "full"};
       FileOps ops = real;
-      ops.Write = [&](int fd, std::string_view data) {
+      ops.Write = [&](int fd, uint64_t at, std::string_view data) {
         if (!full || in_sync)
-          return real.Write(fd, data);
+          return real.Write(fd, at, data);
         // Half of the data still fits.
-        REQUIRE(bool(real.Write(fd, data.substr(0, data.size() / 2))));
+        REQUIRE(bool(real.Write(fd, at, data.substr(0, data.size() / 2))));
         return no_space;
       };
       ops.Sync = [&](int fd) { return full ? no_space : real.Sync(fd); };
@@ -255,10 +256,10 @@
   const FileOps real = systemFileOps();
   FileOps ops = real;
   bool full = false;
-  ops.Write = [&](int fd, std::string_view data) -> core::Status {
+  ops.Write = [&](int fd, uint64_t at, std::string_view data) -> core::Status {
     if (!full)
-      return real.Write(fd, data);
-    REQUIRE(bool(real.Write(fd, data.substr(0, 5))));
+      return real.Write(fd, at, data);
+    REQUIRE(bool(real.Write(fd, at, data.substr(0, 5))));
     return core::Error{ErrorCode::NoSpace, "full"};
   };
   auto store = openExisting(folder.Path, ops);
