Sync the parents of a new data folder

A member that created its data folder and lost power found no identity and took a new one: its votes and entries were gone, although each had been synced. The name of the folder itself, and of the parents made with it, was never synced.

format() syncs the parent of each folder that it creates, and then, for an earlier process that was killed in between, all parents up to the first that may not be synced. A folder that exists is not created again, since mkdir on a mount may be refused.

--- a/src/almondgate/storage/file_ops.cpp
+++ b/src/almondgate/storage/file_ops.cpp
@@ -44,7 +44,7 @@
 }
 
 Result<int> lockFile(const std::string &path) {
-  const auto fd = openFile(path, O_RDWR | O_CREAT);
+  auto fd = openFile(path, O_RDWR | O_CREAT);
   if (!fd || ::flock(fd.value(), LOCK_EX | LOCK_NB) == 0)
     return fd;
   Error error = errorFromErrno("lock " + path);
--- a/src/almondgate/storage/store.cpp
+++ b/src/almondgate/storage/store.cpp
@@ -71,20 +71,49 @@
   return std::find(names.begin(), names.end(), name) != names.end();
 }
 
+// The folder that has an entry for `path`.
+std::string parentOf(const std::string &path) {
+  const size_t end = path.find_last_not_of('/');
+  const size_t slash =
+      end == std::string::npos ? 0 : path.find_last_of('/', end);
+  if (slash == std::string::npos)
+    return ".";
+  return slash == 0 ? "/" : path.substr(0, slash);
+}
+
+// Creates a folder and its missing parents.
 Status createFolders(const std::string &folder, const FileOps &ops) {
-  const auto created = ops.CreateFolder(folder);
-  if (created)
-    return core::ok();
-  const size_t slash = folder.find_last_of('/');
-  const bool has_parent = slash != std::string::npos && slash > 0;
-  if (created.error().Code != ErrorCode::NotFound || !has_parent)
+  auto created = ops.CreateFolder(folder);
+  if (!created && created.error().Code == ErrorCode::NotFound) {
+    if (auto parent = createFolders(parentOf(folder), ops); !parent)
+      return parent;
+    created = ops.CreateFolder(folder);
+  }
+  if (!created)
     return created.error();
-  if (auto parent = createFolders(folder.substr(0, slash), ops); !parent)
-    return parent;
-  const auto again = ops.CreateFolder(folder);
-  if (!again)
-    return again.error();
-  return core::ok();
+  return created.value() ? ops.SyncFolder(parentOf(folder)) : core::ok();
+}
+
+// An earlier process may have been killed after it created the folder or its
+// parents and before it synced their names. A parent that this process may not
+// sync was not created by it.
+void syncParents(std::string folder, const FileOps &ops) {
+  while (folder != "/" && folder != ".") {
+    folder = parentOf(folder);
+    if (!ops.SyncFolder(folder))
+      return;
+  }
+}
+
+// Returns the names in a folder, which is created if it does not exist.
+Result<std::vector<std::string>> listOrCreate(const std::string &folder,
+                                              const FileOps &ops) {
+  auto names = ops.List(folder);
+  if (names || names.error().Code != ErrorCode::NotFound)
+    return names;
+  if (auto created = createFolders(folder, ops); !created)
+    return created.error();
+  return ops.List(folder);
 }
 
 void applyBatch(DurableState &state, const DurableBatch &batch) {
@@ -134,13 +163,12 @@
 
 Status Store::format(const std::string &folder, const consensus::MemberId &id,
                      const consensus::Membership &first, const FileOps &ops) {
-  if (auto created = createFolders(folder, ops); !created)
-    return created;
-  const auto names = ops.List(folder);
+  const auto names = listOrCreate(folder, ops);
   if (!names)
     return names.error();
   if (contains(names.value(), IdentityName))
     return Error{ErrorCode::Conflict, folder + " already has an identity"};
+  syncParents(folder, ops);
   DurableBatch empty;
   empty.ReplaceFrom = 1;
   const consensus::Snapshot base{0, 0, first, {}};
