Sync the names in a data folder before its state is used

A member killed at the end of its first format could lose its identity the same way.

Cause: open() took a file that had been renamed but whose name was not synced yet for durable, acted on it, and removed the generation before it. A power loss may then keep the removal and lose the rename.

Evidence: the new case in power_loss_test (a kill at each operation, a restart, then a power loss; 40 random outcomes each).

open() syncs the folder once the state is loaded, before it removes other generations and returns. Ruled out: a power loss alone, without the kill (the case before it).

--- a/src/almondgate/storage/power_loss_test.cpp
+++ b/src/almondgate/storage/power_loss_test.cpp
@@ -243,3 +243,25 @@
     }
   }
 }
+
+TEST_CASE("kill at any operation, then a power loss, loses nothing that was "
+          "acknowledged") {
+  constexpr size_t Samples = 40;
+  std::minstd_rand random(1);
+  for (const auto &script : Scripts) {
+    const size_t operations = operationsOf(script);
+    for (size_t at = 0; at <= operations; ++at)
+      for (size_t i = 0; i < Samples; ++i) {
+        Member member;
+        member.Disk.killAfter(at);
+        play(member, script);
+        member.Disk.restart();
+        REQUIRE(member.start());
+        if (random() % 2)
+          REQUIRE(member.append(9));
+        member.end();
+        member.Disk.losePower([&](size_t n) { return random() % n; });
+        REQUIRE(member.start());
+      }
+  }
+}
--- a/src/almondgate/storage/store.cpp
+++ b/src/almondgate/storage/store.cpp
@@ -218,6 +218,11 @@
       continue;
     if (auto loaded = loadGeneration(*it); !loaded)
       return loaded;
+    // The last process may have been killed between a rename and the sync of
+    // its name. What is read here counts from now on, and the generation before
+    // it is removed.
+    if (auto synced = Ops.SyncFolder(Folder); !synced)
+      return synced;
     removeOtherGenerations(*it);
     return core::ok();
   }
