Write the last record again before it is taken for durable

A member that was killed between the write and the sync of a record, and whose next start met an I/O error in its own sync and ended, took the record for durable at the start after that. A later power loss lost it, or left a hole before newer records: "damaged record at byte 167, followed by intact records", exit 1 at each start.

Cause: after a failed sync the system keeps the bytes readable but forgets that they were to be written; the sync of the next process has nothing to do and succeeds.

Evidence: the new case in power_loss_test (an I/O error, a kill, an error in the next start, a restart, a power loss; random). Ruled out: an error in the sync of append() alone, which cuts the record off again before the process ends; the case without the kill passed on the code as it was.

open() writes the last record once more, in place: only that one can be unsynced, as each is synced before the next is written. Equal bytes over equal bytes can't do harm if that write is torn. The same case showed that format() went on after an I/O error in the sync of a parent folder: now it passes over parents that the system doesn't let it sync, and over nothing else.

--- a/include/almondgate/storage/file_ops.hpp
+++ b/include/almondgate/storage/file_ops.hpp
@@ -44,7 +44,8 @@
   /// Creates a folder. Returns false if it exists. Errors: NotFound if its
   /// parent does not exist.
   std::function<core::Result<bool>(const std::string &folder)> CreateFolder;
-  /// Makes the entries of a folder durable.
+  /// Makes the entries of a folder durable. Errors: Forbidden if the system
+  /// does not let this process sync it.
   std::function<core::Status(const std::string &folder)> SyncFolder;
 };
 
--- a/src/almondgate/storage/file_ops.cpp
+++ b/src/almondgate/storage/file_ops.cpp
@@ -138,16 +138,23 @@
   return errorOrNotFound("create " + folder);
 }
 
+// What the disk answers, as opposed to the system's refusal to try.
+bool isDiskError(const Error &error, int code) {
+  return error.Code == ErrorCode::NoSpace || code == EIO;
+}
+
 Status syncFolder(const std::string &folder) {
   const int fd = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-  if (fd < 0)
-    return errorFromErrno("open " + folder);
-  const bool synced = ::fsync(fd) == 0;
-  const Error error = errorFromErrno("fsync " + folder);
-  ::close(fd);
-  if (!synced)
-    return error;
-  return core::ok();
+  const bool synced = fd >= 0 && ::fsync(fd) == 0;
+  const int code = errno;
+  Error error = errorFromErrno("sync folder " + folder);
+  if (fd >= 0)
+    ::close(fd);
+  if (synced)
+    return core::ok();
+  if (!isDiskError(error, code))
+    error.Code = ErrorCode::Forbidden;
+  return error;
 }
 
 } // namespace
--- a/src/almondgate/storage/power_loss_test.cpp
+++ b/src/almondgate/storage/power_loss_test.cpp
@@ -265,3 +265,31 @@
       }
   }
 }
+
+TEST_CASE("a sync that failed is not taken for done by a later process") {
+  constexpr size_t Samples = 20;
+  constexpr size_t RecoveryOperations = 12;
+  std::minstd_rand random(2);
+  for (const auto &script : Scripts) {
+    const size_t operations = operationsOf(script);
+    for (size_t at = 0; at < operations; ++at)
+      for (size_t i = 0; i < Samples; ++i) {
+        Member member;
+        if (random() % 2)
+          member.Disk.failAfter(random() % (at + 1), Eio);
+        member.Disk.killAfter(at);
+        play(member, script);
+        member.Disk.restart();
+        member.Disk.failAfter(random() % RecoveryOperations, Eio);
+        (void)member.start();
+        member.end();
+        member.Disk.restart();
+        REQUIRE(member.start());
+        if (random() % 2)
+          REQUIRE(member.append(9));
+        member.end();
+        member.Disk.losePower([&](size_t n) { return random() % n; });
+        REQUIRE(member.start());
+      }
+  }
+}
--- a/src/almondgate/storage/store.cpp
+++ b/src/almondgate/storage/store.cpp
@@ -97,12 +97,16 @@
 // An earlier process may have been killed after it created the folder or its
 // parents and before it synced their names. A parent that this process may not
 // sync was not created by it.
-void syncParents(std::string folder, const FileOps &ops) {
+Status syncParents(std::string folder, const FileOps &ops) {
   while (folder != "/" && folder != ".") {
     folder = parentOf(folder);
-    if (!ops.SyncFolder(folder))
-      return;
+    const auto synced = ops.SyncFolder(folder);
+    if (!synced && synced.error().Code == ErrorCode::Forbidden)
+      return core::ok();
+    if (!synced)
+      return synced;
   }
+  return core::ok();
 }
 
 // Returns the names in a folder, which is created if it does not exist.
@@ -168,7 +172,8 @@
     return names.error();
   if (contains(names.value(), IdentityName))
     return Error{ErrorCode::Conflict, folder + " already has an identity"};
-  syncParents(folder, ops);
+  if (auto synced = syncParents(folder, ops); !synced)
+    return synced;
   DurableBatch empty;
   empty.ReplaceFrom = 1;
   const consensus::Snapshot base{0, 0, first, {}};
@@ -274,6 +279,12 @@
   LogBytes = frames.value().ValidBytes;
   if (auto cut = Ops.Truncate(LogFd, LogBytes); !cut)
     return cut;
+  // The last frame may be readable and yet not on the disk: if a sync of it
+  // fails, the system forgets that it was to be written. Each earlier frame was
+  // synced before the next one was written.
+  const std::string last = encodeFrame(frames.value().Payloads.back());
+  if (auto written = Ops.Write(LogFd, LogBytes - last.size(), last); !written)
+    return written;
   return Ops.Sync(LogFd);
 }
 
