--- a/include/almondgate/storage/store.hpp
+++ b/include/almondgate/storage/store.hpp
@@ -48,7 +48,8 @@
   core::Status append(const consensus::DurableBatch &batch);
   /// Writes the batch's snapshot and starts a log file that follows it.
   core::Status startGeneration(const consensus::DurableBatch &batch);
-  /// Removes snapshots and logs other than those with base index `keep`.
+  /// Removes snapshots and logs other than those with base index `keep`, and
+  /// files that were not completed.
   void removeOtherGenerations(uint64_t keep);
   std::string path(const std::string &name) const;
 
--- a/src/almondgate/storage/power_loss_test.cpp
+++ b/src/almondgate/storage/power_loss_test.cpp
@@ -293,3 +293,21 @@
       }
   }
 }
+
+TEST_CASE("files of interrupted changes do not pile up") {
+  constexpr int Kills = 20;
+  std::minstd_rand random(3);
+  Member member;
+  REQUIRE(member.start());
+  for (int i = 0; i < Kills; ++i) {
+    REQUIRE(member.append(1));
+    REQUIRE(member.append(1));
+    member.Disk.killAfter(random() % 12);
+    (void)member.snapshot();
+    member.end();
+    member.Disk.restart();
+    REQUIRE(member.start());
+    // The identity, the lock, a snapshot and its log.
+    CHECK(member.Disk.files().size() == 4);
+  }
+}
--- a/src/almondgate/storage/store.cpp
+++ b/src/almondgate/storage/store.cpp
@@ -100,7 +100,7 @@
 Status syncParents(std::string folder, const FileOps &ops) {
   while (folder != "/" && folder != ".") {
     folder = parentOf(folder);
-    const auto synced = ops.SyncFolder(folder);
+    auto synced = ops.SyncFolder(folder);
     if (!synced && synced.error().Code == ErrorCode::Forbidden)
       return core::ok();
     if (!synced)
@@ -296,6 +296,9 @@
     for (const uint64_t n : generations(names.value(), prefix))
       if (n != keep)
         (void)Ops.Remove(path(prefix + std::to_string(n)));
+  for (const auto &name : names.value())
+    if (name.ends_with(TemporarySuffix))
+      (void)Ops.Remove(path(name));
 }
 
 Status Store::startGeneration(const DurableBatch &batch) {
