Recover from I/O errors of the data folder without ending

A member whose write or sync met an I/O error, too many open files or a folder that had become read-only ended with exit 1, and ended again at each start for as long as that lasted.

Now it says so, stays up, and tries again after 100 ms to 2 s. It has no vote meanwhile and is not ready: the batch in flight holds back every message that depends on it, as on a full disk.

Metric almondgate_control_disk_failed; /readyz "member ID cannot write: ...".

--- a/include/almondgate/control/control_task.hpp
+++ b/include/almondgate/control/control_task.hpp
@@ -26,8 +26,8 @@
 /// dispatcher.
 class ControlTask {
 public:
-  /// Called once, when a write has failed with an error other than NoSpace: the
-  /// process must exit.
+  /// Called once, when what was durable can no longer be read from the disk:
+  /// the process must exit.
   using OnFailure = std::function<void(const core::Error &)>;
 
   /// `gateway` provides the calls to endpoints and services; the task sets the
@@ -84,7 +84,8 @@
   /// member's membership does not contain yet.
   std::map<consensus::MemberId, core::Address> PeerAddresses;
   task::Mailbox<core::Status> WriteResults;
-  bool DiskFull = false;
+  /// The error of the writes that are being retried.
+  std::optional<core::Error> DiskError;
   StorageTask Storage;
   task::Loop &Loop;
   observe::Metrics Metrics;
--- a/include/almondgate/storage/store.hpp
+++ b/include/almondgate/storage/store.hpp
@@ -10,8 +10,8 @@
 namespace almondgate::storage {
 
 /// A member's data folder: its identity, a snapshot, and a log of batches.
-/// After an error other than NoSpace, all further writes fail: the member must
-/// stop.
+/// After an error other than NoSpace, all further writes fail until recover()
+/// succeeds.
 class Store {
 public:
   ~Store();
@@ -40,6 +40,13 @@
   /// the folder is unchanged and the same batch may be written again.
   core::Status write(const consensus::DurableBatch &batch);
 
+  /// Reads the folder again after a write that failed with Io; then the same
+  /// batch can be written again. Errors: Corrupt if what was durable can no
+  /// longer be read, Io, NoSpace.
+  core::Status recover();
+  /// True if recover() has to succeed before the next write.
+  bool hasFailed() const { return Failed; }
+
 private:
   Store(std::string folder, FileOps ops);
 
@@ -60,6 +67,8 @@
   consensus::Vote LastVote;
   int LockFd = -1;
   int LogFd = -1;
+  /// Base index of the current snapshot and log.
+  uint64_t Generation = 0;
   /// Bytes of the log that are durable.
   size_t LogBytes = 0;
   bool Failed = false;
--- a/src/almondgate/control/control_task.cpp
+++ b/src/almondgate/control/control_task.cpp
@@ -75,6 +75,8 @@
   const auto &node = Core.node();
   if (!consensus::isVoter(node.membership(), Identity))
     return "member " + Identity.str() + " is not a voter";
+  if (DiskError && DiskError->Code != ErrorCode::NoSpace)
+    return "member " + Identity.str() + " cannot write: " + DiskError->Text;
   return node.leader().empty()
              ? "no leader is known to member " + Identity.str()
              : "";
@@ -91,7 +93,9 @@
   line("term", node.term());
   line("commit_index", node.commitIndex());
   line("last_index", node.lastIndex());
-  line("disk_full", DiskFull ? 1 : 0);
+  const bool full = DiskError && DiskError->Code == ErrorCode::NoSpace;
+  line("disk_full", full ? 1 : 0);
+  line("disk_failed", DiskError && !full ? 1 : 0);
   line("revision", Core.state().View.Revision);
   const auto &ledger = Core.state().Jobs;
   line("epoch", ledger.Epoch);
@@ -255,20 +259,28 @@
 }
 
 void ControlTask::onBatchWritten(const core::Status &status) {
-  const bool full = !status && status.error().Code == ErrorCode::NoSpace;
-  if (full)
-    observe::logError("storage", status.error().Text + "; member " +
-                                     Identity.str() +
-                                     " acknowledges no writes until there is "
-                                     "space on disk");
-  else if (DiskFull)
-    observe::logInfo("storage", "space on disk is available again; member " +
-                                    Identity.str() + " acknowledges writes");
-  DiskFull = full;
-  if (status)
+  if (status) {
+    const auto error = std::exchange(DiskError, std::nullopt);
+    const bool was_full = error && error->Code == ErrorCode::NoSpace;
+    if (error)
+      observe::logInfo(
+          "storage", std::string(was_full ? "space on disk is available again"
+                                          : "the disk can be written again") +
+                         "; member " + Identity.str() + " acknowledges writes");
     Core.onPersisted();
-  else if (!full)
+    return;
+  }
+  if (status.error().Code == ErrorCode::Corrupt) {
     ReportFailure(status.error());
+    return;
+  }
+  DiskError = status.error();
+  const bool full = DiskError->Code == ErrorCode::NoSpace;
+  observe::logError("storage",
+                    DiskError->Text + "; member " + Identity.str() +
+                        " acknowledges no writes until " +
+                        (full ? "there is space on disk"
+                              : "its data folder can be read and written"));
 }
 
 protocol::RpcServerHooks ControlTask::serverHooks() {
--- a/src/almondgate/control/storage_task.cpp
+++ b/src/almondgate/control/storage_task.cpp
@@ -1,5 +1,8 @@
 #include "almondgate/control/storage_task.hpp"
 
+#include <algorithm>
+#include <utility>
+
 namespace almondgate::control {
 
 namespace {
@@ -9,6 +12,10 @@
 // Interval between write attempts on a full disk: the longest extra delay of an
 // acknowledgement once there is space.
 constexpr core::DurationMs FullDiskRetry{100};
+// A disk that fails may do so for good: the interval doubles from the first to
+// the last of these.
+constexpr core::DurationMs FirstFailureRetry{100};
+constexpr core::DurationMs LastFailureRetry{2000};
 
 } // namespace
 
@@ -27,13 +34,32 @@
 
 StorageTask::~StorageTask() { StorageThread.stop(); }
 
+core::Status StorageTask::tryWrite() {
+  if (Store->hasFailed())
+    if (auto recovered = Store->recover(); !recovered)
+      return recovered;
+  return Store->write(Batch);
+}
+
+void StorageTask::retryLater(core::ErrorCode failure) {
+  if (failure == core::ErrorCode::NoSpace)
+    RetryDelay = FullDiskRetry;
+  else if (Failure == failure)
+    RetryDelay = std::min(RetryDelay * 2, LastFailureRetry);
+  else
+    RetryDelay = FirstFailureRetry;
+  Retry->once(RetryDelay, [this] { writeBatch(); });
+}
+
 void StorageTask::writeBatch() {
-  const core::Status status = Store->write(Batch);
-  const bool full = !status && status.error().Code == core::ErrorCode::NoSpace;
-  if (full)
-    Retry->once(FullDiskRetry, [this] { writeBatch(); });
-  const bool was_full = std::exchange(DiskFull, full);
-  if (!full || !was_full)
+  const core::Status status = tryWrite();
+  std::optional<core::ErrorCode> failure;
+  if (!status && status.error().Code != core::ErrorCode::Corrupt)
+    failure = status.error().Code;
+  if (failure)
+    retryLater(*failure);
+  const auto last = std::exchange(Failure, failure);
+  if (!failure || failure != last)
     Report(status);
 }
 
--- a/src/almondgate/storage/store.cpp
+++ b/src/almondgate/storage/store.cpp
@@ -6,6 +6,8 @@
 #include <charconv>
 #include <cstring>
 #include <set>
+#include <tuple>
+#include <utility>
 
 namespace almondgate::storage {
 
@@ -276,6 +278,7 @@
   if (!fd)
     return fd.error();
   LogFd = fd.value();
+  Generation = base;
   LogBytes = frames.value().ValidBytes;
   if (auto cut = Ops.Truncate(LogFd, LogBytes); !cut)
     return cut;
@@ -318,6 +321,7 @@
     return fd.error();
   Ops.Close(LogFd);
   LogFd = fd.value();
+  Generation = batch.Base->Index;
   LogBytes = log.size();
   removeOtherGenerations(batch.Base->Index);
   return core::ok();
@@ -352,4 +356,20 @@
   return status;
 }
 
+Status Store::recover() {
+  const auto durable = std::pair(Generation, LogBytes);
+  if (LogFd >= 0)
+    Ops.Close(std::exchange(LogFd, -1));
+  Recovered = {};
+  Status status = load();
+  Recovered = {};
+  if (status && std::pair(Generation, LogBytes) < durable)
+    status = Error{ErrorCode::Corrupt,
+                   Folder + " has lost records that were durable"};
+  if (!status)
+    std::tie(Generation, LogBytes) = durable;
+  Failed = !status;
+  return status;
+}
+
 } // namespace almondgate::storage
