Note no end of a process that the test asked for

The watching thread of the deployment could look at a process between the signal of Node.end() and the next start, and count "status -9" as an end of its own: seen once in 3 runs of first_start_test (a race between the read of `asked` and poll()). Both sides hold the node's lock now. Nothing is checked less: ends that no test asked for are counted as before.

--- a/tests/platform_deployment.py
+++ b/tests/platform_deployment.py
@@ -58,6 +58,8 @@
         self.popen = None
         self.own_ends = []
         self.asked = False
+        # The watching thread must not see an end that end() asked for.
+        self.lock = threading.RLock()
         self.peak_kb = 0
         self.limit_kb = int(float(settings["limits.memory-mb"] or 0)) << 10
 
@@ -67,7 +69,11 @@
         return [program] + [render(w, self.settings) for w in words[1:]]
 
     def start(self, **options):
-        self.asked = False
+        with self.lock:
+            self.asked = False
+            self.spawn(options)
+
+    def spawn(self, options):
         env = {"PATH": "/usr/bin:/bin", "HOME": "/", "LANG": "C.UTF-8",
                **self.role.get("env", {})}
         with open(self.log, "ab") as out:
@@ -78,11 +84,12 @@
 
     def end(self, number=signal.SIGKILL, seconds=20):
         """Ends the process by a signal; this is no end of its own."""
-        self.asked = True
-        if self.popen and self.popen.poll() is None:
-            self.popen.send_signal(number)
-            self.popen.wait(seconds)
-        return self.popen.returncode if self.popen else None
+        with self.lock:
+            self.asked = True
+            if self.popen and self.popen.poll() is None:
+                self.popen.send_signal(number)
+                self.popen.wait(seconds)
+            return self.popen.returncode if self.popen else None
 
     def log_text(self):
         with open(self.log, errors="replace") as f:
@@ -191,21 +198,31 @@
         """Enforces memory limits, counts own ends and restarts processes."""
         while not self.stopping.wait(WATCH_SECONDS):
             for node in list(self.nodes.values()):
-                if node.popen is None or node.asked:
-                    continue
-                pid = node.popen.pid
-                node.peak_kb = max(node.peak_kb, memory_kb(pid, "VmHWM"))
-                if node.limit_kb and memory_kb(pid, "VmRSS") > node.limit_kb:
-                    node.popen.kill()
-                    node.popen.wait()
-                    node.own_ends.append("memory over the limit")
-                elif node.popen.poll() is not None:
-                    node.own_ends.append(f"status {node.popen.returncode}")
-                else:
+                with node.lock:
+                    ended = self.has_ended(node)
+                if not ended or not self.restart:
                     continue
-                if self.restart:
-                    time.sleep(RESTART_SECONDS)
-                    node.start()
+                time.sleep(RESTART_SECONDS)
+                with node.lock:
+                    if not node.asked and node.popen.poll() is not None:
+                        node.start()
+
+    @staticmethod
+    def has_ended(node):
+        """Notes an end that nobody asked for."""
+        if node.popen is None or node.asked:
+            return False
+        pid = node.popen.pid
+        node.peak_kb = max(node.peak_kb, memory_kb(pid, "VmHWM"))
+        if node.limit_kb and memory_kb(pid, "VmRSS") > node.limit_kb:
+            node.popen.kill()
+            node.popen.wait()
+            node.own_ends.append("memory over the limit")
+        elif node.popen.poll() is not None:
+            node.own_ends.append(f"status {node.popen.returncode}")
+        else:
+            return False
+        return True
 
     def send_heartbeats(self):
         while not self.stopping.wait(HEARTBEAT_SECONDS):
