Go on when a data folder is damaged or cannot be opened

A member with a damaged file (an empty identity, a log without its first record, a flipped byte before the last record), a missing identity or an unreadable folder ended with exit 1 at each start: on half of the core that is a system whose processes end by themselves for good.

Damage: openDataFolder() renames the member's files to damaged-NAME, identity first and synced, and formats the folder for a new identity without a vote; the leader replaces the old one as after a lost disk. Without an identity, a folder that has more than an interrupted format() leaves counts as damaged too; before, its old log was taken over under the new identity. With a damaged majority the group does not serve until an operator acts, as before; the files are kept (the latest set).

Files of another version (a format line or a record with a valid checksum that can't be decoded) are not damage: nothing is touched, and the member waits. So does a member whose folder can't be read, locked or written: it stays up, says why, tries again every 250 ms, and stops on SIGTERM.

--- a/apps/control_program.cpp
+++ b/apps/control_program.cpp
@@ -2,6 +2,7 @@
 
 #include "almondgate/core/digest.hpp"
 #include "almondgate/http/status_server.hpp"
+#include "almondgate/storage/data_folder.hpp"
 #include "almondgate/task/loop.hpp"
 #include "almondgate/task/signal_watcher.hpp"
 
@@ -9,8 +10,7 @@
 #include "program.hpp"
 
 #include <algorithm>
-#include <chrono>
-#include <thread>
+#include <utility>
 
 namespace almondgate::apps {
 
@@ -18,7 +18,7 @@
 
 constexpr core::DurationMs LeaderCheckInterval{10};
 constexpr core::DurationMs MaxStopTime{3000};
-constexpr core::DurationMs FullDiskRetryInterval{250};
+constexpr core::DurationMs StoreRetryInterval{250};
 constexpr int JoinerIdBytes = 4;
 
 int formatFirstMember(const config::ControlSettings &settings) {
@@ -40,64 +40,68 @@
 }
 
 // A member with an empty disk gets a new identity, which has no vote until it
-// replaces another member. Only the founders of a new group vote at once.
-core::Result<std::unique_ptr<storage::Store>>
-openStore(const config::ControlSettings &settings) {
-  const auto ops = storage::systemFileOps();
-  auto store = storage::Store::open(settings.DataFolder, ops);
-  if (store || store.error().Code != core::ErrorCode::NotFound)
-    return store;
+// replaces another member. Only the founders of a new group vote at once, and
+// none that lost its state.
+storage::FirstState firstState(const config::ControlSettings &settings,
+                               bool had_state) {
   const auto &first = settings.Common.Control;
-  const bool is_founder = settings.BootstrapCluster &&
+  const bool is_founder = settings.BootstrapCluster && !had_state &&
                           std::find(first.begin(), first.end(),
                                     settings.Common.Inner) != first.end();
-  const consensus::MemberId id =
-      is_founder
-          ? firstIdAt(settings.Common.Inner)
-          : consensus::MemberId("joiner-" + core::randomHex(JoinerIdBytes));
+  if (!is_founder)
+    return {consensus::MemberId("joiner-" + core::randomHex(JoinerIdBytes)),
+            {}};
   consensus::Membership members;
-  if (is_founder)
-    for (const auto &address : first)
-      members.Members.push_back({firstIdAt(address), address, true});
-  const auto done =
-      storage::Store::format(settings.DataFolder, id, members, ops);
-  if (!done)
-    return done.error();
-  observe::logWarn("start", "data folder " + settings.DataFolder +
-                                " is empty: this member " +
-                                (is_founder ? "founds" : "joins") +
-                                " the group as " + id.str());
-  return storage::Store::open(settings.DataFolder, ops);
+  for (const auto &address : first)
+    members.Members.push_back({firstIdAt(address), address, true});
+  return {firstIdAt(settings.Common.Inner), members};
 }
 
-// Opening the store needs a little free disk space. The process does not serve
-// yet, so waiting here blocks no request.
-core::Result<std::unique_ptr<storage::Store>>
-openStoreOnceDiskHasSpace(const config::ControlSettings &settings) {
-  auto store = openStore(settings);
-  for (bool logged = false;
-       !store && store.error().Code == core::ErrorCode::NoSpace;
-       logged = true) {
-    if (!logged)
+// Opens the data folder. While it can't be read or written, waits and tries
+// again: the process does not serve yet, so this blocks no request. Returns
+// null if the process is asked to stop first.
+std::unique_ptr<storage::Store>
+waitForStore(const config::ControlSettings &settings) {
+  const storage::DataFolderHooks hooks{
+      [&](bool had_state) { return firstState(settings, had_state); },
+      [](const std::string &line) { observe::logWarn("storage", line); }};
+  task::Loop loop;
+  const task::SignalWatcher term(loop, SIGTERM, [&] { loop.stop(); });
+  const task::SignalWatcher interrupt(loop, SIGINT, [&] { loop.stop(); });
+  task::Timer retry(loop);
+  std::unique_ptr<storage::Store> store;
+  core::Error last;
+  const auto open = [&] {
+    auto opened = storage::openDataFolder(settings.DataFolder,
+                                          storage::systemFileOps(), hooks);
+    if (opened) {
+      store = std::move(opened.value());
+      loop.stop();
+      return;
+    }
+    if (opened.error() != std::exchange(last, opened.error()))
       observe::logError("storage",
-                        store.error().Text + "; waiting for free disk space");
-    std::this_thread::sleep_for(
-        std::chrono::milliseconds(FullDiskRetryInterval.Count));
-    store = openStore(settings);
-  }
+                        last.Text +
+                            "; waiting for the data folder, trying "
+                            "again every " +
+                            std::to_string(StoreRetryInterval.Count) + " ms");
+  };
+  retry.every(StoreRetryInterval, open);
+  loop.defer(open);
+  loop.run();
   return store;
 }
 
 int run(const config::ControlSettings &settings,
         const MakeControlAdapter &make_adapter) {
-  auto store = openStoreOnceDiskHasSpace(settings);
+  auto store = waitForStore(settings);
   if (!store)
-    return reportStartError(store.error());
+    return 0;
   task::Loop loop;
   int code = 0;
   const ControlAdapter adapter = make_adapter(loop, settings);
   control::ControlTask control(
-      loop, settings, std::move(store.value()),
+      loop, settings, std::move(store),
       [&](const core::Error &error) {
         observe::logError("storage",
                           error.Text +
--- a/include/almondgate/storage/store.hpp
+++ b/include/almondgate/storage/store.hpp
@@ -27,7 +27,8 @@
 
   /// Opens and locks a formatted folder, and truncates a torn tail of the log.
   /// Errors: NotFound if there is no identity, Conflict if another process
-  /// holds the lock, Corrupt, NoSpace, Io.
+  /// holds the lock, InvalidArgument if another version of this program wrote
+  /// it, Corrupt, NoSpace, Io.
   static core::Result<std::unique_ptr<Store>> open(const std::string &folder,
                                                    FileOps ops);
 
--- a/src/almondgate/storage/store.cpp
+++ b/src/almondgate/storage/store.cpp
@@ -2,9 +2,10 @@
 #include "almondgate/encoding/codec.hpp"
 #include "almondgate/storage/frame.hpp"
 
+#include "folder_names.hpp"
+
 #include <algorithm>
 #include <charconv>
-#include <cstring>
 #include <set>
 #include <tuple>
 #include <utility>
@@ -20,20 +21,12 @@
 
 namespace {
 
-constexpr const char *IdentityName = "identity";
-constexpr const char *LockName = "lock";
-constexpr const char *LogPrefix = "log-";
-constexpr const char *SnapshotPrefix = "snapshot-";
-constexpr const char *TemporarySuffix = ".tmp";
-constexpr const char *FormatLine = "almondgate-data 1\n";
-
-std::string join(const std::string &folder, const std::string &name) {
-  return folder + "/" + name;
-}
+constexpr std::string_view FormatName = "almondgate-data ";
+constexpr std::string_view FormatLine = "almondgate-data 1\n";
 
 Status replaceFile(const std::string &folder, const std::string &name,
                    std::string_view data, const FileOps &ops) {
-  const std::string temporary = join(folder, name + TemporarySuffix);
+  const std::string temporary = joinPath(folder, name + TemporarySuffix);
   const auto fd = ops.Create(temporary);
   if (!fd)
     return fd.error();
@@ -46,7 +39,7 @@
     (void)ops.Remove(temporary);
     return status;
   }
-  status = ops.Rename(temporary, join(folder, name));
+  status = ops.Rename(temporary, joinPath(folder, name));
   if (status)
     status = ops.SyncFolder(folder);
   return status;
@@ -69,10 +62,6 @@
   return out;
 }
 
-bool contains(const std::vector<std::string> &names, const std::string &name) {
-  return std::find(names.begin(), names.end(), name) != names.end();
-}
-
 // The folder that has an entry for `path`.
 std::string parentOf(const std::string &path) {
   const size_t end = path.find_last_not_of('/');
@@ -148,7 +137,23 @@
 Error withRecoveryHint(const Error &error, const std::string &file) {
   return {error.Code,
           file + ": " + error.Text +
-              "; replace this member (docs/OPERATIONS.md, Lost disk)"};
+              "; this member must be replaced (docs/OPERATIONS.md, Lost disk)"};
+}
+
+// An intact file that this version can't read is not damaged.
+Error unknownFormat(const std::string &text) {
+  return {ErrorCode::InvalidArgument,
+          text + "; it was written by another version of this program"};
+}
+
+Result<consensus::MemberId> readIdentity(const std::string &file) {
+  if (file.starts_with(FormatLine) && file.size() > FormatLine.size())
+    return consensus::MemberId(file.substr(FormatLine.size()));
+  const size_t line_end = file.find('\n');
+  if (file.starts_with(FormatName) && line_end != std::string::npos &&
+      line_end + 1 < file.size() && !file.starts_with(FormatLine))
+    return unknownFormat("unknown format '" + file.substr(0, line_end) + "'");
+  return Error{ErrorCode::Corrupt, "damaged identity"};
 }
 
 } // namespace
@@ -164,7 +169,7 @@
 }
 
 std::string Store::path(const std::string &name) const {
-  return join(Folder, name);
+  return joinPath(Folder, name);
 }
 
 Status Store::format(const std::string &folder, const consensus::MemberId &id,
@@ -181,13 +186,13 @@
   const consensus::Snapshot base{0, 0, first, {}};
   const std::string snapshot = encodeFrame(encoding::encode(base));
   const std::string log = encodeFrame(encoding::encode(empty));
-  Status status =
-      replaceFile(folder, std::string(SnapshotPrefix) + "0", snapshot, ops);
+  Status status = replaceFile(folder, SnapshotPrefix + "0", snapshot, ops);
   if (status)
-    status = replaceFile(folder, std::string(LogPrefix) + "0", log, ops);
+    status = replaceFile(folder, LogPrefix + "0", log, ops);
   // The identity is written last: a folder without one is not formatted.
   if (status)
-    status = replaceFile(folder, IdentityName, FormatLine + id.str(), ops);
+    status = replaceFile(folder, IdentityName,
+                         std::string(FormatLine) + id.str(), ops);
   return status;
 }
 
@@ -200,11 +205,10 @@
   if (!identity)
     return Error{ErrorCode::NotFound,
                  folder + " is not formatted: it has no identity file"};
-  if (identity.value().rfind(FormatLine, 0) != 0)
-    return Error{ErrorCode::Corrupt,
-                 folder + ": the identity file has an unknown format version"};
-  store->Identity =
-      consensus::MemberId(identity.value().substr(std::strlen(FormatLine)));
+  const auto id = readIdentity(identity.value());
+  if (!id)
+    return withRecoveryHint(id.error(), store->path(IdentityName));
+  store->Identity = id.value();
   const auto lock = store->Ops.Lock(store->path(LockName));
   if (!lock)
     return lock.error();
@@ -251,7 +255,7 @@
   const auto decoded =
       encoding::decode<consensus::Snapshot>(snapshot.value().Payloads.front());
   if (!decoded)
-    return withRecoveryHint(decoded.error(), snapshot_path);
+    return unknownFormat(snapshot_path + ": " + decoded.error().Text);
   Recovered.Base = decoded.value();
 
   const auto log_file = Ops.Read(log_path);
@@ -268,7 +272,7 @@
   for (const auto &payload : frames.value().Payloads) {
     const auto batch = encoding::decode<DurableBatch>(payload);
     if (!batch)
-      return withRecoveryHint(batch.error(), log_path);
+      return unknownFormat(log_path + ": " + batch.error().Text);
     applyBatch(Recovered, batch.value());
   }
   if (auto checked = checkNoGaps(Recovered); !checked)
@@ -295,7 +299,7 @@
   const auto names = Ops.List(Folder);
   if (!names)
     return;
-  for (const char *prefix : {LogPrefix, SnapshotPrefix})
+  for (const auto &prefix : {LogPrefix, SnapshotPrefix})
     for (const uint64_t n : generations(names.value(), prefix))
       if (n != keep)
         (void)Ops.Remove(path(prefix + std::to_string(n)));
