--- a/include/almondgate/storage/store.hpp
+++ b/include/almondgate/storage/store.hpp
@@ -10,8 +10,8 @@
 namespace almondgate::storage {
 
 /// A member's data folder: its identity, a snapshot, and a log of batches.
-/// After an error other than NoSpace, all further writes fail: the member must
-/// stop.
+/// After an error other than NoSpace, all further writes fail until recover()
+/// succeeds.
 class Store {
 public:
   ~Store();
@@ -27,7 +27,8 @@
 
   /// Opens and locks a formatted folder, and truncates a torn tail of the log.
   /// Errors: NotFound if there is no identity, Conflict if another process
-  /// holds the lock, Corrupt, NoSpace, Io.
+  /// holds the lock, InvalidArgument if another version of this program wrote
+  /// it, Corrupt, NoSpace, Io.
   static core::Result<std::unique_ptr<Store>> open(const std::string &folder,
                                                    FileOps ops);
 
@@ -40,6 +41,13 @@
   /// the folder is unchanged and the same batch may be written again.
   core::Status write(const consensus::DurableBatch &batch);
 
+  /// Reads the folder again after a write that failed with Io; then the same
+  /// batch can be written again. Errors: Corrupt if what was durable can no
+  /// longer be read, Io, NoSpace.
+  core::Status recover();
+  /// True if recover() has to succeed before the next write.
+  bool hasFailed() const { return Failed; }
+
 private:
   Store(std::string folder, FileOps ops);
 
@@ -48,7 +56,8 @@
   core::Status append(const consensus::DurableBatch &batch);
   /// Writes the batch's snapshot and starts a log file that follows it.
   core::Status startGeneration(const consensus::DurableBatch &batch);
-  /// Removes snapshots and logs other than those with base index `keep`.
+  /// Removes snapshots and logs other than those with base index `keep`, and
+  /// files that were not completed.
   void removeOtherGenerations(uint64_t keep);
   std::string path(const std::string &name) const;
 
@@ -59,6 +68,8 @@
   consensus::Vote LastVote;
   int LockFd = -1;
   int LogFd = -1;
+  /// Base index of the current snapshot and log.
+  uint64_t Generation = 0;
   /// Bytes of the log that are durable.
   size_t LogBytes = 0;
   bool Failed = false;
