Do not keep the closed streams of inner connections

Cause: a server session of nghttp2 keeps closed streams for the tree of priorities, as many as may be open. We allow 100,000, so each inner connection keeps about 240 bytes for each call that it has served, up to 24 MB, and each process has a connection from each of its peers.

Evidence: the new test, before the fix: the heap grows by 4.8 MB over 20,000 calls on one connection (5,023,408 bytes in use, 1,276,112 allowed). After: it passes.

Ruled out: streams that the session itself holds; its maps are empty after each call. Why the fix works: nghttp2 frees a stream when it closes if the option no_closed_streams is set; no peer sets priorities.

--- a/src/almondgate/protocol/http2_session.cpp
+++ b/src/almondgate/protocol/http2_session.cpp
@@ -120,9 +120,15 @@
       callbacks, SessionCallbacks::onFrame);
   nghttp2_session_callbacks_set_on_stream_close_callback(
       callbacks, SessionCallbacks::onClose);
-  const int code = server
-                       ? nghttp2_session_server_new(&Session, callbacks, this)
-                       : nghttp2_session_client_new(&Session, callbacks, this);
+  nghttp2_option *options = nullptr;
+  core::invariant(nghttp2_option_new(&options) == 0,
+                  "nghttp2 options could not be allocated");
+  // They serve only the priorities between streams, which nobody sets.
+  nghttp2_option_set_no_closed_streams(options, 1);
+  const auto create =
+      server ? nghttp2_session_server_new2 : nghttp2_session_client_new2;
+  const int code = create(&Session, callbacks, this, options);
+  nghttp2_option_del(options);
   nghttp2_session_callbacks_del(callbacks);
   core::invariant(code == 0, "nghttp2 session could not be created");
   const std::array<nghttp2_settings_entry, 2> settings = {{
--- a/src/almondgate/protocol/rpc_test.cpp
+++ b/src/almondgate/protocol/rpc_test.cpp
@@ -10,6 +10,7 @@
 #include <doctest/doctest.h>
 
 #include <list>
+#include <malloc.h>
 #include <optional>
 #include <random>
 
@@ -158,3 +159,17 @@
   fixture.Loop.run();
   CHECK(fixture.call(Method::Grant, "still").value() == "got still");
 }
+
+// nghttp2 keeps the closed streams of a server for its priority tree, as many
+// as streams may be open.
+TEST_CASE("a connection's memory does not grow with the calls that it served") {
+  Fixture fixture;
+  constexpr int Calls = 20000;
+  constexpr size_t MaxGrowthBytes = size_t{1} << 20;
+  CHECK(fixture.call(Method::Grant, "a"));
+  const size_t before = mallinfo2().uordblks;
+  for (int i = 0; i < Calls; ++i)
+    if (!fixture.call(Method::Grant, "b"))
+      FAIL("a call failed");
+  CHECK(mallinfo2().uordblks < before + MaxGrowthBytes);
+}
