Bound what strangers and peers make the inner protocol hold

Cause: the secret was checked only on a complete message, so that anybody who reaches the inner port could open 100,000 streams on each connection, with header fields without a bound and windows of 16 and 128 MB for their bodies. Calls to a peer that is slow or silent, replies that a peer does not read (looked at only when it sent something), and bodies being received had no common bound either.

Ruled out: garbage and partial frames, which cost little before as well.

The fix: the secret is checked with the first header fields, before any body; until then a connection may send 16 kB and has 3 s, and the oldest of more than 600 such connections is closed (more than the accept queue of 511, so that one burst can't push a peer out before its first bytes are read). Header fields are at most 8 kB, windows 1 and 4 MB and the latter only for peers. At most 256 kB are queued in a socket, the rest follows as the peer reads, and a peer that reads nothing for 10 s is disconnected by a timer. Handlers run after nghttp2 has returned. An attempt to connect that fails at once (no descriptor is left) reports it in a later iteration, as callers expect.

--- a/include/almondgate/protocol/rpc_client.hpp
+++ b/include/almondgate/protocol/rpc_client.hpp
@@ -2,6 +2,7 @@
 #define ALMONDGATE_PROTOCOL_RPC_CLIENT_HPP
 
 #include "almondgate/core/address.hpp"
+#include "almondgate/core/budget_reading.hpp"
 #include "almondgate/core/duration_ms.hpp"
 #include "almondgate/core/result.hpp"
 #include "almondgate/protocol/method.hpp"
@@ -24,6 +25,8 @@
 public:
   /// Receives the reply, the error that the peer returned, or Unavailable or
   /// DeadlineExceeded; after these two the peer may have executed the call.
+  /// Overloaded with Outcome NotRun: too many bytes are held for peers, and the
+  /// call was not sent or not executed.
   using OnReply = std::function<void(core::Result<std::string>)>;
 
   RpcClient(task::Loop &loop, RpcOptions options);
@@ -39,6 +42,10 @@
   void call(const core::Address &to, Method method, std::string body,
             core::DurationMs timeout, OnReply done, MaySend may_send = {});
 
+  /// Returns what calls that are not sent yet, and replies that are received,
+  /// hold.
+  core::BudgetReading budget() const;
+
 private:
   struct State;
   std::shared_ptr<State> S;
--- a/include/almondgate/protocol/rpc_options.hpp
+++ b/include/almondgate/protocol/rpc_options.hpp
@@ -1,6 +1,8 @@
 #ifndef ALMONDGATE_PROTOCOL_RPC_OPTIONS_HPP
 #define ALMONDGATE_PROTOCOL_RPC_OPTIONS_HPP
 
+#include "almondgate/core/memory_plan.hpp"
+
 #include <cstddef>
 #include <string>
 
@@ -12,10 +14,16 @@
   std::string Secret;
   /// Maximum size of the body of a call or a reply.
   size_t MaxBodyBytes = 64u << 20;
+  /// Limit of the bytes that all peers together make a client or a server hold.
+  /// A single body may exceed it.
+  size_t MaxHeldBytes = core::planMemory(0).Peers / 2;
 
   bool operator==(const RpcOptions &) const = default;
 };
 
+/// Returns the options of a process that has one client and one server.
+RpcOptions rpcOptions(std::string secret, const core::MemoryPlan &plan);
+
 } // namespace almondgate::protocol
 
 #endif
--- a/include/almondgate/protocol/rpc_server.hpp
+++ b/include/almondgate/protocol/rpc_server.hpp
@@ -1,6 +1,7 @@
 #ifndef ALMONDGATE_PROTOCOL_RPC_SERVER_HPP
 #define ALMONDGATE_PROTOCOL_RPC_SERVER_HPP
 
+#include "almondgate/core/budget_reading.hpp"
 #include "almondgate/core/result.hpp"
 #include "almondgate/protocol/method.hpp"
 #include "almondgate/protocol/rpc_options.hpp"
@@ -25,7 +26,8 @@
 
 /// Callbacks of an RpcServer.
 struct RpcServerHooks {
-  /// A call was received; the responder may be invoked later.
+  /// A call was received; the responder may be invoked later. A call whose
+  /// handler throws is answered with an error and reported to OnRejected.
   std::function<void(Method, std::string body, Responder)> OnCall;
   /// A call with a wrong secret, protocol version or method was rejected.
   std::function<void(const std::string &reason)> OnRejected;
@@ -42,6 +44,10 @@
   /// Errors: those of task::TcpListener::listen().
   core::Status listen(const core::Address &address);
 
+  /// Returns what calls that are received or open, and replies that are not
+  /// sent yet, hold.
+  core::BudgetReading budget() const;
+
 private:
   struct State;
   std::shared_ptr<State> S;
--- a/include/almondgate/task/tcp_stream.hpp
+++ b/include/almondgate/task/tcp_stream.hpp
@@ -25,6 +25,8 @@
   std::function<void(std::string_view)> OnData;
   /// The peer closed the connection, or it failed. Called at most once.
   std::function<void(const core::Error &)> OnClose;
+  /// The kernel has accepted the bytes of a write().
+  std::function<void()> OnWritten = {};
 };
 
 /// A TCP connection owned by one task. Destroying the stream closes the
@@ -38,6 +40,7 @@
   TcpStream(const TcpStream &) = delete;
   TcpStream &operator=(const TcpStream &) = delete;
 
+  /// `done` is called later, also if the attempt fails at once.
   void connect(const core::Address &address, OnConnect done);
 
   /// Accepts a pending connection of a listener and starts to read. Errors: Io.
--- a/src/almondgate/protocol/http2_session.cpp
+++ b/src/almondgate/protocol/http2_session.cpp
@@ -6,14 +6,19 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
+#include <utility>
 
 namespace almondgate::protocol {
 
 namespace {
 
-constexpr uint32_t MaxStreams = 100000;
-constexpr int32_t StreamWindowBytes = 16 << 20;
-constexpr int32_t ConnectionWindowBytes = 128 << 20;
+constexpr uint32_t MaxStreams = 10000;
+constexpr int32_t StreamWindowBytes = 1 << 20;
+constexpr int32_t ConnectionWindowBytes = 4 << 20;
+constexpr size_t MaxHeaderBytes = 8192;
+// As RFC 9113 counts the size of a field section.
+constexpr size_t FieldOverheadBytes = 32;
 
 std::vector<nghttp2_nv> toNghttp2(const std::vector<HeaderField> &headers) {
   std::vector<nghttp2_nv> out;
@@ -40,37 +45,58 @@
                       const uint8_t *name, size_t name_size,
                       const uint8_t *value, size_t value_size, uint8_t,
                       void *user) {
+    const bool trailer = frame->headers.cat == NGHTTP2_HCAT_HEADERS;
+    if (trailer)
+      return 0;
     auto &stream = self(user).IncomingStreams[frame->hd.stream_id];
+    stream.HeaderBytes += name_size + value_size + FieldOverheadBytes;
+    if (stream.HeaderBytes > MaxHeaderBytes)
+      return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
     stream.Headers.push_back(
         {std::string(reinterpret_cast<const char *>(name), name_size),
          std::string(reinterpret_cast<const char *>(value), value_size)});
     return 0;
   }
 
-  static int onData(nghttp2_session *raw, uint8_t, int32_t id,
-                    const uint8_t *data, size_t n, void *user) {
-    auto &body = self(user).IncomingStreams[id].Body;
-    if (body.size() + n > self(user).MaxBodyBytes)
-      return nghttp2_submit_rst_stream(raw, NGHTTP2_FLAG_NONE, id,
-                                       NGHTTP2_CANCEL);
-    body.append(reinterpret_cast<const char *>(data), n);
+  static int onData(nghttp2_session *, uint8_t, int32_t id, const uint8_t *data,
+                    size_t n, void *user) {
+    auto &session = self(user);
+    const auto it = session.IncomingStreams.find(id);
+    if (it == session.IncomingStreams.end())
+      return 0;
+    auto &message = it->second;
+    const size_t size = message.Body.size() + n;
+    if (size > session.MaxBodyBytes || !message.Held.growTo(size)) {
+      session.IncomingStreams.erase(it);
+      session.Hooks.OnRefused(id);
+      return 0;
+    }
+    message.Body.append(reinterpret_cast<const char *>(data), n);
     return 0;
   }
 
   static int onFrame(nghttp2_session *, const nghttp2_frame *frame,
                      void *user) {
-    const bool ends = (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0;
     const bool has_content =
         frame->hd.type == NGHTTP2_DATA || frame->hd.type == NGHTTP2_HEADERS;
-    if (!ends || !has_content)
+    if (!has_content)
       return 0;
     auto &session = self(user);
-    const auto it = session.IncomingStreams.find(frame->hd.stream_id);
+    const int32_t id = frame->hd.stream_id;
+    const auto it = session.IncomingStreams.find(id);
     if (it == session.IncomingStreams.end())
       return 0;
-    IncomingStream message = std::move(it->second);
+    if (!it->second.Accepted) {
+      it->second.Accepted = session.Hooks.OnHeaders(id, it->second);
+      if (!it->second.Accepted) {
+        session.IncomingStreams.erase(it);
+        return 0;
+      }
+    }
+    if ((frame->hd.flags & NGHTTP2_FLAG_END_STREAM) == 0)
+      return 0;
+    session.Events.push_back({id, false, std::move(it->second)});
     session.IncomingStreams.erase(it);
-    session.Hooks.OnMessage(frame->hd.stream_id, message);
     return 0;
   }
 
@@ -78,7 +104,7 @@
     auto &session = self(user);
     session.IncomingStreams.erase(id);
     session.OutgoingBodies.erase(id);
-    session.Hooks.OnStreamClosed(id);
+    session.Events.push_back({id, true, {}});
     return 0;
   }
 
@@ -93,12 +119,22 @@
     const size_t n = std::min(size, out.Body.size() - out.Sent);
     std::copy_n(out.Body.data() + out.Sent, n, buf);
     out.Sent += n;
-    if (out.Sent == out.Body.size())
+    session.SentBytes += n;
+    if (out.Sent == out.Body.size()) {
       *flags |= NGHTTP2_DATA_FLAG_EOF;
+      session.OutgoingBodies.erase(it);
+    }
     return ssize_t(n);
   }
 };
 
+size_t IncomingStream::contentLength() const {
+  const auto text = header("content-length");
+  size_t n = 0;
+  std::from_chars(text.data(), text.data() + text.size(), n);
+  return n;
+}
+
 std::string_view IncomingStream::header(std::string_view name) const {
   const auto it =
       std::find_if(Headers.begin(), Headers.end(),
@@ -137,6 +173,9 @@
   }};
   nghttp2_submit_settings(Session, NGHTTP2_FLAG_NONE, settings.data(),
                           settings.size());
+}
+
+void Http2Session::widenWindows() {
   nghttp2_session_set_local_window_size(Session, NGHTTP2_FLAG_NONE, 0,
                                         ConnectionWindowBytes);
 }
@@ -145,11 +184,23 @@
 
 bool Http2Session::receive(std::string_view data) {
   const auto *bytes = reinterpret_cast<const uint8_t *>(data.data());
-  return nghttp2_session_mem_recv(Session, bytes, data.size()) >= 0;
+  const bool valid = nghttp2_session_mem_recv(Session, bytes, data.size()) >= 0;
+  deliver();
+  return valid;
+}
+
+// Runs after nghttp2 has returned, so that hooks may send and fail.
+void Http2Session::deliver() {
+  for (auto &event : std::exchange(Events, {})) {
+    if (event.Closed)
+      Hooks.OnStreamClosed(event.Stream);
+    else
+      Hooks.OnMessage(event.Stream, event.Message);
+  }
 }
 
 int32_t Http2Session::request(const std::vector<HeaderField> &headers,
-                              std::string body) {
+                              std::string body, HeldBytes held) {
   const auto fields = toNghttp2(headers);
   nghttp2_data_provider provider{};
   provider.source.ptr = this;
@@ -157,29 +208,41 @@
   const int32_t id = nghttp2_submit_request(Session, nullptr, fields.data(),
                                             fields.size(), &provider, nullptr);
   if (id >= 0)
-    OutgoingBodies.emplace(id, OutgoingBody{std::move(body), 0});
+    OutgoingBodies.emplace(id,
+                           OutgoingBody{std::move(body), std::move(held), 0});
   return id;
 }
 
 void Http2Session::respond(int32_t stream,
                            const std::vector<HeaderField> &headers,
-                           std::string body) {
+                           std::string body, HeldBytes held) {
+  if (!nghttp2_session_find_stream(Session, stream))
+    return;
   const auto fields = toNghttp2(headers);
   nghttp2_data_provider provider{};
   provider.source.ptr = this;
   provider.read_callback = SessionCallbacks::readBody;
-  OutgoingBodies[stream] = OutgoingBody{std::move(body), 0};
-  nghttp2_submit_response(Session, stream, fields.data(), fields.size(),
-                          &provider);
+  const int code = nghttp2_submit_response(Session, stream, fields.data(),
+                                           fields.size(), &provider);
+  if (code == 0)
+    OutgoingBodies.insert_or_assign(
+        stream, OutgoingBody{std::move(body), std::move(held), 0});
+}
+
+void Http2Session::cancelRequest(int32_t stream) {
+  if (OutgoingBodies.contains(stream))
+    reset(stream);
 }
 
 void Http2Session::reset(int32_t stream) {
+  OutgoingBodies.erase(stream);
   nghttp2_submit_rst_stream(Session, NGHTTP2_FLAG_NONE, stream, NGHTTP2_CANCEL);
 }
 
 void Http2Session::flush() {
   std::string out;
-  while (true) {
+  const size_t room = Hooks.SendRoom();
+  while (out.size() < room) {
     const uint8_t *data = nullptr;
     const ssize_t n = nghttp2_session_mem_send(Session, &data);
     if (n <= 0)
@@ -188,6 +251,7 @@
   }
   if (!out.empty())
     Hooks.Send(std::move(out));
+  deliver();
 }
 
 } // namespace almondgate::protocol
--- a/src/almondgate/protocol/rpc_client.cpp
+++ b/src/almondgate/protocol/rpc_client.cpp
@@ -5,7 +5,9 @@
 #include "almondgate/task/tcp_stream.hpp"
 #include "almondgate/task/timer.hpp"
 
+#include "body_class.hpp"
 #include "http2_session.hpp"
+#include "send_room.hpp"
 #include "wire.hpp"
 
 #include <map>
@@ -26,25 +28,32 @@
 constexpr DurationMs MaxBackoff{1000};
 constexpr DurationMs DeadlineCheckInterval{50};
 
+void finish(const RpcClient::OnReply &done, core::Result<std::string> reply) {
+  done(std::move(reply));
+}
+
 struct PendingCall {
+  Method CallMethod;
   RpcClient::OnReply Done;
   TimeMs StartedAt;
   TimeMs Deadline;
+  HeldBytes Held;
 };
 
 struct QueuedCall {
-  Method CallMethod;
   std::string Body;
   PendingCall Pending;
   RpcClient::MaySend MaySend;
+  HeldBytes Held;
 };
 
 /// The connection to one process.
 class PeerConnection {
 public:
   PeerConnection(task::Loop &loop, core::Address address,
-                 const RpcOptions &options)
+                 const RpcOptions &options, std::shared_ptr<PeerBudget> budget)
       : Loop(loop), PeerAddress(std::move(address)), Options(options),
+        Share(std::make_shared<PeerShare>(std::move(budget))),
         DeadlineTimer(loop), Jitter(std::random_device{}()) {}
 
   void call(Method method, std::string body, DurationMs timeout,
@@ -54,6 +63,8 @@
   void connect();
   void onConnected(const core::Status &status);
   void send(QueuedCall call);
+  bool onHeaders(int32_t id, IncomingStream &message);
+  void refuseReply(int32_t id);
   void onMessage(int32_t id, IncomingStream &message);
   void onStreamClosed(int32_t id);
   void disconnect(const Error &error);
@@ -64,6 +75,7 @@
   task::Loop &Loop;
   const core::Address PeerAddress;
   const RpcOptions &Options;
+  const std::shared_ptr<PeerShare> Share;
   std::shared_ptr<task::TcpStream> Socket;
   std::shared_ptr<Http2Session> Session;
   bool Connected = false;
@@ -87,16 +99,28 @@
     // Deferred to a later loop iteration: callers do not expect `done` to run
     // within call().
     Loop.defer([done = std::move(done), to = core::toString(PeerAddress)] {
-      done(Error{ErrorCode::Unavailable,
-                 "no connection to " + to +
-                     "; waiting before the next attempt"});
+      finish(done, Error{ErrorCode::Unavailable,
+                         "no connection to " + to +
+                             "; waiting before the next attempt"});
+    });
+    return;
+  }
+  HeldBytes held(Share, classOf(method, body.size()));
+  HeldBytes overhead(Share, classOf(method, body.size()));
+  if (!overhead.growTo(CallOverheadBytes) || !held.growTo(body.size())) {
+    Loop.defer([done = std::move(done), to = core::toString(PeerAddress)] {
+      finish(done, Error{ErrorCode::Overloaded,
+                         "call to " + to +
+                             " not sent: too many bytes are held for peers",
+                         core::RunOutcome::NotRun});
     });
     return;
   }
-  QueuedCall queued{method,
-                    std::move(body),
-                    {std::move(done), now, now + timeout},
-                    std::move(may_send)};
+  QueuedCall queued{
+      std::move(body),
+      {method, std::move(done), now, now + timeout, std::move(overhead)},
+      std::move(may_send),
+      std::move(held)};
   startDeadlineTimer();
   if (Connected) {
     send(std::move(queued));
@@ -126,6 +150,10 @@
       disconnect({ErrorCode::Unavailable, "HTTP/2 session failed"});
   };
   hooks.OnClose = [this](const Error &error) { disconnect(error); };
+  hooks.OnWritten = [this] {
+    if (Session)
+      Session->flush();
+  };
   Socket = std::make_shared<task::TcpStream>(Loop, std::move(hooks));
   Socket->connect(PeerAddress,
                   [this](const core::Status &status) { onConnected(status); });
@@ -142,12 +170,18 @@
   LastReceivedAt = core::monotonicNow();
   Http2SessionHooks hooks;
   hooks.Send = [this](std::string data) { Socket->write(std::move(data)); };
+  hooks.SendRoom = [socket = Socket.get()] { return sendRoom(*socket); };
+  hooks.OnHeaders = [this](int32_t id, IncomingStream &message) {
+    return onHeaders(id, message);
+  };
+  hooks.OnRefused = [this](int32_t id) { refuseReply(id); };
   hooks.OnMessage = [this](int32_t id, IncomingStream &message) {
     onMessage(id, message);
   };
   hooks.OnStreamClosed = [this](int32_t id) { onStreamClosed(id); };
   Session = std::make_shared<Http2Session>(false, Options.MaxBodyBytes,
                                            std::move(hooks));
+  Session->widenWindows();
   for (auto &queued : std::exchange(Queue, {}))
     send(std::move(queued));
   Session->flush();
@@ -156,39 +190,59 @@
 void PeerConnection::send(QueuedCall call) {
   if (call.MaySend && !call.MaySend()) {
     Loop.defer([done = std::move(call.Pending.Done)] {
-      done(Error{ErrorCode::Cancelled,
-                 "not sent: the caller no longer permits it"});
+      finish(done, Error{ErrorCode::Cancelled,
+                         "not sent: the caller no longer permits it"});
     });
     return;
   }
   const std::string path =
-      std::string(PathPrefix) + methodName(call.CallMethod);
-  const int32_t id = Session->request({{":method", "POST"},
-                                       {":scheme", "http"},
-                                       {":authority", "almondgate"},
-                                       {":path", path},
-                                       {SecretHeader, Options.Secret}},
-                                      std::move(call.Body));
+      std::string(PathPrefix) + methodName(call.Pending.CallMethod);
+  const std::string length = std::to_string(call.Body.size());
+  const int32_t id =
+      Session->request({{":method", "POST"},
+                        {":scheme", "http"},
+                        {":authority", "almondgate"},
+                        {":path", path},
+                        {"content-length", length},
+                        {SecretHeader, Options.Secret}},
+                       std::move(call.Body), std::move(call.Held));
   if (id < 0) {
-    call.Pending.Done(Error{ErrorCode::Unavailable,
-                            core::toString(PeerAddress) +
-                                ": no HTTP/2 stream could be opened"});
+    finish(call.Pending.Done, Error{ErrorCode::Unavailable,
+                                    core::toString(PeerAddress) +
+                                        ": no HTTP/2 stream could be opened"});
     return;
   }
   Pending.emplace(id, std::move(call.Pending));
 }
 
+bool PeerConnection::onHeaders(int32_t id, IncomingStream &message) {
+  const auto it = Pending.find(id);
+  if (it == Pending.end())
+    return false;
+  const size_t length = message.contentLength();
+  message.Held = HeldBytes(Share, classOf(it->second.CallMethod, length));
+  if (length <= Options.MaxBodyBytes && message.Held.growTo(length))
+    return true;
+  refuseReply(id);
+  return false;
+}
+
+// The call is answered when its stream closes.
+void PeerConnection::refuseReply(int32_t id) { Session->reset(id); }
+
 void PeerConnection::onMessage(int32_t id, IncomingStream &message) {
   const auto it = Pending.find(id);
   if (it == Pending.end())
     return;
   const auto done = std::move(it->second.Done);
   Pending.erase(it);
-  if (message.header(":status") == "200") {
-    done(std::move(message.Body));
-    return;
-  }
-  done(encoding::decodeError(message.Body));
+  // The peer may answer before it has read the call.
+  if (Session)
+    Session->cancelRequest(id);
+  if (message.header(":status") == "200")
+    finish(done, std::move(message.Body));
+  else
+    finish(done, encoding::decodeError(message.Body));
 }
 
 void PeerConnection::onStreamClosed(int32_t id) {
@@ -197,9 +251,9 @@
     return;
   const auto done = std::move(it->second.Done);
   Pending.erase(it);
-  done(Error{ErrorCode::Unavailable,
-             core::toString(PeerAddress) +
-                 ": the stream was closed before a reply"});
+  finish(done, Error{ErrorCode::Unavailable,
+                     core::toString(PeerAddress) +
+                         ": the stream was closed before a reply"});
 }
 
 void PeerConnection::scheduleRetry() {
@@ -221,9 +275,9 @@
   const Error reported{ErrorCode::Unavailable,
                        core::toString(PeerAddress) + ": " + error.Text};
   for (const auto &call : queue)
-    call.Pending.Done(reported);
+    finish(call.Pending.Done, reported);
   for (const auto &[id, call] : pending)
-    call.Done(reported);
+    finish(call.Done, reported);
 }
 
 void PeerConnection::startDeadlineTimer() {
@@ -256,10 +310,11 @@
   for (const auto &call : expired)
     unresponsive = unresponsive || LastReceivedAt < call.StartedAt;
   for (const auto &call : expired)
-    call.Done(Error{ErrorCode::DeadlineExceeded,
-                    core::toString(PeerAddress) + ": no reply within " +
-                        std::to_string((call.Deadline - call.StartedAt).Count) +
-                        " ms"});
+    finish(call.Done,
+           Error{ErrorCode::DeadlineExceeded,
+                 core::toString(PeerAddress) + ": no reply within " +
+                     std::to_string((call.Deadline - call.StartedAt).Count) +
+                     " ms"});
   if (unresponsive && Connected) {
     disconnect({ErrorCode::Unavailable,
                 "no data received since the start of a call that timed out"});
@@ -278,11 +333,15 @@
 struct RpcClient::State {
   task::Loop &Loop;
   const RpcOptions Options;
+  const std::shared_ptr<PeerBudget> Budget;
   std::map<core::Address, std::unique_ptr<PeerConnection>> Peers;
 };
 
 RpcClient::RpcClient(task::Loop &loop, RpcOptions options)
-    : S(new State{loop, std::move(options), {}}) {}
+    : S(new State{loop,
+                  options,
+                  std::make_shared<PeerBudget>(options.MaxHeldBytes),
+                  {}}) {}
 
 RpcClient::~RpcClient() = default;
 
@@ -290,9 +349,13 @@
                      core::DurationMs timeout, OnReply done, MaySend may_send) {
   auto &peer = S->Peers[to];
   if (!peer)
-    peer = std::make_unique<PeerConnection>(S->Loop, to, S->Options);
+    peer = std::make_unique<PeerConnection>(S->Loop, to, S->Options, S->Budget);
   peer->call(method, std::move(body), timeout, std::move(done),
              std::move(may_send));
 }
 
+core::BudgetReading RpcClient::budget() const {
+  return S->Budget->read("peer-calls");
+}
+
 } // namespace almondgate::protocol
--- a/src/almondgate/protocol/rpc_server.cpp
+++ b/src/almondgate/protocol/rpc_server.cpp
@@ -1,118 +1,22 @@
 #include "almondgate/protocol/rpc_server.hpp"
-#include "almondgate/core/digest.hpp"
-#include "almondgate/encoding/codec.hpp"
 #include "almondgate/task/loop.hpp"
 #include "almondgate/task/tcp_listener.hpp"
-#include "almondgate/task/tcp_stream.hpp"
+#include "almondgate/task/timer.hpp"
 
-#include "http2_session.hpp"
-#include "wire.hpp"
+#include "server_connection.hpp"
 
-#include <cstring>
+#include <algorithm>
 #include <map>
-#include <optional>
-#include <set>
+#include <vector>
 
 namespace almondgate::protocol {
 
-using core::Error;
-using core::ErrorCode;
-
 namespace {
 
-// A peer that does not read its replies is disconnected when more bytes than
-// this are queued for it.
-constexpr size_t MaxUnsentBytes = 128u << 20;
-
-class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
-public:
-  ServerConnection(task::Loop &loop, const RpcOptions &options,
-                   const RpcServerHooks &hooks)
-      : Options(options), Hooks(hooks), Loop(loop) {}
-
-  core::Status start(uv_stream_s *listener,
-                     const std::function<void()> &on_close);
-  void respond(int32_t stream, const core::Result<std::string> &reply);
-
-private:
-  void onMessage(int32_t id, IncomingStream &message);
-  core::Result<Method> validate(const IncomingStream &message);
-
-  const RpcOptions &Options;
-  const RpcServerHooks &Hooks;
-  task::Loop &Loop;
-  std::unique_ptr<task::TcpStream> Socket;
-  std::unique_ptr<Http2Session> Session;
-  std::set<int32_t> OpenStreams;
-  bool Authenticated = false;
-  bool Receiving = false;
-};
-
-core::Status ServerConnection::start(uv_stream_s *listener,
-                                     const std::function<void()> &on_close) {
-  task::TcpStreamHooks socket_hooks;
-  socket_hooks.OnData = [this, on_close](std::string_view data) {
-    Receiving = true;
-    const bool valid = Session->receive(data);
-    Receiving = false;
-    if (valid)
-      Session->flush();
-    if (!valid || Socket->pendingBytes() > MaxUnsentBytes)
-      on_close();
-  };
-  socket_hooks.OnClose = [on_close](const Error &) { on_close(); };
-  Socket = std::make_unique<task::TcpStream>(Loop, std::move(socket_hooks));
-  Http2SessionHooks hooks;
-  hooks.Send = [this](std::string data) { Socket->write(std::move(data)); };
-  hooks.OnMessage = [this](int32_t id, IncomingStream &message) {
-    onMessage(id, message);
-  };
-  hooks.OnStreamClosed = [this](int32_t id) { OpenStreams.erase(id); };
-  Session = std::make_unique<Http2Session>(true, Options.MaxBodyBytes,
-                                           std::move(hooks));
-  return Socket->accept(listener);
-}
-
-core::Result<Method> ServerConnection::validate(const IncomingStream &message) {
-  if (!Authenticated) {
-    if (!core::equalConstantTime(message.header(SecretHeader), Options.Secret))
-      return Error{ErrorCode::Unauthenticated, "wrong cluster secret"};
-    Authenticated = true;
-  }
-  const std::string_view path = message.header(":path");
-  if (path.substr(0, std::strlen(PathPrefix)) != PathPrefix)
-    return Error{ErrorCode::NotFound, "unsupported protocol version in path '" +
-                                          std::string(path) + "'"};
-  return parseMethod(std::string(path.substr(std::strlen(PathPrefix))));
-}
-
-void ServerConnection::onMessage(int32_t id, IncomingStream &message) {
-  OpenStreams.insert(id);
-  const auto method = validate(message);
-  if (!method) {
-    Hooks.OnRejected(method.error().Text);
-    respond(id, method.error());
-    return;
-  }
-  const std::weak_ptr<ServerConnection> weak = weak_from_this();
-  Hooks.OnCall(method.value(), std::move(message.Body),
-               [weak, id](const core::Result<std::string> &reply) {
-                 if (const auto self = weak.lock())
-                   self->respond(id, reply);
-               });
-}
-
-void ServerConnection::respond(int32_t stream,
-                               const core::Result<std::string> &reply) {
-  if (OpenStreams.erase(stream) == 0)
-    return;
-  const char *status = reply ? "200" : "500";
-  std::string body =
-      reply ? reply.value() : encoding::encodeError(reply.error());
-  Session->respond(stream, {{":status", status}}, std::move(body));
-  if (!Receiving)
-    Session->flush();
-}
+constexpr core::DurationMs CheckInterval{500};
+// More than a listener's queue holds, so that one burst of strangers does not
+// close a peer's connection before its first bytes are read.
+constexpr size_t MaxUnauthenticated = 600;
 
 } // namespace
 
@@ -124,13 +28,38 @@
   uint64_t NextConnection = 0;
   std::unique_ptr<task::TcpListener> Listener;
 
+  const std::shared_ptr<PeerBudget> Budget;
+  task::Timer Checks;
+
   void accept(uv_stream_s *listener) {
     const uint64_t id = NextConnection++;
     const auto connection =
-        std::make_shared<ServerConnection>(Loop, Options, Hooks);
+        std::make_shared<ServerConnection>(Loop, Options, Hooks, Budget);
     Connections.emplace(id, connection);
-    const auto on_close = [this, id] { drop(id); };
-    if (!connection->start(listener, on_close))
+    if (!connection->start(listener, [this, id] { drop(id); }))
+      drop(id);
+    else
+      dropOldestUnauthenticated();
+  }
+
+  void dropOldestUnauthenticated() {
+    const auto is_stranger = [](const auto &row) {
+      return !row.second->authenticated();
+    };
+    const auto n =
+        std::count_if(Connections.begin(), Connections.end(), is_stranger);
+    if (size_t(n) > MaxUnauthenticated)
+      drop(std::find_if(Connections.begin(), Connections.end(), is_stranger)
+               ->first);
+  }
+
+  void checkConnections() {
+    const auto now = core::monotonicNow();
+    std::vector<uint64_t> overdue;
+    for (const auto &[id, connection] : Connections)
+      if (connection->isOverdue(now))
+        overdue.push_back(id);
+    for (const uint64_t id : overdue)
       drop(id);
   }
 
@@ -146,7 +75,16 @@
 };
 
 RpcServer::RpcServer(task::Loop &loop, RpcOptions options, RpcServerHooks hooks)
-    : S(new State{loop, std::move(options), std::move(hooks), {}, 0, nullptr}) {
+    : S(new State{loop,
+                  options,
+                  std::move(hooks),
+                  {},
+                  0,
+                  nullptr,
+                  std::make_shared<PeerBudget>(options.MaxHeldBytes),
+                  task::Timer(loop)}) {
+  S->Checks.every(CheckInterval,
+                  [state = S.get()] { state->checkConnections(); });
   S->Listener = std::make_unique<task::TcpListener>(
       loop, [state = S.get()](uv_stream_s *l) { state->accept(l); });
 }
@@ -157,4 +95,8 @@
   return S->Listener->listen(address);
 }
 
+core::BudgetReading RpcServer::budget() const {
+  return S->Budget->read("peer-replies");
+}
+
 } // namespace almondgate::protocol
--- a/src/almondgate/protocol/rpc_test.cpp
+++ b/src/almondgate/protocol/rpc_test.cpp
@@ -173,3 +173,123 @@
       FAIL("a call failed");
   CHECK(mallinfo2().uordblks < before + MaxGrowthBytes);
 }
+
+namespace {
+
+constexpr size_t SmallBudget = size_t{1} << 20;
+constexpr int64_t CallTimeoutMs = 500;
+
+// A listener that accepts connections and reads nothing.
+struct SilentPeer {
+  Address At = testing::freeAddress();
+  std::list<std::unique_ptr<task::TcpStream>> Accepted;
+  task::TcpListener Listener;
+
+  explicit SilentPeer(task::Loop &loop)
+      : Listener(loop, [this, &loop](uv_stream_s *listener) {
+          Accepted.push_back(
+              std::make_unique<task::TcpStream>(loop, task::TcpStreamHooks{}));
+          (void)Accepted.back()->accept(listener);
+        }) {
+    REQUIRE(bool(Listener.listen(At)));
+  }
+};
+
+} // namespace
+
+TEST_CASE("calls to a silent peer fill its share, and the others are served") {
+  Fixture fixture;
+  SilentPeer silent(fixture.Loop);
+  RpcClient client(fixture.Loop, {Secret, SmallBudget, SmallBudget});
+  constexpr int Calls = 100;
+  const std::string body(SmallBudget / 20, 'x');
+  int refused = 0;
+  int timed_out = 0;
+  const auto count = [&](const Result<std::string> &reply) {
+    REQUIRE(!reply);
+    const bool not_run = reply.error().Outcome == core::RunOutcome::NotRun;
+    refused += reply.error().Code == ErrorCode::Overloaded && not_run;
+    timed_out += reply.error().Code == ErrorCode::DeadlineExceeded;
+    if (refused + timed_out == Calls)
+      fixture.Loop.stop();
+  };
+  for (int i = 0; i < Calls; ++i)
+    client.call(silent.At, Method::Job, body, {CallTimeoutMs}, count);
+  CHECK(client.budget().Used <= SmallBudget / 2);
+  std::optional<Result<std::string>> served;
+  client.call(fixture.ServerAddress, Method::Grant, body, {CallTimeoutMs},
+              [&](const auto &reply) { served = reply; });
+  fixture.Loop.run();
+  REQUIRE(served);
+  CHECK(served->value() == "got " + body);
+  CHECK(timed_out > 0);
+  CHECK(refused > timed_out);
+  CHECK(client.budget().Used == 0);
+}
+
+TEST_CASE("consensus messages are sent while large calls fill the budget") {
+  Fixture fixture;
+  SilentPeer first(fixture.Loop);
+  SilentPeer second(fixture.Loop);
+  RpcClient client(fixture.Loop, {Secret, SmallBudget, SmallBudget});
+  const std::string body(SmallBudget / 20, 'x');
+  for (int i = 0; i < 100; ++i)
+    for (const auto *peer : {&first, &second})
+      client.call(peer->At, Method::Job, body, {CallTimeoutMs},
+                  [](const auto &) {});
+  std::optional<Result<std::string>> sent;
+  client.call(fixture.ServerAddress, Method::Consensus, "beat", {100},
+              [&](const auto &reply) {
+                sent = reply;
+                fixture.Loop.stop();
+              });
+  fixture.Loop.run();
+  // The server of the test never answers this method.
+  CHECK(sent->error().Code == ErrorCode::DeadlineExceeded);
+  CHECK(fixture.PendingResponder.has_value());
+}
+
+TEST_CASE("a body that is larger than the budget is sent and received alone") {
+  Fixture fixture;
+  RpcClient client(fixture.Loop, {Secret, 4 * SmallBudget, SmallBudget});
+  const std::string body(2 * SmallBudget, 'x');
+  int refused = 0;
+  int done = 0;
+  for (int i = 0; i < 3; ++i)
+    client.call(fixture.ServerAddress, Method::Grant, body, {5000},
+                [&](const auto &reply) {
+                  refused +=
+                      !reply && reply.error().Code == ErrorCode::Overloaded;
+                  if (++done == 3)
+                    fixture.Loop.stop();
+                });
+  fixture.Loop.run();
+  CHECK(refused == 2);
+  CHECK(client.budget().Used == 0);
+}
+
+TEST_CASE("a call that does not fit in the server is refused as not run") {
+  Fixture fixture;
+  int received = 0;
+  RpcServer server(
+      fixture.Loop, {Secret, 4 * SmallBudget, SmallBudget},
+      {[&](Method, const std::string &, const Responder &) { ++received; },
+       [](const std::string &) {}});
+  const Address at = testing::freeAddress();
+  REQUIRE(bool(server.listen(at)));
+  constexpr int Calls = 3000;
+  int refused = 0;
+  int done = 0;
+  for (int i = 0; i < Calls; ++i)
+    fixture.Client.call(at, Method::Job, "x", {1000}, [&](const auto &reply) {
+      const bool not_run =
+          !reply && reply.error().Outcome == core::RunOutcome::NotRun;
+      refused += not_run && reply.error().Code == ErrorCode::Overloaded;
+      if (++done == Calls)
+        fixture.Loop.stop();
+    });
+  fixture.Loop.run();
+  CHECK(received > 0);
+  CHECK(refused == Calls - received);
+  CHECK(server.budget().Peak <= SmallBudget / 2);
+}
--- a/src/almondgate/task/tcp.cpp
+++ b/src/almondgate/task/tcp.cpp
@@ -44,6 +44,7 @@
 } // namespace
 
 struct TcpStream::State : std::enable_shared_from_this<TcpStream::State> {
+  Loop *Owner = nullptr;
   uv_tcp_t *Handle = nullptr;
   TcpStreamHooks Hooks;
   OnConnect Connected;
@@ -51,6 +52,7 @@
   void startReading();
   void writeQueued(std::string data);
   void fail(const core::Error &error);
+  void failLater(const core::Error &error);
   bool open() const { return Handle != nullptr; }
 };
 
@@ -77,6 +79,14 @@
     on_close(error);
 }
 
+void TcpStream::State::failLater(const core::Error &error) {
+  const std::weak_ptr<State> weak = weak_from_this();
+  Owner->defer([weak, error] {
+    if (const auto self = weak.lock())
+      self->fail(error);
+  });
+}
+
 void TcpStream::State::startReading() {
   const auto alloc = [](uv_handle_t *, size_t, uv_buf_t *buf) {
     *buf = uv_buf_init(readBuffer(), ReadBufferBytes);
@@ -105,10 +115,17 @@
     auto *finished = static_cast<WriteRequest *>(raw->data);
     uv_stream_t *stream = raw->handle;
     delete finished;
-    if (code < 0 && code != UV_ECANCELED && stream->data) {
-      const auto self = static_cast<State *>(stream->data)->shared_from_this();
+    if (code == UV_ECANCELED || !stream->data)
+      return;
+    const auto self = static_cast<State *>(stream->data)->shared_from_this();
+    if (code < 0) {
       self->fail(ioError("write", code));
+      return;
     }
+    // Calls a copy, because the hook may destroy the stream and its hooks.
+    const auto on_written = self->Hooks.OnWritten;
+    if (on_written)
+      on_written();
   };
   auto *stream = reinterpret_cast<uv_stream_t *>(Handle);
   if (uv_write(&request->Raw, stream, &buf, 1, done) != 0)
@@ -117,6 +134,7 @@
 
 TcpStream::TcpStream(Loop &loop, TcpStreamHooks hooks)
     : S(std::make_shared<State>()) {
+  S->Owner = &loop;
   S->Hooks = std::move(hooks);
   S->Handle = new uv_tcp_t;
   uv_tcp_init(loop.raw(), S->Handle);
@@ -130,12 +148,12 @@
 }
 
 void TcpStream::connect(const core::Address &address, OnConnect done) {
+  S->Connected = std::move(done);
   const auto target = toSockaddr(address);
   if (!target) {
-    done(target.error());
+    S->failLater(target.error());
     return;
   }
-  S->Connected = std::move(done);
   auto *request = new uv_connect_t;
   const auto connected = [](uv_connect_t *req, int code) {
     uv_stream_t *stream = req->handle;
@@ -158,7 +176,7 @@
   if (code == 0)
     return;
   delete request;
-  S->fail(ioError("connect", code));
+  S->failLater(ioError("connect", code));
 }
 
 core::Status TcpStream::accept(uv_stream_s *listener) {
