Let a handler that throws cost one call of the inner protocol

Cause: handlers of calls and replies ran in callbacks of nghttp2 and libuv, and an exception that passes through them ends the process.

Evidence: the new test on the code before: the exception of the server's handler leaves the loop ('test case THREW exception: a fault of the handler'), where a process has nothing that catches it. Now the call is answered with an error whose outcome is unknown, the reason is logged, and the next call is served; a reply's handler that throws is logged as well. One place each: onMessage() of the server's connection, finish() of the client.

--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -42,7 +42,8 @@
 almondgate_package(storage almondgate_encoding z)
 almondgate_package(observe almondgate_core log4cxx prometheus-cpp-core)
 almondgate_package(config almondgate_core almondgate_observe)
-almondgate_package(protocol almondgate_task almondgate_encoding nghttp2)
+almondgate_package(protocol almondgate_task almondgate_encoding
+                   almondgate_observe nghttp2)
 almondgate_package(dispatch almondgate_policy almondgate_observe)
 almondgate_package(http almondgate_task almondgate_observe h2o ssl crypto z uv
                    http_parser)
--- a/src/almondgate/protocol/rpc_client.cpp
+++ b/src/almondgate/protocol/rpc_client.cpp
@@ -1,6 +1,7 @@
 #include "almondgate/protocol/rpc_client.hpp"
 #include "almondgate/core/time_ms.hpp"
 #include "almondgate/encoding/codec.hpp"
+#include "almondgate/observe/log.hpp"
 #include "almondgate/task/loop.hpp"
 #include "almondgate/task/tcp_stream.hpp"
 #include "almondgate/task/timer.hpp"
@@ -10,6 +11,7 @@
 #include "send_room.hpp"
 #include "wire.hpp"
 
+#include <exception>
 #include <map>
 #include <random>
 #include <vector>
@@ -28,8 +30,14 @@
 constexpr DurationMs MaxBackoff{1000};
 constexpr DurationMs DeadlineCheckInterval{50};
 
+// No exception may pass through the C code of libuv.
 void finish(const RpcClient::OnReply &done, core::Result<std::string> reply) {
-  done(std::move(reply));
+  try {
+    done(std::move(reply));
+  } catch (const std::exception &e) {
+    observe::logError("inner", std::string("the handler of a reply failed: ") +
+                                   e.what());
+  }
 }
 
 struct PendingCall {
--- a/src/almondgate/protocol/rpc_test.cpp
+++ b/src/almondgate/protocol/rpc_test.cpp
@@ -13,6 +13,7 @@
 #include <malloc.h>
 #include <optional>
 #include <random>
+#include <stdexcept>
 
 using namespace almondgate;
 using namespace almondgate::protocol;
@@ -293,3 +294,33 @@
   CHECK(refused == Calls - received);
   CHECK(server.budget().Peak <= SmallBudget / 2);
 }
+
+// An exception that passes through C code ends the process.
+TEST_CASE("a call whose handler throws is answered, and so is the next") {
+  task::Loop loop;
+  const Address at = testing::freeAddress();
+  std::vector<std::string> failures;
+  RpcServer server(
+      loop, {Secret},
+      {[](Method method, const std::string &, const Responder &respond) {
+         if (method == Method::Release)
+           throw std::runtime_error("a fault of the handler");
+         respond(std::string("fine"));
+       },
+       [&](const std::string &text) { failures.push_back(text); }});
+  REQUIRE(bool(server.listen(at)));
+  RpcClient client(loop, {Secret});
+  std::vector<std::string> outcomes;
+  client.call(at, Method::Release, "", {2000}, [&](const auto &reply) {
+    outcomes.push_back(reply ? "" : core::outcomeName(reply.error().Outcome));
+    client.call(at, Method::Grant, "", {2000}, [&](const auto &next) {
+      outcomes.push_back(next ? next.value() : "");
+      loop.stop();
+      throw std::runtime_error("a fault of the caller");
+    });
+  });
+  loop.run();
+  CHECK(outcomes == std::vector<std::string>{"unknown", "fine"});
+  REQUIRE(failures.size() == 1);
+  CHECK(failures[0].find("a fault of the handler") != std::string::npos);
+}
--- a/src/almondgate/protocol/server_connection.cpp
+++ b/src/almondgate/protocol/server_connection.cpp
@@ -8,6 +8,7 @@
 #include "wire.hpp"
 
 #include <cstring>
+#include <exception>
 
 namespace almondgate::protocol {
 
@@ -171,7 +172,14 @@
   };
   // The handler decodes the body before it answers.
   message.Held = {};
-  Hooks.OnCall(method, std::move(message.Body), respond);
+  try {
+    Hooks.OnCall(method, std::move(message.Body), respond);
+  } catch (const std::exception &e) {
+    Hooks.OnRejected(std::string("call of '") + methodName(method) +
+                     "' failed: " + e.what());
+    this->respond(id, Error{ErrorCode::Corrupt, "the call failed in its server",
+                            RunOutcome::Unknown});
+  }
 }
 
 // Returns the reservation of a reply. One that does not fit becomes an error;
