Bound the calls that wait for the control leader

Cause: while no leader answers, each call of a caller waits in the entry with its body until its time-out, twice while an attempt is being sent, without a bound in number or bytes; and the budgets of the inner protocol did not follow the memory limit in the settings. Found beside it: a refusal of the last attempt reported 'not run' although an earlier attempt may have run.

--- a/apps/control_main.cpp
+++ b/apps/control_main.cpp
@@ -7,7 +7,8 @@
 int main(int argc, char **argv) {
   std::unique_ptr<endpoint::RpcGateway> gateway;
   return apps::controlMain(argc, argv, [&](task::Loop &loop, const auto &s) {
-    gateway = std::make_unique<endpoint::RpcGateway>(loop, s.Common.Secret);
+    gateway = std::make_unique<endpoint::RpcGateway>(
+        loop, protocol::rpcOptions(s.Common.Secret, s.Common.Memory));
     apps::ControlAdapter adapter;
     adapter.Gateway = gateway->hooks();
     return adapter;
--- a/apps/entry_main.cpp
+++ b/apps/entry_main.cpp
@@ -72,9 +72,8 @@
         return route.mailbox().post(std::move(event));
       });
   GracefulShutdown shutdown(loop, *front, route, settings.Common.StopDelay);
-  const apps::MemoryReport memory(loop, settings.Common.Memory.Limit, [] {
-    return std::vector<core::BudgetReading>();
-  });
+  const apps::MemoryReport memory(loop, settings.Common.Memory.Limit,
+                                  [&] { return route.budgets(); });
   http::StatusServer status(
       loop, {[&] {
                return shutdown.stopping() ? std::string("stopping")
--- a/apps/placer_main.cpp
+++ b/apps/placer_main.cpp
@@ -37,9 +37,8 @@
         loop.stop();
     });
   };
-  const apps::MemoryReport memory(loop, settings.Common.Memory.Limit, [] {
-    return std::vector<core::BudgetReading>();
-  });
+  const apps::MemoryReport memory(loop, settings.Common.Memory.Limit,
+                                  [&] { return placer.budgets(); });
   http::StatusServer status(
       loop,
       {[&] { return stopped ? std::string("stopping") : placer.notReady(); },
--- a/include/almondgate/entry/job_relay.hpp
+++ b/include/almondgate/entry/job_relay.hpp
@@ -30,6 +30,9 @@
   /// The reason why this process is not ready, or an empty string.
   std::string notReady() const;
 
+  /// Returns the state of the byte budgets of its calls to other processes.
+  std::vector<core::BudgetReading> budgets() const;
+
 private:
   void refreshMembers();
 
--- a/include/almondgate/entry/route_task.hpp
+++ b/include/almondgate/entry/route_task.hpp
@@ -38,6 +38,9 @@
 
   /// The reason why the entry can't accept requests, or an empty string.
   std::string notReady() const;
+
+  /// Returns the state of the byte budgets of its calls to other processes.
+  std::vector<core::BudgetReading> budgets() const;
   /// True if no request is open and every release was acknowledged.
   bool isIdle() const;
   std::string metricsText();
--- a/include/almondgate/placer/placer_task.hpp
+++ b/include/almondgate/placer/placer_task.hpp
@@ -27,6 +27,9 @@
   /// Why the placer is not ready; empty when it is.
   std::string notReady() const;
 
+  /// Returns the state of the byte budgets of its calls to other processes.
+  std::vector<core::BudgetReading> budgets() const;
+
 private:
   PlacerHooks coreHooks();
   watch::WatcherHooks watcherHooks();
--- a/src/almondgate/control/control_task.cpp
+++ b/src/almondgate/control/control_task.cpp
@@ -48,8 +48,12 @@
     : Settings(settings), Identity(store->identity()),
       Recovered(store->takeRecoveredState()),
       ReportFailure(std::move(on_failure)), Random(std::random_device{}()),
-      Rpc(loop, {settings.Common.Secret}),
-      Inner(loop, {settings.Common.Secret}, serverHooks()),
+      Rpc(loop,
+          protocol::rpcOptions(settings.Common.Secret, settings.Common.Memory)),
+      Inner(
+          loop,
+          protocol::rpcOptions(settings.Common.Secret, settings.Common.Memory),
+          serverHooks()),
       WriteResults(
           loop, WriteResultsCapacity,
           [this](const core::Status &status) { onBatchWritten(status); }),
@@ -102,7 +106,9 @@
   return out + Metrics.text();
 }
 
-std::vector<core::BudgetReading> ControlTask::budgets() const { return {}; }
+std::vector<core::BudgetReading> ControlTask::budgets() const {
+  return {Rpc.budget(), Inner.budget()};
+}
 
 ControlHooks ControlTask::coreHooks() {
   ControlHooks hooks;
--- a/src/almondgate/entry/job_relay.cpp
+++ b/src/almondgate/entry/job_relay.cpp
@@ -20,8 +20,11 @@
 } // namespace
 
 JobRelay::JobRelay(task::Loop &loop, const config::EntrySettings &settings)
-    : MaxReplyAge(settings.FreshFor), Rpc(loop, {settings.Common.Secret}),
-      Members(settings.Common.Control), Control(loop, Rpc, Members),
+    : MaxReplyAge(settings.FreshFor),
+      Rpc(loop,
+          protocol::rpcOptions(settings.Common.Secret, settings.Common.Memory)),
+      Members(settings.Common.Control),
+      Control(loop, Rpc, Members, settings.Common.Memory.Peers / 2),
       RefreshTimer(loop) {}
 
 void JobRelay::start() {
@@ -58,6 +61,10 @@
   sendJobCall(Control, call, timeout, std::move(done));
 }
 
+std::vector<core::BudgetReading> JobRelay::budgets() const {
+  return {Rpc.budget(), Control.budget()};
+}
+
 std::string JobRelay::notReady() const {
   if (!HasReply)
     return "no control member has replied yet";
--- a/src/almondgate/entry/route_task.cpp
+++ b/src/almondgate/entry/route_task.cpp
@@ -37,9 +37,15 @@
 RouteTask::RouteTask(task::Loop &loop, const config::EntrySettings &settings,
                      Post post)
     : Settings(settings), Self(makeProcessInfo(settings)),
-      Send(std::move(post)), Rpc(loop, {settings.Common.Secret}),
-      Inner(loop, {settings.Common.Secret}, serverHooks()),
-      Control(loop, Rpc, settings.Common.Control),
+      Send(std::move(post)),
+      Rpc(loop,
+          protocol::rpcOptions(settings.Common.Secret, settings.Common.Memory)),
+      Inner(
+          loop,
+          protocol::rpcOptions(settings.Common.Secret, settings.Common.Memory),
+          serverHooks()),
+      Control(loop, Rpc, settings.Common.Control,
+              settings.Common.Memory.Peers / 2),
       Watch(loop, Control, Self, watcherHooks()), Endpoints(loop, {}),
       Core({.Self = Self.Id, .MaxViewAge = settings.FreshFor}, coreHooks()),
       Releases(releaseHooks()), Announcements(announcementHooks()),
@@ -61,6 +67,10 @@
   return core::ok();
 }
 
+std::vector<core::BudgetReading> RouteTask::budgets() const {
+  return {Rpc.budget(), Inner.budget(), Control.budget()};
+}
+
 std::string RouteTask::notReady() const {
   return Core.isFresh() ? ""
                         : "the view is stale: no recent confirmation from the "
--- a/src/almondgate/placer/placer_task.cpp
+++ b/src/almondgate/placer/placer_task.cpp
@@ -37,9 +37,14 @@
 
 PlacerTask::PlacerTask(task::Loop &loop, const config::PlacerSettings &settings)
     : Settings(settings), Self(selfOf(settings)),
-      Rpc(loop, {settings.Common.Secret}),
-      Inner(loop, {settings.Common.Secret}, serverHooks()),
-      Control(loop, Rpc, settings.Common.Control),
+      Rpc(loop,
+          protocol::rpcOptions(settings.Common.Secret, settings.Common.Memory)),
+      Inner(
+          loop,
+          protocol::rpcOptions(settings.Common.Secret, settings.Common.Memory),
+          serverHooks()),
+      Control(loop, Rpc, settings.Common.Control,
+              settings.Common.Memory.Peers / 2),
       Watch(loop, Control, Self, watcherHooks()),
       Core({.Self = Self.Id}, coreHooks()), Ticker(loop) {}
 
@@ -63,6 +68,10 @@
   });
 }
 
+std::vector<core::BudgetReading> PlacerTask::budgets() const {
+  return {Rpc.budget(), Inner.budget(), Control.budget()};
+}
+
 std::string PlacerTask::notReady() const {
   return Core.hasLease() ? "" : "no lease from the control leader";
 }
--- a/src/almondgate/watch/control_client.cpp
+++ b/src/almondgate/watch/control_client.cpp
@@ -1,5 +1,6 @@
 #include "almondgate/watch/control_client.hpp"
 #include "almondgate/core/time_ms.hpp"
+#include "almondgate/task/loop.hpp"
 
 #include <algorithm>
 
@@ -14,6 +15,12 @@
 // A commit takes about 20 ms. A leader that does not reply for this long is
 // frozen, partitioned or down, and the others have had time to elect a new one.
 constexpr DurationMs AttemptTimeout{500};
+// What a waiting call costs beside its body: callbacks and a timer.
+constexpr size_t CallOverheadBytes = 512;
+
+size_t heldBytes(const std::string &body) {
+  return body.size() + CallOverheadBytes;
+}
 
 bool isRetryable(ErrorCode code) {
   return code == ErrorCode::NotLeader || code == ErrorCode::Unavailable ||
@@ -32,8 +39,13 @@
 };
 
 ControlClient::ControlClient(task::Loop &loop, protocol::RpcClient &rpc,
-                             std::vector<core::Address> members)
-    : Loop(loop), Rpc(rpc), Leader(std::move(members)) {}
+                             std::vector<core::Address> members,
+                             size_t max_held_bytes)
+    : Loop(loop), Rpc(rpc), Leader(std::move(members)), Held(max_held_bytes) {}
+
+core::BudgetReading ControlClient::budget() const {
+  return core::readBudget("leader-calls", Held);
+}
 
 void ControlClient::setMembers(std::vector<core::Address> members) {
   Leader.setMembers(std::move(members));
@@ -42,6 +54,15 @@
 void ControlClient::call(protocol::Method method, std::string body,
                          DurationMs timeout,
                          protocol::RpcClient::OnReply done) {
+  if (!Held.tryReserve(heldBytes(body))) {
+    // Callers do not expect `done` to run within call().
+    Loop.defer([done = std::move(done)] {
+      done(core::Error{ErrorCode::Overloaded,
+                       "too many calls wait for the control leader",
+                       core::RunOutcome::NotRun});
+    });
+    return;
+  }
   const auto call = std::make_shared<PendingCall>();
   call->Method = method;
   call->Body = std::move(body);
@@ -59,11 +80,24 @@
            });
 }
 
+void ControlClient::finish(const std::shared_ptr<PendingCall> &call,
+                           core::Result<std::string> reply) {
+  Held.release(heldBytes(call->Body));
+  call->Done(std::move(reply));
+}
+
 void ControlClient::onReply(const std::shared_ptr<PendingCall> &call,
                             const core::Address &member,
                             core::Result<std::string> reply) {
   if (reply || !isRetryable(reply.error().Code)) {
-    call->Done(std::move(reply));
+    // An earlier attempt may have run even though this one did not.
+    if (!reply && call->MayHaveRun &&
+        reply.error().Code == ErrorCode::Overloaded) {
+      core::Error error = reply.error();
+      error.Outcome = core::RunOutcome::Unknown;
+      reply = error;
+    }
+    finish(call, std::move(reply));
     return;
   }
   if (reply.error().Code == ErrorCode::DeadlineExceeded)
@@ -76,7 +110,7 @@
     core::Error error = reply.error();
     error.Outcome =
         call->MayHaveRun ? core::RunOutcome::Unknown : core::RunOutcome::NotRun;
-    call->Done(error);
+    finish(call, error);
     return;
   }
   call->Retry = std::make_unique<task::Timer>(Loop);
