--- a/include/almondgate/consensus/node.hpp
+++ b/include/almondgate/consensus/node.hpp
@@ -96,6 +96,8 @@
   void appendEntry(EntryKind kind, std::string data);
   void broadcast();
   void sendAppend(const MemberId &to, bool heartbeat);
+  bool awaitsSnapshotReply(const Progress &progress) const;
+  bool maySendSnapshot(const Progress &progress) const;
   void sendSnapshot(const MemberId &to);
   void followLeader(const Message &message);
   void onAppend(const Message &message);
--- a/include/almondgate/control/control_hooks.hpp
+++ b/include/almondgate/control/control_hooks.hpp
@@ -17,7 +17,7 @@
   consensus::NodeHooks Node;
   /// Returns the wall-clock time in milliseconds.
   std::function<int64_t()> WallClock;
-  std::function<void(const consensus::Message &)> Send;
+  std::function<void(consensus::Message)> Send;
   /// Makes a batch durable, then calls ControlCore::onPersisted(). At most one
   /// batch is in flight.
   std::function<void(consensus::DurableBatch)> Persist;
--- a/include/almondgate/control/control_task.hpp
+++ b/include/almondgate/control/control_task.hpp
@@ -71,7 +71,7 @@
   void onTick();
   void requestToJoin();
   void onBatchWritten(const core::Status &status);
-  void send(const consensus::Message &message);
+  void send(consensus::Message message);
 
   const config::ControlSettings Settings;
   const consensus::MemberId Identity;
--- a/src/almondgate/consensus/node_test.cpp
+++ b/src/almondgate/consensus/node_test.cpp
@@ -317,3 +317,97 @@
   for (const auto &c : cases)
     CHECK(isSingleVoterChange(three, c.To) == c.Allowed);
 }
+
+namespace {
+
+Message replyTo(const Message &message, MessageKind kind) {
+  Message out;
+  out.Kind = kind;
+  out.From = message.To;
+  out.To = message.From;
+  out.Term = message.Term;
+  out.Granted = true;
+  out.Sent = message.Sent;
+  out.LogIndex = message.LogIndex + message.Entries.size();
+  return out;
+}
+
+// The first of five members, with a clock of its own. Members b and c answer
+// each of its messages; d and e are silent.
+struct LoneLeader {
+  core::TimeMs Now{10000};
+  std::vector<Message> Snapshots;
+  Node Self;
+
+  explicit LoneLeader(const NodeOptions &options)
+      : Self(options,
+             {[this] { return Now; }, [](int64_t) { return int64_t{0}; },
+              [](const Membership &) { return std::string(); },
+              [](const std::string &) { return Membership(); }},
+             stateOfFive()) {}
+
+  static DurableState stateOfFive() {
+    DurableState out;
+    for (const char *name : {"a", "b", "c", "d", "e"})
+      out.Base.Voters.Members.push_back({MemberId(name), {}, true});
+    return out;
+  }
+
+  void answer(const Message &message) {
+    const bool silent =
+        message.To == MemberId("d") || message.To == MemberId("e");
+    if (message.Kind == MessageKind::InstallSnapshot)
+      Snapshots.push_back(message);
+    if (silent)
+      return;
+    switch (message.Kind) {
+    case MessageKind::PreVote:
+      return Self.receive(replyTo(message, MessageKind::PreVoteReply));
+    case MessageKind::RequestVote:
+      return Self.receive(replyTo(message, MessageKind::RequestVoteReply));
+    default:
+      return Self.receive(replyTo(message, MessageKind::AppendReply));
+    }
+  }
+
+  void run(int64_t ms) {
+    constexpr int64_t StepMs = 10;
+    for (int64_t i = 0; i < ms; i += StepMs) {
+      Now = Now + core::DurationMs{StepMs};
+      Self.tick();
+      for (int round = 0; round < 5; ++round) {
+        const Effects effects = Self.takeEffects();
+        for (const auto &message : effects.Immediate)
+          answer(message);
+        if (!effects.Batch.empty())
+          Self.onPersisted();
+        for (const auto &message : effects.AfterSync)
+          answer(message);
+      }
+    }
+  }
+};
+
+} // namespace
+
+TEST_CASE("a large snapshot is sent to one member at a time, and to all") {
+  NodeOptions options;
+  options.Self = MemberId("a");
+  options.EntriesKeptBehindSnapshot = 0;
+  LoneLeader leader(options);
+  leader.run(2000);
+  REQUIRE(leader.Self.isReady());
+  REQUIRE(leader.Self.propose("command"));
+  leader.run(100);
+  leader.Self.compact(leader.Self.commitIndex(),
+                      std::string(size_t{2} << 20, 'x'));
+  leader.run(1000);
+  REQUIRE(leader.Snapshots.size() == 1);
+  const MemberId first = leader.Snapshots[0].To;
+  leader.run(2000);
+  REQUIRE(leader.Snapshots.size() == 2);
+  CHECK(leader.Snapshots[1].To != first);
+  leader.run(2000);
+  REQUIRE(leader.Snapshots.size() == 3);
+  CHECK(leader.Snapshots[2].To == first);
+}
--- a/src/almondgate/consensus/replication.cpp
+++ b/src/almondgate/consensus/replication.cpp
@@ -5,6 +5,15 @@
 
 namespace almondgate::consensus {
 
+namespace {
+
+// A snapshot is sent again if it is not answered within this many election
+// timeouts.
+constexpr int64_t SnapshotTimeoutFactor = 4;
+constexpr size_t LargeSnapshotBytes = size_t{1} << 20;
+
+} // namespace
+
 void Node::markUnwritten(uint64_t index) {
   UnwrittenFrom = UnwrittenFrom ? std::min(*UnwrittenFrom, index) : index;
   DurableIndex = std::min(DurableIndex, index - 1);
@@ -44,14 +53,32 @@
     sendAppend(id, false);
 }
 
+bool Node::awaitsSnapshotReply(const Progress &progress) const {
+  return progress.SnapshotSentMs != INT64_MIN &&
+         Hooks.Now().Count - progress.SnapshotSentMs <
+             Options.ElectionTimeout.Count * SnapshotTimeoutFactor;
+}
+
+// Large snapshots are sent to one member at a time: each is copied and encoded.
+// A member that did not answer in time yields to the others that need one.
+bool Node::maySendSnapshot(const Progress &progress) const {
+  if (awaitsSnapshotReply(progress))
+    return false;
+  if (Base.Data.size() < LargeSnapshotBytes)
+    return true;
+  return std::none_of(Peers.begin(), Peers.end(), [&](const auto &row) {
+    const Progress &other = row.second;
+    const bool goes_first = !Entries.covers(other.Next - 1) &&
+                            other.SnapshotSentMs < progress.SnapshotSentMs;
+    return goes_first || awaitsSnapshotReply(other);
+  });
+}
+
 void Node::sendSnapshot(const MemberId &to) {
   Progress &progress = Peers.at(to);
-  const int64_t now = Hooks.Now().Count;
-  const bool unanswered =
-      progress.SnapshotSentMs != INT64_MIN &&
-      now - progress.SnapshotSentMs < Options.ElectionTimeout.Count * 4;
-  if (unanswered)
+  if (!maySendSnapshot(progress))
     return;
+  const int64_t now = Hooks.Now().Count;
   progress.SnapshotSentMs = now;
   Message message;
   message.Kind = MessageKind::InstallSnapshot;
--- a/src/almondgate/control/control_core.cpp
+++ b/src/almondgate/control/control_core.cpp
@@ -56,8 +56,8 @@
 
 void ControlCore::onPersisted() {
   Node.onPersisted();
-  for (const auto &message : std::exchange(AfterSync, {}))
-    Hooks.Send(message);
+  for (auto &message : std::exchange(AfterSync, {}))
+    Hooks.Send(std::move(message));
   runEffects();
 }
 
@@ -88,16 +88,16 @@
                       effects.Committed.empty();
     if (idle)
       break;
-    for (const auto &message : effects.Immediate)
-      Hooks.Send(message);
+    for (auto &message : effects.Immediate)
+      Hooks.Send(std::move(message));
     if (effects.Restore)
       restore(*effects.Restore);
     for (const auto &entry : effects.Committed)
       apply(entry);
     // AfterSync depends on this batch: it is sent once the batch is on disk.
     if (effects.Batch.empty()) {
-      for (const auto &message : effects.AfterSync)
-        Hooks.Send(message);
+      for (auto &message : effects.AfterSync)
+        Hooks.Send(std::move(message));
     } else {
       AfterSync = std::move(effects.AfterSync);
       Hooks.Persist(std::move(effects.Batch));
--- a/src/almondgate/control/control_task.cpp
+++ b/src/almondgate/control/control_task.cpp
@@ -126,7 +126,7 @@
     return members.value();
   };
   hooks.WallClock = core::wallClockMs;
-  hooks.Send = [this](const Message &message) { send(message); };
+  hooks.Send = [this](Message message) { send(std::move(message)); };
   hooks.Persist = [this](consensus::DurableBatch batch) {
     core::invariant(Storage.write(std::move(batch)),
                     "storage mailbox is full: too many batches in flight");
@@ -247,17 +247,17 @@
   Rpc.call(*leader, method, std::move(body), ForwardTimeout, done);
 }
 
-void ControlTask::send(const Message &message) {
+void ControlTask::send(Message message) {
   const auto *member =
       consensus::findMember(Core.node().membership(), message.To);
   const auto known = PeerAddresses.find(message.To);
   if (!member && known == PeerAddresses.end())
     return;
-  Message out = message;
-  out.Inner = Settings.Common.Inner;
+  message.Inner = Settings.Common.Inner;
+  std::string body = encoding::encode(message);
   // The next heartbeat makes up for a lost message.
   Rpc.call(member ? member->Inner : known->second, Method::Consensus,
-           encoding::encode(out), MessageTimeout, [](const auto &) {});
+           std::move(body), MessageTimeout, [](const auto &) {});
 }
 
 void ControlTask::onBatchWritten(const core::Status &status) {
