--- a/include/almondgate/consensus/log.hpp
+++ b/include/almondgate/consensus/log.hpp
@@ -35,6 +35,13 @@
   /// Removes all entries; the given entry becomes the base.
   void reset(uint64_t index, uint64_t term);
 
+  /// Sum of the sizes of the entries' data. Units: bytes.
+  size_t dataBytes() const { return DataBytes; }
+
+  /// The index of the first of the last entries up to `index` whose data have
+  /// at most `max_bytes` together.
+  uint64_t firstWithin(uint64_t index, size_t max_bytes) const;
+
   /// Copies the entries from `from` to `to`, inclusive. Stops after the entry
   /// with which their data reaches `max_bytes`.
   std::vector<LogEntry> slice(uint64_t from, uint64_t to,
@@ -44,6 +51,7 @@
   uint64_t BaseIndex;
   uint64_t BaseTerm;
   std::deque<LogEntry> Entries;
+  size_t DataBytes = 0;
 };
 
 } // namespace almondgate::consensus
--- a/include/almondgate/consensus/node.hpp
+++ b/include/almondgate/consensus/node.hpp
@@ -57,6 +57,8 @@
   uint64_t term() const { return Voted.Term; }
   uint64_t commitIndex() const { return CommitIndex; }
   uint64_t lastIndex() const { return Entries.lastIndex(); }
+  /// Bytes of the data of the log entries in memory.
+  size_t logBytes() const { return Entries.dataBytes(); }
   /// Empty if no leader is known.
   const MemberId &leader() const { return Leader; }
   const Membership &membership() const { return Memberships.back().second; }
--- a/include/almondgate/consensus/node_options.hpp
+++ b/include/almondgate/consensus/node_options.hpp
@@ -24,6 +24,8 @@
   /// Entries before a snapshot that stay in memory, so that members that lag
   /// can catch up without the snapshot.
   uint64_t EntriesKeptBehindSnapshot = 2000;
+  /// Limit of the bytes of these entries' data.
+  size_t BytesKeptBehindSnapshot = size_t{4} << 20;
   /// Runs a pre-vote before each election. Disabled only for measurements.
   bool UsePreVote = true;
 
--- a/src/almondgate/consensus/node.cpp
+++ b/src/almondgate/consensus/node.cpp
@@ -142,8 +142,9 @@
   Base = {index, Entries.termAt(index), at_index, std::move(data)};
   BaseUnwritten = true;
   const uint64_t keep = Options.EntriesKeptBehindSnapshot;
-  if (index > keep)
-    Entries.compactTo(std::max(Entries.baseIndex(), index - keep));
+  const uint64_t first =
+      Entries.firstWithin(index, Options.BytesKeptBehindSnapshot);
+  Entries.compactTo(std::max(index > keep ? index - keep : 0, first - 1));
   while (Memberships.size() > 1 && Memberships[1].first <= index)
     Memberships.erase(Memberships.begin());
 }
--- a/src/almondgate/consensus/node_test.cpp
+++ b/src/almondgate/consensus/node_test.cpp
@@ -411,3 +411,21 @@
   REQUIRE(leader.Snapshots.size() == 3);
   CHECK(leader.Snapshots[2].To == first);
 }
+
+TEST_CASE("a compacted log keeps few bytes of large entries") {
+  constexpr size_t EntryBytes = 100000;
+  constexpr int Entries = 100;
+  NodeOptions options;
+  options.Self = MemberId("a");
+  LoneLeader leader(options);
+  leader.run(2000);
+  for (int i = 0; i < Entries; ++i) {
+    REQUIRE(leader.Self.propose(std::string(EntryBytes, 'x')));
+    leader.run(20);
+  }
+  leader.run(200);
+  CHECK(leader.Self.logBytes() == Entries * EntryBytes);
+  leader.Self.compact(leader.Self.commitIndex(), "state");
+  CHECK(leader.Self.logBytes() <= options.BytesKeptBehindSnapshot);
+  CHECK(leader.Self.logBytes() > options.BytesKeptBehindSnapshot - EntryBytes);
+}
--- a/src/almondgate/control/control_task.cpp
+++ b/src/almondgate/control/control_task.cpp
@@ -63,7 +63,10 @@
                                 "mailbox of write results is full");
               }),
       Loop(loop),
-      Core(coreOptions(settings), {.Self = Identity}, coreHooks(), Recovered),
+      Core(coreOptions(settings),
+           {.Self = Identity,
+            .BytesKeptBehindSnapshot = settings.Common.Memory.Jobs / 4},
+           coreHooks(), Recovered),
       Jobs({.Holder = settings.Name, .RunStopTimeout = settings.RunStopTimeout},
            dispatcherHooks(std::move(gateway)), Core.state().Jobs),
       Ticker(loop) {}
@@ -107,7 +110,10 @@
 }
 
 std::vector<core::BudgetReading> ControlTask::budgets() const {
-  return {Rpc.budget(), Inner.budget()};
+  core::BudgetReading log;
+  log.Name = "log";
+  log.Used = Core.node().logBytes();
+  return {Rpc.budget(), Inner.budget(), log};
 }
 
 ControlHooks ControlTask::coreHooks() {
