--- a/include/almondgate/consensus/node.hpp
+++ b/include/almondgate/consensus/node.hpp
@@ -57,6 +57,8 @@
   uint64_t term() const { return Voted.Term; }
   uint64_t commitIndex() const { return CommitIndex; }
   uint64_t lastIndex() const { return Entries.lastIndex(); }
+  /// Bytes of the data of the log entries in memory.
+  size_t logBytes() const { return Entries.dataBytes(); }
   /// Empty if no leader is known.
   const MemberId &leader() const { return Leader; }
   const Membership &membership() const { return Memberships.back().second; }
@@ -96,6 +98,8 @@
   void appendEntry(EntryKind kind, std::string data);
   void broadcast();
   void sendAppend(const MemberId &to, bool heartbeat);
+  bool awaitsSnapshotReply(const Progress &progress) const;
+  bool maySendSnapshot(const Progress &progress) const;
   void sendSnapshot(const MemberId &to);
   void followLeader(const Message &message);
   void onAppend(const Message &message);
--- a/src/almondgate/control/control_task.cpp
+++ b/src/almondgate/control/control_task.cpp
@@ -48,8 +48,12 @@
     : Settings(settings), Identity(store->identity()),
       Recovered(store->takeRecoveredState()),
       ReportFailure(std::move(on_failure)), Random(std::random_device{}()),
-      Rpc(loop, {settings.Common.Secret}),
-      Inner(loop, {settings.Common.Secret}, serverHooks()),
+      Rpc(loop,
+          protocol::rpcOptions(settings.Common.Secret, settings.Common.Memory)),
+      Inner(
+          loop,
+          protocol::rpcOptions(settings.Common.Secret, settings.Common.Memory),
+          serverHooks()),
       WriteResults(
           loop, WriteResultsCapacity,
           [this](const core::Status &status) { onBatchWritten(status); }),
@@ -59,7 +63,10 @@
                                 "mailbox of write results is full");
               }),
       Loop(loop),
-      Core(coreOptions(settings), {.Self = Identity}, coreHooks(), Recovered),
+      Core(coreOptions(settings),
+           {.Self = Identity,
+            .BytesKeptBehindSnapshot = settings.Common.Memory.Jobs / 4},
+           coreHooks(), Recovered),
       Jobs({.Holder = settings.Name, .RunStopTimeout = settings.RunStopTimeout},
            dispatcherHooks(std::move(gateway)), Core.state().Jobs),
       Ticker(loop) {}
@@ -106,7 +113,12 @@
   return out + Metrics.text();
 }
 
-std::vector<core::BudgetReading> ControlTask::budgets() const { return {}; }
+std::vector<core::BudgetReading> ControlTask::budgets() const {
+  core::BudgetReading log;
+  log.Name = "log";
+  log.Used = Core.node().logBytes();
+  return {Rpc.budget(), Inner.budget(), log};
+}
 
 ControlHooks ControlTask::coreHooks() {
   ControlHooks hooks;
@@ -124,7 +136,7 @@
     return members.value();
   };
   hooks.WallClock = core::wallClockMs;
-  hooks.Send = [this](const Message &message) { send(message); };
+  hooks.Send = [this](Message message) { send(std::move(message)); };
   hooks.Persist = [this](consensus::DurableBatch batch) {
     core::invariant(Storage.write(std::move(batch)),
                     "storage mailbox is full: too many batches in flight");
@@ -245,17 +257,17 @@
   Rpc.call(*leader, method, std::move(body), ForwardTimeout, done);
 }
 
-void ControlTask::send(const Message &message) {
+void ControlTask::send(Message message) {
   const auto *member =
       consensus::findMember(Core.node().membership(), message.To);
   const auto known = PeerAddresses.find(message.To);
   if (!member && known == PeerAddresses.end())
     return;
-  Message out = message;
-  out.Inner = Settings.Common.Inner;
+  message.Inner = Settings.Common.Inner;
+  std::string body = encoding::encode(message);
   // The next heartbeat makes up for a lost message.
   Rpc.call(member ? member->Inner : known->second, Method::Consensus,
-           encoding::encode(out), MessageTimeout, [](const auto &) {});
+           std::move(body), MessageTimeout, [](const auto &) {});
 }
 
 void ControlTask::onBatchWritten(const core::Status &status) {
