Refuse jobs beyond the limits where they come in

Callers saw a job with a content of 200,000 bytes and one step of 1,000 tasks accepted, although the protocol allows 4,000 bytes. Each start order takes a copy of the content; the members exceeded their memory, lost the lead in turn and answered late for as long as the job was open.

Cause: neither decoder checked lengths, and the leader checked only counts and dependencies, after the job had crossed the inner protocol. checkJob() and its bounds move from policy to jobs (job_limits.hpp), and both decoders, the platform's and JobApi's, apply it to what comes in; the leader still applies it too. The bounds of names and lists of heartbeats, waves and configurations are in name_limits.hpp, checked by checkConfig(), checkWave() and the heartbeat decoder. Stored jobs are not checked, so accepted jobs and records of earlier versions stay readable, and a resend of an accepted job is still answered as accepted. checkConfig() looks pools up in a set, not in a list.

The test of invalid jobs moves with checkJob() from job_policy_test to job_limits_test, with all its checks and more.

They pass now.

--- a/include/almondgate/jobs/wave_record.hpp
+++ b/include/almondgate/jobs/wave_record.hpp
@@ -1,6 +1,7 @@
 #ifndef ALMONDGATE_JOBS_WAVE_RECORD_HPP
 #define ALMONDGATE_JOBS_WAVE_RECORD_HPP
 
+#include "almondgate/core/result.hpp"
 #include "almondgate/jobs/ids.hpp"
 
 #include <cstdint>
@@ -40,6 +41,10 @@
   bool isCompleted() const { return Finished.size() >= Vms.size(); }
 };
 
+/// Checks the ranges of a wave's numbers, and the number and sizes of its VM
+/// ids. Errors: InvalidArgument.
+core::Status checkWave(const WaveRecord &wave);
+
 } // namespace almondgate::jobs
 
 #endif
--- a/include/almondgate/policy/job_timing.hpp
+++ b/include/almondgate/policy/job_timing.hpp
@@ -1,20 +1,12 @@
 #ifndef ALMONDGATE_POLICY_JOB_TIMING_HPP
 #define ALMONDGATE_POLICY_JOB_TIMING_HPP
 
-#include "almondgate/core/result.hpp"
 #include "almondgate/jobs/job_spec.hpp"
 
 #include <functional>
 
 namespace almondgate::policy {
 
-/// Maximum number of tasks of a job, over all its occurrences.
-inline constexpr int64_t MaxTasksPerJob = 200000;
-
-/// Checks the counts, sizes and dependencies of a job's steps. Errors:
-/// InvalidArgument.
-core::Status checkJob(const jobs::JobSpec &spec);
-
 /// Predicts the run time of a step's tasks, in milliseconds.
 using PredictStep = std::function<int64_t(const jobs::StepSpec &)>;
 
--- a/src/almondgate/dispatch/dispatcher_calls.cpp
+++ b/src/almondgate/dispatch/dispatcher_calls.cpp
@@ -1,4 +1,5 @@
 #include "almondgate/dispatch/dispatcher.hpp"
+#include "almondgate/jobs/job_limits.hpp"
 #include "almondgate/policy/job_timing.hpp"
 
 #include "dispatch_errors.hpp"
@@ -125,7 +126,7 @@
     done(JobReply{.Outcome = JobOutcome::Invalid, .Text = call.SpecError});
     return;
   }
-  if (auto valid = policy::checkJob(call.Spec); !valid) {
+  if (auto valid = jobs::checkJob(call.Spec); !valid) {
     done(JobReply{.Outcome = JobOutcome::Invalid, .Text = valid.error().Text});
     return;
   }
--- a/src/almondgate/entry/job_api.cpp
+++ b/src/almondgate/entry/job_api.cpp
@@ -1,6 +1,7 @@
 #include "almondgate/entry/job_api.hpp"
 #include "almondgate/encoding/codec.hpp"
 #include "almondgate/entry/front_end.hpp"
+#include "almondgate/jobs/job_limits.hpp"
 
 namespace almondgate::entry {
 
@@ -35,6 +36,15 @@
   return problem(ErrorCode::InvalidArgument, "unknown job outcome");
 }
 
+Result<jobs::JobSpec> readJob(const std::string &body) {
+  auto spec = encoding::fromJson<jobs::JobSpec>(body);
+  if (!spec)
+    return spec;
+  if (auto good = jobs::checkJob(spec.value()); !good)
+    return good.error();
+  return spec;
+}
+
 } // namespace
 
 JobApi::JobApi(JobApiHooks hooks) : Hooks(std::move(hooks)) {}
@@ -56,7 +66,7 @@
   call.Path = request.Target;
   call.Key = bearerKey(request.Headers);
   if (request.Method == "POST") {
-    auto spec = encoding::fromJson<jobs::JobSpec>(request.Body);
+    auto spec = readJob(request.Body);
     call.Verb = jobs::JobVerb::Submit;
     if (spec)
       call.Spec = std::move(spec.value());
--- a/src/almondgate/jobs/fleet_config.cpp
+++ b/src/almondgate/jobs/fleet_config.cpp
@@ -1,4 +1,6 @@
 #include "almondgate/jobs/fleet_config.hpp"
+#include "almondgate/jobs/job_limits.hpp"
+#include "almondgate/jobs/name_limits.hpp"
 
 #include <algorithm>
 #include <set>
@@ -18,12 +20,75 @@
   return it == items.end() ? nullptr : &*it;
 }
 
+bool isName(const std::string &text) { return text.size() <= MaxNameBytes; }
+
+core::Status checkQueue(const QueueSpec &queue) {
+  if (!isName(queue.Id.str()) || queue.Host.size() > MaxAddressBytes ||
+      queue.PathPrefix.size() > MaxAddressBytes)
+    return invalid("the id, host or path prefix of a queue is too long");
+  // The negated form also refuses NaN.
+  if (!(queue.Stretch >= 0 && queue.Stretch <= MaxStretch))
+    return invalid("stretch of queue '" + queue.Id.str() +
+                   "' is not in 0 to 1000000");
+  const bool in_range = queue.MaxAttempts >= 0 && queue.TargetMs >= 0 &&
+                        queue.TargetMs <= MaxEstimateMs &&
+                        queue.TicketLifeMs >= 0 &&
+                        queue.TicketLifeMs <= MaxEstimateMs;
+  if (!in_range)
+    return invalid("a number of queue '" + queue.Id.str() +
+                   "' is negative or too large");
+  return core::ok();
+}
+
+core::Status checkTeam(const TeamSpec &team) {
+  const bool fits = isName(team.Id.str()) &&
+                    std::all_of(team.Keys.begin(), team.Keys.end(),
+                                [](const std::string &key) {
+                                  return key.size() <= MaxAddressBytes;
+                                });
+  if (!fits)
+    return invalid("the id or an API key of a team is too long");
+  const bool in_range = team.Weight >= 0 && team.Limit.MilliCpus >= 0 &&
+                        team.Limit.MemoryMb >= 0 &&
+                        team.Limit.Accelerators >= 0;
+  if (!in_range)
+    return invalid("the weight or limit of team '" + team.Id.str() +
+                   "' is negative");
+  return core::ok();
+}
+
+// Checks the sizes and ranges of all items by themselves.
+core::Status checkItems(const FleetConfig &config) {
+  size_t keys = 0;
+  for (const auto &team : config.Teams)
+    keys += team.Keys.size();
+  if (config.Queues.size() > MaxQueues || config.Pools.size() > MaxPools ||
+      config.Teams.size() > MaxTeams || keys > MaxKeys)
+    return invalid("the configuration has too many queues, pools, teams or "
+                   "API keys");
+  for (const auto &queue : config.Queues)
+    if (auto good = checkQueue(queue); !good)
+      return good;
+  for (const auto &pool : config.Pools)
+    if (!isName(pool.Id.str()))
+      return invalid("the id of a pool is too long");
+  for (const auto &team : config.Teams)
+    if (auto good = checkTeam(team); !good)
+      return good;
+  return core::ok();
+}
+
 } // namespace
 
 core::Status checkConfig(const FleetConfig &config) {
+  if (auto good = checkItems(config); !good)
+    return good;
+  std::set<core::PoolId> pools;
+  for (const auto &pool : config.Pools)
+    pools.insert(pool.Id);
   std::set<std::pair<std::string, std::string>> prefixes;
   for (const auto &queue : config.Queues) {
-    if (!findPool(config, queue.Pool))
+    if (!pools.contains(queue.Pool))
       return invalid("queue '" + queue.Id.str() + "' refers to unknown pool '" +
                      queue.Pool.str() + "'");
     if (!prefixes.emplace(queue.Host, queue.PathPrefix).second)
--- a/src/almondgate/policy/job_policy_test.cpp
+++ b/src/almondgate/policy/job_policy_test.cpp
@@ -36,29 +36,6 @@
   CHECK(model.predict(10) > 100);
 }
 
-TEST_CASE("invalid jobs are refused") {
-  jobs::JobSpec spec;
-  CHECK_FALSE(bool(checkJob(spec)));
-  spec.Steps.resize(2);
-  CHECK(bool(checkJob(spec)));
-  const auto bad = [&](auto edit) {
-    jobs::JobSpec other = spec;
-    edit(other);
-    return !checkJob(other);
-  };
-  CHECK(bad([](auto &s) { s.Steps[0].Count = 0; }));
-  CHECK(bad([](auto &s) { s.Steps[0].Count = MaxTasksPerJob + 1; }));
-  CHECK(bad([](auto &s) { s.Steps[0].After = {0}; }));
-  CHECK(bad([](auto &s) { s.Steps[1].After = {2}; }));
-  CHECK(bad([](auto &s) { s.Steps[1].After = {-1}; }));
-  CHECK(bad([](auto &s) { s.Steps[1].Need.MilliCpus = -1; }));
-  CHECK(bad([](auto &s) { s.Repetitions = -1; }));
-  CHECK(bad([](auto &s) {
-    s.Repetitions = MaxTasksPerJob;
-    s.Steps[0].Count = 2;
-  }));
-}
-
 TEST_CASE("the longest chain has the largest sum of run times") {
   jobs::JobSpec spec;
   spec.Steps.resize(3);
--- /dev/null
+++ b/tests/large_job_test.py
@@ -0,0 +1,26 @@
+"""Jobs beyond the limits are refused, and no process holds them."""
+
+from platform_deployment import Deployment
+
+ALLOWED_BYTES = 4000
+STEP = {"count": 1000, "cpu": 10, "memory-request-mb": 1,
+        "estimated-ms": 500}
+IDLE_MB = 60
+
+
+def job(content_bytes, **step):
+    return {"task-spec": "x" * content_bytes, "steps": [{**STEP, **step}]}
+
+
+def test_a_job_with_a_long_content_is_refused():
+    with Deployment(memory_mb=160) as d:
+        d.configure()
+        d.serves("00000000000000b1")
+        for _ in range(2):
+            for size in (200000, ALLOWED_BYTES + 1):
+                status, _ = d.job_call("POST", "00000000000000c1", job(size))
+                assert status == 400
+        assert d.job_call("GET", "00000000000000c1")[0] == 410
+        d.serves("00000000000000b2")
+        assert d.own_ends() == {}
+        assert max(d.peaks_mb().values()) < IDLE_MB
