--- a/tests/large_job_test.py
+++ b/tests/large_job_test.py
@@ -1,5 +1,8 @@
 """Jobs beyond the limits are refused, and no process holds them."""
 
+import time
+
+from fleet import wait_until
 from platform_deployment import Deployment
 
 ALLOWED_BYTES = 4000
@@ -24,3 +27,18 @@
         d.serves("00000000000000b2")
         assert d.own_ends() == {}
         assert max(d.peaks_mb().values()) < IDLE_MB
+
+
+def test_cancelling_a_job_with_many_queued_orders_ends_no_process():
+    # Tasks without a size are all ordered at once, most of them wait for the
+    # endpoint, and the cancellation withdraws these together.
+    with Deployment(memory_mb=260) as d:
+        d.configure()
+        d.serves("00000000000000b1")
+        body = job(1, count=100000, cpu=0)
+        assert d.job_call("POST", "00000000000000c1", body)[0] == 200
+        time.sleep(1)
+        wait_until(lambda: d.job_call("DELETE", "00000000000000c1")[0] == 200,
+                   10, "the job is cancelled")
+        time.sleep(2)
+        assert d.own_ends() == {}
