Start with settings that are empty, fractions or out of range

Cause: TCLAP refuses a flag without a value, and each value that was not used as written was an error, whether the program needs it or not.

Now an empty flag or environment variable counts as not given. Numbers may have a fraction (rounded down) or an exponent, booleans may be 1 and 0, what is out of range is clamped, and what is no value is replaced by the default, each with a warning. Equal control addresses count once: as founders they would have had two votes. Without control addresses, JobRelay and LeaderTracker divided by zero; an entry now says that it knows no member.

Without a name, a member's holder name in orders is its inner address; it was "control" on each member.

--- a/apps/control_program.cpp
+++ b/apps/control_program.cpp
@@ -141,8 +141,9 @@
     observe::logInfo("reload",
                      "SIGHUP ignored: settings are read only at start");
   });
-  if (auto done = status.listen(settings.Common.StatusAddress); !done)
-    return reportStartError(done.error());
+  if (settings.Common.StatusAddress != core::Address{})
+    if (auto done = status.listen(settings.Common.StatusAddress); !done)
+      return reportStartError(done.error());
   if (auto done = control.start(); !done)
     return reportStartError(done.error());
   if (adapter.Start)
--- a/apps/entry_main.cpp
+++ b/apps/entry_main.cpp
@@ -83,8 +83,9 @@
              [&] { return route.metricsText() + memory.metricsText(); }});
   const task::SignalWatcher term(loop, SIGTERM, [&] { shutdown.begin(); });
   const task::SignalWatcher interrupt(loop, SIGINT, [&] { shutdown.begin(); });
-  if (auto done = status.listen(settings.Common.StatusAddress); !done)
-    return apps::reportStartError(done.error());
+  if (settings.Common.StatusAddress != core::Address{})
+    if (auto done = status.listen(settings.Common.StatusAddress); !done)
+      return apps::reportStartError(done.error());
   int code = 0;
   // Called once the entry has a view. Without one it would refuse every
   // request, so callers are better served by other entries.
--- a/apps/placer_main.cpp
+++ b/apps/placer_main.cpp
@@ -46,8 +46,9 @@
        [&] { return memory.metricsText(); }});
   const task::SignalWatcher term(loop, SIGTERM, stop);
   const task::SignalWatcher interrupt(loop, SIGINT, stop);
-  if (auto done = status.listen(settings.Common.StatusAddress); !done)
-    return apps::reportStartError(done.error());
+  if (settings.Common.StatusAddress != core::Address{})
+    if (auto done = status.listen(settings.Common.StatusAddress); !done)
+      return apps::reportStartError(done.error());
   if (auto done = placer.start(); !done)
     return apps::reportStartError(done.error());
   observe::logInfo("start", "placer listens on " +
--- a/apps/program.hpp
+++ b/apps/program.hpp
@@ -15,6 +15,14 @@
 /// Exit code of a program whose settings are invalid.
 inline constexpr int ExitInvalidSettings = 2;
 
+/// Writes the line to the log as well, because standard error may not be kept.
+inline void reportInvalidSettings(const core::Error &error) {
+  std::fprintf(stderr, "config: %s\n", error.Text.c_str());
+  observe::startLogging(observe::LogFormat::Text, "info");
+  observe::logError("config", error.Text);
+  observe::stopLogging();
+}
+
 /// Reads a program's settings and starts its log. If the program has nothing
 /// more to do, sets `exit_code` and returns std::nullopt: after invalid
 /// settings, --check, or the help or version text.
@@ -23,7 +31,7 @@
                                    int &exit_code) {
   const auto line = read(std::vector<std::string>(argv, argv + argc));
   if (!line) {
-    std::fprintf(stderr, "config: %s\n", line.error().Text.c_str());
+    reportInvalidSettings(line.error());
     exit_code = ExitInvalidSettings;
     return std::nullopt;
   }
@@ -31,6 +39,8 @@
   if (line.value().Ended)
     return std::nullopt;
   if (line.value().CheckOnly) {
+    for (const auto &warning : line.value().Warnings)
+      std::fprintf(stderr, "config: %s\n", warning.c_str());
     std::puts("settings are valid");
     return std::nullopt;
   }
@@ -39,6 +49,8 @@
   observe::logFatalErrors(common.Format);
   observe::logInfo("start", "settings are valid; memory limit " +
                                 std::to_string(common.Memory.Limit) + " bytes");
+  for (const auto &warning : line.value().Warnings)
+    observe::logWarn("config", warning);
   return line.value().Values;
 }
 
--- a/include/almondgate/config/read_settings.hpp
+++ b/include/almondgate/config/read_settings.hpp
@@ -18,11 +18,15 @@
   /// ExitCode.
   bool Ended = false;
   int ExitCode = 0;
+  /// Values that were replaced or left out, and what the program does without.
+  std::vector<std::string> Warnings;
 };
 
-/// Reads settings from flags; a flag that is not given is read from the
-/// environment variable ALMONDGATE_<FLAG>. Errors: InvalidArgument, with flag
-/// and value.
+/// Reads settings from flags; a flag that is not given or empty is read from
+/// the environment variable ALMONDGATE_<FLAG>. A value that can't be used is
+/// replaced with a warning. Errors: InvalidArgument, with flag and value, if a
+/// setting is missing that the program can't do without: --secret, --inner, an
+/// entry's --public, a control member's --data.
 core::Result<CommandLine<EntrySettings>>
 readEntrySettings(const std::vector<std::string> &args);
 core::Result<CommandLine<PlacerSettings>>
--- a/include/almondgate/watch/leader_tracker.hpp
+++ b/include/almondgate/watch/leader_tracker.hpp
@@ -15,7 +15,8 @@
   explicit LeaderTracker(std::vector<core::Address> members);
 
   /// The last known leader, or else the next member without a recent timeout.
-  /// If all timed out recently, the last known leader.
+  /// If all timed out recently, the last known leader. An address without an
+  /// IP if there are no members.
   core::Address select(core::TimeMs now) const;
 
   /// The member replied that it is not the leader, or its connection failed.
--- a/src/almondgate/config/read_settings.cpp
+++ b/src/almondgate/config/read_settings.cpp
@@ -1,162 +1,35 @@
 #include "almondgate/config/read_settings.hpp"
 
-#include <tclap/CmdLine.h>
+#include "flags.hpp"
+#include "parse_value.hpp"
 
-#include <cctype>
-#include <cstdlib>
-#include <sstream>
+#include <algorithm>
 
 namespace almondgate::config {
 
 using core::Error;
-using core::ErrorCode;
 using core::Result;
 using core::Status;
 
 namespace {
 
-constexpr const char *Version = "0.1.0";
 constexpr size_t MinSecretBytes = 16;
 constexpr size_t Sha256HexDigits = 64;
-constexpr int64_t MaxPort = 65535;
 // With a higher value, each change would wait for too many disks.
 constexpr int64_t MaxToleratedLosses = 4;
+// A process without work needs about a third of this.
+constexpr int64_t MinMemoryLimitMb = 32;
 constexpr int64_t MaxMemoryLimitMb = int64_t{1} << 20;
 
-std::string environmentName(const std::string &flag) {
-  std::string out = "ALMONDGATE_";
-  for (const char c : flag)
-    out += c == '-' ? '_' : char(std::toupper(static_cast<unsigned char>(c)));
+// Keeps the first of equal addresses: as a founder it would vote twice.
+std::vector<core::Address> withoutDuplicates(std::vector<core::Address> all) {
+  std::vector<core::Address> out;
+  for (auto &address : all)
+    if (std::find(out.begin(), out.end(), address) == out.end())
+      out.push_back(std::move(address));
   return out;
 }
 
-std::string environmentOr(const std::string &flag,
-                          const std::string &fallback) {
-  const char *value = std::getenv(environmentName(flag).c_str());
-  return value ? value : fallback;
-}
-
-Error badValue(const std::string &flag, const std::string &value,
-               const std::string &why) {
-  return {ErrorCode::InvalidArgument, "--" + flag + " (" +
-                                          environmentName(flag) + ") '" +
-                                          value + "': " + why};
-}
-
-std::vector<std::string> split(const std::string &text, char separator) {
-  std::vector<std::string> out;
-  std::istringstream in(text);
-  std::string item;
-  while (std::getline(in, item, separator))
-    if (!item.empty())
-      out.push_back(item);
-  return out;
-}
-
-/// The flags of one program.
-class Flags {
-public:
-  explicit Flags(const std::string &description)
-      : Line(description, '=', Version) {
-    Line.setExceptionHandling(false);
-    Line.add(Check);
-  }
-
-  void add(const std::string &name, const std::string &help,
-           const std::string &fallback = "") {
-    auto arg = std::make_unique<TCLAP::ValueArg<std::string>>(
-        "", name, help + " (environment: " + environmentName(name) + ")", false,
-        environmentOr(name, fallback), "value");
-    Line.add(*arg);
-    Values.emplace(name, std::move(arg));
-  }
-
-  Status parse(std::vector<std::string> args) {
-    try {
-      Line.parse(args);
-    } catch (const TCLAP::ArgException &e) {
-      return Error{ErrorCode::InvalidArgument, e.argId() + ": " + e.error()};
-    } catch (const TCLAP::ExitException &e) {
-      Ended = true;
-      Code = e.getExitStatus();
-    }
-    return core::ok();
-  }
-
-  const std::string &text(const std::string &name) const {
-    return Values.at(name)->getValue();
-  }
-
-  Status readAddress(const std::string &name, core::Address &out) const {
-    const auto address = core::parseAddress(text(name));
-    if (!address)
-      return badValue(name, text(name), "must be IP:PORT");
-    out = address.value();
-    return core::ok();
-  }
-
-  Status readAddresses(const std::string &name,
-                       std::vector<core::Address> &out) const {
-    for (const auto &item : split(text(name), ',')) {
-      const auto address = core::parseAddress(item);
-      if (!address)
-        return badValue(name, item, "must be IP:PORT[,IP:PORT...]");
-      out.push_back(address.value());
-    }
-    if (out.empty())
-      return badValue(name, text(name), "must have at least one address");
-    return core::ok();
-  }
-
-  /// Reads an address that may be empty.
-  Status readOptionalAddress(const std::string &name,
-                             core::Address &out) const {
-    return text(name).empty() ? core::ok() : readAddress(name, out);
-  }
-
-  Status readNumber(const std::string &name, int64_t least, int64_t most,
-                    int64_t &out) const {
-    const std::string &value = text(name);
-    char *end = nullptr;
-    out = std::strtoll(value.c_str(), &end, 10);
-    if (value.empty() || *end || out < least || out > most)
-      return badValue(name, value,
-                      "must be " + std::to_string(least) + " to " +
-                          std::to_string(most));
-    return core::ok();
-  }
-
-  Status readBool(const std::string &name, bool &out) const {
-    const std::string &value = text(name);
-    if (value != "true" && value != "false")
-      return badValue(name, value, "must be true or false");
-    out = value == "true";
-    return core::ok();
-  }
-
-  Status readDuration(const std::string &name, core::DurationMs &out) const {
-    const std::string &value = text(name);
-    char *end = nullptr;
-    const long long n = std::strtoll(value.c_str(), &end, 10);
-    constexpr long long OneHourMs = 3600000;
-    if (value.empty() || *end || n < 0 || n > OneHourMs)
-      return badValue(name, value, "must be 0 to 3600000 milliseconds");
-    out = {n};
-    return core::ok();
-  }
-
-  bool checkOnly() const { return Check.getValue(); }
-  bool ended() const { return Ended; }
-  int exitCode() const { return Code; }
-
-private:
-  TCLAP::CmdLine Line;
-  TCLAP::SwitchArg Check{"", "check", "Check the settings and exit"};
-  std::map<std::string, std::unique_ptr<TCLAP::ValueArg<std::string>>> Values;
-  bool Ended = false;
-  int Code = 0;
-};
-
 void addCommon(Flags &flags) {
   flags.add("secret", "The cluster's secret, at least 16 bytes");
   flags.add("inner", "Address that serves the inner protocol, IP:PORT");
@@ -175,107 +48,118 @@
             "Memory limit of the process, in megabytes; 0: not known", "0");
 }
 
-Status readCommon(const Flags &flags, CommonSettings &out) {
+std::vector<core::Address> readControlAddresses(Flags &flags) {
+  auto out = flags.readAddresses("control");
+  const uint16_t port = flags.readPort("control-port");
+  for (auto &address : out)
+    if (port > 0)
+      address.Port = port;
+  return withoutDuplicates(std::move(out));
+}
+
+core::MemoryPlan readMemoryPlan(Flags &flags) {
+  const int64_t limit_mb =
+      flags.readNumber("memory-limit-mb", 0, MaxMemoryLimitMb);
+  if (limit_mb == 0 || limit_mb >= MinMemoryLimitMb)
+    return core::planMemory(limit_mb);
+  flags.warn("memory-limit-mb", std::to_string(limit_mb),
+             "is less than the program needs; using " +
+                 std::to_string(MinMemoryLimitMb));
+  return core::planMemory(MinMemoryLimitMb);
+}
+
+void warnOfAbsent(Flags &flags, const CommonSettings &settings) {
+  if (settings.StatusAddress == core::Address{})
+    flags.warn("status", "", "not given; no metrics and health checks");
+  if (settings.Zone.empty())
+    flags.warn("zone", "", "not given; no endpoint counts as near");
+  if (settings.Control.empty())
+    flags.warn("control", "",
+               "not given; only control members that are known from the disk "
+               "or that call this process are reached");
+}
+
+Status readCommon(Flags &flags, CommonSettings &out) {
   out.Secret = flags.text("secret");
   if (out.Secret.size() < MinSecretBytes)
-    return badValue("secret", "...", "must have at least 16 bytes");
-  if (auto done = flags.readAddress("inner", out.Inner); !done)
-    return done;
-  if (auto done = flags.readAddress("status", out.StatusAddress); !done)
+    return invalidValue("secret", "...", "must have at least 16 bytes");
+  if (auto done = flags.readRequiredAddress("inner", out.Inner); !done)
     return done;
-  if (auto done = flags.readAddresses("control", out.Control); !done)
-    return done;
-  int64_t port = 0;
-  if (auto done = flags.readNumber("control-port", 0, MaxPort, port); !done)
-    return done;
-  for (auto &address : out.Control)
-    if (port > 0)
-      address.Port = uint16_t(port);
+  out.StatusAddress = flags.readAddress("status");
+  out.Control = readControlAddresses(flags);
   out.Zone = core::ZoneId(flags.text("zone"));
-  if (out.Zone.empty())
-    return badValue("zone", "", "must name an availability zone");
-  const std::string &format = flags.text("log-format");
-  if (format != "text" && format != "json")
-    return badValue("log-format", format, "must be text or json");
-  out.Format =
-      format == "json" ? observe::LogFormat::Json : observe::LogFormat::Text;
-  out.LogLevel = flags.text("log-level");
-  if (out.LogLevel != "debug" && out.LogLevel != "info" &&
-      out.LogLevel != "warn" && out.LogLevel != "error")
-    return badValue("log-level", out.LogLevel,
-                    "must be debug, info, warn or error");
-  int64_t limit_mb = 0;
-  if (auto done =
-          flags.readNumber("memory-limit-mb", 0, MaxMemoryLimitMb, limit_mb);
-      !done)
-    return done;
-  out.Memory = core::planMemory(limit_mb);
-  return flags.readDuration("stop-delay-ms", out.StopDelay);
+  out.Format = flags.readWord("log-format", {"text", "json"}) == "json"
+                   ? observe::LogFormat::Json
+                   : observe::LogFormat::Text;
+  out.LogLevel =
+      flags.readWord("log-level", {"debug", "info", "warn", "error"});
+  out.Memory = readMemoryPlan(flags);
+  out.StopDelay = flags.readDuration("stop-delay-ms");
+  warnOfAbsent(flags, out);
+  return core::ok();
 }
 
-Status readOperatorKeys(const Flags &flags, EntrySettings &out) {
+void readOperatorKeys(Flags &flags, EntrySettings &out) {
   for (const auto &item : split(flags.text("operator-keys"), ',')) {
     const auto parts = split(item, '=');
-    if (parts.size() != 2 || parts[1].size() != Sha256HexDigits)
-      return badValue("operator-keys", item,
-                      "must be NAME=SHA256[,NAME=SHA256...]");
-    out.OperatorKeys.emplace(parts[1], core::OperatorId(parts[0]));
+    if (parts.size() == 2 && parts[1].size() == Sha256HexDigits)
+      out.OperatorKeys.emplace(parts[1], core::OperatorId(parts[0]));
+    else
+      flags.warn("operator-keys", parts.empty() ? "" : parts[0],
+                 "must be NAME=SHA256; this operator is refused");
   }
-  return core::ok();
 }
 
-Status readEntry(const Flags &flags, EntrySettings &out) {
+Status readEntry(Flags &flags, EntrySettings &out) {
   if (auto done = readCommon(flags, out.Common); !done)
     return done;
-  if (auto done = flags.readAddress("public", out.Public); !done)
-    return done;
-  if (auto done = flags.readDuration("fresh-for-ms", out.FreshFor); !done)
+  if (auto done = flags.readRequiredAddress("public", out.Public); !done)
     return done;
-  return readOperatorKeys(flags, out);
+  out.FreshFor = flags.readDuration("fresh-for-ms");
+  readOperatorKeys(flags, out);
+  return core::ok();
 }
 
-Status readPlacer(const Flags &flags, PlacerSettings &out) {
+Status readPlacer(Flags &flags, PlacerSettings &out) {
   return readCommon(flags, out.Common);
 }
 
-Status readControl(const Flags &flags, ControlSettings &out) {
-  if (auto done = readCommon(flags, out.Common); !done)
-    return done;
-  out.DataFolder = flags.text("data");
-  if (out.DataFolder.empty())
-    return badValue("data", "", "must name the data folder");
-  if (auto done = flags.readBool("found", out.BootstrapCluster); !done)
-    return done;
-  if (auto done = flags.readNumber("tolerated-losses", -1, MaxToleratedLosses,
-                                   out.ToleratedLosses);
-      !done)
-    return done;
-  if (auto done =
-          flags.readDuration("stop-order-timeout-ms", out.RunStopTimeout);
-      !done)
-    return done;
-  out.Name = flags.text("name");
-  for (const auto &[name, address] : {std::pair{"public", &out.Public},
-                                      {"vm-service", &out.VmService},
-                                      {"advice-service", &out.AdviceService}})
-    if (auto done = flags.readOptionalAddress(name, *address); !done)
-      return done;
+Status readFirstMembers(const Flags &flags, ControlSettings &out) {
   out.InitAs = flags.text("init-as");
   for (const auto &item : split(flags.text("first-members"), ',')) {
     const auto parts = split(item, '=');
     const auto address = parts.size() == 2 ? core::parseAddress(parts[1])
                                            : Result<core::Address>(Error{});
     if (!address)
-      return badValue("first-members", item,
-                      "must be NAME=IP:PORT[,NAME=IP:PORT...]");
+      return invalidValue("first-members", item,
+                          "must be NAME=IP:PORT[,NAME=IP:PORT...]");
     out.FirstMembers.emplace_back(parts[0], address.value());
   }
   if (out.InitAs.empty() != out.FirstMembers.empty())
-    return badValue("init-as", out.InitAs,
-                    "must be given together with --first-members");
+    return invalidValue("init-as", out.InitAs,
+                        "must be given together with --first-members");
   return core::ok();
 }
 
+Status readControl(Flags &flags, ControlSettings &out) {
+  if (auto done = readCommon(flags, out.Common); !done)
+    return done;
+  out.DataFolder = flags.text("data");
+  if (out.DataFolder.empty())
+    return invalidValue("data", "", "must name the data folder");
+  out.BootstrapCluster = flags.readBool("found");
+  out.ToleratedLosses =
+      flags.readNumber("tolerated-losses", -1, MaxToleratedLosses);
+  out.RunStopTimeout = flags.readDuration("stop-order-timeout-ms");
+  // Holders of orders are told apart by name.
+  out.Name = flags.text("name").empty() ? core::toString(out.Common.Inner)
+                                        : flags.text("name");
+  out.Public = flags.readAddress("public");
+  out.VmService = flags.readAddress("vm-service");
+  out.AdviceService = flags.readAddress("advice-service");
+  return readFirstMembers(flags, out);
+}
+
 template <class Settings, class Read>
 Result<CommandLine<Settings>>
 parseSettings(Flags &flags, const std::vector<std::string> &args, Read read) {
@@ -289,6 +173,7 @@
     return out;
   if (auto good = read(flags, out.Values); !good)
     return good.error();
+  out.Warnings = flags.warnings();
   return out;
 }
 
@@ -322,8 +207,10 @@
   flags.add("public", "Address that serves endpoints and operators, IP:PORT");
   flags.add("vm-service", "The service that lists and moves VMs, IP:PORT");
   flags.add("advice-service", "The placement policy service, IP:PORT");
-  flags.add("name", "Name of this process in the orders that it sends",
-            "control");
+  flags.add(
+      "name",
+      "Name of this process in the orders that it sends; its inner address "
+      "if not given");
   flags.add("found",
             "Format an empty data folder as one of the first members, which "
             "are those of --control",
--- a/src/almondgate/entry/job_relay.cpp
+++ b/src/almondgate/entry/job_relay.cpp
@@ -25,6 +25,9 @@
       RefreshTimer(loop) {}
 
 void JobRelay::start() {
+  // Without members, no list of members can be read.
+  if (Members.empty())
+    return;
   RefreshTimer.once(InitialRetryDelay, [this] { refreshMembers(); });
 }
 
@@ -59,6 +62,8 @@
 }
 
 std::string JobRelay::notReady() const {
+  if (Members.empty())
+    return "no control member is known";
   if (!HasReply)
     return "no control member has replied yet";
   const bool fresh = core::monotonicNow() - LastReplyAt < MaxReplyAge;
--- a/src/almondgate/watch/leader_tracker.cpp
+++ b/src/almondgate/watch/leader_tracker.cpp
@@ -25,7 +25,7 @@
     if (timed_out == TimedOutUntil.end() || now >= timed_out->second)
       return member;
   }
-  return Members[Next % Members.size()];
+  return Members.empty() ? Address{} : Members[Next % Members.size()];
 }
 
 void LeaderTracker::recordNotLeader(const Address &member) {
@@ -36,14 +36,15 @@
 
 void LeaderTracker::recordTimeout(const Address &member, TimeMs now) {
   TimedOutUntil[member] = now + TimeoutPenalty;
-  if (Members[Next % Members.size()] == member)
+  if (!Members.empty() && Members[Next % Members.size()] == member)
     recordNotLeader(member);
 }
 
 void LeaderTracker::setMembers(std::vector<Address> members) {
   if (members.empty() || members == Members)
     return;
-  const Address next = Members[Next % Members.size()];
+  const Address next =
+      Members.empty() ? Address{} : Members[Next % Members.size()];
   Members = std::move(members);
   const auto it = std::find(Members.begin(), Members.end(), next);
   Next = it == Members.end() ? 0 : size_t(it - Members.begin());
--- a/src/almondgate/watch/leader_tracker_test.cpp
+++ b/src/almondgate/watch/leader_tracker_test.cpp
@@ -66,3 +66,11 @@
   tracker.setMembers({});
   CHECK((tracker.select(TimeMs{0}) == C));
 }
+
+TEST_CASE("without members, no address is selected") {
+  LeaderTracker tracker({});
+  CHECK((tracker.select(TimeMs{0}) == Address{}));
+  tracker.recordTimeout(A, TimeMs{0});
+  tracker.setMembers({B});
+  CHECK((tracker.select(TimeMs{0}) == B));
+}
--- /dev/null
+++ b/tests/start_test.py
@@ -0,0 +1,88 @@
+"""Programs start, and continue to run, under unusual conditions."""
+
+import contextlib
+import http.client
+import os
+import signal
+import subprocess
+
+import pytest
+
+from fleet import BUILD, SECRET, free_port, http_call, wait_until
+
+PROGRAMS = ["almondgate-entry", "almondgate-placer", "almondgate-control",
+            "almondgate-platform-entry", "almondgate-platform-control"]
+
+
+def args_of(program, folder, ports, **changes):
+    """Arguments with which a program runs without any other process."""
+    flags = {"secret": SECRET, "inner": f"127.0.0.1:{ports['inner']}",
+             "status": f"127.0.0.1:{ports['status']}", "zone": "z0",
+             "control": f"127.0.0.1:{ports['inner']}", "stop-delay-ms": "10"}
+    if not program.endswith("placer"):
+        flags["public"] = f"127.0.0.1:{ports['public']}"
+    if program.endswith("control"):
+        flags.update({"data": os.path.join(folder, "data"), "found": "true",
+                      "tolerated-losses": "0"})
+    flags.update(changes)
+    return [os.path.join(BUILD, program)] + [
+        f"--{name}={value}" for name, value in flags.items()]
+
+
+@contextlib.contextmanager
+def running(args, folder, **options):
+    """Runs a program, which has to end with exit code 0 at SIGTERM."""
+    with open(os.path.join(folder, "log"), "ab") as log:
+        options = {"stdout": log, "stderr": log, **options}
+        process = subprocess.Popen(args, **options)
+    try:
+        yield process
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(10) == 0
+    finally:
+        process.kill()
+        process.wait()
+
+
+def readiness(ports):
+    """Returns the answer of the status address, (0, b"") if there is none."""
+    try:
+        status, _, body = http_call(ports["status"], "GET", "/readyz")
+        return status, body
+    except (OSError, http.client.HTTPException):
+        return 0, b""
+
+
+def is_ready(ports):
+    return readiness(ports)[0] == 200
+
+
+@pytest.fixture
+def ports():
+    return {name: free_port() for name in ("inner", "status", "public")}
+
+
+@pytest.mark.parametrize("program", PROGRAMS)
+def test_a_missing_identity_is_said_on_both_outputs(program, tmp_path, ports):
+    done = subprocess.run(args_of(program, tmp_path, ports, inner=""),
+                          capture_output=True, timeout=10)
+    assert done.returncode == 2
+    for output in (done.stdout, done.stderr):
+        assert output.count(b"\n") == 1
+        assert b"--inner (ALMONDGATE_INNER) '': must be IP:PORT" in output
+
+
+def test_a_member_restarts_without_control_addresses(tmp_path, ports):
+    program = "almondgate-platform-control"
+    for changes in ({}, {"control": "", "found": ""}):
+        args = args_of(program, tmp_path, ports, **changes)
+        with running(args, tmp_path):
+            wait_until(lambda: is_ready(ports), 5, "the member is ready")
+
+
+def test_an_entry_without_control_addresses_is_not_ready(tmp_path, ports):
+    args = args_of("almondgate-platform-entry", tmp_path, ports, control="")
+    with running(args, tmp_path):
+        wait_until(lambda: readiness(ports) == (
+            503, b"no control member is known"), 5, "the entry says why")
+        assert http_call(ports["public"], "GET", "/x")[0] >= 400
