Wait for an address that is in use instead of ending

Callers saw: a process whose public, status or inner address was still taken at its start ended with exit code 1, and again at each restart, for as long as an earlier process or the local port of an outgoing connection had the address.

Cause: an error of bind() or listen() ended the program.

A TcpListener now tries again each 100 ms, with a new handle (libuv can't bind one twice, and reports an address in use only from listen()), while the address is in use or not assigned to the VM yet, or descriptors or memory are short. It logs the begin and the end of the wait. Meanwhile a member votes, and an entry is not ready. What can't pass by waiting, such as a missing permission, is still an error.

--- a/apps/control_program.cpp
+++ b/apps/control_program.cpp
@@ -149,7 +149,7 @@
   if (adapter.Start)
     if (auto done = adapter.Start(control); !done)
       return reportStartError(done.error());
-  observe::logInfo("start", "control member listens on " +
+  observe::logInfo("start", "control member at " +
                                 core::toString(settings.Common.Inner));
   loop.run();
   return code;
--- a/apps/entry_main.cpp
+++ b/apps/entry_main.cpp
@@ -75,12 +75,17 @@
   const apps::MemoryReport memory(loop, settings.Common.Memory.Limit, [] {
     return std::vector<core::BudgetReading>();
   });
+  const auto not_ready = [&] {
+    if (shutdown.stopping())
+      return std::string("stopping");
+    const std::string why = route.notReady();
+    return why.empty() && !front->isListening()
+               ? apps::notListening(settings.Public)
+               : why;
+  };
   http::StatusServer status(
-      loop, {[&] {
-               return shutdown.stopping() ? std::string("stopping")
-                                          : route.notReady();
-             },
-             [&] { return route.metricsText() + memory.metricsText(); }});
+      loop,
+      {not_ready, [&] { return route.metricsText() + memory.metricsText(); }});
   const task::SignalWatcher term(loop, SIGTERM, [&] { shutdown.begin(); });
   const task::SignalWatcher interrupt(loop, SIGINT, [&] { shutdown.begin(); });
   if (settings.Common.StatusAddress != core::Address{})
@@ -95,8 +100,7 @@
       loop.stop();
       return;
     }
-    observe::logInfo("start",
-                     "entry listens on " + core::toString(settings.Public));
+    observe::logInfo("start", "entry of " + core::toString(settings.Public));
   };
   if (auto done = route.start(serve); !done)
     return apps::reportStartError(done.error());
--- a/apps/placer_main.cpp
+++ b/apps/placer_main.cpp
@@ -51,8 +51,8 @@
       return apps::reportStartError(done.error());
   if (auto done = placer.start(); !done)
     return apps::reportStartError(done.error());
-  observe::logInfo("start", "placer listens on " +
-                                core::toString(settings.Common.Inner));
+  observe::logInfo("start",
+                   "placer at " + core::toString(settings.Common.Inner));
   loop.run();
   return 0;
 }
--- a/apps/program.hpp
+++ b/apps/program.hpp
@@ -76,6 +76,11 @@
   return code;
 }
 
+/// Why a process whose public address is still taken is not ready.
+inline std::string notListening(const core::Address &address) {
+  return "waiting to listen on " + core::toString(address);
+}
+
 /// Logs an error that prevents the program from starting and returns its exit
 /// code.
 inline int reportStartError(const core::Error &error) {
--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -32,7 +32,7 @@
 target_include_directories(almondgate_testing INTERFACE ${CMAKE_SOURCE_DIR})
 
 almondgate_package(core crypto)
-almondgate_package(task almondgate_core uv)
+almondgate_package(task almondgate_core almondgate_observe uv)
 almondgate_package(model almondgate_core)
 almondgate_package(jobs almondgate_core)
 almondgate_package(state almondgate_model almondgate_jobs)
--- a/include/almondgate/entry/front_task.hpp
+++ b/include/almondgate/entry/front_task.hpp
@@ -20,6 +20,7 @@
   FrontTask(task::Loop &loop, Post post);
 
   core::Status listen(const core::Address &address);
+  bool isListening() const { return Http.isListening(); }
 
   /// Receives the responses.
   task::Mailbox<ResponseReady> &mailbox() { return Inbox; }
--- a/include/almondgate/http/server.hpp
+++ b/include/almondgate/http/server.hpp
@@ -36,8 +36,12 @@
   Server(const Server &) = delete;
   Server &operator=(const Server &) = delete;
 
+  /// Errors: those of task::TcpListener::listen().
   core::Status listen(const core::Address &address);
 
+  /// False while the address is still in use.
+  bool isListening() const;
+
   /// Closes open connections gracefully after their next response.
   void drain();
 
--- a/include/almondgate/task/tcp_listener.hpp
+++ b/include/almondgate/task/tcp_listener.hpp
@@ -1,7 +1,9 @@
 #ifndef ALMONDGATE_TASK_TCP_LISTENER_HPP
 #define ALMONDGATE_TASK_TCP_LISTENER_HPP
 
+#include "almondgate/core/address.hpp"
 #include "almondgate/core/result.hpp"
+#include "almondgate/task/timer.hpp"
 
 #include <functional>
 
@@ -10,10 +12,6 @@
 struct uv_tcp_s;
 struct uv_stream_s;
 
-namespace almondgate::core {
-struct Address;
-} // namespace almondgate::core
-
 namespace almondgate::task {
 
 class Loop;
@@ -28,9 +26,13 @@
   TcpListener(const TcpListener &) = delete;
   TcpListener &operator=(const TcpListener &) = delete;
 
-  /// Errors: InvalidArgument; Io, with the address and the system's reason.
+  /// Listens at once, or tries again until close() while the address is in use
+  /// or not assigned to the VM, or descriptors or memory are short. Errors:
+  /// InvalidArgument; Io, with the address and the system's reason.
   core::Status listen(const core::Address &address);
 
+  bool isListening() const { return Handle != nullptr; }
+
   /// Stops listening. Connections that wait to be accepted are reset.
   void close();
 
@@ -39,9 +41,14 @@
   void closeOnceDrained();
 
 private:
+  int tryToListen();
+  void listenAgain();
   void closeIfDrained();
 
-  uv_tcp_s *Handle;
+  Loop &Owner;
+  core::Address At;
+  /// Set while it listens.
+  uv_tcp_s *Handle = nullptr;
   /// Run in each iteration of the loop while the listener is being drained.
   uv_check_s *AfterPoll = nullptr;
   uv_idle_s *KeepPolling = nullptr;
@@ -49,6 +56,7 @@
   int Accepted = 0;
   int Iterations = 0;
   OnConnection Fn;
+  Timer Retry;
 };
 
 } // namespace almondgate::task
--- a/src/almondgate/http/server.cpp
+++ b/src/almondgate/http/server.cpp
@@ -298,6 +298,8 @@
   return S->Listener->listen(address);
 }
 
+bool Server::isListening() const { return S->Listener->isListening(); }
+
 void Server::drain() { h2o_context_request_shutdown(&S->Context); }
 
 void Server::stopAccepting() { S->Listener->closeOnceDrained(); }
--- a/src/almondgate/task/tcp.cpp
+++ b/src/almondgate/task/tcp.cpp
@@ -1,4 +1,5 @@
 #include "almondgate/core/address.hpp"
+#include "almondgate/observe/log.hpp"
 #include "almondgate/task/loop.hpp"
 #include "almondgate/task/tcp_listener.hpp"
 #include "almondgate/task/tcp_stream.hpp"
@@ -17,12 +18,21 @@
 constexpr int ListenBacklog = 511;
 // Under a constant stream of connections the queue is never seen empty.
 constexpr int MaxDrainIterations = 16;
+constexpr core::DurationMs ListenRetryInterval{100};
 constexpr size_t ReadBufferBytes = size_t{64} * 1024;
 
 core::Error ioError(const std::string &what, int code) {
   return {core::ErrorCode::Io, what + ": " + uv_strerror(code)};
 }
 
+// An address is in use by an earlier process or by an outgoing connection, is
+// not assigned to the VM yet, or descriptors or memory are short.
+bool mayPass(int listen_error) {
+  return listen_error == UV_EADDRINUSE || listen_error == UV_EADDRNOTAVAIL ||
+         listen_error == UV_EMFILE || listen_error == UV_ENFILE ||
+         listen_error == UV_ENOBUFS || listen_error == UV_ENOMEM;
+}
+
 core::Result<sockaddr_storage> toSockaddr(const core::Address &address) {
   sockaddr_storage out{};
   auto *ipv4 = reinterpret_cast<sockaddr_in *>(&out);
@@ -184,10 +194,7 @@
 }
 
 TcpListener::TcpListener(Loop &loop, OnConnection fn)
-    : Handle(new uv_tcp_t), Fn(std::move(fn)) {
-  uv_tcp_init(loop.raw(), Handle);
-  Handle->data = this;
-}
+    : Owner(loop), Fn(std::move(fn)), Retry(loop) {}
 
 TcpListener::~TcpListener() { close(); }
 
@@ -195,8 +202,25 @@
   const auto target = toSockaddr(address);
   if (!target)
     return target.error();
-  const auto *raw = reinterpret_cast<const sockaddr *>(&target.value());
-  int code = uv_tcp_bind(Handle, raw, 0);
+  At = address;
+  const int code = tryToListen();
+  if (code == 0)
+    return core::ok();
+  const auto error = ioError("listen on " + core::toString(At), code);
+  if (!mayPass(code))
+    return error;
+  observe::logWarn("listen", error.Text + "; trying again");
+  Retry.every(ListenRetryInterval, [this] { listenAgain(); });
+  return core::ok();
+}
+
+// A handle that failed to bind can't be bound again, so each attempt has its
+// own. Libuv reports an address in use only when it listens.
+int TcpListener::tryToListen() {
+  const auto target = toSockaddr(At);
+  auto *handle = new uv_tcp_t;
+  uv_tcp_init(Owner.raw(), handle);
+  handle->data = this;
   const auto incoming = [](uv_stream_t *listener, int status) {
     auto *self = static_cast<TcpListener *>(listener->data);
     if (status != 0 || !self)
@@ -204,15 +228,27 @@
     ++self->Accepted;
     self->Fn(listener);
   };
+  int code = uv_tcp_bind(
+      handle, reinterpret_cast<const sockaddr *>(&target.value()), 0);
   if (code == 0)
-    code = uv_listen(reinterpret_cast<uv_stream_t *>(Handle), ListenBacklog,
+    code = uv_listen(reinterpret_cast<uv_stream_t *>(handle), ListenBacklog,
                      incoming);
-  if (code < 0)
-    return ioError("listen on " + core::toString(address), code);
-  return core::ok();
+  if (code == 0)
+    Handle = handle;
+  else
+    closeHandle(handle);
+  return code;
+}
+
+void TcpListener::listenAgain() {
+  if (tryToListen() != 0)
+    return;
+  Retry.stop();
+  observe::logInfo("listen", "listens on " + core::toString(At) + " now");
 }
 
 void TcpListener::close() {
+  Retry.stop();
   closeHandle(AfterPoll);
   closeHandle(KeepPolling);
   closeHandle(Handle);
@@ -221,6 +257,7 @@
 // An iteration accepts all connections that had arrived when it polled, so the
 // queue was empty a moment ago if it accepted none.
 void TcpListener::closeOnceDrained() {
+  Retry.stop();
   if (!Handle || AfterPoll)
     return;
   AfterPoll = new uv_check_t;
--- a/tests/start_test.py
+++ b/tests/start_test.py
@@ -4,6 +4,8 @@
 import http.client
 import os
 import signal
+import socket
+import struct
 import subprocess
 
 import pytest
@@ -86,3 +88,68 @@
         wait_until(lambda: readiness(ports) == (
             503, b"no control member is known"), 5, "the entry says why")
         assert http_call(ports["public"], "GET", "/x")[0] >= 400
+
+
+@contextlib.contextmanager
+def taken(port, by_connection):
+    """Another socket has a port: one that listens, or the local port of a
+    connection."""
+    with contextlib.ExitStack() as open_sockets:
+        def new_socket():
+            return open_sockets.enter_context(socket.socket())
+        if by_connection:
+            server = new_socket()
+            server.bind(("127.0.0.1", 0))
+            server.listen()
+            client = new_socket()
+            client.bind(("127.0.0.1", port))
+            client.connect(server.getsockname())
+            # Ends the connection without TIME_WAIT.
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                              struct.pack("ii", 1, 0))
+        else:
+            server = new_socket()
+            server.bind(("127.0.0.1", port))
+            server.listen()
+        yield
+
+
+LISTENERS = [(program, name) for program in PROGRAMS
+             for name in ("inner", "status", "public")
+             if (program, name) not in (("almondgate-placer", "public"),
+                                        ("almondgate-control", "public"),
+                                        ("almondgate-platform-entry", "inner"))]
+
+
+@pytest.mark.parametrize("by_connection", [False, True],
+                         ids=["listener", "connection"])
+@pytest.mark.parametrize("program,name", LISTENERS)
+def test_a_process_waits_for_a_taken_port(program, name, by_connection,
+                                          tmp_path, ports):
+    log = tmp_path / "log"
+    args = args_of(program, tmp_path, ports)
+    address = f"127.0.0.1:{ports[name]}"
+    with contextlib.ExitStack() as member:
+        if program == "almondgate-entry" and name == "public":
+            # An entry listens once a control member has answered.
+            (tmp_path / "member").mkdir()
+            others = {n: free_port() for n in ports}
+            member.enter_context(running(
+                args_of("almondgate-control", tmp_path / "member", others),
+                tmp_path / "member"))
+            args = args_of(program, tmp_path, ports,
+                           control=f"127.0.0.1:{others['inner']}")
+        with contextlib.ExitStack() as process:
+            with taken(ports[name], by_connection):
+                process.enter_context(running(args, tmp_path))
+                wait_until(lambda: "trying again" in log.read_text(), 5,
+                           "the process says that it waits")
+                if name == "public" and program.endswith("entry"):
+                    assert readiness(ports)[0] == 503
+                if name == "public" and program.endswith("control"):
+                    wait_until(lambda: is_ready(ports), 5, "the member votes")
+            wait_until(lambda: f"listens on {address} now" in log.read_text(),
+                       5, "the process listens")
+            with socket.create_connection(("127.0.0.1", ports[name]), 5):
+                pass
+        assert log.read_text().count("trying again") == 1
