Treat a signal in the first milliseconds as a planned stop

Callers saw: SIGTERM in the first 5 to 10 ms of a process ended it by the signal (status -15); SIGINT ended the platform's entry, and SIGUSR1, SIGUSR2 and SIGALRM ended every program. SIGHUP ended the entry and the placer.

Cause: the handlers were installed after the settings, the log and the tasks, and each program listed its signals itself.

Now a function in .preinit_array, which runs after the loader and before the initializers of the libraries, blocks SIGTERM, SIGINT and SIGHUP and ignores the signals that are no request of ours. ProcessSignals, which all programs use, unblocks them once a handler exists, so that a pending one becomes a planned stop. It blocks them again when it is destroyed: a second SIGTERM at the end of a stop no longer ends the process by the signal. The wait for disk space before the loop runs asks for a pending stop.

What remains is the loader itself.

--- a/apps/control_program.cpp
+++ b/apps/control_program.cpp
@@ -3,9 +3,9 @@
 #include "almondgate/core/digest.hpp"
 #include "almondgate/http/status_server.hpp"
 #include "almondgate/task/loop.hpp"
-#include "almondgate/task/signal_watcher.hpp"
 
 #include "memory_report.hpp"
+#include "process_signals.hpp"
 #include "program.hpp"
 
 #include <algorithm>
@@ -76,7 +76,8 @@
 openStoreOnceDiskHasSpace(const config::ControlSettings &settings) {
   auto store = openStore(settings);
   for (bool logged = false;
-       !store && store.error().Code == core::ErrorCode::NoSpace;
+       !store && store.error().Code == core::ErrorCode::NoSpace &&
+       !isStopPending();
        logged = true) {
     if (!logged)
       observe::logError("storage",
@@ -91,8 +92,10 @@
 int run(const config::ControlSettings &settings,
         const MakeControlAdapter &make_adapter) {
   auto store = openStoreOnceDiskHasSpace(settings);
-  if (!store)
-    return reportStartError(store.error());
+  if (!store) {
+    const int error = reportStartError(store.error());
+    return isStopPending() ? 0 : error;
+  }
   task::Loop loop;
   int code = 0;
   const ControlAdapter adapter = make_adapter(loop, settings);
@@ -135,12 +138,7 @@
       loop,
       {[&] { return stopped ? std::string("stopping") : control.notReady(); },
        [&] { return control.metricsText() + memory.metricsText(); }});
-  const task::SignalWatcher term(loop, SIGTERM, stop);
-  const task::SignalWatcher interrupt(loop, SIGINT, stop);
-  const task::SignalWatcher reload(loop, SIGHUP, [] {
-    observe::logInfo("reload",
-                     "SIGHUP ignored: settings are read only at start");
-  });
+  const ProcessSignals signals(loop, stop);
   if (settings.Common.StatusAddress != core::Address{})
     if (auto done = status.listen(settings.Common.StatusAddress); !done)
       return reportStartError(done.error());
--- a/apps/entry_main.cpp
+++ b/apps/entry_main.cpp
@@ -2,9 +2,9 @@
 #include "almondgate/entry/route_task.hpp"
 #include "almondgate/http/status_server.hpp"
 #include "almondgate/task/loop.hpp"
-#include "almondgate/task/signal_watcher.hpp"
 
 #include "memory_report.hpp"
+#include "process_signals.hpp"
 #include "program.hpp"
 
 #include <memory>
@@ -86,8 +86,7 @@
   http::StatusServer status(
       loop,
       {not_ready, [&] { return route.metricsText() + memory.metricsText(); }});
-  const task::SignalWatcher term(loop, SIGTERM, [&] { shutdown.begin(); });
-  const task::SignalWatcher interrupt(loop, SIGINT, [&] { shutdown.begin(); });
+  const apps::ProcessSignals signals(loop, [&] { shutdown.begin(); });
   if (settings.Common.StatusAddress != core::Address{})
     if (auto done = status.listen(settings.Common.StatusAddress); !done)
       return apps::reportStartError(done.error());
--- a/apps/placer_main.cpp
+++ b/apps/placer_main.cpp
@@ -1,9 +1,9 @@
 #include "almondgate/http/status_server.hpp"
 #include "almondgate/placer/placer_task.hpp"
 #include "almondgate/task/loop.hpp"
-#include "almondgate/task/signal_watcher.hpp"
 
 #include "memory_report.hpp"
+#include "process_signals.hpp"
 #include "program.hpp"
 
 using namespace almondgate;
@@ -44,8 +44,7 @@
       loop,
       {[&] { return stopped ? std::string("stopping") : placer.notReady(); },
        [&] { return memory.metricsText(); }});
-  const task::SignalWatcher term(loop, SIGTERM, stop);
-  const task::SignalWatcher interrupt(loop, SIGINT, stop);
+  const apps::ProcessSignals signals(loop, stop);
   if (settings.Common.StatusAddress != core::Address{})
     if (auto done = status.listen(settings.Common.StatusAddress); !done)
       return apps::reportStartError(done.error());
--- a/apps/program.hpp
+++ b/apps/program.hpp
@@ -4,7 +4,6 @@
 #include "almondgate/config/read_settings.hpp"
 #include "almondgate/observe/process_report.hpp"
 
-#include <csignal>
 #include <cstdio>
 #include <optional>
 #include <string>
@@ -59,10 +58,6 @@
 /// closed socket at once, not an open one that is no longer served.
 template <class Settings, class Read, class Run>
 int programMain(int argc, char **argv, Read read, Run run) {
-  std::signal(SIGPIPE, SIG_IGN);
-  // With SIGXFSZ ignored, a write beyond the file size limit fails with an
-  // error, like a write to a full disk.
-  std::signal(SIGXFSZ, SIG_IGN);
   int code = 0;
   const auto settings = readOrExit<Settings>(argc, argv, read, code);
   if (settings) {
--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -3,14 +3,17 @@
   target_link_libraries(${name} PRIVATE ${ARGN})
 endfunction()
 
-almondgate_program(almondgate-entry apps/entry_main.cpp almondgate_entry)
+add_library(almondgate_process STATIC apps/process_signals.cpp)
+target_include_directories(almondgate_process PUBLIC ${CMAKE_SOURCE_DIR}/apps)
+target_link_libraries(almondgate_process PUBLIC almondgate_task
+                      almondgate_observe)
+almondgate_program(almondgate-entry apps/entry_main.cpp almondgate_entry
+                   almondgate_process)
 almondgate_program(almondgate-placer apps/placer_main.cpp almondgate_placer
-                   almondgate_http)
+                   almondgate_http almondgate_process)
 add_library(almondgate_control_program STATIC apps/control_program.cpp)
-target_include_directories(almondgate_control_program
-                           PUBLIC ${CMAKE_SOURCE_DIR}/apps)
 target_link_libraries(almondgate_control_program PUBLIC almondgate_control
-                      almondgate_http)
+                      almondgate_http almondgate_process)
 almondgate_program(almondgate-control apps/control_main.cpp
                    almondgate_control_program)
 almondgate_program(almondgate-ctl apps/ctl_main.cpp almondgate_ctl)
--- a/tests/start_test.py
+++ b/tests/start_test.py
@@ -3,10 +3,12 @@
 import contextlib
 import http.client
 import os
+import re
 import signal
 import socket
 import struct
 import subprocess
+import time
 
 import pytest
 
@@ -153,3 +155,41 @@
             with socket.create_connection(("127.0.0.1", ports[name]), 5):
                 pass
         assert log.read_text().count("trying again") == 1
+
+
+def ignores_broken_pipes(process):
+    """True once the program's first instructions have run."""
+    with open(f"/proc/{process.pid}/status") as f:
+        ignored = int(re.search(r"SigIgn:\s+(\w+)", f.read()).group(1), 16)
+    return ignored >> (signal.SIGPIPE - 1) & 1
+
+
+@pytest.mark.parametrize("program", PROGRAMS)
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
+def test_a_signal_during_the_start_is_a_planned_stop(program, number, tmp_path,
+                                                     ports):
+    args = args_of(program, tmp_path, ports)
+    statuses = {}
+    for delay_ms in range(0, 21, 4):
+        with open(tmp_path / "log", "ab") as log:
+            process = subprocess.Popen(args, stdout=log, stderr=log)
+        while not ignores_broken_pipes(process):
+            pass
+        time.sleep(delay_ms / 1000)
+        process.send_signal(number)
+        try:
+            statuses[delay_ms] = process.wait(20)
+        finally:
+            process.kill()
+    assert set(statuses.values()) == {0}, statuses
+
+
+@pytest.mark.parametrize("program", PROGRAMS)
+def test_other_signals_do_not_end_a_process(program, tmp_path, ports):
+    with running(args_of(program, tmp_path, ports), tmp_path) as process:
+        wait_until(lambda: readiness(ports)[0], 5, "the process serves")
+        for number in (signal.SIGHUP, signal.SIGUSR1, signal.SIGUSR2,
+                       signal.SIGALRM, signal.SIGPIPE, signal.SIGXFSZ):
+            process.send_signal(number)
+        time.sleep(0.1)
+        assert readiness(ports)[0]
