--- a/apps/control_program.cpp
+++ b/apps/control_program.cpp
@@ -4,9 +4,9 @@
 #include "almondgate/http/status_server.hpp"
 #include "almondgate/storage/data_folder.hpp"
 #include "almondgate/task/loop.hpp"
-#include "almondgate/task/signal_watcher.hpp"
 
 #include "memory_report.hpp"
+#include "process_signals.hpp"
 #include "program.hpp"
 
 #include <algorithm>
@@ -66,8 +66,11 @@
       [&](bool had_state) { return firstState(settings, had_state); },
       [](const std::string &line) { observe::logWarn("storage", line); }};
   task::Loop loop;
-  const task::SignalWatcher term(loop, SIGTERM, [&] { loop.stop(); });
-  const task::SignalWatcher interrupt(loop, SIGINT, [&] { loop.stop(); });
+  bool stopped = false;
+  const ProcessSignals signals(loop, [&] {
+    stopped = true;
+    loop.stop();
+  });
   task::Timer retry(loop);
   std::unique_ptr<storage::Store> store;
   core::Error last;
@@ -89,6 +92,8 @@
   retry.every(StoreRetryInterval, open);
   loop.defer(open);
   loop.run();
+  if (stopped)
+    return nullptr;
   return store;
 }
 
@@ -139,20 +144,16 @@
       loop,
       {[&] { return stopped ? std::string("stopping") : control.notReady(); },
        [&] { return control.metricsText() + memory.metricsText(); }});
-  const task::SignalWatcher term(loop, SIGTERM, stop);
-  const task::SignalWatcher interrupt(loop, SIGINT, stop);
-  const task::SignalWatcher reload(loop, SIGHUP, [] {
-    observe::logInfo("reload",
-                     "SIGHUP ignored: settings are read only at start");
-  });
-  if (auto done = status.listen(settings.Common.StatusAddress); !done)
-    return reportStartError(done.error());
+  const ProcessSignals signals(loop, stop);
+  if (settings.Common.StatusAddress != core::Address{})
+    if (auto done = status.listen(settings.Common.StatusAddress); !done)
+      return reportStartError(done.error());
   if (auto done = control.start(); !done)
     return reportStartError(done.error());
   if (adapter.Start)
     if (auto done = adapter.Start(control); !done)
       return reportStartError(done.error());
-  observe::logInfo("start", "control member listens on " +
+  observe::logInfo("start", "control member at " +
                                 core::toString(settings.Common.Inner));
   loop.run();
   return code;
--- a/apps/entry_main.cpp
+++ b/apps/entry_main.cpp
@@ -2,9 +2,9 @@
 #include "almondgate/entry/route_task.hpp"
 #include "almondgate/http/status_server.hpp"
 #include "almondgate/task/loop.hpp"
-#include "almondgate/task/signal_watcher.hpp"
 
 #include "memory_report.hpp"
+#include "process_signals.hpp"
 #include "program.hpp"
 
 #include <memory>
@@ -74,16 +74,21 @@
   GracefulShutdown shutdown(loop, *front, route, settings.Common.StopDelay);
   const apps::MemoryReport memory(loop, settings.Common.Memory.Limit,
                                   [&] { return route.budgets(); });
+  const auto not_ready = [&] {
+    if (shutdown.stopping())
+      return std::string("stopping");
+    const std::string why = route.notReady();
+    return why.empty() && !front->isListening()
+               ? apps::notListening(settings.Public)
+               : why;
+  };
   http::StatusServer status(
-      loop, {[&] {
-               return shutdown.stopping() ? std::string("stopping")
-                                          : route.notReady();
-             },
-             [&] { return route.metricsText() + memory.metricsText(); }});
-  const task::SignalWatcher term(loop, SIGTERM, [&] { shutdown.begin(); });
-  const task::SignalWatcher interrupt(loop, SIGINT, [&] { shutdown.begin(); });
-  if (auto done = status.listen(settings.Common.StatusAddress); !done)
-    return apps::reportStartError(done.error());
+      loop,
+      {not_ready, [&] { return route.metricsText() + memory.metricsText(); }});
+  const apps::ProcessSignals signals(loop, [&] { shutdown.begin(); });
+  if (settings.Common.StatusAddress != core::Address{})
+    if (auto done = status.listen(settings.Common.StatusAddress); !done)
+      return apps::reportStartError(done.error());
   int code = 0;
   // Called once the entry has a view. Without one it would refuse every
   // request, so callers are better served by other entries.
@@ -93,8 +98,7 @@
       loop.stop();
       return;
     }
-    observe::logInfo("start",
-                     "entry listens on " + core::toString(settings.Public));
+    observe::logInfo("start", "entry of " + core::toString(settings.Public));
   };
   if (auto done = route.start(serve); !done)
     return apps::reportStartError(done.error());
--- a/apps/placer_main.cpp
+++ b/apps/placer_main.cpp
@@ -1,9 +1,9 @@
 #include "almondgate/http/status_server.hpp"
 #include "almondgate/placer/placer_task.hpp"
 #include "almondgate/task/loop.hpp"
-#include "almondgate/task/signal_watcher.hpp"
 
 #include "memory_report.hpp"
+#include "process_signals.hpp"
 #include "program.hpp"
 
 using namespace almondgate;
@@ -43,14 +43,14 @@
       loop,
       {[&] { return stopped ? std::string("stopping") : placer.notReady(); },
        [&] { return memory.metricsText(); }});
-  const task::SignalWatcher term(loop, SIGTERM, stop);
-  const task::SignalWatcher interrupt(loop, SIGINT, stop);
-  if (auto done = status.listen(settings.Common.StatusAddress); !done)
-    return apps::reportStartError(done.error());
+  const apps::ProcessSignals signals(loop, stop);
+  if (settings.Common.StatusAddress != core::Address{})
+    if (auto done = status.listen(settings.Common.StatusAddress); !done)
+      return apps::reportStartError(done.error());
   if (auto done = placer.start(); !done)
     return apps::reportStartError(done.error());
-  observe::logInfo("start", "placer listens on " +
-                                core::toString(settings.Common.Inner));
+  observe::logInfo("start",
+                   "placer at " + core::toString(settings.Common.Inner));
   loop.run();
   return 0;
 }
--- a/apps/program.hpp
+++ b/apps/program.hpp
@@ -4,7 +4,6 @@
 #include "almondgate/config/read_settings.hpp"
 #include "almondgate/observe/process_report.hpp"
 
-#include <csignal>
 #include <cstdio>
 #include <optional>
 #include <string>
@@ -15,6 +14,14 @@
 /// Exit code of a program whose settings are invalid.
 inline constexpr int ExitInvalidSettings = 2;
 
+/// Writes the line to the log as well, because standard error may not be kept.
+inline void reportInvalidSettings(const core::Error &error) {
+  std::fprintf(stderr, "config: %s\n", error.Text.c_str());
+  observe::startLogging(observe::LogFormat::Text, "info");
+  observe::logError("config", error.Text);
+  observe::stopLogging();
+}
+
 /// Reads a program's settings and starts its log. If the program has nothing
 /// more to do, sets `exit_code` and returns std::nullopt: after invalid
 /// settings, --check, or the help or version text.
@@ -23,7 +30,7 @@
                                    int &exit_code) {
   const auto line = read(std::vector<std::string>(argv, argv + argc));
   if (!line) {
-    std::fprintf(stderr, "config: %s\n", line.error().Text.c_str());
+    reportInvalidSettings(line.error());
     exit_code = ExitInvalidSettings;
     return std::nullopt;
   }
@@ -31,6 +38,8 @@
   if (line.value().Ended)
     return std::nullopt;
   if (line.value().CheckOnly) {
+    for (const auto &warning : line.value().Warnings)
+      std::fprintf(stderr, "config: %s\n", warning.c_str());
     std::puts("settings are valid");
     return std::nullopt;
   }
@@ -39,6 +48,8 @@
   observe::logFatalErrors(common.Format);
   observe::logInfo("start", "settings are valid; memory limit " +
                                 std::to_string(common.Memory.Limit) + " bytes");
+  for (const auto &warning : line.value().Warnings)
+    observe::logWarn("config", warning);
   return line.value().Values;
 }
 
@@ -47,10 +58,6 @@
 /// closed socket at once, not an open one that is no longer served.
 template <class Settings, class Read, class Run>
 int programMain(int argc, char **argv, Read read, Run run) {
-  std::signal(SIGPIPE, SIG_IGN);
-  // With SIGXFSZ ignored, a write beyond the file size limit fails with an
-  // error, like a write to a full disk.
-  std::signal(SIGXFSZ, SIG_IGN);
   int code = 0;
   const auto settings = readOrExit<Settings>(argc, argv, read, code);
   if (settings) {
@@ -64,6 +71,11 @@
   return code;
 }
 
+/// Why a process whose public address is still taken is not ready.
+inline std::string notListening(const core::Address &address) {
+  return "waiting to listen on " + core::toString(address);
+}
+
 /// Logs an error that prevents the program from starting and returns its exit
 /// code.
 inline int reportStartError(const core::Error &error) {
--- a/src/almondgate/entry/job_relay.cpp
+++ b/src/almondgate/entry/job_relay.cpp
@@ -28,6 +28,9 @@
       RefreshTimer(loop) {}
 
 void JobRelay::start() {
+  // Without members, no list of members can be read.
+  if (Members.empty())
+    return;
   RefreshTimer.once(InitialRetryDelay, [this] { refreshMembers(); });
 }
 
@@ -66,6 +69,8 @@
 }
 
 std::string JobRelay::notReady() const {
+  if (Members.empty())
+    return "no control member is known";
   if (!HasReply)
     return "no control member has replied yet";
   const bool fresh = core::monotonicNow() - LastReplyAt < MaxReplyAge;
