Bound what callers make an HTTP server hold

Cause: h2o's input buffers double their capacity up to the body limit of 16 MB, per connection; nothing counted them, answers that nobody reads, or connections, and nothing followed the limit in the settings. HTTP/2 on the same ports gave each stream a window that no setting bounds.

ServerBudget holds a server's shares of the MemoryPlan, and ConnectionTable decides by it: it counts each connection with its buffers, copies and answer, and ends the connections that hold most for an incomplete request, or that have not read an answer for 500 ms. A connection never gives way to one that holds more, and an eighth is kept for small requests and answers, so a small request is served during the flood. The server asks before each read that grows a buffer, in the allocation function that libuv calls, so the bytes are refused before they exist; refused requests have not run and get a 503 where one can still be sent. Requests that take 30 s to arrive and answers that take 10 s to be read end as well. Connections are bounded by RLIMIT_NOFILE less a reserve. Status and readiness servers have small budgets of their own and refuse bodies over 256 KB. HTTP/2 is no longer offered.

Ruled out: lowering the body limit alone (800 x 256 KB remain), a small receive buffer alone (bounds one read, not the sum), and looking at all connections in each iteration of the loop (costs with every idle connection).

--- a/apps/entry_main.cpp
+++ b/apps/entry_main.cpp
@@ -1,5 +1,6 @@
 #include "almondgate/entry/front_task.hpp"
 #include "almondgate/entry/route_task.hpp"
+#include "almondgate/http/server_budget.hpp"
 #include "almondgate/http/status_server.hpp"
 #include "almondgate/task/loop.hpp"
 #include "almondgate/task/signal_watcher.hpp"
@@ -67,14 +68,15 @@
   entry::RouteTask route(loop, settings, [&](entry::ResponseReady answer) {
     return front->mailbox().post(std::move(answer));
   });
-  front =
-      std::make_unique<entry::FrontTask>(loop, [&](entry::FrontEvent event) {
+  const auto budget = std::make_shared<http::ServerBudget>(
+      http::ServerBudget::ofPlan(settings.Common.Memory));
+  front = std::make_unique<entry::FrontTask>(
+      loop, budget, [&](entry::FrontEvent event) {
         return route.mailbox().post(std::move(event));
       });
   GracefulShutdown shutdown(loop, *front, route, settings.Common.StopDelay);
-  const apps::MemoryReport memory(loop, settings.Common.Memory.Limit, [] {
-    return std::vector<core::BudgetReading>();
-  });
+  const apps::MemoryReport memory(loop, settings.Common.Memory.Limit,
+                                  [&] { return budget->read(); });
   http::StatusServer status(
       loop, {[&] {
                return shutdown.stopping() ? std::string("stopping")
--- a/include/almondgate/core/byte_budget.hpp
+++ b/include/almondgate/core/byte_budget.hpp
@@ -17,7 +17,7 @@
   /// limit would be exceeded.
   [[nodiscard]] bool tryReserve(size_t n) {
     if (n > Limit - std::min(Limit, Used)) {
-      ++Refused;
+      countRefusal();
       return false;
     }
     add(n);
@@ -30,6 +30,10 @@
     Peak = std::max(Peak, Used);
   }
 
+  /// Counts a refusal for another reason than the limit itself, such as a part
+  /// that is kept for small reservations.
+  void countRefusal() { ++Refused; }
+
   /// Returns bytes of an earlier reservation.
   void release(size_t n) { Used -= std::min(n, Used); }
 
--- a/include/almondgate/entry/front_task.hpp
+++ b/include/almondgate/entry/front_task.hpp
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 
 namespace almondgate::entry {
 
@@ -17,7 +18,8 @@
   /// Returns false if the receiver's mailbox is full.
   using Post = std::function<bool(FrontEvent)>;
 
-  FrontTask(task::Loop &loop, Post post);
+  FrontTask(task::Loop &loop, std::shared_ptr<http::ServerBudget> budget,
+            Post post);
 
   core::Status listen(const core::Address &address);
 
--- a/include/almondgate/http/server.hpp
+++ b/include/almondgate/http/server.hpp
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace almondgate::core {
 struct Address;
@@ -18,15 +19,24 @@
 
 namespace almondgate::http {
 
+struct ServerBudget;
+
 /// Settings of a Server.
 struct ServerOptions {
+  /// Larger bodies are refused with status 413. At most a quarter of the
+  /// budget's bytes for requests is allowed.
   size_t MaxBodyBytes = 16u << 20;
-
-  bool operator==(const ServerOptions &) const = default;
+  /// Names the server in the log.
+  std::string Name = "server";
+  /// What callers may make the server hold. By default, the plan for
+  /// DefaultMemoryLimitMb.
+  std::shared_ptr<ServerBudget> Budget = nullptr;
 };
 
-/// An HTTP/1.1 and h2c server based on h2o. A request whose handler throws is
-/// logged and answered with status 500.
+/// An HTTP/1.1 server based on h2o. A request whose handler throws is logged
+/// and answered with status 500. Connections end once the budget is used up, or
+/// if a request or the reading of its answer takes too long. HTTP/2 is not
+/// served: h2o buffers each stream's body without a limit that can be set.
 class Server {
 public:
   using Handler = std::function<void(Exchange)>;
--- a/src/almondgate/entry/front_task.cpp
+++ b/src/almondgate/entry/front_task.cpp
@@ -6,6 +6,13 @@
 
 constexpr size_t InboxCapacity = 100000;
 
+http::ServerOptions options(std::shared_ptr<http::ServerBudget> budget) {
+  http::ServerOptions out;
+  out.Name = "callers";
+  out.Budget = std::move(budget);
+  return out;
+}
+
 http::Response overloaded() {
   return http::problemResponse({core::ErrorCode::Overloaded,
                                 "the mailbox of the request router is full"});
@@ -13,8 +20,9 @@
 
 } // namespace
 
-FrontTask::FrontTask(task::Loop &loop, Post post)
-    : Send(std::move(post)), Http(loop, {},
+FrontTask::FrontTask(task::Loop &loop,
+                     std::shared_ptr<http::ServerBudget> budget, Post post)
+    : Send(std::move(post)), Http(loop, options(std::move(budget)),
                                   [this](http::Exchange exchange) {
                                     onExchange(std::move(exchange));
                                   }),
--- a/src/almondgate/http/server.cpp
+++ b/src/almondgate/http/server.cpp
@@ -2,6 +2,7 @@
 #include "almondgate/core/address.hpp"
 #include "almondgate/core/invariant.hpp"
 #include "almondgate/core/time_ms.hpp"
+#include "almondgate/http/connection_table.hpp"
 #include "almondgate/http/request_head.hpp"
 #include "almondgate/observe/log.hpp"
 #include "almondgate/task/loop.hpp"
@@ -35,10 +36,14 @@
   uint64_t Id;
 };
 
-/// Tells its server when a connection closes.
+/// Found by the callbacks of a connection's socket.
 struct ConnectionTag {
   void *Owner;
+  uint64_t Id;
   h2o_socket_t *Socket;
+  uv_stream_t *Stream;
+  /// Counted capacity of the input buffer.
+  size_t InputBytes = 0;
 };
 
 constexpr core::DurationMs DisconnectCheckInterval{250};
@@ -46,6 +51,11 @@
 // it has accepted.
 constexpr core::DurationMs FirstRequestGrace{1000};
 constexpr int Http2Version = 0x200;
+constexpr size_t MaxBodyPart = 4;
+// Bounds what the kernel holds for a connection.
+constexpr int SocketBufferBytes = 64 * 1024;
+// What h2o asks of the input buffer for each read.
+constexpr size_t ReadBytes = 4096;
 
 // h2o 2.2 does not read from an HTTP/1 connection while a request is pending,
 // so it does not notice that the caller has closed it.
@@ -71,16 +81,82 @@
   return checkRequestHead({input->bytes, input->size});
 }
 
+// The bytes by which the next read lets the input buffer grow, which doubles
+// its capacity. Its first capacity is a part of ConnectionTable::BaseBytes.
+size_t nextGrowth(const h2o_buffer_t *input) {
+  if (!input->bytes)
+    return 0;
+  const size_t offset = size_t(input->bytes - input->_buf);
+  if (input->capacity - input->size - offset >= ReadBytes ||
+      (input->size + ReadBytes) * 2 <= input->capacity)
+    return 0;
+  size_t capacity = input->capacity;
+  do
+    capacity *= 2;
+  while (capacity - input->size < ReadBytes);
+  return capacity - input->capacity;
+}
+
+size_t encodedBytes(const Response &response) {
+  size_t n = response.Body.size();
+  for (const auto &header : response.Headers)
+    n += header.Name.size() + header.Value.size();
+  return n;
+}
+
+ConnectionTag &tagOf(h2o_socket_t *socket) {
+  return *static_cast<ConnectionTag *>(socket->on_close.data);
+}
+
+ConnectionTag &tagOf(uv_handle_t *handle) {
+  return tagOf(static_cast<h2o_socket_t *>(handle->data));
+}
+
+void limitSocketBuffers(uv_stream_t *stream) {
+  auto *handle = reinterpret_cast<uv_handle_t *>(stream);
+  int in = SocketBufferBytes;
+  int out = SocketBufferBytes;
+  uv_recv_buffer_size(handle, &in);
+  uv_send_buffer_size(handle, &out);
+}
+
+// Encodes a refusal for a connection whose request h2o has not read.
+std::string encodeRefusal(const core::Error &error) {
+  const auto response = problemResponse(error);
+  std::string out = "HTTP/1.1 " + std::to_string(response.Status) +
+                    " almondgate\r\nconnection: close\r\ncontent-length: " +
+                    std::to_string(response.Body.size()) + "\r\n";
+  for (const auto &header : response.Headers)
+    out += header.Name + ": " + header.Value + "\r\n";
+  return out + "\r\n" + response.Body;
+}
+
+const core::Error &noMemory() {
+  static const core::Error error{core::ErrorCode::Unavailable,
+                                 "the server has no memory left for requests"};
+  return error;
+}
+
+// Best effort: the caller may not get an answer to a request that it is still
+// sending.
+void sendRefusal(int fd) {
+  static const std::string refusal = encodeRefusal(noMemory());
+  (void)::send(fd, refusal.data(), refusal.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+}
+
 } // namespace
 
 struct Server::State {
   struct OpenRequest {
     h2o_req_t *Raw = nullptr;
+    uint64_t Connection = 0;
     core::TimeMs ReceivedAt;
     std::function<void()> OnDisconnect;
     bool Answered = false;
   };
 
+  State(task::Loop &loop, ServerOptions options, Server::Handler handler);
+
   task::Loop &Loop;
   ServerOptions Options;
   Server::Handler Handler;
@@ -92,6 +168,13 @@
   /// Connections that have not sent a whole request, and when they were
   /// accepted.
   std::map<h2o_socket_t *, core::TimeMs> NewConnections;
+  std::map<uint64_t, std::unique_ptr<ConnectionTag>> Tags;
+  ConnectionTable Table;
+  /// Connections whose reads may have been started again by h2o.
+  std::vector<uint64_t> Unwatched;
+  uv_prepare_t *BeforePoll = nullptr;
+  uv_alloc_cb AllocInput = nullptr;
+  bool BuffersAreLimited = false;
   uint64_t NextId = 0;
   // Shared with the Respond callbacks, which may be called after the server is
   // destroyed.
@@ -102,24 +185,132 @@
 
   int onRequest(h2o_req_t *raw);
   void refuse(h2o_req_t *raw, uint64_t id, const core::Error &error);
-  void startDisconnectChecks();
-  void checkDisconnects();
+  void startChecks();
+  void check();
   void onDispose(uint64_t id);
   void respond(uint64_t id, const Response &response);
   void accept(uv_stream_t *listener);
   bool isIdle() const;
+
+  void watchLater(uint64_t connection);
+  void watchReads(ConnectionTag &tag);
+  void watchUnwatched();
+  void allocInput(uv_handle_t *handle, size_t hint, uv_buf_t *buf);
+  void closeIncomplete(uint64_t connection);
+  void abort(uint64_t connection);
+  void onClose(uint64_t connection);
 };
 
+Server::State::State(task::Loop &loop, ServerOptions options,
+                     Server::Handler handler)
+    : Loop(loop), Options(std::move(options)), Handler(std::move(handler)),
+      Table(Options.Name, Options.Budget,
+            {.Close = [this](uint64_t id) { closeIncomplete(id); },
+             .Abort = [this](uint64_t id) { abort(id); }}) {
+  BeforePoll = new uv_prepare_t;
+  uv_prepare_init(Loop.raw(), BeforePoll);
+  BeforePoll->data = this;
+}
+
+// Reads happen only while the loop polls, so each is preceded by this.
+void Server::State::watchLater(uint64_t connection) {
+  if (Unwatched.empty())
+    uv_prepare_start(BeforePoll, [](uv_prepare_t *h) {
+      static_cast<State *>(h->data)->watchUnwatched();
+    });
+  Unwatched.push_back(connection);
+}
+
+void Server::State::watchUnwatched() {
+  uv_prepare_stop(BeforePoll);
+  for (const uint64_t id : std::exchange(Unwatched, {})) {
+    const auto it = Tags.find(id);
+    if (it != Tags.end())
+      watchReads(*it->second);
+  }
+}
+
+// Puts allocInput() before the function by which h2o allocates the buffer of a
+// read.
+void Server::State::watchReads(ConnectionTag &tag) {
+  h2o_socket_t *socket = tag.Socket;
+  // h2o frees the buffer once all of it has been processed.
+  if (!socket->input->bytes)
+    Table.release(tag.Id, std::exchange(tag.InputBytes, 0));
+  const auto watched = [](uv_handle_t *handle, size_t hint, uv_buf_t *buf) {
+    auto *owner = tagOf(handle).Owner;
+    static_cast<State *>(owner)->allocInput(handle, hint, buf);
+  };
+  if (!h2o_socket_is_reading(socket) || tag.Stream->alloc_cb == watched)
+    return;
+  AllocInput = tag.Stream->alloc_cb;
+  tag.Stream->alloc_cb = watched;
+}
+
+// An empty buffer makes libuv report an error to h2o, which then closes the
+// connection.
+void Server::State::allocInput(uv_handle_t *handle, size_t hint,
+                               uv_buf_t *buf) {
+  auto &tag = tagOf(handle);
+  const h2o_buffer_t *input = tag.Socket->input;
+  if (input->size > 0) {
+    Table.receive(tag.Id);
+    startChecks();
+  }
+  const size_t growth = nextGrowth(input);
+  if (growth > 0 && !Table.reserve(tag.Id, growth)) {
+    startChecks();
+    sendRefusal(h2o_socket_get_fd(tag.Socket));
+    *buf = uv_buf_init(nullptr, 0);
+    return;
+  }
+  tag.InputBytes += growth;
+  AllocInput(handle, hint, buf);
+}
+
+void Server::State::closeIncomplete(uint64_t connection) {
+  const auto &tag = *Tags.at(connection);
+  if (tag.Socket->input->size > 0)
+    sendRefusal(h2o_socket_get_fd(tag.Socket));
+  if (!h2o_socket_is_reading(tag.Socket)) {
+    abort(connection);
+    return;
+  }
+  const uv_buf_t none = uv_buf_init(nullptr, 0);
+  tag.Stream->read_cb(tag.Stream, UV_ECANCELED, &none);
+}
+
+// h2o closes the connection when its write fails.
+void Server::State::abort(uint64_t connection) {
+  ::shutdown(h2o_socket_get_fd(Tags.at(connection)->Socket), SHUT_RDWR);
+}
+
+void Server::State::onClose(uint64_t connection) {
+  const auto it = Tags.find(connection);
+  NewConnections.erase(it->second->Socket);
+  Table.closed(connection);
+  Tags.erase(it);
+}
+
 int Server::State::onRequest(h2o_req_t *raw) {
   const uint64_t id = NextId++;
-  NewConnections.erase(raw->conn->callbacks->get_socket(raw->conn));
-  Requests.emplace(id, OpenRequest{raw, core::monotonicNow(), {}, false});
+  h2o_socket_t *socket = raw->conn->callbacks->get_socket(raw->conn);
+  const uint64_t connection = tagOf(socket).Id;
+  NewConnections.erase(socket);
+  Requests.emplace(
+      id, OpenRequest{raw, connection, core::monotonicNow(), {}, false});
   auto *tag = static_cast<RequestTag *>(
       h2o_mem_alloc_shared(&raw->pool, sizeof(RequestTag), [](void *p) {
         const auto *m = static_cast<RequestTag *>(p);
         static_cast<State *>(m->Owner)->onDispose(m->Id);
       }));
   *tag = {this, id};
+  startChecks();
+  // The copies below are no larger than the input that they are read from.
+  if (!Table.begin(connection, socket->input->size)) {
+    refuse(raw, id, noMemory());
+    return 0;
+  }
   if (const auto valid = checkHead(raw); !valid) {
     refuse(raw, id, valid.error());
     return 0;
@@ -155,7 +346,6 @@
     if (it != (*self)->Requests.end())
       it->second.OnDisconnect = std::move(fn);
   };
-  startDisconnectChecks();
   // No exception may pass through h2o's C code.
   try {
     Handler(std::move(exchange));
@@ -174,13 +364,13 @@
   respond(id, problemResponse(error));
 }
 
-void Server::State::startDisconnectChecks() {
+void Server::State::startChecks() {
   if (std::exchange(Checking, true))
     return;
-  CheckTimer.every(DisconnectCheckInterval, [this] { checkDisconnects(); });
+  CheckTimer.every(DisconnectCheckInterval, [this] { check(); });
 }
 
-void Server::State::checkDisconnects() {
+void Server::State::check() {
   const auto now = core::monotonicNow();
   std::vector<std::function<void()>> disconnected;
   for (auto &[id, open] : Requests) {
@@ -192,7 +382,8 @@
   }
   for (const auto &notify : disconnected)
     notify();
-  if (!Requests.empty())
+  Table.check();
+  if (!Requests.empty() || Table.needsChecks())
     return;
   Checking = false;
   CheckTimer.stop();
@@ -204,7 +395,11 @@
     return;
   const auto disconnected = std::move(it->second.OnDisconnect);
   const bool answered = it->second.Answered;
+  const uint64_t connection = it->second.Connection;
   Requests.erase(it);
+  Table.finish(connection);
+  if (Tags.contains(connection))
+    watchLater(connection);
   if (disconnected && !answered)
     disconnected();
 }
@@ -215,6 +410,13 @@
     return;
   it->second.Answered = true;
   h2o_req_t *raw = it->second.Raw;
+  if (!Table.answer(it->second.Connection, encodedBytes(response))) {
+    // Whether the request has run can't be told without its answer.
+    abort(it->second.Connection);
+    raw->http1_is_persistent = 0;
+    h2o_send_inline(raw, "", 0);
+    return;
+  }
   raw->res.status = response.Status;
   raw->res.reason = "almondgate";
   raw->res.content_length = response.Body.size();
@@ -242,16 +444,35 @@
     return;
   }
   uv_tcp_nodelay(conn, 1);
+  // Later connections inherit the sizes from the listener.
+  if (!std::exchange(BuffersAreLimited, true)) {
+    limitSocketBuffers(listener);
+    limitSocketBuffers(reinterpret_cast<uv_stream_t *>(conn));
+  }
+  const auto id = Table.open();
+  if (!id) {
+    startChecks();
+    int fd = -1;
+    if (uv_fileno(reinterpret_cast<uv_handle_t *>(conn), &fd) == 0)
+      sendRefusal(fd);
+    uv_close(reinterpret_cast<uv_handle_t *>(conn),
+             [](uv_handle_t *h) { std::free(h); });
+    return;
+  }
+  auto *stream = reinterpret_cast<uv_stream_t *>(conn);
   h2o_socket_t *socket =
-      h2o_uv_socket_create(reinterpret_cast<uv_stream_t *>(conn),
-                           [](uv_handle_t *h) { std::free(h); });
+      h2o_uv_socket_create(stream, [](uv_handle_t *h) { std::free(h); });
   NewConnections.emplace(socket, core::monotonicNow());
-  socket->on_close.data = new ConnectionTag{this, socket};
+  auto &tag = Tags[*id];
+  tag =
+      std::make_unique<ConnectionTag>(ConnectionTag{this, *id, socket, stream});
+  socket->on_close.data = tag.get();
   socket->on_close.cb = [](void *p) {
-    const std::unique_ptr<ConnectionTag> tag(static_cast<ConnectionTag *>(p));
-    static_cast<State *>(tag->Owner)->NewConnections.erase(tag->Socket);
+    const auto *closed = static_cast<ConnectionTag *>(p);
+    static_cast<State *>(closed->Owner)->onClose(closed->Id);
   };
   h2o_accept(&Accept, socket);
+  watchLater(*id);
 }
 
 bool Server::State::isIdle() const {
@@ -263,11 +484,21 @@
                       });
 }
 
+static ServerOptions withBudget(ServerOptions options) {
+  if (!options.Budget)
+    options.Budget = std::make_shared<ServerBudget>(
+        ServerBudget::ofPlan(core::planMemory(0)));
+  return options;
+}
+
 Server::Server(task::Loop &loop, ServerOptions options, Handler handler)
-    : S(new State{loop, options, std::move(handler)}) {
+    : S(new State(loop, withBudget(std::move(options)), std::move(handler))) {
   h2o_config_init(&S->Config);
-  // One byte above the limit, so that the handler refuses the body itself.
-  S->Config.max_request_entity_size = options.MaxBodyBytes + 1;
+  S->Config.max_request_entity_size = std::min(
+      // One byte above the limit, so that the handler refuses the body itself.
+      S->Options.MaxBodyBytes + 1,
+      S->Options.Budget->Requests.limit() / MaxBodyPart);
+  S->Config.http1.upgrade_to_http2 = 0;
   S->Config.server_name = h2o_iovec_init(H2O_STRLIT("almondgate"));
   h2o_hostconf_t *host = h2o_config_register_host(
       &S->Config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
--- a/src/almondgate/http/server_test.cpp
+++ b/src/almondgate/http/server_test.cpp
@@ -1,5 +1,6 @@
 #include "almondgate/http/server.hpp"
 
+#include "almondgate/http/connection_table.hpp"
 #include "almondgate/http/endpoint_client.hpp"
 #include "almondgate/task/loop.hpp"
 #include "almondgate/task/tcp_stream.hpp"
@@ -9,6 +10,7 @@
 
 #include <doctest/doctest.h>
 
+#include <csignal>
 #include <stdexcept>
 
 using namespace almondgate;
@@ -138,3 +140,135 @@
   runFor(loop, Time);
   CHECK(server.isIdle());
 }
+
+namespace {
+
+constexpr size_t KiB = 1024;
+constexpr core::DurationMs ShortTime{50};
+
+/// A server with a small budget that answers with `Answer`, and its callers.
+struct BudgetedServer {
+  BudgetedServer()
+      : Http(Loop, options(), [this](const Exchange &exchange) {
+          if (!Answer.empty())
+            exchange.Respond(jsonResponse(200, Answer));
+        }) {
+    // As the programs do.
+    std::signal(SIGPIPE, SIG_IGN);
+    REQUIRE(bool(Http.listen(At)));
+  }
+
+  ServerOptions options() const {
+    ServerOptions out;
+    out.Budget = Budget;
+    return out;
+  }
+
+  TestCaller &send(const std::string &data) {
+    Callers.push_back(std::make_unique<TestCaller>(Loop));
+    auto &stream = Callers.back()->Stream;
+    stream.connect(
+        At, [&stream, data](const core::Status &) { stream.write(data); });
+    runFor(Loop, ShortTime);
+    return *Callers.back();
+  }
+
+  size_t requestBytes() const { return Budget->Requests.used(); }
+  size_t answerBytes() const { return Budget->Responses.used(); }
+
+  task::Loop Loop;
+  const core::Address At = testing::freeAddress();
+  std::string Answer = "{}";
+  std::shared_ptr<ServerBudget> Budget =
+      std::make_shared<ServerBudget>(ServerBudget{
+          core::ByteBudget(2000 * KiB), core::ByteBudget(2000 * KiB), 100});
+  Server Http;
+  std::vector<std::unique_ptr<TestCaller>> Callers;
+};
+
+std::string post(size_t length, size_t sent) {
+  return "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+         std::to_string(length) + "\r\n\r\n" + std::string(sent, 'x');
+}
+
+} // namespace
+
+TEST_CASE("a server counts what its input buffers hold") {
+  BudgetedServer server;
+  auto &caller = server.send(post(200 * KiB, 200 * KiB - 1));
+  // The buffer starts at 8 KiB, which the base includes, and doubles.
+  CHECK(server.requestBytes() == ConnectionTable::BaseBytes + 248 * KiB);
+  caller.Stream.write("x");
+  runFor(server.Loop, ShortTime);
+  CHECK(caller.isAnswered());
+  CHECK(server.requestBytes() == ConnectionTable::BaseBytes);
+  caller.Stream.write(Post);
+  runFor(server.Loop, ShortTime);
+  CHECK(server.requestBytes() == ConnectionTable::BaseBytes);
+  server.Callers.clear();
+  runFor(server.Loop, ShortTime);
+  CHECK(server.requestBytes() == 0);
+  CHECK(server.answerBytes() == 0);
+}
+
+TEST_CASE("a server releases the bytes of callers that disconnect") {
+  BudgetedServer server;
+  server.Answer.clear();
+  server.send(post(200 * KiB, 200 * KiB - 1));
+  server.send(post(100 * KiB, 1));
+  CHECK(server.requestBytes() >= 200 * KiB);
+  server.Callers.clear();
+  runFor(server.Loop, ShortTime);
+  CHECK(server.requestBytes() == 0);
+}
+
+// Guards against a process that is killed at its memory limit since callers
+// hold back the last byte of their bodies.
+TEST_CASE("bodies without their last byte end before the budget is used up") {
+  constexpr int Callers = 20;
+  BudgetedServer server;
+  for (int i = 0; i < Callers; ++i)
+    server.send(post(200 * KiB, 200 * KiB - 1));
+  CHECK(server.Budget->Requests.peak() <= server.Budget->Requests.limit());
+  CHECK(server.send(Post).isAnswered());
+  CHECK(server.Callers.front()->Received.starts_with("HTTP/1.1 503"));
+}
+
+TEST_CASE("a whole request beyond the budget is refused before it runs") {
+  BudgetedServer server;
+  server.Answer.clear();
+  for (int i = 0; i < 5; ++i)
+    server.send(post(200 * KiB, 200 * KiB));
+  CHECK(server.Callers.back()->Received.starts_with("HTTP/1.1 503"));
+  CHECK(server.Budget->Requests.peak() <= server.Budget->Requests.limit());
+  server.Answer = "{}";
+  CHECK(server.send(Post).isAnswered());
+}
+
+TEST_CASE("a declared length above the limit is refused before its body") {
+  BudgetedServer server;
+  const auto &caller = server.send(post(1000 * KiB, 0));
+  CHECK(caller.Received.starts_with("HTTP/1.1 413"));
+}
+
+TEST_CASE("answers that nobody reads stay within the budget") {
+  constexpr int Callers = 40;
+  BudgetedServer server;
+  server.Answer = std::string(400 * KiB, 'x');
+  std::vector<std::unique_ptr<TestCaller>> callers;
+  task::Loop caller_loop;
+  for (int i = 0; i < Callers; ++i) {
+    callers.push_back(std::make_unique<TestCaller>(caller_loop));
+    auto &stream = callers.back()->Stream;
+    stream.connect(server.At, [&stream](const core::Status &) {
+      for (int n = 0; n < 4; ++n)
+        stream.write(Post);
+    });
+  }
+  runFor(caller_loop, ShortTime);
+  runFor(server.Loop, ShortTime);
+  CHECK(server.answerBytes() > 0);
+  CHECK(server.Budget->Responses.peak() <= server.Budget->Responses.limit());
+  server.Answer = "{}";
+  CHECK(server.send(Post).isAnswered());
+}
--- a/src/almondgate/http/status_server.cpp
+++ b/src/almondgate/http/status_server.cpp
@@ -1,9 +1,13 @@
 #include "almondgate/http/status_server.hpp"
+#include "almondgate/http/server_budget.hpp"
 
 namespace almondgate::http {
 
 namespace {
 
+// Probes have no body; a small one is read, so that its answer arrives.
+constexpr size_t MaxBodyBytes = size_t{256} * 1024;
+
 Response plain(int status, std::string body) {
   return {status, {{"content-type", "text/plain"}}, std::move(body)};
 }
@@ -11,9 +15,13 @@
 } // namespace
 
 StatusServer::StatusServer(task::Loop &loop, StatusHooks hooks)
-    : Hooks(std::move(hooks)), Http(loop, {}, [this](const Exchange &exchange) {
-        exchange.Respond(answer(exchange.Request));
-      }) {}
+    : Hooks(std::move(hooks)),
+      Http(loop,
+           {MaxBodyBytes, "status",
+            std::make_shared<ServerBudget>(ServerBudget::forStatus())},
+           [this](const Exchange &exchange) {
+             exchange.Respond(answer(exchange.Request));
+           }) {}
 
 core::Status StatusServer::listen(const core::Address &address) {
   return Http.listen(address);
