--- a/apps/control_program.cpp
+++ b/apps/control_program.cpp
@@ -133,13 +133,9 @@
         loop.stop();
     });
   };
-  const MemoryReport memory(loop, settings.Common.Memory.Limit, [&] {
-    auto out = control.budgets();
-    if (adapter.Budgets)
-      for (auto &reading : adapter.Budgets())
-        out.push_back(std::move(reading));
-    return out;
-  });
+  const MemoryReport memory(
+      loop, settings.Common.Memory.Limit,
+      {[&] { return control.budgets(); }, adapter.Budgets});
   http::StatusServer status(
       loop,
       {[&] { return stopped ? std::string("stopping") : control.notReady(); },
--- a/apps/entry_main.cpp
+++ b/apps/entry_main.cpp
@@ -1,5 +1,6 @@
 #include "almondgate/entry/front_task.hpp"
 #include "almondgate/entry/route_task.hpp"
+#include "almondgate/http/server_budget.hpp"
 #include "almondgate/http/status_server.hpp"
 #include "almondgate/task/loop.hpp"
 
@@ -67,13 +68,16 @@
   entry::RouteTask route(loop, settings, [&](entry::ResponseReady answer) {
     return front->mailbox().post(std::move(answer));
   });
-  front =
-      std::make_unique<entry::FrontTask>(loop, [&](entry::FrontEvent event) {
+  const auto budget = std::make_shared<http::ServerBudget>(
+      http::ServerBudget::ofPlan(settings.Common.Memory));
+  front = std::make_unique<entry::FrontTask>(
+      loop, budget, [&](entry::FrontEvent event) {
         return route.mailbox().post(std::move(event));
       });
   GracefulShutdown shutdown(loop, *front, route, settings.Common.StopDelay);
-  const apps::MemoryReport memory(loop, settings.Common.Memory.Limit,
-                                  [&] { return route.budgets(); });
+  const apps::MemoryReport memory(
+      loop, settings.Common.Memory.Limit,
+      {[&] { return route.budgets(); }, [&] { return budget->read(); }});
   const auto not_ready = [&] {
     if (shutdown.stopping())
       return std::string("stopping");
--- a/apps/memory_report.hpp
+++ b/apps/memory_report.hpp
@@ -17,13 +17,15 @@
 public:
   using Budgets = std::function<std::vector<core::BudgetReading>()>;
 
-  MemoryReport(task::Loop &loop, size_t limit_bytes, Budgets budgets)
-      : Limit(limit_bytes), ReadBudgets(std::move(budgets)), Timer(loop) {
+  /// Reports the budgets of all `owners`; an empty function has none.
+  MemoryReport(task::Loop &loop, size_t limit_bytes,
+               std::vector<Budgets> owners)
+      : Limit(limit_bytes), Owners(std::move(owners)), Timer(loop) {
     Timer.every(CheckInterval, [this] { check(); });
   }
 
   std::string metricsText() const {
-    return observe::memoryMetrics(Limit, ReadBudgets());
+    return observe::memoryMetrics(Limit, readBudgets());
   }
 
 private:
@@ -31,6 +33,15 @@
   static constexpr size_t Percent = 100;
   static constexpr std::array<size_t, 4> WarnAtPercent = {50, 70, 80, 90};
 
+  std::vector<core::BudgetReading> readBudgets() const {
+    std::vector<core::BudgetReading> out;
+    for (const auto &owner : Owners)
+      if (owner)
+        for (auto &reading : owner())
+          out.push_back(std::move(reading));
+    return out;
+  }
+
   void check() {
     const size_t peak = observe::peakResidentBytes();
     while (NextWarning < WarnAtPercent.size() &&
@@ -40,13 +51,13 @@
                            std::to_string(WarnAtPercent.at(NextWarning)) +
                            " % of the limit: " + std::to_string(peak) + " of " +
                            std::to_string(Limit) + " bytes; " +
-                           observe::formatBudgets(ReadBudgets()));
+                           observe::formatBudgets(readBudgets()));
       ++NextWarning;
     }
   }
 
   const size_t Limit;
-  Budgets ReadBudgets;
+  std::vector<Budgets> Owners;
   size_t NextWarning = 0;
   task::Timer Timer;
 };
--- a/apps/placer_main.cpp
+++ b/apps/placer_main.cpp
@@ -38,7 +38,7 @@
     });
   };
   const apps::MemoryReport memory(loop, settings.Common.Memory.Limit,
-                                  [&] { return placer.budgets(); });
+                                  {[&] { return placer.budgets(); }});
   http::StatusServer status(
       loop,
       {[&] { return stopped ? std::string("stopping") : placer.notReady(); },
