Go on founding after an interrupted first format

A folder that has it and no identity belongs to a founder that never ran: openDataFolder() passes that membership on, and the member goes on as the founder that it is. This is as safe as a founder that completed its format and was down since: it has never voted, and a group that formed without it has it as a member or has replaced it.

An empty disk alone can't tell this from a disk lost later.

--- a/apps/control_program.cpp
+++ b/apps/control_program.cpp
@@ -41,11 +41,15 @@
 
 // A member with an empty disk gets a new identity, which has no vote until it
 // replaces another member. Only the founders of a new group vote at once, and
-// none that lost its state.
+// none that lost its state. A founder that was killed while it formatted its
+// disk stays one, whatever the settings of its next start say.
 storage::FirstState firstState(const config::ControlSettings &settings,
-                               bool had_state) {
+                               const storage::FolderHistory &history) {
+  const auto self = firstIdAt(settings.Common.Inner);
+  if (consensus::isVoter(history.Interrupted, self))
+    return {self, history.Interrupted};
   const auto &first = settings.Common.Control;
-  const bool is_founder = settings.BootstrapCluster && !had_state &&
+  const bool is_founder = settings.BootstrapCluster && !history.HadState &&
                           std::find(first.begin(), first.end(),
                                     settings.Common.Inner) != first.end();
   if (!is_founder)
@@ -54,7 +58,7 @@
   consensus::Membership members;
   for (const auto &address : first)
     members.Members.push_back({firstIdAt(address), address, true});
-  return {firstIdAt(settings.Common.Inner), members};
+  return {self, members};
 }
 
 // Opens the data folder. While it can't be read or written, waits and tries
@@ -63,7 +67,9 @@
 std::unique_ptr<storage::Store>
 waitForStore(const config::ControlSettings &settings) {
   const storage::DataFolderHooks hooks{
-      [&](bool had_state) { return firstState(settings, had_state); },
+      [&](const storage::FolderHistory &history) {
+        return firstState(settings, history);
+      },
       [](const std::string &line) { observe::logWarn("storage", line); }};
   task::Loop loop;
   const task::SignalWatcher term(loop, SIGTERM, [&] { loop.stop(); });
--- a/include/almondgate/storage/data_folder.hpp
+++ b/include/almondgate/storage/data_folder.hpp
@@ -17,12 +17,22 @@
   bool operator==(const FirstState &) const = default;
 };
 
+/// What an empty data folder was before.
+struct FolderHistory {
+  /// True if it contained a member's state: a member that lost its state must
+  /// not found a group.
+  bool HadState = false;
+  /// The first membership of a format that was interrupted. No member was ever
+  /// started with it.
+  consensus::Membership Interrupted;
+
+  bool operator==(const FolderHistory &) const = default;
+};
+
 /// Hooks of openDataFolder().
 struct DataFolderHooks {
-  /// Returns the state for an empty folder. `had_state` is true if the folder
-  /// contained another state before: a member that lost its state must not
-  /// found a group.
-  std::function<FirstState(bool had_state)> MakeFirstState;
+  /// Returns the state for an empty folder.
+  std::function<FirstState(const FolderHistory &history)> MakeFirstState;
   std::function<void(const std::string &)> Log;
 };
 
--- a/src/almondgate/storage/data_folder.cpp
+++ b/src/almondgate/storage/data_folder.cpp
@@ -1,4 +1,5 @@
 #include "almondgate/storage/data_folder.hpp"
+#include "almondgate/encoding/codec.hpp"
 #include "almondgate/storage/frame.hpp"
 
 #include "folder_names.hpp"
@@ -73,6 +74,20 @@
   return ops.SyncFolder(folder);
 }
 
+// format() writes the first snapshot before any other file.
+consensus::Membership interruptedMembers(const std::string &folder,
+                                         const FileOps &ops) {
+  const auto file = ops.Read(joinPath(folder, SnapshotPrefix + "0"));
+  if (!file)
+    return {};
+  const auto frames = decodeFrames(file.value());
+  if (!frames || frames.value().Payloads.size() != 1)
+    return {};
+  const auto snapshot =
+      encoding::decode<consensus::Snapshot>(frames.value().Payloads.front());
+  return snapshot ? snapshot.value().Voters : consensus::Membership();
+}
+
 Result<std::unique_ptr<Store>> formatAndOpen(const std::string &folder,
                                              const FileOps &ops,
                                              const DataFolderHooks &hooks) {
@@ -81,7 +96,10 @@
     return names.error();
   const bool had_state =
       std::any_of(names.value().begin(), names.value().end(), isDamaged);
-  const FirstState first = hooks.MakeFirstState(had_state);
+  const FolderHistory history{had_state, had_state
+                                             ? consensus::Membership()
+                                             : interruptedMembers(folder, ops)};
+  const FirstState first = hooks.MakeFirstState(history);
   const auto done = Store::format(folder, first.Id, first.Members, ops);
   if (!done)
     return done.error();
--- a/src/almondgate/storage/data_folder_test.cpp
+++ b/src/almondgate/storage/data_folder_test.cpp
@@ -35,10 +35,14 @@
     Open.reset();
     auto opened = openDataFolder(
         Data, Disk.ops(),
-        {[this](bool had_state) {
+        {[this](const FolderHistory &history) {
+           const consensus::Member self{MemberId("first"), {}, true};
+           if (!history.Interrupted.Members.empty())
+             return FirstState{self.Id, history.Interrupted};
            const std::string number = std::to_string(++Joins);
-           return FirstState{MemberId(had_state ? "joiner-" + number : "first"),
-                             {}};
+           return history.HadState || !Founds
+                      ? FirstState{MemberId("joiner-" + number), {}}
+                      : FirstState{self.Id, {{self}}};
          },
          [this](const std::string &line) { Log += line + "\n"; }});
     if (!opened)
@@ -62,6 +66,7 @@
   std::unique_ptr<Store> Open;
   std::string Log;
   int Joins = 0;
+  bool Founds = true;
 };
 
 } // namespace
@@ -144,6 +149,30 @@
     }
 }
 
+TEST_CASE("a founder killed during its first format stays one") {
+  constexpr size_t Operations = 50;
+  constexpr int Samples = 20;
+  std::minstd_rand random(6);
+  for (size_t at = 0; at < Operations; ++at)
+    for (int i = 0; i < Samples; ++i) {
+      Member member;
+      member.Disk.killAfter(at);
+      (void)member.open();
+      member.Open.reset();
+      member.Founds = false;
+      if (random() % 2)
+        member.Disk.losePower([&](size_t n) { return random() % n; });
+      else
+        member.Disk.restart();
+      INFO(member.Disk.trace());
+      const bool has_begun = member.Disk.files().contains(Data + "/snapshot-0");
+      REQUIRE(bool(member.open()));
+      CHECK((member.Open->identity() == MemberId("first")) == has_begun);
+      CHECK(member.Open->takeRecoveredState().Base.Voters.Members.size() ==
+            (has_begun ? 1 : 0));
+    }
+}
+
 TEST_CASE("files of another version are left alone") {
   Member member;
   member.write(2);
