--- a/src/almondgate/storage/power_loss_test.cpp
+++ b/src/almondgate/storage/power_loss_test.cpp
@@ -419,3 +419,24 @@
       REQUIRE(member.start());
     }
 }
+
+TEST_CASE("a disk that is full at any moment is used once it has room") {
+  constexpr size_t LargestCapacity = 700;
+  std::minstd_rand random(7);
+  for (const auto &script : Scripts)
+    for (size_t capacity = 0; capacity <= LargestCapacity; ++capacity) {
+      Member member;
+      member.Disk.setCapacity(capacity);
+      play(member, script);
+      // A restart on the full disk, which may fail as well.
+      if (random() % 2)
+        member.Disk.losePower([&](size_t n) { return random() % n; });
+      else
+        member.Disk.restart();
+      (void)member.start();
+      member.end();
+      member.Disk.setCapacity(std::nullopt);
+      REQUIRE(member.start());
+      REQUIRE(member.append(9));
+    }
+}
