--- a/tests/inner_memory_test.py
+++ b/tests/inner_memory_test.py
@@ -1,6 +1,8 @@
 """What others can make a process hold through the inner port is bounded."""
 
+import json
 import re
+import signal
 import socket
 import struct
 import threading
@@ -10,8 +12,10 @@
 
 from fleet import Fleet, wait_until
 from platform_deployment import memory_kb
+from platform_fleet import HOST, KEY, PlatformFleet
 
 LIMIT_MB = 160
+JOB_BYTES = 250000
 # An idle process has about 15 MB.
 MAX_PEAK_MB = 60
 PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
@@ -146,3 +150,31 @@
         wait_until(closed, 10, "a stranger's connection is closed")
         for sock in held:
             sock.close()
+
+
+def job_request():
+    body = json.dumps({"task-spec": "x" * JOB_BYTES, "steps": []}).encode()
+    return (f"POST /one/1 HTTP/1.1\r\nHost: {HOST}\r\nKey: {KEY}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n").encode() + body
+
+
+def test_an_entry_holds_little_while_the_leader_is_stopped():
+    """Large jobs are sent to an entry whose only control member is stopped."""
+    platform = PlatformFleet(run_seconds=0.1)
+    for process in platform.fleet.processes.values():
+        process.args.append(f"--memory-limit-mb={LIMIT_MB}")
+    with platform:
+        platform.configure()
+        platform.submit("00000000000000a1", 1)
+        control = platform.fleet.processes["control"]
+        entry = platform.fleet.processes["entry"]
+        control.signal(signal.SIGSTOP)
+        held = flood(platform.entry_port, job_request(), 240)
+        time.sleep(READ_SECONDS)
+        control.signal(signal.SIGCONT)
+        for sock in held:
+            sock.close()
+        platform.submit("00000000000000a2", 1)
+        assert control.alive() and entry.alive()
+        assert peak_mb(entry) < LIMIT_MB
+        assert peak_mb(control) < LIMIT_MB
