Ignore a consensus message whose membership cannot be read

Cause: a Node decodes a membership when it appends the entry, and the hook aborts the process if that fails: a message from another version, or one that was damaged, ends the member, and the sender repeats it after each start.

Evidence: tests/inner_memory_test.py -k survives on the code before: the member closes the connection without an answer and is gone ('membership of a log entry cannot be decoded'). Now it logs 'consensus message ignored' and goes on.

Ruled out, by reading: the storage mailbox (2) and the one of write results (16) can't be full. A Node has one batch in flight until its result was handled, a batch reports at most twice (disk full, then its end), and the failure to write it for another reason ends the process after one report. A committed command that cannot be decoded is one that a leader encoded; checking each on receipt would decode it twice.

--- a/include/almondgate/control/control_task.hpp
+++ b/include/almondgate/control/control_task.hpp
@@ -63,6 +63,8 @@
   protocol::RpcServerHooks serverHooks();
   void onCall(protocol::Method method, const std::string &body,
               const protocol::Responder &respond);
+  void onConsensusCall(const std::string &body,
+                       const protocol::Responder &respond);
   /// Serves a call about jobs. Returns false for any other method.
   bool onJobCall(protocol::Method method, const std::string &body,
                  const protocol::Responder &respond);
--- a/src/almondgate/control/control_task.cpp
+++ b/src/almondgate/control/control_task.cpp
@@ -5,6 +5,7 @@
 #include "almondgate/task/loop.hpp"
 
 #include "control_errors.hpp"
+#include "read_message.hpp"
 
 #include <set>
 #include <unistd.h>
@@ -366,6 +367,24 @@
   }
 }
 
+void ControlTask::onConsensusCall(const std::string &body,
+                                  const Responder &respond) {
+  const auto message = readMessage(body);
+  if (!message) {
+    observe::logError("inner",
+                      "consensus message ignored: " + message.error().Text);
+    respond(message.error());
+    return;
+  }
+  // Messages to another id are ignored: before this member's disk was emptied,
+  // the process at this address had another member id.
+  if (message.value().To == Identity) {
+    PeerAddresses.insert_or_assign(message.value().From, message.value().Inner);
+    Core.receive(message.value());
+  }
+  respond(std::string());
+}
+
 void ControlTask::onCall(Method method, const std::string &body,
                          const Responder &respond) {
   if (onJobCall(method, body, respond))
@@ -386,15 +405,7 @@
     });
     return;
   case Method::Consensus:
-    withDecoded<Message>(body, respond, [&](const Message &message) {
-      // Messages to another id are ignored: before this member's disk was
-      // emptied, the process at this address had another member id.
-      if (message.To == Identity) {
-        PeerAddresses.insert_or_assign(message.From, message.Inner);
-        Core.receive(message);
-      }
-      respond(std::string());
-    });
+    onConsensusCall(body, respond);
     return;
   case Method::Watch:
     withDecoded<model::WatchRequest>(body, respond, [&](const auto &request) {
--- a/tests/inner_memory_test.py
+++ b/tests/inner_memory_test.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from fleet import Fleet, wait_until
+from fleet import SECRET, Fleet, wait_until
 from platform_deployment import memory_kb
 from platform_fleet import HOST, KEY, PlatformFleet
 
@@ -39,9 +39,9 @@
     return b"\x00" + text(name) + text(value)
 
 
-def call_head(stream, padding=0):
+def call_head(stream, padding=0, method=b"job"):
     fields = [(b":method", b"POST"), (b":scheme", b"http"),
-              (b":authority", b"a"), (b":path", b"/almondgate/1/job")]
+              (b":authority", b"a"), (b":path", b"/almondgate/1/" + method)]
     fields += [(b"x%d" % i, b"y" * 100) for i in range(padding)]
     block = b"".join(field(n, v) for n, v in fields)
     return frame(HEADERS, stream, block, END_HEADERS)
@@ -178,3 +178,38 @@
         assert control.alive() and entry.alive()
         assert peak_mb(entry) < LIMIT_MB
         assert peak_mb(control) < LIMIT_MB
+
+
+def cbor(value):
+    """Encodes small values as RFC 8949 does."""
+    if isinstance(value, int):
+        assert value < 24
+        return bytes([value])
+    kind = {str: 0x60, list: 0x80, dict: 0xa0}[type(value)]
+    assert len(value) < 24
+    head = bytes([kind + len(value)])
+    if isinstance(value, str):
+        return head + value.encode()
+    if isinstance(value, list):
+        return head + b"".join(map(cbor, value))
+    return head + b"".join(cbor(k) + cbor(v) for k, v in value.items())
+
+
+def test_a_member_survives_a_message_with_an_unreadable_membership():
+    with Fleet(members=3, placers=0, entries=0) as fleet:
+        process = fleet.processes["c0"]
+        process.start()
+        wait_until(lambda: "settings are valid" in process.log_text(), 10,
+                   "start")
+        body = cbor({"Kind": 4, "From": "c1", "To": "c0", "Term": 1, "Entries": [
+            {"Term": 1, "Index": 1, "Kind": 2, "Data": "unreadable"}]})
+        secret = field(b"almondgate-secret", SECRET.encode())
+        head = call_head(1, method=b"consensus")[9:] + secret
+        data = PREFACE + frame(SETTINGS, 0, b"") + frame(
+            HEADERS, 1, head, END_HEADERS) + frame(DATA, 1, body, 1)
+        held = []
+        send(inner_port(process), data, held)
+        assert held[0].recv(65536) != b""
+        time.sleep(0.5)
+        assert process.alive()
+        assert "consensus message ignored" in process.log_text()
