Pass options of the inner protocol by reference

clang-tidy asks for it. The test of an unreadable membership waits until the member listens, so that it can't pass on a refused connection; on the code before its fix the member ends with status -6 and 'membership of a log entry cannot be decoded'.

--- a/include/almondgate/endpoint/rpc_gateway.hpp
+++ b/include/almondgate/endpoint/rpc_gateway.hpp
@@ -11,7 +11,7 @@
 /// Sends orders to endpoints over the inner protocol.
 class RpcGateway {
 public:
-  RpcGateway(task::Loop &loop, protocol::RpcOptions options);
+  RpcGateway(task::Loop &loop, const protocol::RpcOptions &options);
 
   /// Hooks that let a dispatcher send orders; the gateway must outlive them.
   dispatch::DispatcherHooks hooks();
--- a/include/almondgate/protocol/rpc_client.hpp
+++ b/include/almondgate/protocol/rpc_client.hpp
@@ -29,7 +29,7 @@
   /// call was not sent or not executed.
   using OnReply = std::function<void(core::Result<std::string>)>;
 
-  RpcClient(task::Loop &loop, RpcOptions options);
+  RpcClient(task::Loop &loop, const RpcOptions &options);
   ~RpcClient();
   RpcClient(const RpcClient &) = delete;
   RpcClient &operator=(const RpcClient &) = delete;
--- a/include/almondgate/protocol/rpc_server.hpp
+++ b/include/almondgate/protocol/rpc_server.hpp
@@ -36,7 +36,7 @@
 /// Serves the inner protocol on one address.
 class RpcServer {
 public:
-  RpcServer(task::Loop &loop, RpcOptions options, RpcServerHooks hooks);
+  RpcServer(task::Loop &loop, const RpcOptions &options, RpcServerHooks hooks);
   ~RpcServer();
   RpcServer(const RpcServer &) = delete;
   RpcServer &operator=(const RpcServer &) = delete;
--- a/src/almondgate/endpoint/rpc_gateway.cpp
+++ b/src/almondgate/endpoint/rpc_gateway.cpp
@@ -18,8 +18,8 @@
 
 } // namespace
 
-RpcGateway::RpcGateway(task::Loop &loop, protocol::RpcOptions options)
-    : Rpc(loop, std::move(options)) {}
+RpcGateway::RpcGateway(task::Loop &loop, const protocol::RpcOptions &options)
+    : Rpc(loop, options) {}
 
 // After an error the order may still have been carried out; the default reply
 // leaves it to the dispatcher to find out.
--- a/src/almondgate/protocol/rpc_client.cpp
+++ b/src/almondgate/protocol/rpc_client.cpp
@@ -345,7 +345,7 @@
   std::map<core::Address, std::unique_ptr<PeerConnection>> Peers;
 };
 
-RpcClient::RpcClient(task::Loop &loop, RpcOptions options)
+RpcClient::RpcClient(task::Loop &loop, const RpcOptions &options)
     : S(new State{loop,
                   options,
                   std::make_shared<PeerBudget>(options.MaxHeldBytes),
--- a/src/almondgate/protocol/rpc_server.cpp
+++ b/src/almondgate/protocol/rpc_server.cpp
@@ -74,7 +74,8 @@
   }
 };
 
-RpcServer::RpcServer(task::Loop &loop, RpcOptions options, RpcServerHooks hooks)
+RpcServer::RpcServer(task::Loop &loop, const RpcOptions &options,
+                     RpcServerHooks hooks)
     : S(new State{loop,
                   options,
                   std::move(hooks),
--- a/tests/inner_memory_test.py
+++ b/tests/inner_memory_test.py
@@ -199,7 +199,7 @@
     with Fleet(members=3, placers=0, entries=0) as fleet:
         process = fleet.processes["c0"]
         process.start()
-        wait_until(lambda: "settings are valid" in process.log_text(), 10,
+        wait_until(lambda: "listens on" in process.log_text(), 10,
                    "start")
         body = cbor({"Kind": 4, "From": "c1", "To": "c0", "Term": 1, "Entries": [
             {"Term": 1, "Index": 1, "Kind": 2, "Data": "unreadable"}]})
