--- a/tests/inner_memory_test.py
+++ b/tests/inner_memory_test.py
@@ -1,6 +1,8 @@
 """What others can make a process hold through the inner port is bounded."""
 
+import json
 import re
+import signal
 import socket
 import struct
 import threading
@@ -8,10 +10,12 @@
 
 import pytest
 
-from fleet import Fleet, wait_until
+from fleet import SECRET, Fleet, wait_until
 from platform_deployment import memory_kb
+from platform_fleet import HOST, KEY, PlatformFleet
 
 LIMIT_MB = 160
+JOB_BYTES = 250000
 # An idle process has about 15 MB.
 MAX_PEAK_MB = 60
 PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
@@ -35,9 +39,9 @@
     return b"\x00" + text(name) + text(value)
 
 
-def call_head(stream, padding=0):
+def call_head(stream, padding=0, method=b"job"):
     fields = [(b":method", b"POST"), (b":scheme", b"http"),
-              (b":authority", b"a"), (b":path", b"/almondgate/1/job")]
+              (b":authority", b"a"), (b":path", b"/almondgate/1/" + method)]
     fields += [(b"x%d" % i, b"y" * 100) for i in range(padding)]
     block = b"".join(field(n, v) for n, v in fields)
     return frame(HEADERS, stream, block, END_HEADERS)
@@ -146,3 +150,66 @@
         wait_until(closed, 10, "a stranger's connection is closed")
         for sock in held:
             sock.close()
+
+
+def job_request():
+    body = json.dumps({"task-spec": "x" * JOB_BYTES, "steps": []}).encode()
+    return (f"POST /one/1 HTTP/1.1\r\nHost: {HOST}\r\nKey: {KEY}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n").encode() + body
+
+
+def test_an_entry_holds_little_while_the_leader_is_stopped():
+    """Large jobs are sent to an entry whose only control member is stopped."""
+    platform = PlatformFleet(run_seconds=0.1)
+    for process in platform.fleet.processes.values():
+        process.args.append(f"--memory-limit-mb={LIMIT_MB}")
+    with platform:
+        platform.configure()
+        platform.submit("00000000000000a1", 1)
+        control = platform.fleet.processes["control"]
+        entry = platform.fleet.processes["entry"]
+        control.signal(signal.SIGSTOP)
+        held = flood(platform.entry_port, job_request(), 240)
+        time.sleep(READ_SECONDS)
+        control.signal(signal.SIGCONT)
+        for sock in held:
+            sock.close()
+        platform.submit("00000000000000a2", 1)
+        assert control.alive() and entry.alive()
+        assert peak_mb(entry) < LIMIT_MB
+        assert peak_mb(control) < LIMIT_MB
+
+
+def cbor(value):
+    """Encodes small values as RFC 8949 does."""
+    if isinstance(value, int):
+        assert value < 24
+        return bytes([value])
+    kind = {str: 0x60, list: 0x80, dict: 0xa0}[type(value)]
+    assert len(value) < 24
+    head = bytes([kind + len(value)])
+    if isinstance(value, str):
+        return head + value.encode()
+    if isinstance(value, list):
+        return head + b"".join(map(cbor, value))
+    return head + b"".join(cbor(k) + cbor(v) for k, v in value.items())
+
+
+def test_a_member_survives_a_message_with_an_unreadable_membership():
+    with Fleet(members=3, placers=0, entries=0) as fleet:
+        process = fleet.processes["c0"]
+        process.start()
+        wait_until(lambda: "listens on" in process.log_text(), 10,
+                   "start")
+        body = cbor({"Kind": 4, "From": "c1", "To": "c0", "Term": 1, "Entries": [
+            {"Term": 1, "Index": 1, "Kind": 2, "Data": "unreadable"}]})
+        secret = field(b"almondgate-secret", SECRET.encode())
+        head = call_head(1, method=b"consensus")[9:] + secret
+        data = PREFACE + frame(SETTINGS, 0, b"") + frame(
+            HEADERS, 1, head, END_HEADERS) + frame(DATA, 1, body, 1)
+        held = []
+        send(inner_port(process), data, held)
+        assert held[0].recv(65536) != b""
+        time.sleep(0.5)
+        assert process.alive()
+        assert "consensus message ignored" in process.log_text()
