Bound the orders that wait for endpoints

A job of 100,000 tasks without a size and with a content of 4,000 bytes, all within the protocol's limits, took the leader over a memory limit of 160 MB, and its successor too: all start orders were given at once, and each waited for its endpoint with a copy of the content in its encoded body.

A start without room is not given: its task stays waiting and the next pass tries again, so nothing is lost or counted as sent.

--- a/apps/control_main.cpp
+++ b/apps/control_main.cpp
@@ -7,9 +7,11 @@
 int main(int argc, char **argv) {
   std::unique_ptr<endpoint::RpcGateway> gateway;
   return apps::controlMain(argc, argv, [&](task::Loop &loop, const auto &s) {
-    gateway = std::make_unique<endpoint::RpcGateway>(loop, s.Common.Secret);
+    gateway = std::make_unique<endpoint::RpcGateway>(loop, s.Common.Secret,
+                                                     s.Common.Memory.Orders);
     apps::ControlAdapter adapter;
     adapter.Gateway = gateway->hooks();
+    adapter.Budgets = [&] { return gateway->budgets(); };
     return adapter;
   });
 }
--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -233,6 +233,8 @@
   StepCandidates candidatesFor(const ReadyStep &ready,
                                const std::vector<EndpointView *> &pool) const;
   std::map<core::PoolId, PoolCapacity> usablePools();
+  /// Whether `n` further start orders may be given together.
+  bool mayOrderStarts(size_t n) const;
   bool isWithinLimit(const core::TeamId &team, const core::Size &need) const;
   /// The most that each team may have running on endpoints that have not been
   /// read yet.
--- a/include/almondgate/dispatch/dispatcher_hooks.hpp
+++ b/include/almondgate/dispatch/dispatcher_hooks.hpp
@@ -54,6 +54,11 @@
   /// Orders maintenance or a move of a VM; one that was not sent has the result
   /// NoAnswer.
   std::function<void(const VmOrder &, MaySend, Done<VmOrderResult>)> OrderVm;
+  /// Whether a number of further start orders may be given together, or a
+  /// further stop order. Orders that were given and wait to be sent or answered
+  /// take up memory; optional.
+  std::function<bool(size_t)> HasRoomForStarts = [](size_t) { return true; };
+  std::function<bool()> HasRoomForStop = [] { return true; };
   DispatchPolicies Policies;
   /// Increments a counter that has one label; optional.
   std::function<void(const char *name, const char *label, const char *value)>
--- a/include/almondgate/dispatch/open_job.hpp
+++ b/include/almondgate/dispatch/open_job.hpp
@@ -35,6 +35,8 @@
 struct OpenJob {
   /// Owned by the ledger, which keeps it at least as long as the job is open.
   const jobs::JobRecord *Record = nullptr;
+  /// The content of the job, shared by its start orders.
+  core::Value<std::string> Content;
   /// When its caller first submitted it.
   core::TimeMs SentAt;
   /// Deadline of the job's objective, by the expected run times.
--- a/include/almondgate/dispatch/orders.hpp
+++ b/include/almondgate/dispatch/orders.hpp
@@ -1,6 +1,7 @@
 #ifndef ALMONDGATE_DISPATCH_ORDERS_HPP
 #define ALMONDGATE_DISPATCH_ORDERS_HPP
 
+#include "almondgate/core/value.hpp"
 #include "almondgate/jobs/task_ref.hpp"
 
 #include <optional>
@@ -12,7 +13,8 @@
 struct StartOrder {
   jobs::TaskRef Task;
   int64_t Run = 0;
-  std::string Content;
+  /// Shared by all orders of a job.
+  core::Value<std::string> Content;
   /// End of the lease of everything that the endpoint runs, in milliseconds of
   /// the endpoint's own clock.
   int64_t DeadlineMs = 0;
--- a/src/almondgate/dispatch/dispatcher.cpp
+++ b/src/almondgate/dispatch/dispatcher.cpp
@@ -222,6 +222,7 @@
   const auto now = Hooks.Now();
   OpenJob job;
   job.Record = &record;
+  job.Content = record.Spec->Content;
   const int64_t age =
       std::max<int64_t>(0, Hooks.WallClock() - record.AcceptedWallMs);
   job.SentAt = inherited ? now - DurationMs{age}
--- a/src/almondgate/dispatch/dispatcher_orders.cpp
+++ b/src/almondgate/dispatch/dispatcher_orders.cpp
@@ -88,7 +88,7 @@
   StartOrder order;
   order.Task = jobs::taskAt(task_key.first, *record->Spec, task_key.second);
   order.Run = state.Run;
-  order.Content = record->Spec->Content;
+  order.Content = job.Content;
   order.DeadlineMs = at.Suspect ? at.Lease.granted()
                                 : at.Lease.grant(Hooks.Now(), Options.Lease);
   order.Epoch = Epoch;
@@ -231,7 +231,10 @@
   state.Phase = TaskPhase::Stopping;
   state.StopAcknowledged = false;
   state.Since = Hooks.Now();
-  sendStop(task_key);
+  if (Hooks.HasRoomForStop())
+    sendStop(task_key);
+  else
+    Endpoints.at(state.Endpoint).StopRetries.insert(task_key);
 }
 
 void Dispatcher::sendStop(const TaskKey &task_key) {
@@ -298,7 +301,8 @@
                           !state->StopAcknowledged;
       if (!wanted)
         continue;
-      if (now - state->Since < Options.RetryInterval || !mayStop(task_key)) {
+      if (now - state->Since < Options.RetryInterval || !mayStop(task_key) ||
+          !Hooks.HasRoomForStop()) {
         later.insert(task_key);
         continue;
       }
--- a/src/almondgate/dispatch/dispatcher_placing.cpp
+++ b/src/almondgate/dispatch/dispatcher_placing.cpp
@@ -228,6 +228,14 @@
   return std::max(last, int64_t(Epoch - 1) * RunsPerEpoch) + 1;
 }
 
+// Tasks that may not be started yet keep waiting; the next pass tries again.
+bool Dispatcher::mayOrderStarts(size_t n) const {
+  const bool room = Hooks.HasRoomForStarts(n);
+  if (!room)
+    Hooks.IncrementCounter("start_orders", "result", "held-back");
+  return room;
+}
+
 bool Dispatcher::placeStep(const ReadyStep &ready,
                            const std::vector<EndpointView *> &pool) {
   const auto now = Hooks.Now();
@@ -237,7 +245,8 @@
     const TaskState &state = ready.Job->Tasks[i];
     if (state.Phase != TaskPhase::Waiting || state.NotBefore > now)
       continue;
-    if (!isWithinLimit(ready.Record->Team, ready.Spec->Need))
+    if (!isWithinLimit(ready.Record->Team, ready.Spec->Need) ||
+        !mayOrderStarts(1))
       return true;
     EndpointView *at = candidates.allocate(Hooks.Policies.ChooseEndpoint);
     if (!at)
@@ -260,7 +269,8 @@
   core::Size total;
   for (size_t i = 0; i < count; ++i)
     total = total + ready.Spec->Need;
-  if (!all || !isWithinLimit(ready.Record->Team, total))
+  if (!all || !isWithinLimit(ready.Record->Team, total) ||
+      !mayOrderStarts(count))
     return;
   std::map<core::RackId, std::vector<EndpointView *>> racks;
   for (auto *endpoint : pool)
--- a/src/almondgate/dispatch/test_fleet.hpp
+++ b/src/almondgate/dispatch/test_fleet.hpp
@@ -96,6 +96,11 @@
   int64_t StartupMs = 0;
   /// How long orders to endpoints wait behind others before they are sent.
   int64_t OrderQueueMs = 0;
+  /// How many starts and stops may wait like this, and the most that did.
+  int64_t StartRoom = INT64_MAX;
+  int64_t StopRoom = INT64_MAX;
+  int64_t MostWaitingStarts = 0;
+  int64_t MostWaitingStops = 0;
   /// How long a run goes on, and is listed, after its stop was acknowledged.
   int64_t StopMs = 0;
 
@@ -146,6 +151,8 @@
   /// When each task was last started.
   std::map<jobs::TaskRef, int64_t> LastStart;
   int64_t StartedEndpoints = 0;
+  int64_t WaitingStarts = 0;
+  int64_t WaitingStops = 0;
   int64_t Sequence = 0;
   uint64_t Generation = 0;
 };
--- a/src/almondgate/dispatch/test_fleet_test.cpp
+++ b/src/almondgate/dispatch/test_fleet_test.cpp
@@ -335,16 +335,28 @@
         guard([done] { done(OrderReply{OrderResult::NotSent, {}}); })();
     });
   };
-  hooks.Start = [this, guard, enqueue](const auto &to, const auto &order,
-                                       auto may_send, auto done) {
+  const auto count_waiting = [this](int64_t &waiting, int64_t &most) {
+    most = std::max(most, ++waiting);
+    scheduleAt(Now + OrderQueueMs, [&waiting] { --waiting; });
+  };
+  hooks.HasRoomForStarts = [this](size_t n) {
+    return WaitingStarts + int64_t(n) <= StartRoom;
+  };
+  hooks.HasRoomForStop = [this] { return WaitingStops < StopRoom; };
+  hooks.Start = [this, guard, enqueue,
+                 count_waiting](const auto &to, const auto &order,
+                                auto may_send, auto done) {
+    count_waiting(WaitingStarts, MostWaitingStarts);
     enqueue(may_send, done, [this, guard, done, id = to.Id, order] {
       onStart(id, order, [guard, done](const OrderReply &reply) {
         guard([done, reply] { done(reply); })();
       });
     });
   };
-  hooks.Stop = [this, guard, enqueue](const auto &to, const auto &order,
-                                      auto may_send, auto done) {
+  hooks.Stop = [this, guard, enqueue, count_waiting](const auto &to,
+                                                     const auto &order,
+                                                     auto may_send, auto done) {
+    count_waiting(WaitingStops, MostWaitingStops);
     enqueue(may_send, done, [this, guard, done, id = to.Id, order] {
       onStop(id, order, [guard, done](const OrderReply &reply) {
         guard([done, reply] { done(reply); })();
--- a/src/almondgate/encoding/json_types.hpp
+++ b/src/almondgate/encoding/json_types.hpp
@@ -4,6 +4,7 @@
 #include "almondgate/consensus/effects.hpp"
 #include "almondgate/consensus/message.hpp"
 #include "almondgate/encoding/id_json.hpp"
+#include "almondgate/encoding/value_json.hpp"
 #include "almondgate/model/cancel_request.hpp"
 #include "almondgate/model/grant.hpp"
 #include "almondgate/model/grant_request.hpp"
@@ -165,13 +166,6 @@
   }
 };
 
-template <class T> struct adl_serializer<almondgate::core::Value<T>> {
-  static void to_json(json &j, const almondgate::core::Value<T> &v) { j = *v; }
-  static void from_json(const json &j, almondgate::core::Value<T> &v) {
-    v = almondgate::core::Value<T>(j.get<T>());
-  }
-};
-
 } // namespace nlohmann
 
 #include "jobs_json.hpp"
--- a/src/almondgate/endpoint/rpc_gateway.cpp
+++ b/src/almondgate/endpoint/rpc_gateway.cpp
@@ -18,17 +18,21 @@
 
 } // namespace
 
-RpcGateway::RpcGateway(task::Loop &loop, const std::string &secret)
-    : Rpc(loop, {secret}) {}
+RpcGateway::RpcGateway(task::Loop &loop, const std::string &secret,
+                       size_t order_bytes)
+    : Orders(order_bytes), Rpc(loop, {secret}) {}
 
 // After an error the order may still have been carried out; the default reply
 // leaves it to the dispatcher to find out.
 void RpcGateway::sendOrder(const core::Address &to, Method method,
                            std::string body, const RpcClient::MaySend &may_send,
                            const std::function<void(OrderReply)> &done) {
+  const size_t held = dispatch::OrderBudget::OrderBytes + body.size();
+  Orders.add(held);
   Rpc.call(
       to, method, std::move(body), OrderTimeout,
-      [done](const Result<std::string> &reply) {
+      [this, held, done](const Result<std::string> &reply) {
+        Orders.release(held);
         if (!reply && reply.error().Code == core::ErrorCode::Cancelled) {
           done(OrderReply{OrderResult::NotSent, {}});
           return;
@@ -42,6 +46,10 @@
 
 dispatch::DispatcherHooks RpcGateway::hooks() {
   dispatch::DispatcherHooks hooks;
+  hooks.HasRoomForStarts = [this](size_t n) {
+    return Orders.hasRoomForStarts(n);
+  };
+  hooks.HasRoomForStop = [this] { return Orders.hasRoomForStop(); };
   hooks.Start = [this](const auto &to, const auto &start, auto may_send,
                        auto done) {
     sendOrder(to.At, Method::StartRun, encodeRun(start), may_send, done);
--- a/src/almondgate/endpoint/run_codec.cpp
+++ b/src/almondgate/endpoint/run_codec.cpp
@@ -1,6 +1,7 @@
 #include "almondgate/endpoint/run_codec.hpp"
 #include "almondgate/encoding/cbor.hpp"
 #include "almondgate/encoding/id_json.hpp"
+#include "almondgate/encoding/value_json.hpp"
 
 namespace almondgate::jobs {
 
--- a/tests/large_job_test.py
+++ b/tests/large_job_test.py
@@ -42,3 +42,15 @@
                    10, "the job is cancelled")
         time.sleep(2)
         assert d.own_ends() == {}
+
+
+def test_many_orders_for_one_endpoint_keep_memory_below_the_limit():
+    # All tasks are without a size, so all of them may be ordered at once.
+    with Deployment(memory_mb=160) as d:
+        d.configure()
+        d.serves("00000000000000b1")
+        body = job(ALLOWED_BYTES, count=100000, cpu=0)
+        assert d.job_call("POST", "00000000000000c1", body)[0] == 200
+        time.sleep(3)
+        assert d.own_ends() == {}, d.peaks_mb()
+        assert max(d.peaks_mb().values()) < 160, d.peaks_mb()
--- a/tools/fake_worker.cpp
+++ b/tools/fake_worker.cpp
@@ -176,7 +176,7 @@
       return {OrderResult::Accepted, clock};
     if (order.Run <= LastEndedRun[order.Task])
       return {OrderResult::Outdated, clock};
-    const int64_t ms = std::atoll(order.Content.c_str());
+    const int64_t ms = std::atoll(order.Content->c_str());
     Runs[order.Task] = {order.Run,
                         core::TimeMs{clock + (ms > 0 ? ms : DefaultRunMs)}};
     recordEvent("start", order.Task, order.Run);
