Show that open jobs can exceed the memory limit

With twelve such jobs each member was ended ten times or more by its limit within about half a minute, because each new leader reads all of them again. Wanted: a budget for the ledger, Memory.Jobs, and a refusal before the job reaches the log.

--- a/tests/large_job_test.py
+++ b/tests/large_job_test.py
@@ -54,3 +54,15 @@
         time.sleep(3)
         assert d.own_ends() == {}, d.peaks_mb()
         assert max(d.peaks_mb().values()) < 160, d.peaks_mb()
+
+
+def test_many_open_jobs_keep_memory_below_the_limit():
+    with Deployment(memory_mb=160) as d:
+        d.configure()
+        d.serves("00000000000000b1")
+        body = job(ALLOWED_BYTES, count=200000, **{"long-running": True})
+        for i in range(8):
+            status, _ = d.job_call("POST", f"00000000000000d{i}", body)
+            assert status in (200, 503), d.peaks_mb()
+        time.sleep(1)
+        assert d.own_ends() == {}, d.peaks_mb()
