--- a/apps/control_main.cpp
+++ b/apps/control_main.cpp
@@ -8,9 +8,11 @@
   std::unique_ptr<endpoint::RpcGateway> gateway;
   return apps::controlMain(argc, argv, [&](task::Loop &loop, const auto &s) {
     gateway = std::make_unique<endpoint::RpcGateway>(
-        loop, protocol::rpcOptions(s.Common.Secret, s.Common.Memory));
+        loop, protocol::rpcOptions(s.Common.Secret, s.Common.Memory),
+        s.Common.Memory.Orders);
     apps::ControlAdapter adapter;
     adapter.Gateway = gateway->hooks();
+    adapter.Budgets = [&] { return gateway->budgets(); };
     return adapter;
   });
 }
