Start with a low descriptor limit and with large default stacks

Callers saw: with a soft limit of 12 descriptors and a hard limit of 256, an entry served nobody and a member ended by SIGABRT. With a stack limit above the address space (512 MB of 256 MB), every program ended by SIGABRT at its start (std::system_error: no thread could be created).

Cause: the soft limit was taken as it is, and a thread's default stack is as large as the stack limit of the process.

Now the soft limit is raised to the hard one, and the stacks of new threads have 2 MB at most.

Before: start_test.py -k serves_under: few_descriptors and large_stacks failed with each of the five programs; after: they pass. The other conditions (small files, empty environment, unknown locale and time zone, read-only folder) passed before and after. In probes with RLIMIT_AS of 40 MB and up and with 24 descriptors and up, entry and member started and served.

--- /dev/null
+++ b/apps/process_limits.cpp
@@ -0,0 +1,39 @@
+#include "process_limits.hpp"
+
+#include <algorithm>
+#include <cstddef>
+#include <pthread.h>
+#include <sys/resource.h>
+
+namespace almondgate::apps {
+
+namespace {
+
+// What calls deeply, such as the parsing of nested bodies, runs on the main
+// thread.
+constexpr size_t MaxThreadStackBytes = size_t{2} << 20;
+
+} // namespace
+
+void raiseDescriptorLimit() {
+  rlimit limit{};
+  if (::getrlimit(RLIMIT_NOFILE, &limit) != 0)
+    return;
+  limit.rlim_cur = limit.rlim_max;
+  // Otherwise the process serves with the soft limit.
+  (void)::setrlimit(RLIMIT_NOFILE, &limit);
+}
+
+void limitThreadStacks() {
+  pthread_attr_t attributes;
+  if (::pthread_getattr_default_np(&attributes) != 0)
+    return;
+  size_t bytes = 0;
+  ::pthread_attr_getstacksize(&attributes, &bytes);
+  ::pthread_attr_setstacksize(&attributes,
+                              std::min(bytes, MaxThreadStackBytes));
+  ::pthread_setattr_default_np(&attributes);
+  ::pthread_attr_destroy(&attributes);
+}
+
+} // namespace almondgate::apps
--- a/apps/program.hpp
+++ b/apps/program.hpp
@@ -4,6 +4,8 @@
 #include "almondgate/config/read_settings.hpp"
 #include "almondgate/observe/process_report.hpp"
 
+#include "process_limits.hpp"
+
 #include <cstdio>
 #include <optional>
 #include <string>
@@ -58,6 +60,8 @@
 /// closed socket at once, not an open one that is no longer served.
 template <class Settings, class Read, class Run>
 int programMain(int argc, char **argv, Read read, Run run) {
+  raiseDescriptorLimit();
+  limitThreadStacks();
   int code = 0;
   const auto settings = readOrExit<Settings>(argc, argv, read, code);
   if (settings) {
--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -3,7 +3,8 @@
   target_link_libraries(${name} PRIVATE ${ARGN})
 endfunction()
 
-add_library(almondgate_process STATIC apps/process_signals.cpp)
+add_library(almondgate_process STATIC apps/process_limits.cpp
+            apps/process_signals.cpp)
 target_include_directories(almondgate_process PUBLIC ${CMAKE_SOURCE_DIR}/apps)
 target_link_libraries(almondgate_process PUBLIC almondgate_task
                       almondgate_observe)
--- a/tests/start_test.py
+++ b/tests/start_test.py
@@ -4,6 +4,7 @@
 import http.client
 import os
 import re
+import resource
 import signal
 import socket
 import struct
@@ -29,7 +30,7 @@
         flags.update({"data": os.path.join(folder, "data"), "found": "true",
                       "tolerated-losses": "0"})
     flags.update(changes)
-    return [os.path.join(BUILD, program)] + [
+    return [os.path.join(os.path.abspath(BUILD), program)] + [
         f"--{name}={value}" for name, value in flags.items()]
 
 
@@ -193,3 +194,40 @@
             process.send_signal(number)
         time.sleep(0.1)
         assert readiness(ports)[0]
+
+
+def limit_descriptors():
+    """Too few descriptors by the soft limit, enough by the hard limit."""
+    resource.setrlimit(resource.RLIMIT_NOFILE, (12, 256))
+
+
+def limit_address_space():
+    """The default stack of a thread exceeds the address space."""
+    resource.setrlimit(resource.RLIMIT_STACK, (512 << 20, 512 << 20))
+    resource.setrlimit(resource.RLIMIT_AS, (256 << 20, 256 << 20))
+
+
+def limit_file_sizes():
+    resource.setrlimit(resource.RLIMIT_CORE, (0, 0))
+    resource.setrlimit(resource.RLIMIT_FSIZE, (1 << 20, 1 << 20))
+
+
+CONDITIONS = {
+    "few_descriptors": {"preexec_fn": limit_descriptors},
+    "large_stacks": {"preexec_fn": limit_address_space},
+    "small_files": {"preexec_fn": limit_file_sizes},
+    "empty_environment": {"env": {"PATH": "/usr/bin:/bin"}},
+    "unknown_locale": {"env": {"LANG": "xx_YY.UTF-8", "LC_ALL": "xx_YY",
+                               "TZ": "No/Where"}},
+    "read_only_folder": {"cwd": "/proc"},
+}
+
+
+@pytest.mark.parametrize("condition", CONDITIONS)
+@pytest.mark.parametrize("program", PROGRAMS)
+def test_a_program_serves_under(condition, program, tmp_path, ports):
+    args = args_of(program, tmp_path, ports)
+    with running(args, tmp_path, **CONDITIONS[condition]) as process:
+        wait_until(lambda: readiness(ports)[0], 5, "the program serves")
+        if program.endswith("control"):
+            wait_until(lambda: is_ready(ports), 5, "the member votes")
