Keep the log out of a member's data if standard output is closed

Callers saw: started with closed standard descriptors, an entry ended by SIGABRT when it was stopped. A member's log-0, a file of its data, had descriptor 1, to which the log is written.

Cause: the kernel assigns the lowest free number, so that the first files and sockets of the process became its standard input and outputs.

Each of the three that is closed at the start is now opened on /dev/null.

--- a/apps/process_limits.cpp
+++ b/apps/process_limits.cpp
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <fcntl.h>
 #include <pthread.h>
 #include <sys/resource.h>
+#include <unistd.h>
 
 namespace almondgate::apps {
 
@@ -15,6 +17,13 @@
 
 } // namespace
 
+void openStandardDescriptors() {
+  for (const int fd : {STDIN_FILENO, STDOUT_FILENO, STDERR_FILENO})
+    if (::fcntl(fd, F_GETFD) < 0)
+      // The lowest free number is assigned.
+      (void)::open("/dev/null", O_RDWR);
+}
+
 void raiseDescriptorLimit() {
   rlimit limit{};
   if (::getrlimit(RLIMIT_NOFILE, &limit) != 0)
--- a/apps/process_limits.hpp
+++ b/apps/process_limits.hpp
@@ -3,6 +3,10 @@
 
 namespace almondgate::apps {
 
+/// Opens each of the descriptors 0, 1 and 2 that is closed, so that no file or
+/// socket of the process gets its number and receives the log.
+void openStandardDescriptors();
+
 /// Raises the soft limit of descriptors to the hard limit.
 void raiseDescriptorLimit();
 
--- a/apps/program.hpp
+++ b/apps/program.hpp
@@ -60,6 +60,7 @@
 /// closed socket at once, not an open one that is no longer served.
 template <class Settings, class Read, class Run>
 int programMain(int argc, char **argv, Read read, Run run) {
+  openStandardDescriptors();
   raiseDescriptorLimit();
   limitThreadStacks();
   int code = 0;
--- a/tests/start_test.py
+++ b/tests/start_test.py
@@ -196,6 +196,11 @@
         assert readiness(ports)[0]
 
 
+def close_standard_descriptors():
+    for number in range(3):
+        os.close(number)
+
+
 def limit_descriptors():
     """Too few descriptors by the soft limit, enough by the hard limit."""
     resource.setrlimit(resource.RLIMIT_NOFILE, (12, 256))
@@ -213,6 +218,7 @@
 
 
 CONDITIONS = {
+    "closed_descriptors": {"preexec_fn": close_standard_descriptors},
     "few_descriptors": {"preexec_fn": limit_descriptors},
     "large_stacks": {"preexec_fn": limit_address_space},
     "small_files": {"preexec_fn": limit_file_sizes},
@@ -231,3 +237,7 @@
         wait_until(lambda: readiness(ports)[0], 5, "the program serves")
         if program.endswith("control"):
             wait_until(lambda: is_ready(ports), 5, "the member votes")
+        if condition == "closed_descriptors":
+            for number in range(3):
+                assert os.readlink(
+                    f"/proc/{process.pid}/fd/{number}") == "/dev/null"
