Drop log lines that nobody reads instead of waiting at the end

Callers saw: a process whose standard output is a pipe that nobody reads served on, but did not end after SIGTERM; it had to be killed.

Cause: the log's thread waits in write() for the reader, and the end of the process waits for this thread. A fatal signal's handler waited alike.

LineWriter polls before it writes at most PIPE_BUF bytes. A line for which the reader made no room for 500 ms is dropped and counted in almondgate_control_log_lines_dropped, and so are the next ones until the reader reads again; a line that was cut is ended first. If the thread of the log can't be created, each thread writes its lines itself.

--- a/include/almondgate/observe/log.hpp
+++ b/include/almondgate/observe/log.hpp
@@ -19,7 +19,8 @@
 /// that no task waits for a slow reader. `level` is debug, info, warn or error.
 void startLogging(LogFormat format, const std::string &level);
 
-/// Flushes the buffered lines; call before the process ends.
+/// Flushes the buffered lines; call before the process ends. Lines that nobody
+/// reads are dropped.
 void stopLogging();
 
 /// Returns the number of lines dropped since the start.
--- a/src/almondgate/observe/log.cpp
+++ b/src/almondgate/observe/log.cpp
@@ -1,15 +1,18 @@
 #include "almondgate/observe/log.hpp"
 #include "almondgate/core/time_ms.hpp"
+#include "almondgate/observe/line_writer.hpp"
 
 #include <atomic>
+#include <log4cxx/appenderskeleton.h>
 #include <log4cxx/asyncappender.h>
 #include <log4cxx/basicconfigurator.h>
-#include <log4cxx/consoleappender.h>
 #include <log4cxx/jsonlayout.h>
 #include <log4cxx/level.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/logmanager.h>
 #include <log4cxx/patternlayout.h>
+#include <system_error>
+#include <unistd.h>
 
 namespace almondgate::observe {
 
@@ -28,6 +31,8 @@
 
 constexpr int BufferedLines = 4096;
 constexpr int64_t MsPerSecond = 1000;
+// Also the longest that the end of the process waits for a reader.
+constexpr core::DurationMs WritePatience{500};
 
 /// Admits MaxLinesPerSecond lines per second. Racing threads may exceed the
 /// limit by a few lines.
@@ -36,13 +41,15 @@
   std::atomic<int64_t> Lines{0};
   std::atomic<int64_t> Dropped{0};
 
+  void countDropped() { ++Dropped; }
+
   bool admit() {
     const int64_t now = core::monotonicNow().Count / MsPerSecond;
     if (Second.exchange(now) != now)
       Lines = 0;
     if (++Lines <= MaxLinesPerSecond)
       return true;
-    ++Dropped;
+    countDropped();
     return false;
   }
 };
@@ -52,18 +59,48 @@
   return limiter;
 }
 
+/// Writes to standard output, and drops lines that nobody reads. The library's
+/// console appender waits for a reader, so that a process could not end.
+class OutputAppender : public log4cxx::AppenderSkeleton {
+public:
+  void close() override {}
+  bool requiresLayout() const override { return true; }
+
+protected:
+  // The library calls it from one thread at a time.
+  void append(const log4cxx::spi::LoggingEventPtr &event,
+              log4cxx::helpers::Pool &pool) override {
+    log4cxx::LogString line;
+    getLayout()->format(line, event, pool);
+    if (!Writer.write(line))
+      rateLimiter().countDropped();
+  }
+
+private:
+  LineWriter Writer{STDOUT_FILENO, WritePatience};
+};
+
+// Without a thread for the log, each line is written by its own thread.
+log4cxx::AppenderPtr withThread(const log4cxx::AppenderPtr &output) {
+  try {
+    const auto appender = std::make_shared<log4cxx::AsyncAppender>();
+    appender->setBufferSize(BufferedLines);
+    appender->setBlocking(false);
+    appender->addAppender(output);
+    return appender;
+  } catch (const std::system_error &) {
+    return output;
+  }
+}
+
 } // namespace
 
 void startLogging(LogFormat format, const std::string &level) {
-  const auto console = std::make_shared<log4cxx::ConsoleAppender>(
-      makeLayout(format), log4cxx::ConsoleAppender::getSystemOut());
-  const auto appender = std::make_shared<log4cxx::AsyncAppender>();
-  appender->setBufferSize(BufferedLines);
-  appender->setBlocking(false);
-  appender->addAppender(console);
+  const auto output = std::make_shared<OutputAppender>();
+  output->setLayout(makeLayout(format));
   const auto root = log4cxx::Logger::getRootLogger();
   root->removeAllAppenders();
-  root->addAppender(appender);
+  root->addAppender(withThread(output));
   root->setLevel(log4cxx::Level::toLevel(level));
 }
 
--- a/src/almondgate/observe/process_report.cpp
+++ b/src/almondgate/observe/process_report.cpp
@@ -5,6 +5,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <exception>
+#include <poll.h>
 #include <string_view>
 #include <sys/resource.h>
 #include <unistd.h>
@@ -48,6 +49,9 @@
     if (row.Number != number)
       continue;
     const std::string_view line = WritesJson ? row.Json : row.Text;
+    pollfd output{STDOUT_FILENO, POLLOUT, 0};
+    if (::poll(&output, 1, 0) <= 0)
+      continue;
     [[maybe_unused]] const ssize_t n =
         ::write(STDOUT_FILENO, line.data(), line.size());
   }
--- a/tests/start_test.py
+++ b/tests/start_test.py
@@ -241,3 +241,33 @@
             for number in range(3):
                 assert os.readlink(
                     f"/proc/{process.pid}/fd/{number}") == "/dev/null"
+
+
+def full_pipe():
+    """Returns the ends of a pipe that takes no more bytes."""
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            os.write(writer, b"x" * 4096)
+    os.set_blocking(writer, True)
+    return reader, writer
+
+
+@pytest.mark.parametrize("program", PROGRAMS)
+def test_a_log_that_nobody_reads_holds_up_no_stop(program, tmp_path, ports):
+    reader, writer = full_pipe()
+    try:
+        args = args_of(program, tmp_path, ports)
+        with running(args, tmp_path, stdout=writer):
+            wait_until(lambda: readiness(ports)[0], 5, "the program serves")
+    finally:
+        os.close(reader)
+        os.close(writer)
+
+
+@pytest.mark.parametrize("program", PROGRAMS)
+def test_a_full_output_device_does_not_end_a_process(program, tmp_path, ports):
+    with open("/dev/full", "wb") as full:
+        with running(args_of(program, tmp_path, ports), tmp_path, stdout=full):
+            wait_until(lambda: readiness(ports)[0], 5, "the program serves")
