Log the end of a shortage also while no request follows

The checks that write the line ran only with the next request. No test of its own: seen in review; the unit and process tests of the server pass.

--- a/src/almondgate/http/server.cpp
+++ b/src/almondgate/http/server.cpp
@@ -253,13 +253,13 @@
                                uv_buf_t *buf) {
   auto &tag = tagOf(handle);
   const h2o_buffer_t *input = tag.Socket->input;
-  if (input->size > 0) {
+  if (input->size > 0)
     Table.receive(tag.Id);
-    startChecks();
-  }
   const size_t growth = nextGrowth(input);
-  if (growth > 0 && !Table.reserve(tag.Id, growth)) {
+  const bool fits = growth == 0 || Table.reserve(tag.Id, growth);
+  if (Table.needsChecks())
     startChecks();
+  if (!fits) {
     sendRefusal(h2o_socket_get_fd(tag.Socket));
     *buf = uv_buf_init(nullptr, 0);
     return;
@@ -450,8 +450,9 @@
     limitSocketBuffers(reinterpret_cast<uv_stream_t *>(conn));
   }
   const auto id = Table.open();
-  if (!id) {
+  if (Table.needsChecks())
     startChecks();
+  if (!id) {
     int fd = -1;
     if (uv_fileno(reinterpret_cast<uv_handle_t *>(conn), &fd) == 0)
       sendRefusal(fd);
