--- a/src/almondgate/http/server_test.cpp
+++ b/src/almondgate/http/server_test.cpp
@@ -255,8 +255,8 @@
   constexpr int Callers = 40;
   BudgetedServer server;
   server.Answer = std::string(400 * KiB, 'x');
-  std::vector<std::unique_ptr<TestCaller>> callers;
   task::Loop caller_loop;
+  std::vector<std::unique_ptr<TestCaller>> callers;
   for (int i = 0; i < Callers; ++i) {
     callers.push_back(std::make_unique<TestCaller>(caller_loop));
     auto &stream = callers.back()->Stream;
