Call no handler of a server that is destroyed

A planned stop could end by a signal: the loop is destroyed last and runs two more iterations, and a request that arrived in them was given to the handler, whose objects were gone. valgrind showed the read of freed memory in a test of the server's own; the new test failed before (2 calls, expected 1).

--- a/src/almondgate/http/server.cpp
+++ b/src/almondgate/http/server.cpp
@@ -522,6 +522,7 @@
 // the process ends.
 Server::~Server() {
   S->Listener->close();
+  S->Handler = [](const Exchange &) {};
   S->Self.reset();
   S.release(); // NOLINT(bugprone-unused-return-value)
 }
--- a/src/almondgate/http/server_test.cpp
+++ b/src/almondgate/http/server_test.cpp
@@ -272,3 +272,27 @@
   server.Answer = "{}";
   CHECK(server.send(Post).isAnswered());
 }
+
+// Guards against a planned stop that ends by a signal, since a request arrives
+// after the objects that its handler uses are destroyed.
+TEST_CASE("a destroyed server calls its handler no more") {
+  task::Loop loop;
+  const auto at = testing::freeAddress();
+  int calls = 0;
+  TestCaller caller(loop);
+  {
+    Server server(loop, {}, [&calls](const Exchange &exchange) {
+      ++calls;
+      exchange.Respond(jsonResponse(200, "{}"));
+    });
+    REQUIRE(bool(server.listen(at)));
+    caller.Stream.connect(at, [](const core::Status &) {});
+    runFor(loop, ShortTime);
+    caller.Stream.write(Post);
+    runFor(loop, ShortTime);
+    CHECK(calls == 1);
+  }
+  caller.Stream.write(Post);
+  runFor(loop, ShortTime);
+  CHECK(calls == 1);
+}
