Serve h2c to the product's callers again

It is served there with 8 streams a connection; what incomplete bodies of its streams hold is not counted (open).

--- a/include/almondgate/http/server.hpp
+++ b/include/almondgate/http/server.hpp
@@ -31,12 +31,14 @@
   /// What callers may make the server hold. By default, the plan for
   /// DefaultMemoryLimitMb.
   std::shared_ptr<ServerBudget> Budget = nullptr;
+  /// Serves h2c as well. The budget does not count the incomplete bodies of its
+  /// streams, because h2o gives them windows that no setting limits.
+  bool Http2 = false;
 };
 
-/// An HTTP/1.1 server based on h2o. A request whose handler throws is logged
-/// and answered with status 500. Connections end once the budget is used up, or
-/// if a request or the reading of its answer takes too long. HTTP/2 is not
-/// served: h2o buffers each stream's body without a limit that can be set.
+/// An HTTP/1.1 and h2c server based on h2o. A request whose handler throws is
+/// logged and answered with status 500. Connections end once the budget is used
+/// up, or if a request or the reading of its answer takes too long.
 class Server {
 public:
   using Handler = std::function<void(Exchange)>;
--- a/src/almondgate/entry/front_task.cpp
+++ b/src/almondgate/entry/front_task.cpp
@@ -10,6 +10,7 @@
   http::ServerOptions out;
   out.Name = "callers";
   out.Budget = std::move(budget);
+  out.Http2 = true;
   return out;
 }
 
--- a/src/almondgate/http/server.cpp
+++ b/src/almondgate/http/server.cpp
@@ -52,6 +52,8 @@
 constexpr core::DurationMs FirstRequestGrace{1000};
 constexpr int Http2Version = 0x200;
 constexpr size_t MaxBodyPart = 4;
+// Incomplete bodies of HTTP/2 streams are not counted.
+constexpr size_t MaxHttp2Streams = 8;
 // Bounds what the kernel holds for a connection.
 constexpr int SocketBufferBytes = 64 * 1024;
 // What h2o asks of the input buffer for each read.
@@ -499,7 +501,8 @@
       // One byte above the limit, so that the handler refuses the body itself.
       S->Options.MaxBodyBytes + 1,
       S->Options.Budget->Requests.limit() / MaxBodyPart);
-  S->Config.http1.upgrade_to_http2 = 0;
+  S->Config.http1.upgrade_to_http2 = S->Options.Http2 ? 1 : 0;
+  S->Config.http2.max_concurrent_requests_per_connection = MaxHttp2Streams;
   S->Config.server_name = h2o_iovec_init(H2O_STRLIT("almondgate"));
   h2o_hostconf_t *host = h2o_config_register_host(
       &S->Config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
