Accept a connection that arrives right before the listener closes

A stopping listener closes after an iteration of the loop that accepted nothing, but a connection that arrives while the callbacks of that iteration run is still in the backlog then and is reset by the close. The new test connects in exactly that moment: 0 of 1 connections accepted before, 1 after. The listener now polls its socket right before the close, which narrows the gap to the time between two system calls.

--- a/src/almondgate/task/tcp.cpp
+++ b/src/almondgate/task/tcp.cpp
@@ -8,6 +8,7 @@
 
 #include <array>
 #include <optional>
+#include <poll.h>
 #include <utility>
 #include <vector>
 
@@ -292,8 +293,17 @@
   Accepted = 0;
 }
 
+// True if a connection arrived while the callbacks of this iteration ran.
+static bool hasWaiting(const uv_tcp_t *listener) {
+  pollfd waiting{-1, POLLIN, 0};
+  return uv_fileno(reinterpret_cast<const uv_handle_t *>(listener),
+                   &waiting.fd) == 0 &&
+         ::poll(&waiting, 1, 0) > 0;
+}
+
 void TcpListener::closeIfDrained() {
-  const bool drained = std::exchange(Accepted, 0) == 0 && Iterations > 0;
+  const bool drained =
+      std::exchange(Accepted, 0) == 0 && Iterations > 0 && !hasWaiting(Handle);
   if (drained || ++Iterations == MaxDrainIterations)
     close();
 }
--- a/src/almondgate/task/tcp_listener_test.cpp
+++ b/src/almondgate/task/tcp_listener_test.cpp
@@ -1,11 +1,14 @@
 #include "almondgate/task/loop.hpp"
 #include "almondgate/task/tcp_listener.hpp"
 #include "almondgate/task/tcp_stream.hpp"
+#include "almondgate/task/wakeup.hpp"
 
 #include "tests/free_address.hpp"
 
 #include <doctest/doctest.h>
 
+#include <memory>
+
 using namespace almondgate;
 using task::TcpListener;
 
@@ -81,6 +84,27 @@
   CHECK_FALSE(second.Listener.isListening());
 }
 
+TEST_CASE("a connection that arrives right before the close is accepted") {
+  const auto address = testing::freeAddress();
+  Listening fixture;
+  REQUIRE(bool(fixture.Listener.listen(address)));
+  int iterations = 0;
+  std::unique_ptr<task::Wakeup> wakeup;
+  // Runs after the poll of the second iteration, which would be the last.
+  wakeup = std::make_unique<task::Wakeup>(fixture.Loop, [&] {
+    if (++iterations == 1)
+      wakeup->request();
+    else
+      fixture.Caller.connect(address, [](const core::Status &) {});
+  });
+  wakeup->request();
+  fixture.Listener.closeOnceDrained();
+  task::Timer late(fixture.Loop);
+  late.once(Deadline, [&] { fixture.Loop.stop(); });
+  fixture.Loop.run();
+  CHECK(fixture.Connections == 1);
+}
+
 TEST_CASE("a listener refuses what is no address") {
   Listening fixture;
   CHECK_FALSE(bool(fixture.Listener.listen({"localhost", 7000})));
