--- a/src/almondgate/control/control_task.cpp
+++ b/src/almondgate/control/control_task.cpp
@@ -68,7 +68,9 @@
            {.Self = Identity,
             .BytesKeptBehindSnapshot = settings.Common.Memory.Jobs / 4},
            coreHooks(), Recovered),
-      Jobs({.Holder = settings.Name, .RunStopTimeout = settings.RunStopTimeout},
+      Jobs({.Holder = settings.Name,
+            .RunStopTimeout = settings.RunStopTimeout,
+            .JobsLimitBytes = settings.Common.Memory.Jobs},
            dispatcherHooks(std::move(gateway)), Core.state().Jobs),
       Ticker(loop) {}
 
@@ -118,7 +120,7 @@
   core::BudgetReading log;
   log.Name = "log";
   log.Used = Core.node().logBytes();
-  return {Rpc.budget(), Inner.budget(), log};
+  return {Rpc.budget(), Inner.budget(), Jobs.jobsReading(), log};
 }
 
 ControlHooks ControlTask::coreHooks() {
@@ -162,6 +164,7 @@
   hooks.OnJobEvent = [this](const jobs::Event &event) {
     Jobs.onEventApplied(event);
   };
+  hooks.OnJobsReplaced = [this] { Jobs.onLedgerReplaced(); };
   hooks.OnLeadershipChange = [this](bool leading) {
     onLeadershipChange(leading);
   };
