--- a/tests/large_job_test.py
+++ b/tests/large_job_test.py
@@ -66,3 +66,17 @@
             assert status in (200, 503), d.peaks_mb()
         time.sleep(1)
         assert d.own_ends() == {}, d.peaks_mb()
+
+
+# Ended jobs are remembered for a while with the progress of their tasks.
+def test_many_cancelled_jobs_keep_memory_below_the_limit():
+    with Deployment(memory_mb=160) as d:
+        d.configure()
+        d.serves("00000000000000b1")
+        body = job(ALLOWED_BYTES, count=200000, **{"long-running": True})
+        for i in range(24):
+            name = f"{i:016x}"
+            if d.job_call("POST", name, body)[0] == 200:
+                assert d.job_call("DELETE", name)[0] == 200
+        time.sleep(1)
+        assert d.own_ends() == {}, d.peaks_mb()
