Destroy what a control member serves before its loop

The server and the gateway lived in main() and outlived the member and the loop. The loop's destructor runs two more iterations to close handles: requests that arrived then were handled by a member that was gone, deferred functions such as the dispatcher's next pass ran on freed memory, and the server's destructor closed handles on the freed loop.

--- a/apps/control_main.cpp
+++ b/apps/control_main.cpp
@@ -5,14 +5,13 @@
 using namespace almondgate;
 
 int main(int argc, char **argv) {
-  std::unique_ptr<endpoint::RpcGateway> gateway;
-  return apps::controlMain(argc, argv, [&](task::Loop &loop, const auto &s) {
-    gateway = std::make_unique<endpoint::RpcGateway>(
+  return apps::controlMain(argc, argv, [](task::Loop &loop, const auto &s) {
+    const auto gateway = std::make_shared<endpoint::RpcGateway>(
         loop, protocol::rpcOptions(s.Common.Secret, s.Common.Memory),
         s.Common.Memory.Orders);
     apps::ControlAdapter adapter;
     adapter.Gateway = gateway->hooks();
-    adapter.Budgets = [&] { return gateway->budgets(); };
+    adapter.Budgets = [gateway] { return gateway->budgets(); };
     return adapter;
   });
 }
--- a/apps/control_program.hpp
+++ b/apps/control_program.hpp
@@ -11,7 +11,8 @@
 namespace almondgate::apps {
 
 /// Connects a control member to one outside protocol: its calls to endpoints,
-/// and what it serves to endpoints and operators.
+/// and what it serves to endpoints and operators. Its functions own the objects
+/// that they use, which are destroyed after the member and before the loop.
 struct ControlAdapter {
   dispatch::DispatcherHooks Gateway;
   /// Starts to serve; called once the member runs. Optional.
--- a/src/almondgate/task/loop.cpp
+++ b/src/almondgate/task/loop.cpp
@@ -11,9 +11,13 @@
 
 Loop::Loop() : Uv(std::make_unique<uv_loop_t>()) {
   core::invariant(uv_loop_init(Uv.get()) == 0, "uv_loop_init failed");
+  Uv->data = this;
 }
 
+// Closes the remaining handles. Deferred functions are dropped: what they refer
+// to may have been destroyed.
 Loop::~Loop() {
+  Uv->data = nullptr;
   uv_run(Uv.get(), UV_RUN_NOWAIT);
   uv_run(Uv.get(), UV_RUN_NOWAIT);
   uv_loop_close(Uv.get());
@@ -29,7 +33,8 @@
   timer->data = new std::function<void()>(std::move(fn));
   const auto fire = [](uv_timer_t *fired) {
     auto *deferred = static_cast<std::function<void()> *>(fired->data);
-    (*deferred)();
+    if (fired->loop->data)
+      (*deferred)();
     delete deferred;
     closeHandle(fired);
   };
