Count what each HTTP request reserves by itself

Two streams of an h2c connection overwrote each other's reservations, which leaked from the budget until the product's entry would refuse every answer (found by the review, by reading and by a table test). Each request returns its own bytes now.

A destroyed server still called the disconnect hooks of open requests; it forgets them.

--- a/include/almondgate/http/connection_table.hpp
+++ b/include/almondgate/http/connection_table.hpp
@@ -53,8 +53,9 @@
   /// Reserves bytes for the answer; false if they must not be allocated.
   [[nodiscard]] bool answer(uint64_t id, size_t n);
 
-  /// The answer has been written, or the request has been given up.
-  void finish(uint64_t id);
+  /// The answer has been written, or the request has been given up. Returns
+  /// what its begin() and answer() have reserved.
+  void finish(uint64_t id, size_t copied, size_t answer);
 
   void closed(uint64_t id);
 
@@ -68,8 +69,10 @@
 
   struct Connection {
     size_t Held = 0;
-    size_t Copied = 0;
+    /// Bytes of the answers to its open requests.
     size_t Answer = 0;
+    /// Requests of which finish() is not called yet; several with HTTP/2.
+    size_t Open = 0;
     Phase At = Phase::Idle;
     /// When the phase began.
     core::TimeMs Since;
@@ -92,6 +95,7 @@
   bool answerFits(size_t n, size_t overdraft) const;
   void abortUnread(size_t n);
   void abort(uint64_t id, Connection &connection);
+  void releaseAnswer(Connection &connection, size_t n);
   Short &shortage(const char *of);
   bool refuse(const char *of);
 
--- a/src/almondgate/http/connection_table.cpp
+++ b/src/almondgate/http/connection_table.cpp
@@ -135,11 +135,9 @@
 
 bool ConnectionTable::begin(uint64_t id, size_t copied) {
   auto &connection = Connections.at(id);
+  ++connection.Open;
   enter(connection, Phase::Handling);
-  if (!reserve(id, copied))
-    return false;
-  connection.Copied = copied;
-  return true;
+  return reserve(id, copied);
 }
 
 bool ConnectionTable::answerFits(size_t n, size_t overdraft) const {
@@ -183,29 +181,38 @@
     return refuse("memory for answers");
   }
   Budget->Responses.add(n);
-  connection.Answer = n;
+  connection.Answer += n;
   return true;
 }
 
-void ConnectionTable::finish(uint64_t id) {
+void ConnectionTable::releaseAnswer(Connection &connection, size_t n) {
+  if (connection.Aborted)
+    AbortedBytes -= n;
+  connection.Answer -= n;
+  Budget->Responses.release(n);
+}
+
+void ConnectionTable::finish(uint64_t id, size_t copied, size_t answer) {
   const auto it = Connections.find(id);
   if (it == Connections.end())
     return;
   auto &connection = it->second;
-  release(id, std::exchange(connection.Copied, 0));
-  if (connection.Aborted)
-    AbortedBytes -= connection.Answer;
+  release(id, copied);
+  releaseAnswer(connection, answer);
+  if (--connection.Open > 0)
+    return;
   connection.Aborted = false;
-  Budget->Responses.release(std::exchange(connection.Answer, 0));
   enter(connection, Phase::Idle);
 }
 
 void ConnectionTable::closed(uint64_t id) {
-  finish(id);
   const auto it = Connections.find(id);
   if (it == Connections.end())
     return;
-  Budget->Requests.release(it->second.Held);
+  auto &connection = it->second;
+  releaseAnswer(connection, connection.Answer);
+  enter(connection, Phase::Idle);
+  Budget->Requests.release(connection.Held);
   Connections.erase(it);
 }
 
--- a/src/almondgate/http/connection_table_test.cpp
+++ b/src/almondgate/http/connection_table_test.cpp
@@ -65,7 +65,7 @@
   CHECK(t.requestBytes() == Base + 190 * KiB);
   CHECK(t.Table.answer(id, 30 * KiB));
   CHECK(t.answerBytes() == 30 * KiB);
-  t.Table.finish(id);
+  t.Table.finish(id, 90 * KiB, 30 * KiB);
   CHECK(t.answerBytes() == 0);
   t.Table.release(id, 100 * KiB);
   CHECK(t.requestBytes() == Base);
@@ -189,3 +189,18 @@
   CHECK(t.Table.open());
   CHECK(t.Aborted == Ids{unread});
 }
+
+TEST_CASE("several requests of a connection leak no budget") {
+  TestTable t(1000 * KiB);
+  const uint64_t id = t.open();
+  CHECK(t.Table.begin(id, 1000));
+  CHECK(t.Table.begin(id, 2000));
+  CHECK(t.Table.answer(id, 100));
+  CHECK(t.Table.answer(id, 200));
+  t.Table.finish(id, 1000, 100);
+  CHECK(t.answerBytes() == 200);
+  t.Table.finish(id, 2000, 200);
+  CHECK(t.answerBytes() == 0);
+  t.Table.closed(id);
+  CHECK(t.requestBytes() == 0);
+}
--- a/src/almondgate/http/server.cpp
+++ b/src/almondgate/http/server.cpp
@@ -155,6 +155,9 @@
     core::TimeMs ReceivedAt;
     std::function<void()> OnDisconnect;
     bool Answered = false;
+    /// Bytes that its connection has reserved for it.
+    size_t CopiedBytes = 0;
+    size_t AnswerBytes = 0;
   };
 
   State(task::Loop &loop, ServerOptions options, Server::Handler handler);
@@ -309,10 +312,13 @@
   *tag = {this, id};
   startChecks();
   // The copies below are no larger than the input that they are read from.
-  if (!Table.begin(connection, socket->input->size)) {
+  const size_t copied =
+      raw->version < Http2Version ? socket->input->size : raw->entity.len;
+  if (!Table.begin(connection, copied)) {
     refuse(raw, id, noMemory());
     return 0;
   }
+  Requests.at(id).CopiedBytes = copied;
   if (const auto valid = checkHead(raw); !valid) {
     refuse(raw, id, valid.error());
     return 0;
@@ -398,8 +404,10 @@
   const auto disconnected = std::move(it->second.OnDisconnect);
   const bool answered = it->second.Answered;
   const uint64_t connection = it->second.Connection;
+  const size_t copied = it->second.CopiedBytes;
+  const size_t answer = it->second.AnswerBytes;
   Requests.erase(it);
-  Table.finish(connection);
+  Table.finish(connection, copied, answer);
   if (Tags.contains(connection))
     watchLater(connection);
   if (disconnected && !answered)
@@ -412,13 +420,15 @@
     return;
   it->second.Answered = true;
   h2o_req_t *raw = it->second.Raw;
-  if (!Table.answer(it->second.Connection, encodedBytes(response))) {
+  const size_t bytes = encodedBytes(response);
+  if (!Table.answer(it->second.Connection, bytes)) {
     // Whether the request has run can't be told without its answer.
     abort(it->second.Connection);
     raw->http1_is_persistent = 0;
     h2o_send_inline(raw, "", 0);
     return;
   }
+  it->second.AnswerBytes = bytes;
   raw->res.status = response.Status;
   raw->res.reason = "almondgate";
   raw->res.content_length = response.Body.size();
@@ -526,6 +536,9 @@
 Server::~Server() {
   S->Listener->close();
   S->Handler = [](const Exchange &) {};
+  S->CheckTimer.stop();
+  for (auto &[id, open] : S->Requests)
+    open.OnDisconnect = nullptr;
   S->Self.reset();
   S.release(); // NOLINT(bugprone-unused-return-value)
 }
--- a/src/almondgate/http/server_test.cpp
+++ b/src/almondgate/http/server_test.cpp
@@ -11,6 +11,7 @@
 #include <doctest/doctest.h>
 
 #include <csignal>
+#include <memory>
 #include <stdexcept>
 
 using namespace almondgate;
@@ -296,3 +297,23 @@
   runFor(loop, ShortTime);
   CHECK(calls == 1);
 }
+
+TEST_CASE("a destroyed server calls no disconnect hook") {
+  task::Loop loop;
+  const auto at = testing::freeAddress();
+  int disconnects = 0;
+  auto caller = std::make_unique<TestCaller>(loop);
+  {
+    Server server(loop, {}, [&](const Exchange &exchange) {
+      exchange.OnDisconnect([&] { ++disconnects; });
+    });
+    REQUIRE(bool(server.listen(at)));
+    caller->Stream.connect(at, [](const core::Status &) {});
+    runFor(loop, ShortTime);
+    caller->Stream.write(Post);
+    runFor(loop, ShortTime);
+  }
+  caller.reset();
+  runFor(loop, core::DurationMs{600});
+  CHECK(disconnects == 0);
+}
