--- a/src/almondgate/config/read_settings_test.cpp
+++ b/src/almondgate/config/read_settings_test.cpp
@@ -9,7 +9,6 @@
 
 using namespace almondgate;
 using config::ControlSettings;
-using config::EntrySettings;
 
 namespace {
 
