--- a/include/almondgate/policy/job_room.hpp
+++ b/include/almondgate/policy/job_room.hpp
@@ -8,8 +8,8 @@
 
 namespace almondgate::policy {
 
-/// Estimates the bytes that a control member holds for a job. Of an ended job
-/// it holds only the durable progress of the tasks.
+/// Estimates the bytes that a control member holds for a job. The state of the
+/// tasks counts only while the job has not ended.
 size_t jobBytes(const jobs::JobSpec &spec, bool ended);
 
 /// Decides whether there is room for another job, whatever its size. The limit
--- a/src/almondgate/policy/job_room.cpp
+++ b/src/almondgate/policy/job_room.cpp
@@ -1,7 +1,6 @@
 #include "almondgate/policy/job_room.hpp"
 
 #include "almondgate/jobs/job_record.hpp"
-#include "almondgate/jobs/task_progress.hpp"
 
 namespace almondgate::policy {
 
@@ -26,9 +25,10 @@
   size_t bytes = BytesPerJob + spec.Content.size();
   for (const auto &step : spec.Steps)
     bytes += stepBytes(step);
-  const auto tasks =
-      size_t(spec.occurrences() * jobs::tasksPerOccurrence(spec));
-  return bytes + tasks * (ended ? sizeof(jobs::TaskProgress) : BytesPerTask);
+  if (!ended)
+    bytes += size_t(spec.occurrences() * jobs::tasksPerOccurrence(spec)) *
+             BytesPerTask;
+  return bytes;
 }
 
 JobAdmissionDecision decideJobRoom(size_t used, size_t limit) {
