Log which incarnation an order or renewal went to, and what its lease was

The log named an endpoint by its id alone, so that its lives under one id could not be told apart: neither which life answered a renewal, nor how long the leader took the lease of a lost endpoint for valid. Added: the incarnation in the lines of starts and losses, a line where one life follows another, a line and a counter for answers of another life, and the lease with the endpoint's clock.

--- a/include/almondgate/dispatch/lease_clock.hpp
+++ b/include/almondgate/dispatch/lease_clock.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 
 namespace almondgate::dispatch {
 
@@ -37,6 +38,9 @@
   /// False once the leases of all runs on the endpoint have certainly expired.
   bool mayBeValid(core::TimeMs now) const;
 
+  /// What is known of the lease, for log lines.
+  std::string describe(core::TimeMs now) const;
+
 private:
   int64_t earliestClock(core::TimeMs now) const;
 
--- a/src/almondgate/dispatch/dispatcher_endpoints.cpp
+++ b/src/almondgate/dispatch/dispatcher_endpoints.cpp
@@ -37,6 +37,11 @@
   std::set<TaskKey> open;
   if (it != Endpoints.end()) {
     open = takeUnresolvedStarts(it->second);
+    Hooks.Log("endpoint " + facts.Id.str() + " incarnation " +
+              std::to_string(facts.BornMs) + " follows incarnation " +
+              std::to_string(it->second.Facts.BornMs) + " (" +
+              it->second.Lease.describe(Hooks.Now()) + "); " +
+              std::to_string(open.size()) + " runs may be in progress there");
     releaseLostRuns(it->second);
     unlinkFromVm(it->second);
     Endpoints.erase(it);
--- a/src/almondgate/dispatch/dispatcher_orders.cpp
+++ b/src/almondgate/dispatch/dispatcher_orders.cpp
@@ -73,7 +73,8 @@
   TeamUsage[record->Team] = TeamUsage[record->Team] + step->Need;
   Hooks.Log(
       "task " + taskName(task_key) + " run " + std::to_string(run) + " -> " +
-      at.Facts.Id.str() + ", used " + std::to_string(at.Used.MilliCpus) + "/" +
+      at.Facts.Id.str() + " incarnation " + std::to_string(at.Facts.BornMs) +
+      ", used " + std::to_string(at.Used.MilliCpus) + "/" +
       std::to_string(at.Facts.Capacity.MilliCpus) + " millicores, estimate " +
       std::to_string(step->EstimateMs) + " ms, lateness " +
       std::to_string((Hooks.Now() - job.Due).Count) + " ms");
--- a/src/almondgate/dispatch/dispatcher_renewals.cpp
+++ b/src/almondgate/dispatch/dispatcher_renewals.cpp
@@ -45,9 +45,10 @@
   endpoint.Renewing = true;
   Hooks.Renew(facts, request,
               [this, id = facts.Id, born_ms = facts.BornMs, sent = now,
+               deadline_ms = request.DeadlineMs,
                generation = Generation](const RenewReply &reply) {
                 if (generation == Generation)
-                  onRenewed(id, born_ms, sent, reply);
+                  onRenewed(id, born_ms, sent, deadline_ms, reply);
               });
 }
 
@@ -68,7 +69,7 @@
 }
 
 void Dispatcher::onRenewed(const EndpointId &id, int64_t born_ms, TimeMs sent,
-                           const RenewReply &reply) {
+                           int64_t deadline_ms, const RenewReply &reply) {
   const auto it = Endpoints.find(id);
   if (it == Endpoints.end() || it->second.Facts.BornMs != born_ms)
     return;
@@ -86,11 +87,21 @@
     endpoint.Suspect = true;
     return;
   }
+  Hooks.IncrementCounter("renewals", "result",
+                         other_incarnation ? "other-incarnation"
+                                           : orderResultName(reply.Result));
   if (reply.Result != OrderResult::Accepted || other_incarnation) {
-    if (!endpoint.Suspect)
-      Hooks.Log("endpoint " + id.str() + " could not be read: " +
-                (other_incarnation ? "another incarnation answered"
-                                   : orderResultName(reply.Result)));
+    if (other_incarnation)
+      Hooks.Log("endpoint " + id.str() + " incarnation " +
+                std::to_string(reply.Inventory.BornMs) +
+                " answered a renewal for incarnation " +
+                std::to_string(born_ms) + " with deadline " +
+                std::to_string(deadline_ms) + "; its clock shows " +
+                std::to_string(reply.Inventory.ClockMs) + ", " +
+                std::to_string(reply.Inventory.Running.size()) + " running");
+    else if (!endpoint.Suspect)
+      Hooks.Log("endpoint " + id.str() +
+                " could not be read: " + orderResultName(reply.Result));
     endpoint.Suspect = true;
     return;
   }
@@ -357,8 +368,10 @@
   if (!expired)
     return;
   endpoint.DeclaredLost = true;
-  Hooks.Log("endpoint " + endpoint.Facts.Id.str() +
-            " declared lost: unreachable until its lease expired");
+  Hooks.Log("endpoint " + endpoint.Facts.Id.str() + " incarnation " +
+            std::to_string(endpoint.Facts.BornMs) +
+            " declared lost: unreachable until its lease expired, " +
+            endpoint.Lease.describe(Hooks.Now()));
   recordEvent(jobs::EndpointIdled{endpoint.Facts.Id, endpoint.Facts.BornMs});
 }
 
--- a/src/almondgate/dispatch/lease_clock.cpp
+++ b/src/almondgate/dispatch/lease_clock.cpp
@@ -35,4 +35,12 @@
   return Received && Granted + SafetyMargin.Count > earliestClock(now);
 }
 
+std::string LeaseClock::describe(core::TimeMs now) const {
+  if (!Received)
+    return "clock not known";
+  return "lease granted until " + std::to_string(Granted) +
+         " by its clock, which shows at least " +
+         std::to_string(earliestClock(now));
+}
+
 } // namespace almondgate::dispatch
