Tests that fail: runs at the next incarnation of an endpoint

The virtual fleet's endpoints now cut leases to the longest that they grant, do nothing for a renewal with an old fencing token, and remember acknowledged ends, as the platform's do. Four cases fail on this code, all their variants: an order given to the former incarnation leaves late and gives the next one a lease of 6 s; a start accepted by an incarnation that is never heard of; a copy of a start carried out late by the next one; an acknowledgement for the former one's ends that makes the next one forget its own.

--- /dev/null
+++ b/src/almondgate/dispatch/incarnation_test.cpp
@@ -0,0 +1,109 @@
+#include "test_jobs.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace almondgate;
+using namespace almondgate::dispatch;
+using jobs::JobState;
+
+namespace {
+
+constexpr int64_t Second = 1000;
+constexpr int64_t LongMs = 20 * Second;
+// More than half of a VM, so that each VM has room for one task.
+constexpr int64_t Cores = 40;
+
+} // namespace
+
+// Guards against tasks that ran twice: a start that waited to be sent while its
+// endpoint started anew under its id gave the next incarnation a lease of up to
+// the longest, because its deadline was by the former one's clock.
+TEST_CASE("an order for a former incarnation gives the next one no lease") {
+  for (int64_t restart_ms = 100; restart_ms <= 1300; restart_ms += 300) {
+    CAPTURE(restart_ms);
+    Fleet fleet(2);
+    fleet.submit(jobId(1), oneStep(1, Cores, LongMs));
+    fleet.advance(Second);
+    fleet.OrderQueueMs = 2000;
+    fleet.submit(jobId(2), oneStep(1, Cores, LongMs));
+    const bool first_is_free = fleet.endpointOf(fleet.VmIds[0]).Runs.empty();
+    const auto &vm = fleet.VmIds[first_is_free ? 0 : 1];
+    fleet.advance(restart_ms);
+    fleet.restartWithSameId(vm);
+    // Until the order that was given before the restart has left.
+    fleet.advance(fleet.OrderQueueMs + 200 - restart_ms);
+    REQUIRE(fleet.endpointOf(vm).Runs.size() == 1);
+    fleet.endpointOf(vm).Unreachable = true;
+    fleet.OrderQueueMs = 0;
+    fleet.addVm("p");
+    fleet.advance(LongMs * 2);
+    fleet.checkViolations();
+    CHECK(fleet.stateOf(jobId(2)) == JobState::Completed);
+  }
+}
+
+// As above: the next incarnation took the start itself, and was cut off before
+// it was heard of.
+TEST_CASE("a run that an unknown incarnation accepted is waited for") {
+  for (const int64_t restart_ms : {0, 10, 20}) {
+    CAPTURE(restart_ms);
+    Fleet fleet(2);
+    fleet.submit(jobId(1), oneStep(1, Cores, LongMs));
+    fleet.OrderQueueMs = 50;
+    fleet.advance(Second);
+    const bool first_is_free = fleet.endpointOf(fleet.VmIds[0]).Runs.empty();
+    const auto &vm = fleet.VmIds[first_is_free ? 0 : 1];
+    // The order leaves after the restart.
+    auto call = testCall(jobs::JobVerb::Submit, jobId(2));
+    call.Spec = oneStep(1, Cores, LongMs);
+    fleet.dispatcher().handleCall(call, [](const auto &) {});
+    fleet.advance(20 + restart_ms);
+    fleet.restartWithSameId(vm);
+    fleet.advance(100);
+    REQUIRE(fleet.endpointOf(vm).Runs.size() == 1);
+    fleet.endpointOf(vm).Unreachable = true;
+    fleet.addVm("p");
+    fleet.advance(LongMs * 3);
+    fleet.checkViolations();
+    CHECK(fleet.stateOf(jobId(2)) == JobState::Completed);
+  }
+}
+
+// Guards against tasks that ran again after their end: the first of two copies
+// of a start, sent to a former incarnation, was carried out late by the next.
+TEST_CASE("a late start for a former incarnation is not carried out") {
+  for (int64_t delay_ms = 4000; delay_ms <= 12000; delay_ms += 2000) {
+    CAPTURE(delay_ms);
+    Fleet fleet(1);
+    auto &endpoint = fleet.endpointOf(fleet.VmIds[0]);
+    endpoint.DelayedStarts = 1;
+    endpoint.StartDelayMs = delay_ms;
+    fleet.submit(jobId(1), oneStep(1, Cores, Second / 10));
+    fleet.advance(1500);
+    REQUIRE(fleet.stateOf(jobId(1)) == JobState::Completed);
+    fleet.restartWithSameId(fleet.VmIds[0]);
+    fleet.advance(LongMs);
+    fleet.checkViolations();
+  }
+}
+
+// Guards against tasks that ran again after their end: the next incarnation
+// took an acknowledgement that was meant for the ends of the former one, and
+// forgot its own, which no leader had read.
+TEST_CASE("an acknowledgement for a former incarnation loses no ends") {
+  constexpr int64_t ShortMs = 100;
+  Fleet fleet(1);
+  fleet.submit(jobId(1), oneStep(4, 8, ShortMs));
+  fleet.advance(Second);
+  REQUIRE(fleet.stateOf(jobId(1)) == JobState::Completed);
+  fleet.OrderQueueMs = 50;
+  auto call = testCall(jobs::JobVerb::Submit, jobId(2));
+  call.Spec = oneStep(1, Cores, ShortMs);
+  fleet.dispatcher().handleCall(call, [](const auto &) {});
+  fleet.advance(30);
+  fleet.restartWithSameId(fleet.VmIds[0]);
+  fleet.advance(LongMs);
+  CHECK(fleet.stateOf(jobId(2)) == JobState::Completed);
+  CHECK(fleet.endpointOf(fleet.VmIds[0]).Starts == 1);
+  fleet.checkViolations();
+}
--- a/src/almondgate/dispatch/test_endpoint.hpp
+++ b/src/almondgate/dispatch/test_endpoint.hpp
@@ -3,6 +3,7 @@
 
 #include "almondgate/dispatch/dispatcher_hooks.hpp"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <optional>
@@ -65,7 +66,14 @@
   };
   std::vector<PendingRenewal> Renewals;
 
+  /// The longest lease that it grants, whatever is requested.
+  static constexpr int64_t MaxLeaseMs = 6000;
+
   int64_t clock(int64_t now) const { return now + ClockOffset; }
+  /// Extends the lease; a deadline never moves back.
+  void extendLease(int64_t deadline, int64_t now) {
+    Deadline = std::max(Deadline, std::min(deadline, clock(now) + MaxLeaseMs));
+  }
   void end(const jobs::TaskRef &task, RunEnd how, int64_t now);
   RunInventory inventory(int64_t now, int64_t last_seen) const;
 };
--- a/src/almondgate/dispatch/test_fleet.hpp
+++ b/src/almondgate/dispatch/test_fleet.hpp
@@ -152,6 +152,8 @@
   std::map<std::string, int64_t> TicketEnds;
   /// When each task was last started.
   std::map<jobs::TaskRef, int64_t> LastStart;
+  /// Tasks of which an end as done was acknowledged to its endpoint.
+  std::set<jobs::TaskRef> AcknowledgedDone;
   int64_t StartedEndpoints = 0;
   int64_t WaitingStarts = 0;
   int64_t WaitingStops = 0;
--- a/src/almondgate/dispatch/test_fleet_test.cpp
+++ b/src/almondgate/dispatch/test_fleet_test.cpp
@@ -374,8 +374,13 @@
       return;
     }
     TestEndpoint &endpoint = it->second;
-    endpoint.Epoch = std::max(endpoint.Epoch, request.Epoch);
-    endpoint.Deadline = std::max(endpoint.Deadline, request.DeadlineMs);
+    if (request.Epoch < endpoint.Epoch) {
+      scheduleAt(Now + LatencyMs,
+                 [answer] { answer(RenewReply{OrderResult::Fenced, {}}); });
+      return;
+    }
+    endpoint.Epoch = request.Epoch;
+    endpoint.extendLease(request.DeadlineMs, Now);
     forgetEnds(endpoint, request.LastSeen);
     endpoint.Renewals.push_back({request, Now + request.WaitMs, answer});
     answerRenewals(endpoint);
@@ -427,6 +432,8 @@
     const bool counts = end.Number <= last_seen && end.How == RunEnd::Done &&
                         endpoint.LapsedAt < ended_at && job &&
                         !job->Spec->Steps[end.Task.Step].LongRunning;
+    if (counts)
+      AcknowledgedDone.insert(end.Task);
     const auto started = LastStart.find(end.Task);
     if (counts && started != LastStart.end() && started->second > ended_at)
       Violations.push_back("start after a run has ended done: " +
@@ -503,8 +510,8 @@
   if (order.Epoch < endpoint.Epoch)
     return {OrderResult::Fenced, clock};
   endpoint.Epoch = order.Epoch;
-  // One deadline applies to all runs of the endpoint, and never moves back.
-  endpoint.Deadline = std::max(endpoint.Deadline, order.DeadlineMs);
+  // One deadline applies to all runs of the endpoint.
+  endpoint.extendLease(order.DeadlineMs, Now);
   if (endpoint.Deadline <= clock)
     return {OrderResult::Late, clock};
   const auto run = endpoint.Runs.find(order.Task);
@@ -543,6 +550,9 @@
   const auto *job = jobs::findJob(Ledger, order.Task.Job);
   if (job->Tasks[*jobs::indexOf(*job->Spec, order.Task)].Done)
     Violations.push_back("start after the task is done: " + nameOf(order.Task));
+  if (AcknowledgedDone.contains(order.Task))
+    Violations.push_back("start after an acknowledged end: " +
+                         nameOf(order.Task));
   if (!jobs::isStepReady(*job, order.Task.Occurrence, order.Task.Step))
     Violations.push_back("start before the step is ready: " +
                          nameOf(order.Task));
