Send no order to another incarnation than the one that it was given to

Cause: an order waits in the queue of its endpoint's address; when the endpoint starts anew under its id meanwhile, the task's run is to be ordered there again, so the check before the first byte passed for the old order as well. Its deadline is by the former clock, and gives the new incarnation a lease of 6 s that the leader doesn't know. Change: the check compares the incarnation.

Test: 'an order for a former incarnation gives the next one no lease' failed in all five variants before and passes; its precondition now asks that the leader knows the new incarnation, as the order itself is no longer carried out.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -183,7 +183,8 @@
                     const jobs::EndpointId &at, int64_t born_ms,
                     const OrderReply &reply);
   /// Returns a function that tells whether an order for the task's run may be
-  /// sent: the member leads, and the run is still in `phase`.
+  /// sent: the member leads, the endpoint is still the same incarnation, and
+  /// the run is still in `phase`.
   DispatcherHooks::MaySend makeSendCheck(const TaskKey &task_key,
                                          const TaskState &ordered,
                                          TaskPhase phase);
--- a/src/almondgate/dispatch/dispatcher_orders.cpp
+++ b/src/almondgate/dispatch/dispatcher_orders.cpp
@@ -204,11 +204,14 @@
                                                    const TaskState &ordered,
                                                    TaskPhase phase) {
   return [this, task_key, phase, run = ordered.Run, at = ordered.Endpoint,
+          born_ms = Endpoints.at(ordered.Endpoint).Facts.BornMs,
           generation = Generation] {
     if (generation != Generation || !isActive())
       return false;
+    const auto to = Endpoints.find(at);
     const TaskState *state = findTaskState(task_key);
-    return state && state->Phase == phase && state->Run == run &&
+    return to != Endpoints.end() && to->second.Facts.BornMs == born_ms &&
+           state && state->Phase == phase && state->Run == run &&
            state->Endpoint == at;
   };
 }
