Fence late orders for an endpoint's former incarnation

Change: each incarnation gets a fencing token above all that were given out before (FenceCounter: the epoch, and a count of registrations within it). Once an incarnation has been called, it does nothing for what was meant for former ones. The tokens of VM orders stay epochs.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -4,6 +4,7 @@
 #include "almondgate/dispatch/dispatcher_hooks.hpp"
 #include "almondgate/dispatch/dispatcher_options.hpp"
 #include "almondgate/dispatch/endpoint_view.hpp"
+#include "almondgate/dispatch/fence_counter.hpp"
 #include "almondgate/dispatch/job_budget.hpp"
 #include "almondgate/dispatch/maintenance_scheduler.hpp"
 #include "almondgate/dispatch/open_job.hpp"
@@ -319,6 +320,7 @@
   mutable jobs::ConfigIndex Index;
   bool Active = false;
   uint64_t Epoch = 0;
+  FenceCounter Fences;
   core::TimeMs LeadingSince;
   /// No endpoint was known when the member became the leader.
   bool FleetWasEmpty = false;
--- a/include/almondgate/dispatch/endpoint_view.hpp
+++ b/include/almondgate/dispatch/endpoint_view.hpp
@@ -31,6 +31,8 @@
   using RunKey = std::pair<jobs::TaskRef, int64_t>;
 
   jobs::EndpointFacts Facts;
+  /// Fencing token of the orders to this incarnation; see FenceCounter.
+  uint64_t Fence = 0;
   LeaseClock Lease;
   /// The inventory of the endpoint has been read in this epoch, with all its
   /// ends.
--- a/include/almondgate/dispatch/orders.hpp
+++ b/include/almondgate/dispatch/orders.hpp
@@ -18,6 +18,7 @@
   /// End of the lease of everything that the endpoint runs, in milliseconds of
   /// the endpoint's own clock.
   int64_t DeadlineMs = 0;
+  /// Fencing token; see FenceCounter.
   uint64_t Epoch = 0;
   std::string Checkpoint;
   std::string Ticket;
@@ -29,6 +30,7 @@
 struct StopOrder {
   jobs::TaskRef Task;
   int64_t Run = 0;
+  /// Fencing token; see FenceCounter.
   uint64_t Epoch = 0;
 
   bool operator==(const StopOrder &) const = default;
@@ -38,6 +40,7 @@
 struct PaceOrder {
   jobs::TaskRef Task;
   int64_t Run = 0;
+  /// Fencing token; see FenceCounter.
   uint64_t Epoch = 0;
   int64_t Percent = 100;
 
--- a/include/almondgate/dispatch/run_inventory.hpp
+++ b/include/almondgate/dispatch/run_inventory.hpp
@@ -13,6 +13,7 @@
   /// New end of the lease, in milliseconds of the endpoint's clock; 0 leaves
   /// the lease as it is.
   int64_t DeadlineMs = 0;
+  /// Fencing token; see FenceCounter.
   uint64_t Epoch = 0;
   /// Ends up to this EndReport::Number are durable; the endpoint may forget
   /// them.
--- a/src/almondgate/dispatch/dispatcher.cpp
+++ b/src/almondgate/dispatch/dispatcher.cpp
@@ -50,6 +50,7 @@
   Index = jobs::ConfigIndex(Ledger.Config);
   JobBytes.recount();
   VmOrders.begin();
+  Fences.begin(epoch);
   for (const auto &[id, facts] : Ledger.Endpoints)
     onEndpointRegistered(facts);
   for (auto &[id, endpoint] : Endpoints)
--- a/src/almondgate/dispatch/dispatcher_endpoints.cpp
+++ b/src/almondgate/dispatch/dispatcher_endpoints.cpp
@@ -48,6 +48,7 @@
   }
   EndpointView view;
   view.Facts = facts;
+  view.Fence = Fences.next();
   view.DeclaredLost = facts.Idle;
   // A pending order for the VM may end this incarnation as well.
   view.Reserved = view.TerminationPending = hasUnresolvedVmOrder(facts);
--- a/src/almondgate/dispatch/dispatcher_orders.cpp
+++ b/src/almondgate/dispatch/dispatcher_orders.cpp
@@ -92,7 +92,7 @@
   order.Content = job.Content;
   order.DeadlineMs = at.Suspect ? at.Lease.granted()
                                 : at.Lease.grant(Hooks.Now(), Options.Lease);
-  order.Epoch = Epoch;
+  order.Epoch = at.Fence;
   order.Checkpoint = state.Checkpoint;
   const auto tickets =
       job.Tickets.find({order.Task.Occurrence, order.Task.Step});
@@ -244,10 +244,11 @@
 void Dispatcher::sendStop(const TaskKey &task_key) {
   const TaskState &state = *findTaskState(task_key);
   const auto *record = jobs::findJob(Ledger, task_key.first);
-  const auto facts = Endpoints.at(state.Endpoint).Facts;
+  const EndpointView &at = Endpoints.at(state.Endpoint);
+  const auto facts = at.Facts;
   const StopOrder order{
       jobs::taskAt(task_key.first, *record->Spec, task_key.second), state.Run,
-      Epoch};
+      at.Fence};
   Hooks.Stop(
       facts, order,
       [check = makeSendCheck(task_key, state, TaskPhase::Stopping), this,
@@ -334,7 +335,7 @@
     line += "; its task is " + describeBudget({key.first.Job, *index});
   Hooks.Log(line);
   Hooks.IncrementCounter("stop_orders", "why", "unwanted");
-  Hooks.Stop(at.Facts, {key.first, key.second, Epoch}, makeLeaderCheck(),
+  Hooks.Stop(at.Facts, {key.first, key.second, at.Fence}, makeLeaderCheck(),
              [](const OrderReply &) {});
 }
 
--- a/src/almondgate/dispatch/dispatcher_renewals.cpp
+++ b/src/almondgate/dispatch/dispatcher_renewals.cpp
@@ -29,7 +29,7 @@
   const auto now = Hooks.Now();
   const auto &facts = endpoint.Facts;
   RenewRequest request;
-  request.Epoch = Epoch;
+  request.Epoch = endpoint.Fence;
   request.LastSeen = endpoint.LastDurableEnd;
   // The lease of an unresponsive endpoint must be left to expire, and so must
   // that of one that is being declared lost: a lease granted now would let the
@@ -155,7 +155,7 @@
     sent = now;
     Hooks.IncrementCounter("stop_orders", "why", "given up");
     Hooks.Stop(
-        endpoint.Facts, {key.first, key.second, Epoch}, makeLeaderCheck(),
+        endpoint.Facts, {key.first, key.second, endpoint.Fence}, makeLeaderCheck(),
         [this, key = key, id = endpoint.Facts.Id,
          born_ms = endpoint.Facts.BornMs,
          generation = Generation](const OrderReply &reply) {
