Fence a new incarnation as soon as it answers, not only once it registers

Change: when another incarnation answers a renewal, the next renewal goes out at once with a new token.

--- a/include/almondgate/dispatch/endpoint_view.hpp
+++ b/include/almondgate/dispatch/endpoint_view.hpp
@@ -33,6 +33,9 @@
   jobs::EndpointFacts Facts;
   /// Fencing token of the orders to this incarnation; see FenceCounter.
   uint64_t Fence = 0;
+  /// The incarnation that answered instead of this one and has not registered;
+  /// 0 if none did.
+  int64_t SuccessorBornMs = 0;
   LeaseClock Lease;
   /// The inventory of the endpoint has been read in this epoch, with all its
   /// ends.
--- a/src/almondgate/dispatch/dispatcher_renewals.cpp
+++ b/src/almondgate/dispatch/dispatcher_renewals.cpp
@@ -103,6 +103,14 @@
       Hooks.Log("endpoint " + id.str() +
                 " could not be read: " + orderResultName(reply.Result));
     endpoint.Suspect = true;
+    // Until the new incarnation registers, the next renewal keeps it from
+    // carrying out late orders that were given before.
+    if (other_incarnation &&
+        endpoint.SuccessorBornMs != reply.Inventory.BornMs) {
+      endpoint.SuccessorBornMs = reply.Inventory.BornMs;
+      endpoint.Fence = Fences.next();
+      endpoint.RenewDue = now;
+    }
     return;
   }
   if (endpoint.Suspect || !endpoint.InventoryRead)
