Acknowledge ends only to the incarnation that listed them

Callers may see a task run again after it has ended done: a renewal for the former incarnation reaches the next one under the id, which forgets its own ends up to the number that was meant for the former one's; the leader never reads them, and starts their tasks again. Cause: every renewal repeated the number of the last durable end, also while it was unclear who would answer. Change: a renewal acknowledges only what was not acknowledged yet, and nothing while the endpoint is suspected. Left: a new incarnation that comes up and ends a run within the half second between an answer and the acknowledgement of its ends.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -208,7 +208,7 @@
   core::DurationMs renewWait(const EndpointView &endpoint) const;
   bool hasUnansweredStarts(const EndpointView &endpoint) const;
   void onRenewed(const jobs::EndpointId &id, int64_t born_ms, core::TimeMs sent,
-                 int64_t deadline_ms, const RenewReply &reply);
+                 const RenewRequest &request, const RenewReply &reply);
   void applyInventory(EndpointView &endpoint, core::TimeMs sent,
                       const RunInventory &inventory);
   void applyRunning(EndpointView &endpoint, const RunReport &report);
--- a/include/almondgate/dispatch/endpoint_view.hpp
+++ b/include/almondgate/dispatch/endpoint_view.hpp
@@ -53,6 +53,9 @@
   core::TimeMs BackOffUntil{INT64_MIN / 2};
   /// Number of the last end report that is durable.
   int64_t LastDurableEnd = 0;
+  /// Number of the last end report that the endpoint was told to forget, in a
+  /// renewal that it answered.
+  int64_t AcknowledgedEnd = 0;
   /// Number of the last end report that was read.
   int64_t LastReadEnd = 0;
   int64_t HeartbeatSequence = -1;
--- a/include/almondgate/dispatch/fence_counter.hpp
+++ b/include/almondgate/dispatch/fence_counter.hpp
@@ -5,9 +5,10 @@
 
 namespace almondgate::dispatch {
 
-/// Gives out the fencing tokens of one leader's orders to endpoints. An endpoint
-/// does nothing for an order with a lower token than it has seen, so that each
-/// incarnation, once it has been called, ignores late orders for earlier ones.
+/// Gives out the fencing tokens of one leader's orders to endpoints. An
+/// endpoint does nothing for an order with a lower token than it has seen, so
+/// that each incarnation, once it has been called, ignores late orders for
+/// earlier ones.
 class FenceCounter {
 public:
   /// Tokens of a later epoch are above all tokens of an earlier one.
--- a/include/almondgate/dispatch/run_inventory.hpp
+++ b/include/almondgate/dispatch/run_inventory.hpp
@@ -16,7 +16,7 @@
   /// Fencing token; see FenceCounter.
   uint64_t Epoch = 0;
   /// Ends up to this EndReport::Number are durable; the endpoint may forget
-  /// them.
+  /// them. 0 if there are no further ones.
   int64_t LastSeen = 0;
   /// How long the endpoint may wait for a run to end before it answers.
   int64_t WaitMs = 0;
--- a/src/almondgate/dispatch/dispatcher_renewals.cpp
+++ b/src/almondgate/dispatch/dispatcher_renewals.cpp
@@ -30,7 +30,10 @@
   const auto &facts = endpoint.Facts;
   RenewRequest request;
   request.Epoch = endpoint.Fence;
-  request.LastSeen = endpoint.LastDurableEnd;
+  // Another incarnation may have answered instead of the suspected one, and
+  // would forget ends of its own.
+  if (!endpoint.Suspect && endpoint.LastDurableEnd > endpoint.AcknowledgedEnd)
+    request.LastSeen = endpoint.LastDurableEnd;
   // The lease of an unresponsive endpoint must be left to expire, and so must
   // that of one that is being declared lost: a lease granted now would let the
   // endpoint carry out orders that are about to be considered expired.
@@ -44,11 +47,10 @@
     request.WaitMs = renewWait(endpoint).Count;
   endpoint.Renewing = true;
   Hooks.Renew(facts, request,
-              [this, id = facts.Id, born_ms = facts.BornMs, sent = now,
-               deadline_ms = request.DeadlineMs,
+              [this, id = facts.Id, born_ms = facts.BornMs, sent = now, request,
                generation = Generation](const RenewReply &reply) {
                 if (generation == Generation)
-                  onRenewed(id, born_ms, sent, deadline_ms, reply);
+                  onRenewed(id, born_ms, sent, request, reply);
               });
 }
 
@@ -69,7 +71,8 @@
 }
 
 void Dispatcher::onRenewed(const EndpointId &id, int64_t born_ms, TimeMs sent,
-                           int64_t deadline_ms, const RenewReply &reply) {
+                           const RenewRequest &request,
+                           const RenewReply &reply) {
   const auto it = Endpoints.find(id);
   if (it == Endpoints.end() || it->second.Facts.BornMs != born_ms)
     return;
@@ -96,7 +99,7 @@
                 std::to_string(reply.Inventory.BornMs) +
                 " answered a renewal for incarnation " +
                 std::to_string(born_ms) + " with deadline " +
-                std::to_string(deadline_ms) + "; its clock shows " +
+                std::to_string(request.DeadlineMs) + "; its clock shows " +
                 std::to_string(reply.Inventory.ClockMs) + ", " +
                 std::to_string(reply.Inventory.Running.size()) + " running");
     else if (!endpoint.Suspect)
@@ -120,6 +123,8 @@
               " ended" + (reply.Inventory.MoreEnds ? ", more to read" : ""));
   endpoint.Lease.observe(reply.Inventory.ClockMs, now);
   endpoint.Suspect = false;
+  endpoint.AcknowledgedEnd =
+      std::max(endpoint.AcknowledgedEnd, request.LastSeen);
   if (!endpoint.FirstReadClockMs)
     endpoint.FirstReadClockMs = reply.Inventory.ClockMs;
   endpoint.LastReadClockMs = reply.Inventory.ClockMs;
@@ -162,21 +167,22 @@
       continue;
     sent = now;
     Hooks.IncrementCounter("stop_orders", "why", "given up");
-    Hooks.Stop(
-        endpoint.Facts, {key.first, key.second, endpoint.Fence}, makeLeaderCheck(),
-        [this, key = key, id = endpoint.Facts.Id,
-         born_ms = endpoint.Facts.BornMs,
-         generation = Generation](const OrderReply &reply) {
-          EndpointView *at = generation == Generation
-                                 ? findAnsweringIncarnation(id, born_ms, reply)
-                                 : nullptr;
-          if (!at || reply.Result != OrderResult::Accepted)
-            return;
-          at->UnresolvedStarts.erase(key);
-          if (at->UnresolvedStarts.empty() && at->Facts.Idle &&
-              at->DeclaredLost)
-            readmit(*at);
-        });
+    Hooks.Stop(endpoint.Facts, {key.first, key.second, endpoint.Fence},
+               makeLeaderCheck(),
+               [this, key = key, id = endpoint.Facts.Id,
+                born_ms = endpoint.Facts.BornMs,
+                generation = Generation](const OrderReply &reply) {
+                 EndpointView *at =
+                     generation == Generation
+                         ? findAnsweringIncarnation(id, born_ms, reply)
+                         : nullptr;
+                 if (!at || reply.Result != OrderResult::Accepted)
+                   return;
+                 at->UnresolvedStarts.erase(key);
+                 if (at->UnresolvedStarts.empty() && at->Facts.Idle &&
+                     at->DeclaredLost)
+                   readmit(*at);
+               });
   }
 }
 
