Wait for a lease that calls for a former incarnation may have given

Cause: what an endpoint carried out between its restart and the leader's first read of it (starts and renewals with deadlines by the former clock, cut to its longest lease) extends its lease; the leader waited only for the leases that it granted to the new incarnation, 3.2 s after the last one, and so started the runs elsewhere while the endpoint went on. Change: from the first answer of an incarnation on, its lease counts as valid for the longest lease, with the lag of its clock (6.27 s). Later calls need no such wait: the token rules them out. The wait of a new leader for endpoints that it can't read now also counts the lag of their clocks (6 s before).

Test: 'a lease that a former incarnation's deadline gave is waited for' failed in all five variants before and passes.

--- a/include/almondgate/dispatch/lease_clock.hpp
+++ b/include/almondgate/dispatch/lease_clock.hpp
@@ -32,9 +32,14 @@
   /// The latest deadline granted, by the endpoint's clock; 0 before the first.
   int64_t granted() const { return Granted; }
 
-  /// Until this time, a lease granted by an earlier leader may be valid.
+  /// Until this time, a lease may be valid that was not granted here, but by an
+  /// earlier leader or with a deadline by the clock of a former incarnation.
   void assumeValidUntil(core::TimeMs until) { AssumedUntil = until; }
 
+  /// The latest time by the local clock at which a lease expires that an
+  /// endpoint began at `began`.
+  static core::TimeMs latestExpiry(core::TimeMs began, core::DurationMs lease);
+
   /// False once the leases of all runs on the endpoint have certainly expired.
   bool mayBeValid(core::TimeMs now) const;
 
--- a/src/almondgate/dispatch/dispatcher.cpp
+++ b/src/almondgate/dispatch/dispatcher.cpp
@@ -54,7 +54,8 @@
   for (const auto &[id, facts] : Ledger.Endpoints)
     onEndpointRegistered(facts);
   for (auto &[id, endpoint] : Endpoints)
-    endpoint.Lease.assumeValidUntil(LeadingSince + Options.MaxLease);
+    endpoint.Lease.assumeValidUntil(
+        LeaseClock::latestExpiry(LeadingSince, Options.MaxLease));
   for (const auto &[id, record] : Ledger.Jobs)
     if (record.isOpen())
       openJob(record, true);
--- a/src/almondgate/dispatch/dispatcher_renewals.cpp
+++ b/src/almondgate/dispatch/dispatcher_renewals.cpp
@@ -125,8 +125,13 @@
   endpoint.Suspect = false;
   endpoint.AcknowledgedEnd =
       std::max(endpoint.AcknowledgedEnd, request.LastSeen);
-  if (!endpoint.FirstReadClockMs)
+  // Until now, the incarnation may have carried out calls of earlier leaders or
+  // for a former incarnation; its fencing token rules them out from here on.
+  if (!endpoint.FirstReadClockMs) {
     endpoint.FirstReadClockMs = reply.Inventory.ClockMs;
+    endpoint.Lease.assumeValidUntil(
+        LeaseClock::latestExpiry(now, Options.MaxLease));
+  }
   endpoint.LastReadClockMs = reply.Inventory.ClockMs;
   applyInventory(endpoint, sent, reply.Inventory);
   endpoint.InventoryRead = endpoint.InventoryRead || !reply.Inventory.MoreEnds;
--- a/src/almondgate/dispatch/incarnation_test.cpp
+++ b/src/almondgate/dispatch/incarnation_test.cpp
@@ -44,6 +44,30 @@
   }
 }
 
+// As above: the order arrived before the next incarnation was known, which then
+// gets work and is cut off while that lease is valid.
+TEST_CASE("a lease that a former incarnation's deadline gave is waited for") {
+  for (int64_t cut_ms = 1600; cut_ms <= 2800; cut_ms += 300) {
+    CAPTURE(cut_ms);
+    Fleet fleet(2);
+    fleet.submit(jobId(1), oneStep(1, Cores, LongMs));
+    fleet.advance(Second);
+    const bool first_is_free = fleet.endpointOf(fleet.VmIds[0]).Runs.empty();
+    const auto &vm = fleet.VmIds[first_is_free ? 0 : 1];
+    fleet.OrderQueueMs = 50;
+    fleet.submit(jobId(2), oneStep(1, Cores, LongMs));
+    fleet.advance(20);
+    fleet.restartWithSameId(vm);
+    fleet.advance(cut_ms);
+    REQUIRE(fleet.endpointOf(vm).Runs.size() == 1);
+    fleet.endpointOf(vm).Unreachable = true;
+    fleet.addVm("p");
+    fleet.advance(LongMs * 2);
+    fleet.checkViolations();
+    CHECK(fleet.stateOf(jobId(2)) == JobState::Completed);
+  }
+}
+
 // As above: the next incarnation took the start itself, and was cut off before
 // it was heard of.
 TEST_CASE("a run that an unknown incarnation accepted is waited for") {
--- a/src/almondgate/dispatch/lease_clock.cpp
+++ b/src/almondgate/dispatch/lease_clock.cpp
@@ -4,13 +4,16 @@
 
 namespace almondgate::dispatch {
 
+using core::DurationMs;
+using core::TimeMs;
+
 namespace {
 
 constexpr int64_t Hundred = 100;
 
 } // namespace
 
-void LeaseClock::observe(int64_t clock_ms, core::TimeMs now) {
+void LeaseClock::observe(int64_t clock_ms, TimeMs now) {
   // Answers may arrive out of order: the later clock is the better bound.
   if (Received && earliestClock(now) > clock_ms)
     return;
@@ -19,23 +22,29 @@
 }
 
 // The least that the endpoint's clock can show at `now`.
-int64_t LeaseClock::earliestClock(core::TimeMs now) const {
+int64_t LeaseClock::earliestClock(TimeMs now) const {
   const int64_t passed = (now - *Received).Count;
   return ClockMs + passed * (Hundred - MaxClockLagPercent) / Hundred;
 }
 
-int64_t LeaseClock::grant(core::TimeMs now, core::DurationMs lease) {
+int64_t LeaseClock::grant(TimeMs now, DurationMs lease) {
   Granted = std::max(Granted, earliestClock(now) + lease.Count);
   return Granted;
 }
 
-bool LeaseClock::mayBeValid(core::TimeMs now) const {
+TimeMs LeaseClock::latestExpiry(TimeMs began, DurationMs lease) {
+  constexpr int64_t Slowest = Hundred - MaxClockLagPercent;
+  const int64_t longest = (lease.Count * Hundred + Slowest - 1) / Slowest;
+  return began + DurationMs{longest} + SafetyMargin;
+}
+
+bool LeaseClock::mayBeValid(TimeMs now) const {
   if (now < AssumedUntil)
     return true;
   return Received && Granted + SafetyMargin.Count > earliestClock(now);
 }
 
-std::string LeaseClock::describe(core::TimeMs now) const {
+std::string LeaseClock::describe(TimeMs now) const {
   if (!Received)
     return "clock not known";
   return "lease granted until " + std::to_string(Granted) +
