Wait for runs that an incarnation may have which was never heard of

The leader gave all runs up once the lease that it had granted to the former incarnation was over. Change: runs that this incarnation is known to have are given up then; the others wait for the longest lease after the last call that extends one. A start's answer now shows which incarnation has the run, by the clock in it; an answer with another clock counts as none, and no longer moves the leader's view of the clock.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -176,13 +176,13 @@
 
   // dispatcher_orders.cpp
   EndpointView *findAnsweringIncarnation(const jobs::EndpointId &id,
-                                         int64_t born_ms,
-                                         const OrderReply &reply);
+                                         int64_t born_ms, core::TimeMs given,
+                                         OrderReply &reply);
   void startTask(const TaskKey &task_key, EndpointView &at, int64_t run);
   void sendStart(const TaskKey &task_key);
   void onStartReply(const TaskKey &task_key, int64_t run,
                     const jobs::EndpointId &at, int64_t born_ms,
-                    const OrderReply &reply);
+                    core::TimeMs given, OrderReply reply);
   /// Returns a function that tells whether an order for the task's run may be
   /// sent: the member leads, the endpoint is still the same incarnation, and
   /// the run is still in `phase`.
@@ -196,7 +196,7 @@
   void sendStop(const TaskKey &task_key);
   void onStopReply(const TaskKey &task_key, int64_t run,
                    const jobs::EndpointId &at, int64_t born_ms,
-                   const OrderReply &reply);
+                   core::TimeMs given, OrderReply reply);
   void retryStops();
   void stopOrphanedRun(EndpointView &at, const EndpointView::RunKey &key);
   void releaseTask(const TaskKey &task_key, TaskPhase next);
@@ -221,6 +221,8 @@
   void stopUnresolvedStarts(EndpointView &endpoint);
   void resolveUnansweredStart(const TaskKey &task_key, TaskState &state);
   void releaseLostRuns(EndpointView &endpoint);
+  /// Releases the runs that ended when the endpoint's lease expired.
+  void releaseExpiredRuns(EndpointView &endpoint);
   void declareLostIfExpired(EndpointView &endpoint);
   /// All endpoints have been read that an earlier leader may have started tasks
   /// of the job on.
--- a/include/almondgate/dispatch/endpoint_view.hpp
+++ b/include/almondgate/dispatch/endpoint_view.hpp
@@ -44,6 +44,8 @@
   /// or not, and in the newest one.
   std::optional<int64_t> FirstReadClockMs;
   int64_t LastReadClockMs = 0;
+  /// When a call that extends the lease was last given, answered or given up.
+  core::TimeMs LastLeaseCall{INT64_MIN / 2};
   /// The last request to the endpoint failed.
   bool Suspect = false;
   /// A renewal is outstanding.
--- a/include/almondgate/dispatch/lease_clock.hpp
+++ b/include/almondgate/dispatch/lease_clock.hpp
@@ -18,10 +18,16 @@
   static constexpr int64_t MaxClockLagPercent = 2;
   /// Added to a lease before its expiry is acted on.
   static constexpr core::DurationMs SafetyMargin{150};
+  /// How far the clock of an answer may be off; answers take no longer.
+  static constexpr core::DurationMs ClockTolerance{2000};
 
   /// Records the endpoint's clock, which an answer received at `now` reported.
   void observe(int64_t clock_ms, core::TimeMs now);
 
+  /// Whether the clock of an answer received at `now`, to a call given at
+  /// `given`, can be this endpoint's. That of another incarnation starts anew.
+  bool matches(int64_t clock_ms, core::TimeMs given, core::TimeMs now) const;
+
   bool isClockKnown() const { return Received.has_value(); }
 
   /// Grants a lease and returns its deadline by the endpoint's clock, at most
--- a/include/almondgate/dispatch/task_state.hpp
+++ b/include/almondgate/dispatch/task_state.hpp
@@ -44,9 +44,10 @@
   bool StopAcknowledged = false;
   /// An earlier leader started the run.
   bool Inherited = false;
-  /// An inventory of the endpoint's incarnation has listed the run. Until then,
-  /// the answer to its start may have come from the next incarnation.
-  bool Listed = false;
+  /// The endpoint's incarnation has the run: an inventory has listed it, or the
+  /// answer to its start came with that incarnation's clock. Any other answer
+  /// may have come from the next incarnation.
+  bool Confirmed = false;
   /// The start got no answer and was sent a second time.
   bool StartResent = false;
 
@@ -63,7 +64,7 @@
   /// there: orders name the endpoint only by its id, and one without an answer
   /// may be carried out late.
   bool mayRunInNextIncarnation() const {
-    return isPlaced() && (!Listed || StartResent);
+    return isPlaced() && (!Confirmed || StartResent);
   }
 
   /// The task occupies capacity of an endpoint.
--- a/src/almondgate/dispatch/dispatcher_orders.cpp
+++ b/src/almondgate/dispatch/dispatcher_orders.cpp
@@ -37,15 +37,27 @@
 }
 
 // Returns the endpoint if that incarnation is still the current one, else null.
-// Records the endpoint's clock from the reply.
+// Records the endpoint's clock from the reply. A reply whose clock shows that
+// another incarnation gave it becomes NoAnswer.
 EndpointView *Dispatcher::findAnsweringIncarnation(const EndpointId &id,
                                                    int64_t born_ms,
-                                                   const OrderReply &reply) {
+                                                   core::TimeMs given,
+                                                   OrderReply &reply) {
   const auto it = Endpoints.find(id);
   if (it == Endpoints.end() || it->second.Facts.BornMs != born_ms)
     return nullptr;
+  LeaseClock &lease = it->second.Lease;
+  const auto now = Hooks.Now();
+  if (reply.ClockMs && !lease.matches(*reply.ClockMs, given, now)) {
+    Hooks.Log(
+        "endpoint " + id.str() + " incarnation " + std::to_string(born_ms) +
+        ": another one answered an order, its clock shows " +
+        std::to_string(*reply.ClockMs) + " (" + lease.describe(now) + ")");
+    Hooks.IncrementCounter("order_replies", "result", "other-incarnation");
+    reply = OrderReply();
+  }
   if (reply.ClockMs)
-    it->second.Lease.observe(*reply.ClockMs, Hooks.Now());
+    lease.observe(*reply.ClockMs, now);
   return &it->second;
 }
 
@@ -63,7 +75,7 @@
   state.Since = Hooks.Now();
   state.StopAcknowledged = false;
   state.StartResent = false;
-  state.Listed = false;
+  state.Confirmed = false;
   state.Inherited = false;
   state.Percent = 0;
   if (!std::exchange(job.Started, true))
@@ -93,6 +105,7 @@
   order.DeadlineMs = at.Suspect ? at.Lease.granted()
                                 : at.Lease.grant(Hooks.Now(), Options.Lease);
   order.Epoch = at.Fence;
+  at.LastLeaseCall = Hooks.Now();
   order.Checkpoint = state.Checkpoint;
   const auto tickets =
       job.Tickets.find({order.Task.Occurrence, order.Task.Step});
@@ -104,21 +117,22 @@
   const auto facts = at.Facts;
   Hooks.Start(facts, order, makeSendCheck(task_key, state, TaskPhase::Ordered),
               [this, task_key, run = state.Run, id = facts.Id,
-               born_ms = facts.BornMs,
+               born_ms = facts.BornMs, given = Hooks.Now(),
                generation = Generation](const OrderReply &reply) {
                 if (generation == Generation)
-                  onStartReply(task_key, run, id, born_ms, reply);
+                  onStartReply(task_key, run, id, born_ms, given, reply);
               });
 }
 
 void Dispatcher::onStartReply(const TaskKey &task_key, int64_t run,
                               const EndpointId &at, int64_t born_ms,
-                              const OrderReply &reply) {
-  EndpointView *answering = findAnsweringIncarnation(at, born_ms, reply);
+                              core::TimeMs given, OrderReply reply) {
+  EndpointView *answering = findAnsweringIncarnation(at, born_ms, given, reply);
   if (!answering)
     return;
   EndpointView &endpoint = *answering;
   const auto now = Hooks.Now();
+  endpoint.LastLeaseCall = now;
   Hooks.IncrementCounter("start_orders", "result",
                          orderResultName(reply.Result));
   TaskState *state = findTaskState(task_key);
@@ -153,6 +167,7 @@
   case OrderResult::Accepted:
     state->Phase = TaskPhase::Running;
     state->Since = now;
+    state->Confirmed = reply.ClockMs.has_value();
     return;
   case OrderResult::NoAnswer:
     endpoint.Suspect = true;
@@ -254,16 +269,16 @@
       [check = makeSendCheck(task_key, state, TaskPhase::Stopping), this,
        task_key] { return check() && mayStop(task_key); },
       [this, task_key, run = state.Run, id = facts.Id, born_ms = facts.BornMs,
-       generation = Generation](const OrderReply &reply) {
+       given = Hooks.Now(), generation = Generation](const OrderReply &reply) {
         if (generation == Generation)
-          onStopReply(task_key, run, id, born_ms, reply);
+          onStopReply(task_key, run, id, born_ms, given, reply);
       });
 }
 
 void Dispatcher::onStopReply(const TaskKey &task_key, int64_t run,
                              const EndpointId &at, int64_t born_ms,
-                             const OrderReply &reply) {
-  EndpointView *answering = findAnsweringIncarnation(at, born_ms, reply);
+                             core::TimeMs given, OrderReply reply) {
+  EndpointView *answering = findAnsweringIncarnation(at, born_ms, given, reply);
   if (!answering)
     return;
   EndpointView &endpoint = *answering;
--- a/src/almondgate/dispatch/dispatcher_renewals.cpp
+++ b/src/almondgate/dispatch/dispatcher_renewals.cpp
@@ -38,8 +38,10 @@
   // that of one that is being declared lost: a lease granted now would let the
   // endpoint carry out orders that are about to be considered expired.
   if (endpoint.Lease.isClockKnown() && !facts.Idle && !endpoint.DeclaredLost &&
-      !endpoint.Suspect)
+      !endpoint.Suspect) {
     request.DeadlineMs = endpoint.Lease.grant(now, Options.Lease);
+    endpoint.LastLeaseCall = now;
+  }
   // The first renewal, and one that decides about an unanswered start, must be
   // answered at once; the others may wait for a run to end.
   if (endpoint.InventoryRead && !endpoint.Suspect &&
@@ -79,6 +81,8 @@
   EndpointView &endpoint = it->second;
   endpoint.Renewing = false;
   const auto now = Hooks.Now();
+  if (request.DeadlineMs > 0)
+    endpoint.LastLeaseCall = now;
   endpoint.RenewDue = now + Options.RetryInterval;
   if (!isActive())
     return;
@@ -175,11 +179,11 @@
     Hooks.Stop(endpoint.Facts, {key.first, key.second, endpoint.Fence},
                makeLeaderCheck(),
                [this, key = key, id = endpoint.Facts.Id,
-                born_ms = endpoint.Facts.BornMs,
-                generation = Generation](const OrderReply &reply) {
+                born_ms = endpoint.Facts.BornMs, given = now,
+                generation = Generation](OrderReply reply) {
                  EndpointView *at =
                      generation == Generation
-                         ? findAnsweringIncarnation(id, born_ms, reply)
+                         ? findAnsweringIncarnation(id, born_ms, given, reply)
                          : nullptr;
                  if (!at || reply.Result != OrderResult::Accepted)
                    return;
@@ -243,7 +247,7 @@
       TeamUsage[record->Team] = TeamUsage[record->Team] + step.Need;
     }
     if (is_current || adopt) {
-      state.Listed = true;
+      state.Confirmed = true;
       if (state.Phase == TaskPhase::Ordered ||
           state.Phase == TaskPhase::Unanswered) {
         state.Phase = TaskPhase::Running;
@@ -380,12 +384,39 @@
               std::to_string(task_keys.size()) + " runs lost");
 }
 
+void Dispatcher::releaseExpiredRuns(EndpointView &endpoint) {
+  size_t released = 0;
+  const auto task_keys = endpoint.Runs;
+  for (const auto &task_key : task_keys) {
+    if (findTaskState(task_key)->mayRunInNextIncarnation())
+      continue;
+    releaseTask(task_key, TaskPhase::Waiting);
+    Hooks.IncrementCounter("run_ends", "how", "lost");
+    ++released;
+  }
+  if (released > 0)
+    Hooks.Log("endpoint " + endpoint.Facts.Id.str() + " incarnation " +
+              std::to_string(endpoint.Facts.BornMs) + ": " +
+              std::to_string(released) + " runs lost with its lease, " +
+              std::to_string(endpoint.Runs.size()) +
+              " may be in progress in a next incarnation");
+}
+
+// The runs that the incarnation listed have ended with its lease. The others
+// may be in progress in a next one that is not known: the endpoint may have
+// started anew under its id, and calls for this incarnation may have given that
+// one a lease of up to the longest.
 void Dispatcher::declareLostIfExpired(EndpointView &endpoint) {
+  const auto now = Hooks.Now();
   const bool expired = endpoint.Suspect && !endpoint.Facts.Idle &&
                        !endpoint.DeclaredLost &&
-                       !endpoint.Lease.mayBeValid(Hooks.Now());
+                       !endpoint.Lease.mayBeValid(now);
   if (!expired)
     return;
+  releaseExpiredRuns(endpoint);
+  if (!endpoint.Runs.empty() &&
+      now < LeaseClock::latestExpiry(endpoint.LastLeaseCall, Options.MaxLease))
+    return;
   endpoint.DeclaredLost = true;
   Hooks.Log("endpoint " + endpoint.Facts.Id.str() + " incarnation " +
             std::to_string(endpoint.Facts.BornMs) +
--- a/src/almondgate/dispatch/lease_clock.cpp
+++ b/src/almondgate/dispatch/lease_clock.cpp
@@ -21,6 +21,17 @@
   Received = now;
 }
 
+bool LeaseClock::matches(int64_t clock_ms, TimeMs given, TimeMs now) const {
+  constexpr DurationMs LowerTolerance = ClockTolerance / 4;
+  if (!Received)
+    return true;
+  const int64_t earliest =
+      std::min(earliestClock(given), ClockMs + (given - *Received).Count);
+  const int64_t latest = ClockMs + (now - *Received).Count;
+  return clock_ms >= earliest - LowerTolerance.Count &&
+         clock_ms <= latest + ClockTolerance.Count;
+}
+
 // The least that the endpoint's clock can show at `now`.
 int64_t LeaseClock::earliestClock(TimeMs now) const {
   const int64_t passed = (now - *Received).Count;
