Keep the wait for an unread endpoint when its next incarnation registers

Change: the new incarnation keeps the wait.

Test: 'a new leader waits for a lease of an unread incarnation' failed before ('task runs twice at a time') and passes.

--- a/include/almondgate/dispatch/lease_clock.hpp
+++ b/include/almondgate/dispatch/lease_clock.hpp
@@ -41,6 +41,7 @@
   /// Until this time, a lease may be valid that was not granted here, but by an
   /// earlier leader or with a deadline by the clock of a former incarnation.
   void assumeValidUntil(core::TimeMs until) { AssumedUntil = until; }
+  core::TimeMs assumedUntil() const { return AssumedUntil; }
 
   /// The latest time by the local clock at which a lease expires that an
   /// endpoint began at `began`.
--- a/src/almondgate/dispatch/dispatcher_endpoints.cpp
+++ b/src/almondgate/dispatch/dispatcher_endpoints.cpp
@@ -35,6 +35,7 @@
   }
   // A new incarnation of the endpoint: the runs of the old one ended with it.
   std::set<TaskKey> open;
+  EndpointView view;
   if (it != Endpoints.end()) {
     open = takeUnresolvedStarts(it->second);
     Hooks.Log("endpoint " + facts.Id.str() + " incarnation " +
@@ -42,11 +43,14 @@
               std::to_string(it->second.Facts.BornMs) + " (" +
               it->second.Lease.describe(Hooks.Now()) + "); " +
               std::to_string(open.size()) + " runs may be in progress there");
+    // What earlier leaders gave to the old incarnation may be in progress in
+    // the new one.
+    if (it->second.isUnread())
+      view.Lease.assumeValidUntil(it->second.Lease.assumedUntil());
     releaseLostRuns(it->second);
     unlinkFromVm(it->second);
     Endpoints.erase(it);
   }
-  EndpointView view;
   view.Facts = facts;
   view.Fence = Fences.next();
   view.DeclaredLost = facts.Idle;
--- a/src/almondgate/dispatch/incarnation_test.cpp
+++ b/src/almondgate/dispatch/incarnation_test.cpp
@@ -95,6 +95,28 @@
   }
 }
 
+// As above: the order was given by an earlier leader, and the next incarnation
+// registers with the new one, which can't read it.
+TEST_CASE("a new leader waits for a lease of an unread incarnation") {
+  Fleet fleet(2);
+  fleet.submit(jobId(1), oneStep(1, Cores, LongMs));
+  fleet.advance(Second);
+  const bool first_is_free = fleet.endpointOf(fleet.VmIds[0]).Runs.empty();
+  const auto &vm = fleet.VmIds[first_is_free ? 0 : 1];
+  fleet.OrderQueueMs = 50;
+  fleet.submit(jobId(2), oneStep(1, Cores, LongMs));
+  fleet.advance(20);
+  fleet.restartWithSameId(vm);
+  fleet.advance(50);
+  REQUIRE(fleet.endpointOf(vm).Runs.size() == 1);
+  fleet.changeLeader();
+  fleet.endpointOf(vm).Unreachable = true;
+  fleet.addVm("p");
+  fleet.advance(LongMs * 2);
+  fleet.checkViolations();
+  CHECK(fleet.stateOf(jobId(2)) == JobState::Completed);
+}
+
 // Guards against tasks that ran again after their end: the first of two copies
 // of a start, sent to a former incarnation, was carried out late by the next.
 TEST_CASE("a late start for a former incarnation is not carried out") {
