--- a/include/almondgate/config/settings.hpp
+++ b/include/almondgate/config/settings.hpp
@@ -73,6 +73,8 @@
   int64_t ToleratedLosses = -1;
   /// The longest that an endpoint takes to end a run after a stop order.
   core::DurationMs RunStopTimeout{1000};
+  /// Longest lease that an endpoint accepts, whatever is requested.
+  core::DurationMs LongestLease{6000};
   /// Address of the VM service; optional.
   core::Address VmService;
   /// Address of the placement policy service; optional.
--- a/src/almondgate/config/read_settings.cpp
+++ b/src/almondgate/config/read_settings.cpp
@@ -151,6 +151,7 @@
   out.ToleratedLosses =
       flags.readNumber("tolerated-losses", -1, MaxToleratedLosses);
   out.RunStopTimeout = flags.readDuration("stop-order-timeout-ms");
+  out.LongestLease = flags.readDuration("longest-lease-ms");
   // Holders of orders are told apart by name.
   out.Name = flags.text("name").empty() ? core::toString(out.Common.Inner)
                                         : flags.text("name");
@@ -223,6 +224,10 @@
             "The longest that an endpoint takes to end a run after a stop "
             "order, in milliseconds",
             "1000");
+  flags.add("longest-lease-ms",
+            "The longest lease that an endpoint accepts, whatever is "
+            "requested, in milliseconds",
+            "6000");
   flags.add("init-as", "Format the data folder for this first member and exit");
   flags.add("first-members", "All first members, NAME=IP:PORT[,...]");
   return parseSettings<ControlSettings>(flags, args, readControl);
--- a/src/almondgate/control/control_task.cpp
+++ b/src/almondgate/control/control_task.cpp
@@ -7,6 +7,7 @@
 #include "control_errors.hpp"
 #include "read_message.hpp"
 
+#include <algorithm>
 #include <set>
 #include <unistd.h>
 
@@ -69,6 +70,8 @@
             .BytesKeptBehindSnapshot = settings.Common.Memory.Jobs / 4},
            coreHooks(), Recovered),
       Jobs({.Holder = settings.Name,
+            .MaxLease = std::max(settings.LongestLease,
+                                 dispatch::DispatcherOptions().Lease),
             .RunStopTimeout = settings.RunStopTimeout,
             .JobsLimitBytes = settings.Common.Memory.Jobs},
            dispatcherHooks(std::move(gateway)), Core.state().Jobs),
--- a/tests/platform_deployment.py
+++ b/tests/platform_deployment.py
@@ -181,6 +181,7 @@
             "data-directory": data if control else "",
             "fault-tolerance.machines": "1",
             "bounds.stop-timeout-ms": "200",
+            "bounds.max-hold-ms": "6000",
             "cloud-api.address": f"127.0.0.1:{self.services.port}",
             "advice": f"127.0.0.1:{self.services.port}",
         }
