--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -4,6 +4,7 @@
 #include "almondgate/dispatch/dispatcher_hooks.hpp"
 #include "almondgate/dispatch/dispatcher_options.hpp"
 #include "almondgate/dispatch/endpoint_view.hpp"
+#include "almondgate/dispatch/fence_counter.hpp"
 #include "almondgate/dispatch/job_budget.hpp"
 #include "almondgate/dispatch/maintenance_scheduler.hpp"
 #include "almondgate/dispatch/open_job.hpp"
@@ -175,15 +176,16 @@
 
   // dispatcher_orders.cpp
   EndpointView *findAnsweringIncarnation(const jobs::EndpointId &id,
-                                         int64_t born_ms,
-                                         const OrderReply &reply);
+                                         int64_t born_ms, core::TimeMs given,
+                                         OrderReply &reply);
   void startTask(const TaskKey &task_key, EndpointView &at, int64_t run);
   void sendStart(const TaskKey &task_key);
   void onStartReply(const TaskKey &task_key, int64_t run,
                     const jobs::EndpointId &at, int64_t born_ms,
-                    const OrderReply &reply);
+                    core::TimeMs given, OrderReply reply);
   /// Returns a function that tells whether an order for the task's run may be
-  /// sent: the member leads, and the run is still in `phase`.
+  /// sent: the member leads, the endpoint is still the same incarnation, and
+  /// the run is still in `phase`.
   DispatcherHooks::MaySend makeSendCheck(const TaskKey &task_key,
                                          const TaskState &ordered,
                                          TaskPhase phase);
@@ -194,7 +196,7 @@
   void sendStop(const TaskKey &task_key);
   void onStopReply(const TaskKey &task_key, int64_t run,
                    const jobs::EndpointId &at, int64_t born_ms,
-                   const OrderReply &reply);
+                   core::TimeMs given, OrderReply reply);
   void retryStops();
   void stopOrphanedRun(EndpointView &at, const EndpointView::RunKey &key);
   void releaseTask(const TaskKey &task_key, TaskPhase next);
@@ -206,7 +208,7 @@
   core::DurationMs renewWait(const EndpointView &endpoint) const;
   bool hasUnansweredStarts(const EndpointView &endpoint) const;
   void onRenewed(const jobs::EndpointId &id, int64_t born_ms, core::TimeMs sent,
-                 const RenewReply &reply);
+                 const RenewRequest &request, const RenewReply &reply);
   void applyInventory(EndpointView &endpoint, core::TimeMs sent,
                       const RunInventory &inventory);
   void applyRunning(EndpointView &endpoint, const RunReport &report);
@@ -219,6 +221,8 @@
   void stopUnresolvedStarts(EndpointView &endpoint);
   void resolveUnansweredStart(const TaskKey &task_key, TaskState &state);
   void releaseLostRuns(EndpointView &endpoint);
+  /// Releases the runs that ended when the endpoint's lease expired.
+  void releaseExpiredRuns(EndpointView &endpoint);
   void declareLostIfExpired(EndpointView &endpoint);
   /// All endpoints have been read that an earlier leader may have started tasks
   /// of the job on.
@@ -318,6 +322,7 @@
   mutable jobs::ConfigIndex Index;
   bool Active = false;
   uint64_t Epoch = 0;
+  FenceCounter Fences;
   core::TimeMs LeadingSince;
   /// No endpoint was known when the member became the leader.
   bool FleetWasEmpty = false;
--- a/include/almondgate/dispatch/endpoint_view.hpp
+++ b/include/almondgate/dispatch/endpoint_view.hpp
@@ -31,6 +31,11 @@
   using RunKey = std::pair<jobs::TaskRef, int64_t>;
 
   jobs::EndpointFacts Facts;
+  /// Fencing token of the orders to this incarnation; see FenceCounter.
+  uint64_t Fence = 0;
+  /// The incarnation that answered instead of this one and has not registered;
+  /// 0 if none did.
+  int64_t SuccessorBornMs = 0;
   LeaseClock Lease;
   /// The inventory of the endpoint has been read in this epoch, with all its
   /// ends.
@@ -39,6 +44,8 @@
   /// or not, and in the newest one.
   std::optional<int64_t> FirstReadClockMs;
   int64_t LastReadClockMs = 0;
+  /// When a call that extends the lease was last given, answered or given up.
+  core::TimeMs LastLeaseCall{INT64_MIN / 2};
   /// The last request to the endpoint failed.
   bool Suspect = false;
   /// A renewal is outstanding.
@@ -48,6 +55,9 @@
   core::TimeMs BackOffUntil{INT64_MIN / 2};
   /// Number of the last end report that is durable.
   int64_t LastDurableEnd = 0;
+  /// Number of the last end report that the endpoint was told to forget, in a
+  /// renewal that it answered.
+  int64_t AcknowledgedEnd = 0;
   /// Number of the last end report that was read.
   int64_t LastReadEnd = 0;
   int64_t HeartbeatSequence = -1;
--- a/include/almondgate/dispatch/lease_clock.hpp
+++ b/include/almondgate/dispatch/lease_clock.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 
 namespace almondgate::dispatch {
 
@@ -17,10 +18,16 @@
   static constexpr int64_t MaxClockLagPercent = 2;
   /// Added to a lease before its expiry is acted on.
   static constexpr core::DurationMs SafetyMargin{150};
+  /// How far the clock of an answer may be off; answers take no longer.
+  static constexpr core::DurationMs ClockTolerance{2000};
 
   /// Records the endpoint's clock, which an answer received at `now` reported.
   void observe(int64_t clock_ms, core::TimeMs now);
 
+  /// Whether the clock of an answer received at `now`, to a call given at
+  /// `given`, can be this endpoint's. That of another incarnation starts anew.
+  bool matches(int64_t clock_ms, core::TimeMs given, core::TimeMs now) const;
+
   bool isClockKnown() const { return Received.has_value(); }
 
   /// Grants a lease and returns its deadline by the endpoint's clock, at most
@@ -31,12 +38,21 @@
   /// The latest deadline granted, by the endpoint's clock; 0 before the first.
   int64_t granted() const { return Granted; }
 
-  /// Until this time, a lease granted by an earlier leader may be valid.
+  /// Until this time, a lease may be valid that was not granted here, but by an
+  /// earlier leader or with a deadline by the clock of a former incarnation.
   void assumeValidUntil(core::TimeMs until) { AssumedUntil = until; }
+  core::TimeMs assumedUntil() const { return AssumedUntil; }
+
+  /// The latest time by the local clock at which a lease expires that an
+  /// endpoint began at `began`.
+  static core::TimeMs latestExpiry(core::TimeMs began, core::DurationMs lease);
 
   /// False once the leases of all runs on the endpoint have certainly expired.
   bool mayBeValid(core::TimeMs now) const;
 
+  /// What is known of the lease, for log lines.
+  std::string describe(core::TimeMs now) const;
+
 private:
   int64_t earliestClock(core::TimeMs now) const;
 
--- a/src/almondgate/dispatch/dispatcher_renewals.cpp
+++ b/src/almondgate/dispatch/dispatcher_renewals.cpp
@@ -29,14 +29,19 @@
   const auto now = Hooks.Now();
   const auto &facts = endpoint.Facts;
   RenewRequest request;
-  request.Epoch = Epoch;
-  request.LastSeen = endpoint.LastDurableEnd;
+  request.Epoch = endpoint.Fence;
+  // Another incarnation may have answered instead of the suspected one, and
+  // would forget ends of its own.
+  if (!endpoint.Suspect && endpoint.LastDurableEnd > endpoint.AcknowledgedEnd)
+    request.LastSeen = endpoint.LastDurableEnd;
   // The lease of an unresponsive endpoint must be left to expire, and so must
   // that of one that is being declared lost: a lease granted now would let the
   // endpoint carry out orders that are about to be considered expired.
   if (endpoint.Lease.isClockKnown() && !facts.Idle && !endpoint.DeclaredLost &&
-      !endpoint.Suspect)
+      !endpoint.Suspect) {
     request.DeadlineMs = endpoint.Lease.grant(now, Options.Lease);
+    endpoint.LastLeaseCall = now;
+  }
   // The first renewal, and one that decides about an unanswered start, must be
   // answered at once; the others may wait for a run to end.
   if (endpoint.InventoryRead && !endpoint.Suspect &&
@@ -44,10 +49,10 @@
     request.WaitMs = renewWait(endpoint).Count;
   endpoint.Renewing = true;
   Hooks.Renew(facts, request,
-              [this, id = facts.Id, born_ms = facts.BornMs, sent = now,
+              [this, id = facts.Id, born_ms = facts.BornMs, sent = now, request,
                generation = Generation](const RenewReply &reply) {
                 if (generation == Generation)
-                  onRenewed(id, born_ms, sent, reply);
+                  onRenewed(id, born_ms, sent, request, reply);
               });
 }
 
@@ -68,6 +73,7 @@
 }
 
 void Dispatcher::onRenewed(const EndpointId &id, int64_t born_ms, TimeMs sent,
+                           const RenewRequest &request,
                            const RenewReply &reply) {
   const auto it = Endpoints.find(id);
   if (it == Endpoints.end() || it->second.Facts.BornMs != born_ms)
@@ -75,6 +81,8 @@
   EndpointView &endpoint = it->second;
   endpoint.Renewing = false;
   const auto now = Hooks.Now();
+  if (request.DeadlineMs > 0)
+    endpoint.LastLeaseCall = now;
   endpoint.RenewDue = now + Options.RetryInterval;
   if (!isActive())
     return;
@@ -86,12 +94,30 @@
     endpoint.Suspect = true;
     return;
   }
+  Hooks.IncrementCounter("renewals", "result",
+                         other_incarnation ? "other-incarnation"
+                                           : orderResultName(reply.Result));
   if (reply.Result != OrderResult::Accepted || other_incarnation) {
-    if (!endpoint.Suspect)
-      Hooks.Log("endpoint " + id.str() + " could not be read: " +
-                (other_incarnation ? "another incarnation answered"
-                                   : orderResultName(reply.Result)));
+    if (other_incarnation)
+      Hooks.Log("endpoint " + id.str() + " incarnation " +
+                std::to_string(reply.Inventory.BornMs) +
+                " answered a renewal for incarnation " +
+                std::to_string(born_ms) + " with deadline " +
+                std::to_string(request.DeadlineMs) + "; its clock shows " +
+                std::to_string(reply.Inventory.ClockMs) + ", " +
+                std::to_string(reply.Inventory.Running.size()) + " running");
+    else if (!endpoint.Suspect)
+      Hooks.Log("endpoint " + id.str() +
+                " could not be read: " + orderResultName(reply.Result));
     endpoint.Suspect = true;
+    // Until the new incarnation registers, the next renewal keeps it from
+    // carrying out late orders that were given before.
+    if (other_incarnation &&
+        endpoint.SuccessorBornMs != reply.Inventory.BornMs) {
+      endpoint.SuccessorBornMs = reply.Inventory.BornMs;
+      endpoint.Fence = Fences.next();
+      endpoint.RenewDue = now;
+    }
     return;
   }
   if (endpoint.Suspect || !endpoint.InventoryRead)
@@ -101,8 +127,15 @@
               " ended" + (reply.Inventory.MoreEnds ? ", more to read" : ""));
   endpoint.Lease.observe(reply.Inventory.ClockMs, now);
   endpoint.Suspect = false;
-  if (!endpoint.FirstReadClockMs)
+  endpoint.AcknowledgedEnd =
+      std::max(endpoint.AcknowledgedEnd, request.LastSeen);
+  // Until now, the incarnation may have carried out calls of earlier leaders or
+  // for a former incarnation; its fencing token rules them out from here on.
+  if (!endpoint.FirstReadClockMs) {
     endpoint.FirstReadClockMs = reply.Inventory.ClockMs;
+    endpoint.Lease.assumeValidUntil(
+        LeaseClock::latestExpiry(now, Options.MaxLease));
+  }
   endpoint.LastReadClockMs = reply.Inventory.ClockMs;
   applyInventory(endpoint, sent, reply.Inventory);
   endpoint.InventoryRead = endpoint.InventoryRead || !reply.Inventory.MoreEnds;
@@ -143,21 +176,22 @@
       continue;
     sent = now;
     Hooks.IncrementCounter("stop_orders", "why", "given up");
-    Hooks.Stop(
-        endpoint.Facts, {key.first, key.second, Epoch}, makeLeaderCheck(),
-        [this, key = key, id = endpoint.Facts.Id,
-         born_ms = endpoint.Facts.BornMs,
-         generation = Generation](const OrderReply &reply) {
-          EndpointView *at = generation == Generation
-                                 ? findAnsweringIncarnation(id, born_ms, reply)
-                                 : nullptr;
-          if (!at || reply.Result != OrderResult::Accepted)
-            return;
-          at->UnresolvedStarts.erase(key);
-          if (at->UnresolvedStarts.empty() && at->Facts.Idle &&
-              at->DeclaredLost)
-            readmit(*at);
-        });
+    Hooks.Stop(endpoint.Facts, {key.first, key.second, endpoint.Fence},
+               makeLeaderCheck(),
+               [this, key = key, id = endpoint.Facts.Id,
+                born_ms = endpoint.Facts.BornMs, given = now,
+                generation = Generation](OrderReply reply) {
+                 EndpointView *at =
+                     generation == Generation
+                         ? findAnsweringIncarnation(id, born_ms, given, reply)
+                         : nullptr;
+                 if (!at || reply.Result != OrderResult::Accepted)
+                   return;
+                 at->UnresolvedStarts.erase(key);
+                 if (at->UnresolvedStarts.empty() && at->Facts.Idle &&
+                     at->DeclaredLost)
+                   readmit(*at);
+               });
   }
 }
 
@@ -213,7 +247,7 @@
       TeamUsage[record->Team] = TeamUsage[record->Team] + step.Need;
     }
     if (is_current || adopt) {
-      state.Listed = true;
+      state.Confirmed = true;
       if (state.Phase == TaskPhase::Ordered ||
           state.Phase == TaskPhase::Unanswered) {
         state.Phase = TaskPhase::Running;
@@ -350,15 +384,44 @@
               std::to_string(task_keys.size()) + " runs lost");
 }
 
+void Dispatcher::releaseExpiredRuns(EndpointView &endpoint) {
+  size_t released = 0;
+  const auto task_keys = endpoint.Runs;
+  for (const auto &task_key : task_keys) {
+    if (findTaskState(task_key)->mayRunInNextIncarnation())
+      continue;
+    releaseTask(task_key, TaskPhase::Waiting);
+    Hooks.IncrementCounter("run_ends", "how", "lost");
+    ++released;
+  }
+  if (released > 0)
+    Hooks.Log("endpoint " + endpoint.Facts.Id.str() + " incarnation " +
+              std::to_string(endpoint.Facts.BornMs) + ": " +
+              std::to_string(released) + " runs lost with its lease, " +
+              std::to_string(endpoint.Runs.size()) +
+              " may be in progress in a next incarnation");
+}
+
+// The runs that the incarnation listed have ended with its lease. The others
+// may be in progress in a next one that is not known: the endpoint may have
+// started anew under its id, and calls for this incarnation may have given that
+// one a lease of up to the longest.
 void Dispatcher::declareLostIfExpired(EndpointView &endpoint) {
+  const auto now = Hooks.Now();
   const bool expired = endpoint.Suspect && !endpoint.Facts.Idle &&
                        !endpoint.DeclaredLost &&
-                       !endpoint.Lease.mayBeValid(Hooks.Now());
+                       !endpoint.Lease.mayBeValid(now);
   if (!expired)
     return;
+  releaseExpiredRuns(endpoint);
+  if (!endpoint.Runs.empty() &&
+      now < LeaseClock::latestExpiry(endpoint.LastLeaseCall, Options.MaxLease))
+    return;
   endpoint.DeclaredLost = true;
-  Hooks.Log("endpoint " + endpoint.Facts.Id.str() +
-            " declared lost: unreachable until its lease expired");
+  Hooks.Log("endpoint " + endpoint.Facts.Id.str() + " incarnation " +
+            std::to_string(endpoint.Facts.BornMs) +
+            " declared lost: unreachable until its lease expired, " +
+            endpoint.Lease.describe(Hooks.Now()));
   recordEvent(jobs::EndpointIdled{endpoint.Facts.Id, endpoint.Facts.BornMs});
 }
 
