--- a/include/almondgate/dispatch/lease_clock.hpp
+++ b/include/almondgate/dispatch/lease_clock.hpp
@@ -18,8 +18,10 @@
   static constexpr int64_t MaxClockLagPercent = 2;
   /// Added to a lease before its expiry is acted on.
   static constexpr core::DurationMs SafetyMargin{150};
-  /// How far the clock of an answer may be off; answers take no longer.
-  static constexpr core::DurationMs ClockTolerance{2000};
+  /// How far the clock of an answer may be behind what is expected, and ahead
+  /// of it. No answer takes longer than the latter.
+  static constexpr core::DurationMs LowerTolerance{500};
+  static constexpr core::DurationMs UpperTolerance{2000};
 
   /// Records the endpoint's clock, which an answer received at `now` reported.
   void observe(int64_t clock_ms, core::TimeMs now);
--- a/src/almondgate/dispatch/lease_clock.cpp
+++ b/src/almondgate/dispatch/lease_clock.cpp
@@ -14,22 +14,23 @@
 } // namespace
 
 void LeaseClock::observe(int64_t clock_ms, TimeMs now) {
-  // Answers may arrive out of order: the later clock is the better bound.
-  if (Received && earliestClock(now) > clock_ms)
+  // Answers may arrive out of order: the later clock is the better bound. A
+  // clock that is far behind stood still for a while.
+  const int64_t behind = Received ? earliestClock(now) - clock_ms : 0;
+  if (behind > 0 && behind <= LowerTolerance.Count)
     return;
   ClockMs = clock_ms;
   Received = now;
 }
 
 bool LeaseClock::matches(int64_t clock_ms, TimeMs given, TimeMs now) const {
-  constexpr DurationMs LowerTolerance = ClockTolerance / 4;
   if (!Received)
     return true;
   const int64_t earliest =
       std::min(earliestClock(given), ClockMs + (given - *Received).Count);
   const int64_t latest = ClockMs + (now - *Received).Count;
   return clock_ms >= earliest - LowerTolerance.Count &&
-         clock_ms <= latest + ClockTolerance.Count;
+         clock_ms <= latest + UpperTolerance.Count;
 }
 
 // The least that the endpoint's clock can show at `now`.
