Send the calls of one method to a peer in their order

Cause: since sockets take 256 KB at a time, nghttp2 interleaves the bodies that wait, and smaller appends to the log overtook larger ones. The member refuses what doesn't follow its log, the leader sends it again, and the bytes in flight grow until 'too many bytes are held for peers'. Seen in a trial with a log line for each message: appends of 270 KB answered after 161 to 1,031 ms, then refused by the budget within 0.7 s of the connection. Change: a body waits until the earlier ones of its method are sent; other methods still pass.

Test: 'calls of one method arrive in their order, whatever their size' failed without the lanes and passes.

--- a/src/almondgate/protocol/http2_session.cpp
+++ b/src/almondgate/protocol/http2_session.cpp
@@ -103,7 +103,7 @@
   static int onClose(nghttp2_session *, int32_t id, uint32_t, void *user) {
     auto &session = self(user);
     session.IncomingStreams.erase(id);
-    session.OutgoingBodies.erase(id);
+    session.dropBody(id);
     session.Events.push_back({id, true, {}});
     return 0;
   }
@@ -116,13 +116,15 @@
     if (it == session.OutgoingBodies.end())
       return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
     auto &out = it->second;
+    if (!session.isFirstOfLane(id, out))
+      return NGHTTP2_ERR_DEFERRED;
     const size_t n = std::min(size, out.Body.size() - out.Sent);
     std::copy_n(out.Body.data() + out.Sent, n, buf);
     out.Sent += n;
     session.SentBytes += n;
     if (out.Sent == out.Body.size()) {
       *flags |= NGHTTP2_DATA_FLAG_EOF;
-      session.OutgoingBodies.erase(it);
+      session.dropBody(id);
     }
     return ssize_t(n);
   }
@@ -199,17 +201,46 @@
   }
 }
 
+bool Http2Session::isFirstOfLane(int32_t stream,
+                                 const OutgoingBody &body) const {
+  return !body.Lane || *Lanes.at(*body.Lane).begin() == stream;
+}
+
+void Http2Session::dropBody(int32_t stream) {
+  const auto it = OutgoingBodies.find(stream);
+  if (it == OutgoingBodies.end())
+    return;
+  const auto lane = it->second.Lane;
+  OutgoingBodies.erase(it);
+  if (!lane)
+    return;
+  auto &streams = Lanes.at(*lane);
+  streams.erase(stream);
+  if (streams.empty())
+    Lanes.erase(*lane);
+  else
+    Resumable.push_back(*streams.begin());
+}
+
+void Http2Session::resumeDeferred() {
+  // Fails for a stream that was not deferred, which needs no resuming.
+  for (const int32_t stream : std::exchange(Resumable, {}))
+    nghttp2_session_resume_data(Session, stream);
+}
+
 int32_t Http2Session::request(const std::vector<HeaderField> &headers,
-                              std::string body, HeldBytes held) {
+                              std::string body, HeldBytes held, int lane) {
   const auto fields = toNghttp2(headers);
   nghttp2_data_provider provider{};
   provider.source.ptr = this;
   provider.read_callback = SessionCallbacks::readBody;
   const int32_t id = nghttp2_submit_request(Session, nullptr, fields.data(),
                                             fields.size(), &provider, nullptr);
-  if (id >= 0)
-    OutgoingBodies.emplace(id,
-                           OutgoingBody{std::move(body), std::move(held), 0});
+  if (id < 0)
+    return id;
+  OutgoingBodies.emplace(
+      id, OutgoingBody{std::move(body), std::move(held), 0, lane});
+  Lanes[lane].insert(id);
   return id;
 }
 
@@ -226,7 +257,7 @@
                                            fields.size(), &provider);
   if (code == 0)
     OutgoingBodies.insert_or_assign(
-        stream, OutgoingBody{std::move(body), std::move(held), 0});
+        stream, OutgoingBody{std::move(body), std::move(held), 0, {}});
 }
 
 void Http2Session::cancelRequest(int32_t stream) {
@@ -235,7 +266,7 @@
 }
 
 void Http2Session::reset(int32_t stream) {
-  OutgoingBodies.erase(stream);
+  dropBody(stream);
   nghttp2_submit_rst_stream(Session, NGHTTP2_FLAG_NONE, stream, NGHTTP2_CANCEL);
 }
 
@@ -243,6 +274,7 @@
   std::string out;
   const size_t room = Hooks.SendRoom();
   while (out.size() < room) {
+    resumeDeferred();
     const uint8_t *data = nullptr;
     const ssize_t n = nghttp2_session_mem_send(Session, &data);
     if (n <= 0)
--- a/src/almondgate/protocol/http2_session.hpp
+++ b/src/almondgate/protocol/http2_session.hpp
@@ -6,6 +6,8 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -69,9 +71,10 @@
   void widenWindows();
 
   /// Opens a stream and queues a complete request. Returns the stream's id, or
-  /// a negative number on failure.
+  /// a negative number on failure. Bodies of one lane are sent one after
+  /// another.
   int32_t request(const std::vector<HeaderField> &headers, std::string body,
-                  HeldBytes held);
+                  HeldBytes held, int lane);
 
   /// Queues a complete response on a stream.
   void respond(int32_t stream, const std::vector<HeaderField> &headers,
@@ -96,6 +99,7 @@
     std::string Body;
     HeldBytes Held;
     size_t Sent = 0;
+    std::optional<int> Lane;
   };
   /// A message, or the end of a stream.
   struct Event {
@@ -106,12 +110,19 @@
   friend struct SessionCallbacks;
 
   void deliver();
+  bool isFirstOfLane(int32_t stream, const OutgoingBody &body) const;
+  void dropBody(int32_t stream);
+  void resumeDeferred();
 
   nghttp2_session *Session = nullptr;
   const size_t MaxBodyBytes;
   const Http2SessionHooks Hooks;
   std::map<int32_t, IncomingStream> IncomingStreams;
   std::map<int32_t, OutgoingBody> OutgoingBodies;
+  /// Streams with an unsent body, by lane. Only the first of a lane is sent.
+  std::map<int, std::set<int32_t>> Lanes;
+  /// Streams that have become the first of their lane.
+  std::vector<int32_t> Resumable;
   std::vector<Event> Events;
   uint64_t SentBytes = 0;
 };
--- a/src/almondgate/protocol/rpc_client.cpp
+++ b/src/almondgate/protocol/rpc_client.cpp
@@ -206,14 +206,14 @@
   const std::string path =
       std::string(PathPrefix) + methodName(call.Pending.CallMethod);
   const std::string length = std::to_string(call.Body.size());
-  const int32_t id =
-      Session->request({{":method", "POST"},
-                        {":scheme", "http"},
-                        {":authority", "almondgate"},
-                        {":path", path},
-                        {"content-length", length},
-                        {SecretHeader, Options.Secret}},
-                       std::move(call.Body), std::move(call.Held));
+  const int32_t id = Session->request(
+      {{":method", "POST"},
+       {":scheme", "http"},
+       {":authority", "almondgate"},
+       {":path", path},
+       {"content-length", length},
+       {SecretHeader, Options.Secret}},
+      std::move(call.Body), std::move(call.Held), int(call.Pending.CallMethod));
   if (id < 0) {
     finish(call.Pending.Done, Error{ErrorCode::Unavailable,
                                     core::toString(PeerAddress) +
--- a/src/almondgate/protocol/rpc_test.cpp
+++ b/src/almondgate/protocol/rpc_test.cpp
@@ -250,6 +250,28 @@
   CHECK(fixture.PendingResponder.has_value());
 }
 
+// Guards against a member that never caught up: entries of its log overtook
+// each other, were refused, and were sent again.
+TEST_CASE("calls of one method arrive in their order, whatever their size") {
+  Fixture fixture;
+  std::vector<size_t> arrived;
+  const std::vector<size_t> sizes = {900000, 10, 700000, 500000, 10, 300000};
+  RpcServer server(fixture.Loop, {Secret},
+                   {[&](Method, const std::string &body, const Responder &) {
+                      arrived.push_back(body.size());
+                      if (arrived.size() == sizes.size())
+                        fixture.Loop.stop();
+                    },
+                    [](const std::string &) {}});
+  const Address at = testing::freeAddress();
+  REQUIRE(bool(server.listen(at)));
+  for (const size_t n : sizes)
+    fixture.Client.call(at, Method::Consensus, std::string(n, 'x'), {5000},
+                        [](const auto &) {});
+  fixture.Loop.run();
+  CHECK(arrived == sizes);
+}
+
 TEST_CASE("a body that is larger than the budget is sent and received alone") {
   Fixture fixture;
   RpcClient client(fixture.Loop, {Secret, 4 * SmallBudget, SmallBudget});
