--- a/include/almondgate/consensus/progress.hpp
+++ b/include/almondgate/consensus/progress.hpp
@@ -17,6 +17,9 @@
   /// The leader's clock, in milliseconds, when it sent the latest message that
   /// the member has answered.
   int64_t LastAnsweredSentMs = INT64_MIN;
+  /// The leader's clock, in milliseconds, when a rejection last made it send
+  /// entries again. Rejections of earlier messages tell nothing new.
+  int64_t SentAgainMs = INT64_MIN;
   /// The leader's clock, in milliseconds, when it sent a snapshot that is not
   /// yet answered; INT64_MIN if there is none.
   int64_t SnapshotSentMs = INT64_MIN;
--- a/src/almondgate/consensus/node_test.cpp
+++ b/src/almondgate/consensus/node_test.cpp
@@ -4,6 +4,8 @@
 
 #include <doctest/doctest.h>
 
+#include <map>
+
 #include <cstdlib>
 #include <stdexcept>
 
@@ -337,6 +339,8 @@
 struct LoneLeader {
   core::TimeMs Now{10000};
   std::vector<Message> Snapshots;
+  /// Receives what is sent to d and e.
+  std::function<void(const Message &)> OnSilent = [](const Message &) {};
   Node Self;
 
   explicit LoneLeader(const NodeOptions &options)
@@ -358,8 +362,10 @@
         message.To == MemberId("d") || message.To == MemberId("e");
     if (message.Kind == MessageKind::InstallSnapshot)
       Snapshots.push_back(message);
-    if (silent)
+    if (silent) {
+      OnSilent(message);
       return;
+    }
     switch (message.Kind) {
     case MessageKind::PreVote:
       return Self.receive(replyTo(message, MessageKind::PreVoteReply));
@@ -429,3 +435,44 @@
   CHECK(leader.Self.logBytes() <= options.BytesKeptBehindSnapshot);
   CHECK(leader.Self.logBytes() > options.BytesKeptBehindSnapshot - EntryBytes);
 }
+
+// Guards against a leader that sends the entries in flight once more for each
+// of their rejections, so that a member which missed one never catches up.
+TEST_CASE("entries are sent again once, however many messages are rejected") {
+  constexpr size_t EntryBytes = 300000;
+  constexpr int Entries = 10;
+  NodeOptions options;
+  options.Self = MemberId("a");
+  LoneLeader leader(options);
+  leader.OnSilent = [&](const Message &message) {
+    if (message.Kind == MessageKind::Append)
+      leader.Self.receive(replyTo(message, MessageKind::AppendReply));
+  };
+  leader.run(2000);
+  REQUIRE(leader.Self.isReady());
+  std::vector<Message> lost;
+  leader.OnSilent = [&](const Message &message) { lost.push_back(message); };
+  for (int i = 0; i < Entries; ++i) {
+    REQUIRE(leader.Self.propose(std::string(EntryBytes, 'x')));
+    leader.run(20);
+  }
+  const auto to_d = [](const Message &m) { return m.To == MemberId("d"); };
+  std::erase_if(lost, [&](const Message &m) { return !to_d(m); });
+  REQUIRE(lost.size() >= Entries);
+  std::map<uint64_t, int> sent_again;
+  leader.OnSilent = [&](const Message &m) {
+    if (to_d(m))
+      for (const auto &entry : m.Entries)
+        ++sent_again[entry.Index];
+  };
+  for (const auto &message : lost) {
+    auto rejection = replyTo(message, MessageKind::AppendReply);
+    rejection.Granted = false;
+    rejection.LogIndex = lost.front().LogIndex;
+    leader.Self.receive(rejection);
+    leader.run(10);
+  }
+  CHECK_FALSE(sent_again.empty());
+  for (const auto &[index, times] : sent_again)
+    CHECK(times == 1);
+}
--- a/src/almondgate/consensus/replication.cpp
+++ b/src/almondgate/consensus/replication.cpp
@@ -178,10 +178,13 @@
       it == Peers.end())
     return;
   Progress &progress = it->second;
-  progress.Inflight -= progress.Inflight > 0 ? 1 : 0;
   progress.LastAnsweredSentMs =
       std::max(progress.LastAnsweredSentMs, message.Sent);
+  if (!message.Granted && message.Sent < progress.SentAgainMs)
+    return;
+  progress.Inflight -= progress.Inflight > 0 ? 1 : 0;
   if (!message.Granted) {
+    progress.SentAgainMs = Hooks.Now().Count;
     progress.Next = std::max(progress.Match, message.LogIndex) + 1;
     progress.Inflight = 0;
     sendAppend(message.From, false);
