--- a/src/almondgate/dispatch/dispatcher_renewals.cpp
+++ b/src/almondgate/dispatch/dispatcher_renewals.cpp
@@ -402,10 +402,10 @@
               " may be in progress in a next incarnation");
 }
 
-// The runs that the incarnation listed have ended with its lease. The others
-// may be in progress in a next one that is not known: the endpoint may have
-// started anew under its id, and calls for this incarnation may have given that
-// one a lease of up to the longest.
+// The runs that the incarnation is known to have end with its lease. Others may
+// be in progress in an unknown next one: the endpoint may have started anew
+// under its id, and calls for this incarnation may have given that one a lease
+// of up to the longest.
 void Dispatcher::declareLostIfExpired(EndpointView &endpoint) {
   const auto now = Hooks.Now();
   const bool expired = endpoint.Suspect && !endpoint.Facts.Idle &&
