--- a/src/almondgate/dispatch/incarnation_test.cpp
+++ b/src/almondgate/dispatch/incarnation_test.cpp
@@ -13,6 +13,27 @@
 // More than half of a VM, so that each VM has room for one task.
 constexpr int64_t Cores = 40;
 
+/// Two VMs, of which one runs a long task and the other has room for one.
+struct HalfBusyFleet : Fleet {
+  HalfBusyFleet() : Fleet(2) {
+    submit(jobId(1), oneStep(1, Cores, LongMs));
+    advance(Second);
+    FreeVm = VmIds[endpointOf(VmIds[0]).Runs.empty() ? 0 : 1];
+  }
+
+  /// Cuts the VM off, with room for its task elsewhere, and checks that the
+  /// task runs once at a time and ends.
+  void cutOffAndCheck(int64_t ms) {
+    endpointOf(FreeVm).Unreachable = true;
+    addVm("p");
+    advance(ms);
+    checkViolations();
+    CHECK(stateOf(jobId(2)) == JobState::Completed);
+  }
+
+  core::VmId FreeVm;
+};
+
 } // namespace
 
 // Guards against tasks that ran twice: a start that waited to be sent while its
@@ -22,11 +43,8 @@
   constexpr int64_t QueueMs = 2000;
   for (int64_t restart_ms = 100; restart_ms <= 500; restart_ms += 100) {
     CAPTURE(restart_ms);
-    Fleet fleet(2);
-    fleet.submit(jobId(1), oneStep(1, Cores, LongMs));
-    fleet.advance(Second);
-    const bool first_is_free = fleet.endpointOf(fleet.VmIds[0]).Runs.empty();
-    const auto &vm = fleet.VmIds[first_is_free ? 0 : 1];
+    HalfBusyFleet fleet;
+    const auto &vm = fleet.FreeVm;
     fleet.OrderQueueMs = QueueMs;
     fleet.submit(jobId(2), oneStep(1, Cores, LongMs));
     fleet.advance(restart_ms);
@@ -35,12 +53,8 @@
     fleet.advance(QueueMs + 200 - restart_ms);
     const auto &facts = fleet.endpointOf(vm).Facts;
     REQUIRE(fleet.dispatcher().endpoints().at(facts.Id).Facts == facts);
-    fleet.endpointOf(vm).Unreachable = true;
     fleet.OrderQueueMs = 0;
-    fleet.addVm("p");
-    fleet.advance(LongMs * 2);
-    fleet.checkViolations();
-    CHECK(fleet.stateOf(jobId(2)) == JobState::Completed);
+    fleet.cutOffAndCheck(LongMs * 2);
   }
 }
 
@@ -49,22 +63,15 @@
 TEST_CASE("a lease that a former incarnation's deadline gave is waited for") {
   for (int64_t cut_ms = 1600; cut_ms <= 2800; cut_ms += 300) {
     CAPTURE(cut_ms);
-    Fleet fleet(2);
-    fleet.submit(jobId(1), oneStep(1, Cores, LongMs));
-    fleet.advance(Second);
-    const bool first_is_free = fleet.endpointOf(fleet.VmIds[0]).Runs.empty();
-    const auto &vm = fleet.VmIds[first_is_free ? 0 : 1];
+    HalfBusyFleet fleet;
+    const auto &vm = fleet.FreeVm;
     fleet.OrderQueueMs = 50;
     fleet.submit(jobId(2), oneStep(1, Cores, LongMs));
     fleet.advance(20);
     fleet.restartWithSameId(vm);
     fleet.advance(cut_ms);
     REQUIRE(fleet.endpointOf(vm).Runs.size() == 1);
-    fleet.endpointOf(vm).Unreachable = true;
-    fleet.addVm("p");
-    fleet.advance(LongMs * 2);
-    fleet.checkViolations();
-    CHECK(fleet.stateOf(jobId(2)) == JobState::Completed);
+    fleet.cutOffAndCheck(LongMs * 2);
   }
 }
 
@@ -73,12 +80,9 @@
 TEST_CASE("a run that an unknown incarnation accepted is waited for") {
   for (const int64_t restart_ms : {0, 10, 20}) {
     CAPTURE(restart_ms);
-    Fleet fleet(2);
-    fleet.submit(jobId(1), oneStep(1, Cores, LongMs));
+    HalfBusyFleet fleet;
     fleet.OrderQueueMs = 50;
-    fleet.advance(Second);
-    const bool first_is_free = fleet.endpointOf(fleet.VmIds[0]).Runs.empty();
-    const auto &vm = fleet.VmIds[first_is_free ? 0 : 1];
+    const auto &vm = fleet.FreeVm;
     // The order leaves after the restart.
     auto call = testCall(jobs::JobVerb::Submit, jobId(2));
     call.Spec = oneStep(1, Cores, LongMs);
@@ -87,22 +91,15 @@
     fleet.restartWithSameId(vm);
     fleet.advance(100);
     REQUIRE(fleet.endpointOf(vm).Runs.size() == 1);
-    fleet.endpointOf(vm).Unreachable = true;
-    fleet.addVm("p");
-    fleet.advance(LongMs * 3);
-    fleet.checkViolations();
-    CHECK(fleet.stateOf(jobId(2)) == JobState::Completed);
+    fleet.cutOffAndCheck(LongMs * 3);
   }
 }
 
 // As above: the order was given by an earlier leader, and the next incarnation
 // registers with the new one, which can't read it.
 TEST_CASE("a new leader waits for a lease of an unread incarnation") {
-  Fleet fleet(2);
-  fleet.submit(jobId(1), oneStep(1, Cores, LongMs));
-  fleet.advance(Second);
-  const bool first_is_free = fleet.endpointOf(fleet.VmIds[0]).Runs.empty();
-  const auto &vm = fleet.VmIds[first_is_free ? 0 : 1];
+  HalfBusyFleet fleet;
+  const auto &vm = fleet.FreeVm;
   fleet.OrderQueueMs = 50;
   fleet.submit(jobId(2), oneStep(1, Cores, LongMs));
   fleet.advance(20);
@@ -110,11 +107,7 @@
   fleet.advance(50);
   REQUIRE(fleet.endpointOf(vm).Runs.size() == 1);
   fleet.changeLeader();
-  fleet.endpointOf(vm).Unreachable = true;
-  fleet.addVm("p");
-  fleet.advance(LongMs * 2);
-  fleet.checkViolations();
-  CHECK(fleet.stateOf(jobId(2)) == JobState::Completed);
+  fleet.cutOffAndCheck(LongMs * 2);
 }
 
 // Guards against tasks that ran again after their end: the first of two copies
