--- a/src/almondgate/dispatch/dispatcher_orders.cpp
+++ b/src/almondgate/dispatch/dispatcher_orders.cpp
@@ -141,7 +141,9 @@
     return;
   if (reply.Result != OrderResult::Accepted)
     Hooks.Log("start of " + taskName(task_key) + " run " + std::to_string(run) +
-              " at " + at.str() + ": " + orderResultName(reply.Result));
+              " at " + at.str() + " incarnation " + std::to_string(born_ms) +
+              ": " + orderResultName(reply.Result) + " after " +
+              std::to_string((now - given).Count) + " ms");
   if (state->Phase == TaskPhase::Stopping)
     return;
   // An inventory has listed the run since, so only the answer was lost.
@@ -346,8 +348,14 @@
   const auto *record = jobs::findJob(Ledger, key.first.Job);
   const auto index =
       record ? jobs::indexOf(*record->Spec, key.first) : std::nullopt;
-  if (index && OpenJobs.contains(key.first.Job))
-    line += "; its task is " + describeBudget({key.first.Job, *index});
+  line += " incarnation " + std::to_string(at.Facts.BornMs);
+  if (index && OpenJobs.contains(key.first.Job)) {
+    const TaskState &state = *findTaskState({key.first.Job, *index});
+    line += "; task #" + std::to_string(*index) + " run " +
+            std::to_string(state.Run) +
+            (state.isPlaced() ? " at " + state.Endpoint.str() : "") + " is " +
+            describeBudget({key.first.Job, *index});
+  }
   Hooks.Log(line);
   Hooks.IncrementCounter("stop_orders", "why", "unwanted");
   Hooks.Stop(at.Facts, {key.first, key.second, at.Fence}, makeLeaderCheck(),
--- a/src/almondgate/dispatch/dispatcher_renewals.cpp
+++ b/src/almondgate/dispatch/dispatcher_renewals.cpp
@@ -121,10 +121,13 @@
     return;
   }
   if (endpoint.Suspect || !endpoint.InventoryRead)
-    Hooks.Log("endpoint " + id.str() +
-              " read: " + std::to_string(reply.Inventory.Running.size()) +
-              " running, " + std::to_string(reply.Inventory.Ended.size()) +
-              " ended" + (reply.Inventory.MoreEnds ? ", more to read" : ""));
+    Hooks.Log("endpoint " + id.str() + " incarnation " +
+              std::to_string(born_ms) + " read, token " +
+              std::to_string(request.Epoch) + ", its clock shows " +
+              std::to_string(reply.Inventory.ClockMs) + ": " +
+              std::to_string(reply.Inventory.Running.size()) + " running, " +
+              std::to_string(reply.Inventory.Ended.size()) + " ended" +
+              (reply.Inventory.MoreEnds ? ", more to read" : ""));
   endpoint.Lease.observe(reply.Inventory.ClockMs, now);
   endpoint.Suspect = false;
   endpoint.AcknowledgedEnd =
