Start a task nowhere else while an order for it may be carried out

Callers saw tasks that ran twice after endpoints started again under their old ids. Cause: a start without an answer was given up as soon as the incarnation that was there did not list it, had been told to stop it, had lapsed or failed it, or was declared lost. The endpoint's next incarnation knows no tokens and no closed runs, and could carry the old order out until the first call reached it ("seconds later", whatever it was meant for).

The token is raised before the first renewal after such a start, so that whichever incarnation answers it is fenced; a stop that this overtakes is sent again. The second start without an answer needs no stop any more.

Ruled out: a change of leader (the four tests have none), the lease.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -203,6 +203,23 @@
   TaskState *findTaskState(const TaskKey &task_key);
   const jobs::StepSpec *findStep(const TaskKey &task_key) const;
 
+  // dispatcher_late_starts.cpp
+  /// Where a task may start now.
+  struct StartLimit;
+  /// Notes that the start order of the task's run at the endpoint, which has no
+  /// answer, may be carried out late.
+  void addLateStart(const TaskKey &task_key, const jobs::EndpointId &at);
+  /// The endpoint has the run: an order that was sent once was carried out.
+  void removeLateStart(TaskState &state, const jobs::EndpointId &at,
+                       int64_t run);
+  /// An order for the run may be carried out late at the endpoint.
+  static bool isLateStart(const TaskState &state, const jobs::EndpointId &at,
+                          int64_t run);
+  StartLimit startLimit(const TaskKey &task_key, TaskState &state);
+  /// An earlier run of the task is listed by the endpoint and is being stopped.
+  bool hasOrphan(const EndpointView &endpoint, const TaskKey &task_key) const;
+  bool isUsable(const EndpointView &endpoint) const;
+
   // dispatcher_renewals.cpp
   void renew(EndpointView &endpoint);
   core::DurationMs renewWait(const EndpointView &endpoint) const;
@@ -245,6 +262,7 @@
   StepCandidates candidatesFor(const ReadyStep &ready,
                                const std::vector<EndpointView *> &pool) const;
   std::map<core::PoolId, PoolCapacity> usablePools();
+  static bool isInPool(const EndpointView *endpoint, const OpenJob &job);
   /// Whether `n` further start orders may be given together.
   bool mayOrderStarts(size_t n) const;
   bool isWithinLimit(const core::TeamId &team, const core::Size &need) const;
--- a/include/almondgate/dispatch/endpoint_view.hpp
+++ b/include/almondgate/dispatch/endpoint_view.hpp
@@ -33,6 +33,8 @@
   jobs::EndpointFacts Facts;
   /// Fencing token of the orders to this incarnation; see FenceCounter.
   uint64_t Fence = 0;
+  /// A start order was given with this token.
+  bool FenceUsed = false;
   /// The incarnation that answered instead of this one and has not registered;
   /// 0 if none did.
   int64_t SuccessorBornMs = 0;
--- a/include/almondgate/dispatch/task_state.hpp
+++ b/include/almondgate/dispatch/task_state.hpp
@@ -1,11 +1,11 @@
 #ifndef ALMONDGATE_DISPATCH_TASK_STATE_HPP
 #define ALMONDGATE_DISPATCH_TASK_STATE_HPP
 
-#include "almondgate/core/time_ms.hpp"
-#include "almondgate/jobs/ids.hpp"
+#include "almondgate/dispatch/late_start.hpp"
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace almondgate::dispatch {
 
@@ -50,6 +50,8 @@
   bool Confirmed = false;
   /// The start got no answer and was sent a second time.
   bool StartResent = false;
+  /// Starts of this run and of earlier ones that may still be carried out.
+  std::vector<LateStart> LateStarts;
 
   bool operator==(const TaskState &) const = default;
 
--- a/src/almondgate/dispatch/dispatcher_endpoints.cpp
+++ b/src/almondgate/dispatch/dispatcher_endpoints.cpp
@@ -108,6 +108,8 @@
     TaskState &state = *findTaskState(task_key);
     if (!state.mayRunInNextIncarnation())
       continue;
+    if (state.Phase == TaskPhase::Ordered)
+      addLateStart(task_key, old_incarnation.Facts.Id);
     if (state.Phase != TaskPhase::Stopping)
       state.Phase = TaskPhase::Unanswered;
     state.StopAcknowledged = false;
--- a/src/almondgate/dispatch/dispatcher_orders.cpp
+++ b/src/almondgate/dispatch/dispatcher_orders.cpp
@@ -105,6 +105,7 @@
   order.DeadlineMs = at.Suspect ? at.Lease.granted()
                                 : at.Lease.grant(Hooks.Now(), Options.Lease);
   order.Epoch = at.Fence;
+  at.FenceUsed = true;
   at.LastLeaseCall = Hooks.Now();
   order.Checkpoint = state.Checkpoint;
   const auto tickets =
@@ -144,6 +145,10 @@
               " at " + at.str() + " incarnation " + std::to_string(born_ms) +
               ": " + orderResultName(reply.Result) + " after " +
               std::to_string((now - given).Count) + " ms");
+  const bool carried_out =
+      state->Phase == TaskPhase::Running && !state->StartResent;
+  if (reply.Result == OrderResult::NoAnswer && !carried_out)
+    addLateStart(task_key, at);
   if (state->Phase == TaskPhase::Stopping)
     return;
   // An inventory has listed the run since, so only the answer was lost.
@@ -302,8 +307,6 @@
     recordEvent(jobs::EndpointGone{at, born_ms});
     return;
   }
-  if (reply.Result == OrderResult::Fenced)
-    return;
   endpoint.StopRetries.insert(task_key);
   const bool withheld =
       reply.Result == OrderResult::NotSent && !mayStop(task_key);
--- a/src/almondgate/dispatch/dispatcher_placing.cpp
+++ b/src/almondgate/dispatch/dispatcher_placing.cpp
@@ -3,6 +3,7 @@
 
 #include "pool_capacity.hpp"
 #include "run_accounting.hpp"
+#include "start_limit.hpp"
 #include "step_candidates.hpp"
 
 #include <algorithm>
@@ -125,14 +126,15 @@
   }
 }
 
+bool Dispatcher::isUsable(const EndpointView &endpoint) const {
+  return endpoint.isServing() && !endpoint.DeclaredLost &&
+         endpoint.Lease.isClockKnown() && endpoint.BackOffUntil <= Hooks.Now();
+}
+
 std::map<core::PoolId, Dispatcher::PoolCapacity> Dispatcher::usablePools() {
-  const auto now = Hooks.Now();
   std::map<core::PoolId, PoolCapacity> out;
   for (auto &[id, endpoint] : Endpoints) {
-    const bool usable = endpoint.isServing() && !endpoint.DeclaredLost &&
-                        endpoint.Lease.isClockKnown() &&
-                        endpoint.BackOffUntil <= now;
-    if (!usable)
+    if (!isUsable(endpoint))
       continue;
     PoolCapacity &capacity = out[endpoint.Facts.Pool];
     capacity.Endpoints.push_back(&endpoint);
@@ -236,22 +238,39 @@
   return room;
 }
 
+// Null stands for no endpoint.
+bool Dispatcher::isInPool(const EndpointView *endpoint, const OpenJob &job) {
+  return endpoint && endpoint->Facts.Pool == job.pool();
+}
+
 bool Dispatcher::placeStep(const ReadyStep &ready,
                            const std::vector<EndpointView *> &pool) {
   const auto now = Hooks.Now();
   const size_t last = ready.First + size_t(ready.Spec->Count);
   auto candidates = candidatesFor(ready, pool);
   for (size_t i = ready.First; i < last; ++i) {
-    const TaskState &state = ready.Job->Tasks[i];
+    TaskState &state = ready.Job->Tasks[i];
     if (state.Phase != TaskPhase::Waiting || state.NotBefore > now)
       continue;
+    const TaskKey task_key{ready.Record->Id, i};
+    const StartLimit limit = startLimit(task_key, state);
+    if (!limit.Anywhere && !isInPool(limit.Only, *ready.Job))
+      continue;
     if (!isWithinLimit(ready.Record->Team, ready.Spec->Need) ||
         !mayOrderStarts(1))
       return true;
-    EndpointView *at = candidates.allocate(Hooks.Policies.ChooseEndpoint);
-    if (!at)
+    EndpointView *at = limit.Anywhere
+                           ? candidates.allocate(Hooks.Policies.ChooseEndpoint)
+                           : candidatesFor(ready, {limit.Only})
+                                 .allocate(Hooks.Policies.ChooseEndpoint);
+    if (!at && limit.Anywhere)
       return false;
-    startTask({ready.Record->Id, i}, *at, nextRunNumber(state.Run));
+    if (!at)
+      continue;
+    startTask(task_key, *at, nextRunNumber(state.Run));
+    // The candidates don't know of a task that was placed without them.
+    if (!limit.Anywhere)
+      candidates = candidatesFor(ready, pool);
   }
   return true;
 }
@@ -262,10 +281,13 @@
                            const std::vector<EndpointView *> &pool) {
   const size_t count = size_t(ready.Spec->Count);
   const auto from = ready.Job->Tasks.begin() + int64_t(ready.First);
-  const bool all = std::all_of(
+  bool all = std::all_of(
       from, from + int64_t(count), [now = Hooks.Now()](const TaskState &state) {
         return state.Phase == TaskPhase::Waiting && state.NotBefore <= now;
       });
+  for (size_t i = 0; all && i < count; ++i)
+    all = startLimit({ready.Record->Id, ready.First + i}, from[int64_t(i)])
+              .Anywhere;
   core::Size total;
   for (size_t i = 0; i < count; ++i)
     total = total + ready.Spec->Need;
--- a/src/almondgate/dispatch/dispatcher_renewals.cpp
+++ b/src/almondgate/dispatch/dispatcher_renewals.cpp
@@ -28,6 +28,12 @@
 void Dispatcher::renew(EndpointView &endpoint) {
   const auto now = Hooks.Now();
   const auto &facts = endpoint.Facts;
+  const bool unanswered_starts = hasUnansweredStarts(endpoint);
+  // Late orders of before have no effect once this renewal has been answered,
+  // by whichever incarnation.
+  if ((endpoint.Suspect || unanswered_starts) &&
+      std::exchange(endpoint.FenceUsed, false))
+    endpoint.Fence = Fences.next();
   RenewRequest request;
   request.Epoch = endpoint.Fence;
   // Another incarnation may have answered instead of the suspected one, and
@@ -44,8 +50,7 @@
   }
   // The first renewal, and one that decides about an unanswered start, must be
   // answered at once; the others may wait for a run to end.
-  if (endpoint.InventoryRead && !endpoint.Suspect &&
-      !hasUnansweredStarts(endpoint))
+  if (endpoint.InventoryRead && !endpoint.Suspect && !unanswered_starts)
     request.WaitMs = renewWait(endpoint).Count;
   endpoint.Renewing = true;
   Hooks.Renew(facts, request,
@@ -235,8 +240,11 @@
     TaskState &state = open->second.Tasks[*task_index];
     const bool is_current = state.Endpoint == endpoint.Facts.Id &&
                             state.Run == report.Run && state.isPlaced();
+    const bool inherited = open->second.Inherited && report.Run > state.Run;
+    const bool late = report.Run == state.Run &&
+                      isLateStart(state, endpoint.Facts.Id, report.Run);
     const bool adopt = state.Phase == TaskPhase::Waiting && record->isOpen() &&
-                       open->second.Inherited && report.Run > state.Run;
+                       (inherited || late);
     if (adopt) {
       const auto &step = record->Spec->Steps[report.Task.Step];
       state.Phase = TaskPhase::Running;
@@ -250,6 +258,7 @@
       TeamUsage[record->Team] = TeamUsage[record->Team] + step.Need;
     }
     if (is_current || adopt) {
+      removeLateStart(state, endpoint.Facts.Id, report.Run);
       state.Confirmed = true;
       if (state.Phase == TaskPhase::Ordered ||
           state.Phase == TaskPhase::Unanswered) {
@@ -303,8 +312,10 @@
     RunTimes[record->Queue].observe(
         record->Spec->Steps[report.Task.Step].EstimateMs,
         (Hooks.Now() - state->Since).Count);
-  if (state)
+  if (state) {
     state->Run = std::max(state->Run, report.Run);
+    removeLateStart(*state, endpoint.Facts.Id, report.Run);
+  }
   if (is_current) {
     if (!report.Checkpoint.empty())
       state->Checkpoint = report.Checkpoint;
@@ -358,13 +369,13 @@
   }
 }
 
-// The incarnation that answered does not have the run, so the start is sent
-// once more, which does no harm if the first order arrives late. If the second
-// start gets no answer either, the run is stopped.
+// The incarnation that answered does not have the run, and its fencing token
+// keeps it from carrying the order out late. The start is sent once more, as
+// the members of a gang need the same run number.
 void Dispatcher::resolveUnansweredStart(const TaskKey &task_key,
                                         TaskState &state) {
   if (std::exchange(state.StartResent, true)) {
-    stopTask(task_key, "unanswered start");
+    releaseTask(task_key, TaskPhase::Waiting);
     return;
   }
   state.Phase = TaskPhase::Ordered;
@@ -374,8 +385,11 @@
 
 void Dispatcher::releaseLostRuns(EndpointView &endpoint) {
   const auto task_keys = endpoint.Runs;
-  for (const auto &task_key : task_keys)
+  for (const auto &task_key : task_keys) {
+    if (findTaskState(task_key)->Phase == TaskPhase::Ordered)
+      addLateStart(task_key, endpoint.Facts.Id);
     releaseTask(task_key, TaskPhase::Waiting);
+  }
   for (const auto &[key, orphan] : endpoint.OrphanedRuns)
     TeamUsage[orphan.Team] = TeamUsage[orphan.Team] - orphan.Need;
   endpoint.OrphanedRuns.clear();
