Tell later leaders which starts got no answer

Callers saw the same as before, beside a change of leader: the new leader read the endpoint, found it idle, started the task elsewhere, and the endpoint's next incarnation carried the old leader's order out.

Change: a start without an answer is recorded in the ledger (start-unanswered, one record for each task and endpoint, dropped with the end of the task or job or when the endpoint left). A new leader binds the task to that endpoint as the old one did, counting from its own beginning, as clocks of members differ. A planned change of leader gives no further starts and waits up to 0.6 s for those that are outstanding; what has no answer then is recorded.

--- a/include/almondgate/control/control_task.hpp
+++ b/include/almondgate/control/control_task.hpp
@@ -48,7 +48,11 @@
   /// The leader's inner address; nothing if no leader is known.
   std::optional<core::Address> leaderAddress() const;
 
-  void stepDown() { Core.stepDown(); }
+  /// Hands leadership over, once the orders that are outstanding are known to
+  /// the next leader.
+  void stepDown() {
+    Jobs.prepareHandOver([this] { Core.stepDown(); });
+  }
   bool isLeader() const { return Core.isLeader(); }
   /// Why the member is not ready to serve; empty if it is ready.
   std::string notReady() const;
--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -48,6 +48,10 @@
   /// Starts to act as the leader. `epoch` must be durable.
   void startLeading(uint64_t epoch);
 
+  /// Prepares a planned change of leader: gives no further starts, and calls
+  /// `done` once the outstanding ones are answered or recorded as unanswered.
+  void prepareHandOver(std::function<void()> done);
+
   /// Stops acting as the leader and discards all state that is not in the
   /// ledger. Pending callers receive Unavailable with an unknown outcome.
   void stopLeading();
@@ -215,6 +219,11 @@
   /// An order for the run may be carried out late at the endpoint.
   static bool isLateStart(const TaskState &state, const jobs::EndpointId &at,
                           int64_t run);
+  /// When a start that gets no answer now is carried out at the latest.
+  core::TimeMs latestLateStart(const jobs::StepSpec &step) const;
+  /// Takes over the starts of earlier leaders that may be carried out late.
+  void inheritLateStarts(const jobs::JobRecord &record, OpenJob &job) const;
+  void handOverIfReady();
   StartLimit startLimit(const TaskKey &task_key, TaskState &state);
   /// An earlier run of the task is listed by the endpoint and is being stopped.
   bool hasOrphan(const EndpointView &endpoint, const TaskKey &task_key) const;
@@ -366,6 +375,9 @@
   /// Version of the newest configuration recorded, durable or not.
   uint64_t RecordedConfigVersion = 0;
   bool PassScheduled = false;
+  /// Set while a planned change of leader is being prepared.
+  std::function<void()> OnHandOver;
+  core::TimeMs HandOverDue;
   core::TimeMs LastPass{INT64_MIN / 2};
   /// Increases with each start and end of leadership; replies to requests of
   /// an earlier leadership are recognized by it.
--- a/include/almondgate/jobs/event.hpp
+++ b/include/almondgate/jobs/event.hpp
@@ -131,20 +131,31 @@
   bool operator==(const VmOrdersLapsed &) const = default;
 };
 
+/// A start order for a task got no answer: the endpoint may carry it out
+/// seconds later.
+struct StartUnanswered {
+  JobId Job;
+  /// Index into JobRecord::Tasks.
+  uint64_t Task = 0;
+  EndpointId Endpoint;
+  bool operator==(const StartUnanswered &) const = default;
+};
+
 /// Any change to the ledger. New kinds are only appended, never inserted.
-using Event =
-    std::variant<JobAccepted, JobCancelled, TaskEnded, ConfigReplaced,
-                 EndpointRegistered, EndpointGone, EndpointIdled, EpochBegun,
-                 WaveStarted, MaintenanceBegun, MaintenanceFinished,
-                 JobsExpired, VmOrdered, VmOrdersLapsed, ConfigRevised>;
+using Event = std::variant<JobAccepted, JobCancelled, TaskEnded, ConfigReplaced,
+                           EndpointRegistered, EndpointGone, EndpointIdled,
+                           EpochBegun, WaveStarted, MaintenanceBegun,
+                           MaintenanceFinished, JobsExpired, VmOrdered,
+                           VmOrdersLapsed, ConfigRevised, StartUnanswered>;
 
 /// Stored names of the kinds, in the order of the variant.
 inline constexpr const char *EventKinds[] = {
-    "job-accepted", "job-cancelled",    "task-ended",
-    "config-given", "registered",       "gone",
-    "idled",        "epoch-begun",      "wave-started",
-    "upkeep-begun", "upkeep-finished",  "jobs-expired",
-    "vm-ordered",   "vm-orders-lapsed", "config-revised"};
+    "job-accepted",    "job-cancelled",    "task-ended",
+    "config-given",    "registered",       "gone",
+    "idled",           "epoch-begun",      "wave-started",
+    "upkeep-begun",    "upkeep-finished",  "jobs-expired",
+    "vm-ordered",      "vm-orders-lapsed", "config-revised",
+    "start-unanswered"};
 
 } // namespace almondgate::jobs
 
--- a/include/almondgate/jobs/job_record.hpp
+++ b/include/almondgate/jobs/job_record.hpp
@@ -7,7 +7,9 @@
 #include "almondgate/jobs/task_progress.hpp"
 #include "almondgate/jobs/task_ref.hpp"
 
+#include <map>
 #include <optional>
+#include <set>
 
 namespace almondgate::jobs {
 
@@ -35,6 +37,9 @@
   int64_t EndedWallMs = 0;
   /// Tasks ordered by occurrence, then by step.
   std::vector<TaskProgress> Tasks;
+  /// Where starts of tasks that are not done got no answer, by the index of the
+  /// task; empty once the job has ended.
+  std::map<uint64_t, std::set<EndpointId>> UnansweredStarts;
   /// Number of tasks that are not done.
   int64_t Remaining = 0;
 
--- a/src/almondgate/dispatch/dispatcher.cpp
+++ b/src/almondgate/dispatch/dispatcher.cpp
@@ -89,6 +89,7 @@
   Outbox.clear();
   Recording = false;
   PassScheduled = false;
+  OnHandOver = {};
   for (const auto &done : std::exchange(RecordingCallbacks, {}))
     done(false);
   for (const auto &done : std::exchange(OutboxCallbacks, {}))
@@ -119,6 +120,7 @@
   VmOrders.recordExpiredLeases();
   expireJobs();
   schedulePass();
+  handOverIfReady();
 }
 
 const jobs::ConfigIndex &Dispatcher::index() const {
@@ -249,6 +251,7 @@
   job.Due =
       job.SentAt +
       DurationMs{int64_t(terms.Stretch * double(chain.Count)) + terms.TargetMs};
+  inheritLateStarts(record, job);
   OpenJobs.emplace(record.Id, std::move(job));
 }
 
--- a/src/almondgate/dispatch/dispatcher_late_starts.cpp
+++ b/src/almondgate/dispatch/dispatcher_late_starts.cpp
@@ -14,6 +14,8 @@
 // Starts of a task that one endpoint leaves unanswered before the task is given
 // to another.
 constexpr int64_t MaxUnansweredTries = 4;
+// Longer than an order waits for its answer.
+constexpr core::DurationMs MaxHandOverWait{600};
 
 auto findLateStart(std::vector<LateStart> &all, const EndpointId &at,
                    int64_t run) {
@@ -24,16 +26,63 @@
 
 } // namespace
 
+// Work that must not be missing for long waits for the longest lease only.
+TimeMs Dispatcher::latestLateStart(const jobs::StepSpec &step) const {
+  return step.LongRunning
+             ? LeaseClock::latestExpiry(Hooks.Now(), Options.MaxLease)
+             : Hooks.Now() + Options.LateOrderLimit;
+}
+
+// When they were sent is not known, as clocks of members may differ.
+void Dispatcher::inheritLateStarts(const jobs::JobRecord &record,
+                                   OpenJob &job) const {
+  for (const auto &[index, endpoints] : record.UnansweredStarts) {
+    const auto task = jobs::taskAt(record.Id, *record.Spec, index);
+    const TimeMs until = latestLateStart(record.Spec->Steps[task.Step]);
+    for (const auto &id : endpoints)
+      job.Tasks[index].LateStarts.push_back({id, 0, 1, until});
+  }
+}
+
+// Orders that have no answer by then are recorded as unanswered, so that the
+// next leader knows of them.
+void Dispatcher::prepareHandOver(std::function<void()> done) {
+  if (!isActive() || OnHandOver) {
+    done();
+    return;
+  }
+  OnHandOver = std::move(done);
+  HandOverDue = Hooks.Now() + MaxHandOverWait;
+  handOverIfReady();
+}
+
+void Dispatcher::handOverIfReady() {
+  if (!OnHandOver)
+    return;
+  std::vector<TaskKey> ordered;
+  for (const auto &[id, job] : OpenJobs)
+    for (size_t i = 0; job.Placed > 0 && i < job.Tasks.size(); ++i)
+      if (job.Tasks[i].Phase == TaskPhase::Ordered)
+        ordered.emplace_back(id, i);
+  if (!ordered.empty() && Hooks.Now() < HandOverDue)
+    return;
+  for (const auto &task_key : ordered)
+    addLateStart(task_key, findTaskState(task_key)->Endpoint);
+  afterRecorded([done = std::exchange(OnHandOver, {})](bool) { done(); });
+}
+
 void Dispatcher::addLateStart(const TaskKey &task_key, const EndpointId &at) {
   TaskState &state = *findTaskState(task_key);
   const auto *step = findStep(task_key);
   if (step->AllowDuplicates)
     return;
-  // A task that must not be missing for long waits for the longest lease only.
-  const TimeMs until =
-      step->LongRunning
-          ? LeaseClock::latestExpiry(Hooks.Now(), Options.MaxLease)
-          : Hooks.Now() + Options.LateOrderLimit;
+  const TimeMs until = latestLateStart(*step);
+  // A later leader has to wait as well.
+  const auto &recorded =
+      jobs::findJob(Ledger, task_key.first)->UnansweredStarts;
+  const auto row = recorded.find(task_key.second);
+  if (row == recorded.end() || !row->second.contains(at))
+    recordEvent(jobs::StartUnanswered{task_key.first, task_key.second, at});
   auto it = findLateStart(state.LateStarts, at, state.Run);
   if (it == state.LateStarts.end())
     it = state.LateStarts.insert(it, {at, state.Run, 0, until});
--- a/src/almondgate/dispatch/dispatcher_placing.cpp
+++ b/src/almondgate/dispatch/dispatcher_placing.cpp
@@ -232,7 +232,7 @@
 
 // Tasks that may not be started yet keep waiting; the next pass tries again.
 bool Dispatcher::mayOrderStarts(size_t n) const {
-  const bool room = Hooks.HasRoomForStarts(n);
+  const bool room = !OnHandOver && Hooks.HasRoomForStarts(n);
   if (!room)
     Hooks.IncrementCounter("start_orders", "result", "held-back");
   return room;
--- a/src/almondgate/dispatch/late_start_test.cpp
+++ b/src/almondgate/dispatch/late_start_test.cpp
@@ -125,3 +125,24 @@
     fleet.finish();
   }
 }
+
+// As above: the leader hands over as planned while the start is outstanding.
+TEST_CASE("a planned change of leader passes outstanding starts on") {
+  constexpr int64_t HandOverMs = 600;
+  LateFleet fleet(1, 4 * Second, LongMs);
+  bool ready = false;
+  fleet.dispatcher().prepareHandOver([&] { ready = true; });
+  CHECK_FALSE(ready);
+  fleet.advance(HandOverMs + 100);
+  CHECK(ready);
+  CHECK(fleet.ledger().Jobs.begin()->second.UnansweredStarts.size() == 1);
+}
+
+TEST_CASE("a planned change of leader waits for no answer if none is due") {
+  Fleet fleet(2);
+  fleet.submit(jobId(1), oneStep(1, Cores, LongMs));
+  fleet.advance(100);
+  bool ready = false;
+  fleet.dispatcher().prepareHandOver([&] { ready = true; });
+  CHECK(ready);
+}
--- a/src/almondgate/encoding/jobs_json.hpp
+++ b/src/almondgate/encoding/jobs_json.hpp
@@ -63,7 +63,8 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(JobRecord, Id, Queue, Team,
                                                 Spec, AcceptedWallMs, Epoch,
                                                 Call, Terms, Cancelled, Failed,
-                                                EndedWallMs, Tasks, Remaining)
+                                                EndedWallMs, Tasks,
+                                                UnansweredStarts, Remaining)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(JobAccepted, Id, Queue, Team,
                                                 Spec, WallMs, Epoch, Call,
                                                 Terms)
@@ -86,6 +87,8 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(JobsExpired, EndedBeforeWallMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(VmOrdered, Vm, To)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(VmOrdersLapsed, Vms)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(StartUnanswered, Job, Task,
+                                                Endpoint)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(JobCall, Verb, Host, Path, Key,
                                                 Call, Spec, SpecError)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(JobReply, Outcome, State,
--- a/src/almondgate/jobs/ledger.cpp
+++ b/src/almondgate/jobs/ledger.cpp
@@ -54,6 +54,7 @@
     return;
   it->second.Cancelled = true;
   it->second.EndedWallMs = event.WallMs;
+  it->second.UnansweredStarts.clear();
 }
 
 // The range of tasks that end together with a task: a gang ends as a whole, so
@@ -72,6 +73,7 @@
   for (size_t i = first; i < last; ++i) {
     job.Remaining -= job.Tasks[i].Done ? 0 : 1;
     job.Tasks[i].Done = true;
+    job.UnansweredStarts.erase(i);
   }
   if (job.Remaining == 0)
     job.EndedWallMs = event.WallMs;
@@ -90,6 +92,7 @@
     return;
   job.Failed = true;
   job.EndedWallMs = event.WallMs;
+  job.UnansweredStarts.clear();
 }
 
 void on(Ledger &ledger, const TaskEnded &event) {
@@ -104,6 +107,20 @@
     recordFailure(it->second, event);
 }
 
+void on(Ledger &ledger, const StartUnanswered &event) {
+  const auto it = ledger.Jobs.find(event.Job);
+  const bool waits = it != ledger.Jobs.end() && it->second.isOpen() &&
+                     event.Task < it->second.Tasks.size() &&
+                     !it->second.Tasks[event.Task].Done;
+  if (!waits)
+    return;
+  auto &at = it->second.UnansweredStarts[event.Task];
+  // Endpoints that have left the fleet carry nothing out.
+  std::erase_if(
+      at, [&](const EndpointId &id) { return !ledger.Endpoints.contains(id); });
+  at.insert(event.Endpoint);
+}
+
 void on(Ledger &ledger, const ConfigRevised &event) {
   updateTerms(ledger);
   applyRevision(ledger.Config, event.Revision);
--- a/src/almondgate/jobs/ledger_test.cpp
+++ b/src/almondgate/jobs/ledger_test.cpp
@@ -213,3 +213,35 @@
   CHECK(ledger.Jobs.at(Job).Terms.Pool == core::PoolId("other"));
   CHECK(ledger.Jobs.at(Job).Terms.PoolReplaced);
 }
+
+// Guards against a leader that doesn't know of the starts that earlier ones
+// sent without an answer, and against records of them that grow without end.
+TEST_CASE("starts without an answer are kept until their task or job ends") {
+  Ledger ledger = withJob(steps({3}));
+  const auto add = [&](const char *id) {
+    EndpointFacts facts;
+    facts.Id = EndpointId(id);
+    facts.BornMs = 1;
+    apply(ledger, EndpointRegistered{facts});
+  };
+  const auto unanswered = [&](uint64_t task, const char *at) {
+    apply(ledger, StartUnanswered{Job, task, EndpointId(at)});
+  };
+  const auto &kept = ledger.Jobs.at(Job).UnansweredStarts;
+  add("a");
+  add("b");
+  unanswered(0, "a");
+  unanswered(0, "a");
+  unanswered(1, "a");
+  unanswered(3, "a");
+  CHECK(kept.size() == 2);
+  apply(ledger, EndpointGone{EndpointId("a"), 1});
+  unanswered(1, "b");
+  CHECK(kept.at(1) == std::set<EndpointId>{EndpointId("b")});
+  apply(ledger, ended(0, 1, true));
+  CHECK_FALSE(kept.contains(0));
+  unanswered(0, "b");
+  CHECK_FALSE(kept.contains(0));
+  apply(ledger, JobCancelled{Job, 5});
+  CHECK(kept.empty());
+}
