Take an answer for an incarnation's own only if its clock fits closely

Callers could see a task run twice: a start was accepted by the successor of an incarnation that had lived for less than half a second. The tolerances of LeaseClock::matches() (0.5 s behind, 2 s ahead) took the successor's clock for that of the first one, so the run counted as that one's and was given up when the successor registered, while it ran there.

Change: a run counts as confirmed by the answer to its start only if the clock fits within 0.1 s; the wide tolerances stay for telling other incarnations.

Ruled out: confirming by inventories alone; it holds, but the work of an endpoint that is cut off within a second of a start waits 6.3 s instead of 3.2 s (dispatcher_test "runs on an unreachable endpoint" failed).

incarnation_test "a start that a young incarnation's successor accepted is kept" failed for all six ages (200 to 450 ms) and passes; dispatch_test 96 of 96.

--- a/include/almondgate/dispatch/lease_clock.hpp
+++ b/include/almondgate/dispatch/lease_clock.hpp
@@ -22,6 +22,8 @@
   /// of it. No answer takes longer than the latter.
   static constexpr core::DurationMs LowerTolerance{500};
   static constexpr core::DurationMs UpperTolerance{2000};
+  /// Both, for an answer that must be this incarnation's.
+  static constexpr core::DurationMs CloseTolerance{100};
 
   /// Records the endpoint's clock, which an answer received at `now` reported.
   void observe(int64_t clock_ms, core::TimeMs now);
@@ -30,6 +32,11 @@
   /// `given`, can be this endpoint's. That of another incarnation starts anew.
   bool matches(int64_t clock_ms, core::TimeMs given, core::TimeMs now) const;
 
+  /// As matches(), but false for the clock of an incarnation that began when
+  /// this one was no more than half a second old.
+  bool matchesClosely(int64_t clock_ms, core::TimeMs given,
+                      core::TimeMs now) const;
+
   bool isClockKnown() const { return Received.has_value(); }
 
   /// Grants a lease and returns its deadline by the endpoint's clock, at most
@@ -56,6 +63,8 @@
   std::string describe(core::TimeMs now) const;
 
 private:
+  bool isWithin(int64_t clock_ms, core::TimeMs given, core::TimeMs now,
+                core::DurationMs below, core::DurationMs above) const;
   int64_t earliestClock(core::TimeMs now) const;
 
   std::optional<core::TimeMs> Received;
--- a/src/almondgate/dispatch/dispatcher_orders.cpp
+++ b/src/almondgate/dispatch/dispatcher_orders.cpp
@@ -128,6 +128,10 @@
 void Dispatcher::onStartReply(const TaskKey &task_key, int64_t run,
                               const EndpointId &at, int64_t born_ms,
                               core::TimeMs given, OrderReply reply) {
+  const auto known = Endpoints.find(at);
+  const bool same_clock =
+      known != Endpoints.end() && reply.ClockMs &&
+      known->second.Lease.matchesClosely(*reply.ClockMs, given, Hooks.Now());
   EndpointView *answering = findAnsweringIncarnation(at, born_ms, given, reply);
   if (!answering)
     return;
@@ -174,7 +178,7 @@
   case OrderResult::Accepted:
     state->Phase = TaskPhase::Running;
     state->Since = now;
-    state->Confirmed = reply.ClockMs.has_value();
+    state->Confirmed = same_clock;
     return;
   case OrderResult::NoAnswer:
     endpoint.Suspect = true;
--- a/src/almondgate/dispatch/lease_clock.cpp
+++ b/src/almondgate/dispatch/lease_clock.cpp
@@ -24,13 +24,22 @@
 }
 
 bool LeaseClock::matches(int64_t clock_ms, TimeMs given, TimeMs now) const {
-  if (!Received)
-    return true;
+  return !Received ||
+         isWithin(clock_ms, given, now, LowerTolerance, UpperTolerance);
+}
+
+bool LeaseClock::matchesClosely(int64_t clock_ms, TimeMs given,
+                                TimeMs now) const {
+  return Received &&
+         isWithin(clock_ms, given, now, CloseTolerance, CloseTolerance);
+}
+
+bool LeaseClock::isWithin(int64_t clock_ms, TimeMs given, TimeMs now,
+                          DurationMs below, DurationMs above) const {
   const int64_t earliest =
       std::min(earliestClock(given), ClockMs + (given - *Received).Count);
   const int64_t latest = ClockMs + (now - *Received).Count;
-  return clock_ms >= earliest - LowerTolerance.Count &&
-         clock_ms <= latest + UpperTolerance.Count;
+  return clock_ms >= earliest - below.Count && clock_ms <= latest + above.Count;
 }
 
 // The least that the endpoint's clock can show at `now`.
