Wait for the lease of an incarnation that was given up unread

Cause: the view of the next incarnation forgot when calls for the former one had last been given. With no clock known and no such call, its lease counted as expired at once, although a call with the former one's deadline gives it up to the longest lease.

Change: the next incarnation's view takes over the time of the last call, and assumes a lease of the longest from then.

incarnation_test "an unread incarnation's lease is waited for" failed for four of eight ages and passes; dispatch_test 97 of 97.

--- a/src/almondgate/dispatch/dispatcher_endpoints.cpp
+++ b/src/almondgate/dispatch/dispatcher_endpoints.cpp
@@ -43,10 +43,13 @@
               std::to_string(it->second.Facts.BornMs) + " (" +
               it->second.Lease.describe(Hooks.Now()) + "); " +
               std::to_string(open.size()) + " runs may be in progress there");
-    // What earlier leaders gave to the old incarnation may be in progress in
-    // the new one.
-    if (it->second.isUnread())
-      view.Lease.assumeValidUntil(it->second.Lease.assumedUntil());
+    // Calls for the old incarnation, of earlier leaders as well, may have given
+    // the new one runs and a lease.
+    view.LastLeaseCall = it->second.LastLeaseCall;
+    view.Lease.assumeValidUntil(std::max(
+        it->second.isUnread() ? it->second.Lease.assumedUntil()
+                              : core::TimeMs{INT64_MIN / 2},
+        LeaseClock::latestExpiry(view.LastLeaseCall, Options.MaxLease)));
     releaseLostRuns(it->second);
     unlinkFromVm(it->second);
     Endpoints.erase(it);
--- a/src/almondgate/dispatch/incarnation_test.cpp
+++ b/src/almondgate/dispatch/incarnation_test.cpp
@@ -149,37 +149,59 @@
   fleet.checkViolations();
 }
 
+namespace {
+
+/// The leader has read an incarnation, which has a successor that it has not
+/// heard of and that accepted the start of a long task.
+struct SucceededFleet : HalfBusyFleet {
+  explicit SucceededFleet(int64_t age_ms) {
+    restartWithSameId(FreeVm);
+    beat();
+    advance(age_ms - 50);
+    OrderQueueMs = 50;
+    auto call = testCall(jobs::JobVerb::Submit, jobId(2));
+    call.Spec = oneStep(1, Cores, LongMs);
+    dispatcher().handleCall(call, [](const auto &) {});
+    advance(50);
+    restartWithSameId(FreeVm);
+    advance(30);
+    REQUIRE(endpointOf(FreeVm).Runs.size() == 1);
+  }
+
+  void beat() {
+    constexpr int64_t LateSequence = 1 << 30;
+    dispatcher().handleHeartbeat(endpointOf(FreeVm).Facts, LateSequence,
+                                 [](const core::Status &) {});
+  }
+};
+
+} // namespace
+
 // Guards against tasks that ran twice: an incarnation that had lived for less
 // than half a second was followed by one whose clock was taken for its own, so
 // that a start which the latter accepted was given up with the former.
 TEST_CASE("a start that a young incarnation's successor accepted is kept") {
-  constexpr int64_t LateSequence = 1 << 30;
   for (int64_t age_ms = 200; age_ms <= 450; age_ms += 50) {
     CAPTURE(age_ms);
-    HalfBusyFleet fleet;
-    const auto &vm = fleet.FreeVm;
-    const auto beat = [&] {
-      fleet.dispatcher().handleHeartbeat(fleet.endpointOf(vm).Facts,
-                                         LateSequence,
-                                         [](const core::Status &) {});
-    };
-    fleet.restartWithSameId(vm);
-    beat();
-    fleet.advance(age_ms - 50);
-    fleet.OrderQueueMs = 50;
-    auto call = testCall(jobs::JobVerb::Submit, jobId(2));
-    call.Spec = oneStep(1, Cores, LongMs);
-    fleet.dispatcher().handleCall(call, [](const auto &) {});
-    fleet.advance(50);
-    fleet.restartWithSameId(vm);
-    fleet.advance(30);
-    REQUIRE(fleet.endpointOf(vm).Runs.size() == 1);
+    SucceededFleet fleet(age_ms);
     // The task has room elsewhere as soon as it is given up.
     fleet.addVm("p");
     fleet.advance(200);
-    beat();
+    fleet.beat();
     fleet.advance(LongMs * 3);
     fleet.checkViolations();
     CHECK(fleet.stateOf(jobId(2)) == JobState::Completed);
   }
 }
+
+// As above: the successor was cut off right after it had registered, before it
+// could be read, and was given up at once.
+TEST_CASE("an unread incarnation's lease is waited for") {
+  for (int64_t age_ms = 200; age_ms <= 900; age_ms += 100) {
+    CAPTURE(age_ms);
+    SucceededFleet fleet(age_ms);
+    fleet.endpointOf(fleet.FreeVm).Unreachable = true;
+    fleet.beat();
+    fleet.cutOffAndCheck(LongMs * 3);
+  }
+}
