Wait for late starts as long as they last, and no longer

Now four tries in all, then the task waits and goes elsewhere; unanswered starts count as failures for placement. - It was repeated: records of settled starts bound tasks after each change of leader. Now they are withdrawn (Over). - Gangs waited though their endpoints were fine: like long-running work they go elsewhere once the endpoints have been read. - A leader that hands over gave starts again while its last records were being made durable, and second tries. - A run that nobody wants and that is being stopped holds its task back, wherever it is listed; it could start elsewhere meanwhile (by reading). - The clock of an answer may be 5 ms behind at most, as the successor of an incarnation of 100 ms was taken for it.

Cost: a pass rebuilt the candidates after each bound task; bound tasks are now placed first.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -214,19 +214,20 @@
   /// answer, may be carried out late.
   void addLateStart(const TaskKey &task_key, const jobs::EndpointId &at);
   /// The endpoint has the run: an order that was sent once was carried out.
-  void removeLateStart(TaskState &state, const jobs::EndpointId &at,
+  void removeLateStart(const TaskKey &task_key, const jobs::EndpointId &at,
                        int64_t run);
+  void expireLateStarts();
+  void recordReplaced(const jobs::EndpointId &id, int64_t born_ms);
   /// An order for the run may be carried out late at the endpoint.
   static bool isLateStart(const TaskState &state, const jobs::EndpointId &at,
                           int64_t run);
-  /// When a start that gets no answer now is carried out at the latest.
-  core::TimeMs latestLateStart(const jobs::StepSpec &step) const;
+  core::TimeMs latestLateStart(const TaskKey &task_key,
+                               core::TimeMs since) const;
+  bool isOver(const TaskKey &task_key, const LateStart &late) const;
   /// Takes over the starts of earlier leaders that may be carried out late.
-  void inheritLateStarts(const jobs::JobRecord &record, OpenJob &job) const;
+  void inheritLateStarts(const jobs::JobRecord &record, OpenJob &job);
   void handOverIfReady();
-  StartLimit startLimit(const TaskKey &task_key, TaskState &state);
-  /// An earlier run of the task is listed by the endpoint and is being stopped.
-  bool hasOrphan(const EndpointView &endpoint, const TaskKey &task_key) const;
+  StartLimit startLimit(const TaskKey &task_key);
   bool isUsable(const EndpointView &endpoint) const;
 
   // dispatcher_renewals.cpp
@@ -247,6 +248,8 @@
   void stopUnresolvedStarts(EndpointView &endpoint);
   void resolveUnansweredStart(const TaskKey &task_key, TaskState &state);
   void releaseLostRuns(EndpointView &endpoint);
+  void releaseOrphan(const EndpointView::RunKey &key,
+                     const OrphanedRun &orphan);
   /// Releases the runs that ended when the endpoint's lease expired.
   void releaseExpiredRuns(EndpointView &endpoint);
   void declareLostIfExpired(EndpointView &endpoint);
@@ -271,6 +274,8 @@
   StepCandidates candidatesFor(const ReadyStep &ready,
                                const std::vector<EndpointView *> &pool) const;
   std::map<core::PoolId, PoolCapacity> usablePools();
+  /// One more task of the step may start, as far as limits and orders go.
+  bool mayStartTask(const ReadyStep &ready) const;
   static bool isInPool(const EndpointView *endpoint, const OpenJob &job);
   /// Whether `n` further start orders may be given together.
   bool mayOrderStarts(size_t n) const;
@@ -375,7 +380,15 @@
   /// Version of the newest configuration recorded, durable or not.
   uint64_t RecordedConfigVersion = 0;
   bool PassScheduled = false;
-  /// Set while a planned change of leader is being prepared.
+  /// How many orphaned runs of each task there are.
+  std::map<jobs::TaskRef, int64_t> OrphanCounts;
+  /// Tasks with LateStarts, here or in the ledger.
+  std::set<TaskKey> LateTasks;
+  /// Endpoints that another one has replaced, and when that was seen.
+  std::map<jobs::EndpointId, core::TimeMs> Replaced;
+  /// A planned change of leader is being prepared; no starts are given.
+  bool HandingOver = false;
+  /// To be called once it is prepared.
   std::function<void()> OnHandOver;
   core::TimeMs HandOverDue;
   core::TimeMs LastPass{INT64_MIN / 2};
--- a/include/almondgate/dispatch/endpoint_view.hpp
+++ b/include/almondgate/dispatch/endpoint_view.hpp
@@ -46,6 +46,8 @@
   /// or not, and in the newest one.
   std::optional<int64_t> FirstReadClockMs;
   int64_t LastReadClockMs = 0;
+  /// When the newest renewal that the incarnation has answered was sent.
+  core::TimeMs LastRead{INT64_MIN / 2};
   /// When a call that extends the lease was last given, answered or given up.
   core::TimeMs LastLeaseCall{INT64_MIN / 2};
   /// The last request to the endpoint failed.
@@ -63,7 +65,7 @@
   /// Number of the last end report that was read.
   int64_t LastReadEnd = 0;
   int64_t HeartbeatSequence = -1;
-  /// Failed runs since the last one that succeeded.
+  /// Failed runs and unanswered starts since the last run that succeeded.
   int64_t FailuresInRow = 0;
   /// No new work is placed on the VM: it is being drained for maintenance or a
   /// move.
--- a/include/almondgate/dispatch/late_start.hpp
+++ b/include/almondgate/dispatch/late_start.hpp
@@ -8,16 +8,17 @@
 
 namespace almondgate::dispatch {
 
-/// Start orders for a run that got no answer. The endpoint may still carry one
+/// Start orders for a task that got no answer. The endpoint may still carry one
 /// out, whichever of its incarnations is there by then, unless that one has
 /// seen a higher fencing token.
 struct LateStart {
   jobs::EndpointId Endpoint;
+  /// The highest run that was ordered; 0 if an earlier leader ordered it.
   int64_t Run = 0;
   /// How many orders got no answer.
   int64_t Tries = 0;
-  /// None of them is carried out after this time.
-  core::TimeMs Until;
+  /// When the last of them was given up.
+  core::TimeMs Since;
 
   bool operator==(const LateStart &) const = default;
 };
--- a/include/almondgate/dispatch/lease_clock.hpp
+++ b/include/almondgate/dispatch/lease_clock.hpp
@@ -22,8 +22,10 @@
   /// of it. No answer takes longer than the latter.
   static constexpr core::DurationMs LowerTolerance{500};
   static constexpr core::DurationMs UpperTolerance{2000};
-  /// Both, for an answer that must be this incarnation's.
-  static constexpr core::DurationMs CloseTolerance{100};
+  /// The same for an answer that must be this incarnation's. What an answer
+  /// took on its way makes later ones seem ahead, never behind.
+  static constexpr core::DurationMs CloseLowerTolerance{5};
+  static constexpr core::DurationMs CloseUpperTolerance{100};
 
   /// Records the endpoint's clock, which an answer received at `now` reported.
   void observe(int64_t clock_ms, core::TimeMs now);
@@ -33,7 +35,7 @@
   bool matches(int64_t clock_ms, core::TimeMs given, core::TimeMs now) const;
 
   /// As matches(), but false for the clock of an incarnation that began when
-  /// this one was no more than half a second old.
+  /// this one was young.
   bool matchesClosely(int64_t clock_ms, core::TimeMs given,
                       core::TimeMs now) const;
 
--- a/include/almondgate/jobs/event.hpp
+++ b/include/almondgate/jobs/event.hpp
@@ -132,12 +132,13 @@
 };
 
 /// A start order for a task got no answer: the endpoint may carry it out
-/// seconds later.
+/// seconds later, until that is over.
 struct StartUnanswered {
   JobId Job;
   /// Index into JobRecord::Tasks.
   uint64_t Task = 0;
   EndpointId Endpoint;
+  bool Over = false;
   bool operator==(const StartUnanswered &) const = default;
 };
 
--- a/src/almondgate/dispatch/dispatcher.cpp
+++ b/src/almondgate/dispatch/dispatcher.cpp
@@ -84,12 +84,16 @@
   Endpoints.clear();
   EndpointsByVm.clear();
   TeamUsage.clear();
+  OrphanCounts.clear();
   TeamUnreadUsage.clear();
   Resubmissions.clear();
   Outbox.clear();
   Recording = false;
   PassScheduled = false;
+  HandingOver = false;
   OnHandOver = {};
+  LateTasks.clear();
+  Replaced.clear();
   for (const auto &done : std::exchange(RecordingCallbacks, {}))
     done(false);
   for (const auto &done : std::exchange(OutboxCallbacks, {}))
@@ -119,6 +123,7 @@
   }
   VmOrders.recordExpiredLeases();
   expireJobs();
+  expireLateStarts();
   schedulePass();
   handOverIfReady();
 }
--- a/src/almondgate/dispatch/dispatcher_endpoints.cpp
+++ b/src/almondgate/dispatch/dispatcher_endpoints.cpp
@@ -33,6 +33,7 @@
     it->second.DeclaredLost = facts.Idle;
     return;
   }
+  Replaced.erase(facts.Id);
   // A new incarnation of the endpoint: the runs of the old one ended with it.
   std::set<TaskKey> open;
   EndpointView view;
@@ -207,7 +208,7 @@
     const bool replaced = (!facts.Vm.empty() && other.Facts.Vm == facts.Vm) ||
                           other.Facts.At == facts.At;
     if (id != facts.Id && replaced && other.Facts.BornMs < facts.BornMs)
-      recordEvent(jobs::EndpointGone{id, other.Facts.BornMs});
+      recordReplaced(id, other.Facts.BornMs);
   }
   Hooks.Log("endpoint " + facts.Id.str() + " at " + core::toString(facts.At) +
             " pool " + facts.Pool.str() + " vm " + facts.Vm.str() +
--- a/src/almondgate/dispatch/dispatcher_orders.cpp
+++ b/src/almondgate/dispatch/dispatcher_orders.cpp
@@ -183,6 +183,7 @@
   case OrderResult::NoAnswer:
     endpoint.Suspect = true;
     endpoint.RenewDue = now;
+    ++endpoint.FailuresInRow;
     // The run may be in progress, or start seconds later, even in the
     // endpoint's next incarnation. An inventory that is requested from now on
     // decides.
@@ -208,7 +209,7 @@
     release_for_retry({});
     return;
   case OrderResult::WrongIncarnation:
-    recordEvent(jobs::EndpointGone{at, born_ms});
+    recordReplaced(at, born_ms);
     endpoint.Suspect = true;
     return;
   case OrderResult::Outdated:
@@ -308,7 +309,7 @@
   Hooks.Log("stop of " + taskName(task_key) + " run " + std::to_string(run) +
             " at " + at.str() + ": " + orderResultName(reply.Result));
   if (reply.Result == OrderResult::WrongIncarnation) {
-    recordEvent(jobs::EndpointGone{at, born_ms});
+    recordReplaced(at, born_ms);
     return;
   }
   endpoint.StopRetries.insert(task_key);
--- a/src/almondgate/dispatch/dispatcher_placing.cpp
+++ b/src/almondgate/dispatch/dispatcher_placing.cpp
@@ -232,7 +232,7 @@
 
 // Tasks that may not be started yet keep waiting; the next pass tries again.
 bool Dispatcher::mayOrderStarts(size_t n) const {
-  const bool room = !OnHandOver && Hooks.HasRoomForStarts(n);
+  const bool room = !HandingOver && Hooks.HasRoomForStarts(n);
   if (!room)
     Hooks.IncrementCounter("start_orders", "result", "held-back");
   return room;
@@ -246,35 +246,44 @@
 bool Dispatcher::placeStep(const ReadyStep &ready,
                            const std::vector<EndpointView *> &pool) {
   const auto now = Hooks.Now();
-  const size_t last = ready.First + size_t(ready.Spec->Count);
-  auto candidates = candidatesFor(ready, pool);
-  for (size_t i = ready.First; i < last; ++i) {
-    TaskState &state = ready.Job->Tasks[i];
+  const auto place = [&](size_t index, StepCandidates &candidates) {
+    EndpointView *at = candidates.allocate(Hooks.Policies.ChooseEndpoint);
+    if (at)
+      startTask({ready.Record->Id, index}, *at,
+                nextRunNumber(ready.Job->Tasks[index].Run));
+    return at != nullptr;
+  };
+  std::vector<size_t> free;
+  for (size_t i = ready.First; i < ready.First + size_t(ready.Spec->Count);
+       ++i) {
+    const TaskState &state = ready.Job->Tasks[i];
     if (state.Phase != TaskPhase::Waiting || state.NotBefore > now)
       continue;
-    const TaskKey task_key{ready.Record->Id, i};
-    const StartLimit limit = startLimit(task_key, state);
-    if (!limit.Anywhere && !isInPool(limit.Only, *ready.Job))
-      continue;
-    if (!isWithinLimit(ready.Record->Team, ready.Spec->Need) ||
-        !mayOrderStarts(1))
+    const StartLimit limit = startLimit({ready.Record->Id, i});
+    if (limit.Anywhere) {
+      free.push_back(i);
+    } else if (isInPool(limit.Only, *ready.Job)) {
+      if (!mayStartTask(ready))
+        return true;
+      auto candidates = candidatesFor(ready, {limit.Only});
+      place(i, candidates);
+    }
+  }
+  auto candidates = candidatesFor(ready, pool);
+  for (const size_t i : free) {
+    if (!mayStartTask(ready))
       return true;
-    EndpointView *at = limit.Anywhere
-                           ? candidates.allocate(Hooks.Policies.ChooseEndpoint)
-                           : candidatesFor(ready, {limit.Only})
-                                 .allocate(Hooks.Policies.ChooseEndpoint);
-    if (!at && limit.Anywhere)
+    if (!place(i, candidates))
       return false;
-    if (!at)
-      continue;
-    startTask(task_key, *at, nextRunNumber(state.Run));
-    // The candidates don't know of a task that was placed without them.
-    if (!limit.Anywhere)
-      candidates = candidatesFor(ready, pool);
   }
   return true;
 }
 
+bool Dispatcher::mayStartTask(const ReadyStep &ready) const {
+  return isWithinLimit(ready.Record->Team, ready.Spec->Need) &&
+         mayOrderStarts(1);
+}
+
 // Places all members of the gang or none: members that wait for the last one
 // occupy capacity without working.
 void Dispatcher::placeGang(const ReadyStep &ready,
@@ -286,8 +295,7 @@
         return state.Phase == TaskPhase::Waiting && state.NotBefore <= now;
       });
   for (size_t i = 0; all && i < count; ++i)
-    all = startLimit({ready.Record->Id, ready.First + i}, from[int64_t(i)])
-              .Anywhere;
+    all = startLimit({ready.Record->Id, ready.First + i}).Anywhere;
   core::Size total;
   for (size_t i = 0; i < count; ++i)
     total = total + ready.Spec->Need;
--- a/src/almondgate/dispatch/dispatcher_renewals.cpp
+++ b/src/almondgate/dispatch/dispatcher_renewals.cpp
@@ -95,7 +95,7 @@
                                  born_ms != 0 && reply.Inventory.BornMs != 0 &&
                                  reply.Inventory.BornMs != born_ms;
   if (reply.Result == OrderResult::WrongIncarnation) {
-    recordEvent(jobs::EndpointGone{id, born_ms});
+    recordReplaced(id, born_ms);
     endpoint.Suspect = true;
     return;
   }
@@ -145,6 +145,7 @@
         LeaseClock::latestExpiry(now, Options.MaxLease));
   }
   endpoint.LastReadClockMs = reply.Inventory.ClockMs;
+  endpoint.LastRead = std::max(endpoint.LastRead, sent);
   applyInventory(endpoint, sent, reply.Inventory);
   endpoint.InventoryRead = endpoint.InventoryRead || !reply.Inventory.MoreEnds;
   if (endpoint.Facts.Idle && endpoint.DeclaredLost)
@@ -225,7 +226,7 @@
       continue;
     }
     endpoint.Used = endpoint.Used - it->second.Need;
-    TeamUsage[it->second.Team] = TeamUsage[it->second.Team] - it->second.Need;
+    releaseOrphan(it->first, it->second);
     it = endpoint.OrphanedRuns.erase(it);
   }
 }
@@ -258,7 +259,7 @@
       TeamUsage[record->Team] = TeamUsage[record->Team] + step.Need;
     }
     if (is_current || adopt) {
-      removeLateStart(state, endpoint.Facts.Id, report.Run);
+      removeLateStart(task_key, endpoint.Facts.Id, report.Run);
       state.Confirmed = true;
       if (state.Phase == TaskPhase::Ordered ||
           state.Phase == TaskPhase::Unanswered) {
@@ -275,6 +276,8 @@
   const EndpointView::RunKey key{report.Task, report.Run};
   const auto [it, added] = endpoint.OrphanedRuns.try_emplace(key);
   it->second.Listed = true;
+  if (added)
+    ++OrphanCounts[report.Task];
   if (added && task_index) {
     it->second.Need = requiredCapacity(record->Spec->Steps[report.Task.Step]);
     it->second.Team = record->Team;
@@ -314,7 +317,7 @@
         (Hooks.Now() - state->Since).Count);
   if (state) {
     state->Run = std::max(state->Run, report.Run);
-    removeLateStart(*state, endpoint.Facts.Id, report.Run);
+    removeLateStart(task_key, endpoint.Facts.Id, report.Run);
   }
   if (is_current) {
     if (!report.Checkpoint.empty())
@@ -374,6 +377,8 @@
 // the members of a gang need the same run number.
 void Dispatcher::resolveUnansweredStart(const TaskKey &task_key,
                                         TaskState &state) {
+  if (HandingOver)
+    return;
   if (std::exchange(state.StartResent, true)) {
     releaseTask(task_key, TaskPhase::Waiting);
     return;
@@ -391,7 +396,7 @@
     releaseTask(task_key, TaskPhase::Waiting);
   }
   for (const auto &[key, orphan] : endpoint.OrphanedRuns)
-    TeamUsage[orphan.Team] = TeamUsage[orphan.Team] - orphan.Need;
+    releaseOrphan(key, orphan);
   endpoint.OrphanedRuns.clear();
   endpoint.Used = {};
   for (size_t i = 0; i < task_keys.size(); ++i)
@@ -401,6 +406,14 @@
               std::to_string(task_keys.size()) + " runs lost");
 }
 
+void Dispatcher::releaseOrphan(const EndpointView::RunKey &key,
+                               const OrphanedRun &orphan) {
+  TeamUsage[orphan.Team] = TeamUsage[orphan.Team] - orphan.Need;
+  const auto it = OrphanCounts.find(key.first);
+  if (--it->second == 0)
+    OrphanCounts.erase(it);
+}
+
 void Dispatcher::releaseExpiredRuns(EndpointView &endpoint) {
   size_t released = 0;
   const auto task_keys = endpoint.Runs;
--- a/src/almondgate/dispatch/late_start_test.cpp
+++ b/src/almondgate/dispatch/late_start_test.cpp
@@ -15,25 +15,42 @@
 // An endpoint carries an order without an answer out at most this much later.
 constexpr int64_t LongestDelayMs = 12 * Second;
 
-/// Two VMs. The start of a job of one task gets no answer, a given number of
-/// times, and the endpoint carries each try out late.
+/// The start of a job of one task gets no answer, a given number of times, and
+/// the endpoint carries each try out late.
 struct LateFleet : Fleet {
-  LateFleet(int64_t tries, int64_t delay_ms, int64_t run_ms) : Fleet(2) {
+  LateFleet(int vms, int64_t tries, int64_t delay_ms, const jobs::JobSpec &spec)
+      : Fleet(vms) {
+    delayStarts(tries, delay_ms);
+    submit(jobId(1), spec);
+    advance(20);
+    choose(tries);
+  }
+
+  void delayStarts(int64_t tries, int64_t delay_ms) {
     for (const auto &vm : VmIds) {
       endpointOf(vm).DelayedStarts = tries;
       endpointOf(vm).StartDelayMs = delay_ms;
     }
-    submit(jobId(1), oneStep(1, Cores, run_ms));
-    advance(20);
-    Chosen = VmIds[endpointOf(VmIds[0]).DelayedStarts < tries ? 0 : 1];
-    for (const auto &vm : VmIds)
-      if (vm != Chosen)
+  }
+
+  /// Finds the VM where the task was ordered.
+  void choose(int64_t tries) {
+    for (const auto &vm : VmIds) {
+      if (endpointOf(vm).DelayedStarts < tries)
+        Chosen = vm;
+      else
         endpointOf(vm).DelayedStarts = 0;
+    }
   }
 
+  /// Lets all orders come to an end.
   void finish() {
     advance(2 * LongMs + LongestDelayMs);
     checkViolations();
+  }
+
+  void finishJob() {
+    finish();
     CHECK(stateOf(jobId(1)) == JobState::Completed);
   }
 
@@ -52,10 +69,10 @@
     for (const int64_t before_ms : {10, 100, 400}) {
       CAPTURE(delay_ms);
       CAPTURE(before_ms);
-      LateFleet fleet(2, delay_ms, LongMs);
+      LateFleet fleet(2, 2, delay_ms, oneStep(1, Cores, LongMs));
       fleet.advance(delay_ms - before_ms);
       fleet.restartWithSameId(fleet.Chosen);
-      fleet.finish();
+      fleet.finishJob();
     }
 }
 
@@ -65,11 +82,11 @@
   for (int64_t delay_ms = 7 * Second; delay_ms < LongestDelayMs;
        delay_ms += 700) {
     CAPTURE(delay_ms);
-    LateFleet fleet(1, delay_ms, LongMs);
+    LateFleet fleet(2, 1, delay_ms, oneStep(1, Cores, LongMs));
     fleet.endpointOf(fleet.Chosen).Unreachable = true;
     fleet.advance(delay_ms - 100);
     fleet.restartWithSameId(fleet.Chosen);
-    fleet.finish();
+    fleet.finishJob();
   }
 }
 
@@ -79,13 +96,13 @@
   for (int64_t delay_ms = 6 * Second; delay_ms < LongestDelayMs;
        delay_ms += 700) {
     CAPTURE(delay_ms);
-    LateFleet fleet(1, delay_ms, LongMs);
+    LateFleet fleet(2, 1, delay_ms, oneStep(1, Cores, LongMs));
     fleet.advance(1500);
     REQUIRE(fleet.endpointOf(fleet.Chosen).Runs.size() == 1);
     fleet.endpointOf(fleet.Chosen).Unreachable = true;
     fleet.advance(delay_ms - 1520 - 100);
     fleet.restartWithSameId(fleet.Chosen);
-    fleet.finish();
+    fleet.finishJob();
   }
 }
 
@@ -94,7 +111,7 @@
   for (int64_t delay_ms = 3 * Second; delay_ms < LongestDelayMs;
        delay_ms += 700) {
     CAPTURE(delay_ms);
-    LateFleet fleet(1, delay_ms, Second);
+    LateFleet fleet(2, 1, delay_ms, oneStep(1, Cores, Second));
     int64_t failures = 1;
     fleet.Fails = [&](const jobs::TaskRef &) { return failures-- > 0; };
     fleet.RunMs = [&](const jobs::StepSpec &) {
@@ -102,7 +119,7 @@
     };
     fleet.advance(delay_ms - 100);
     fleet.restartWithSameId(fleet.Chosen);
-    fleet.finish();
+    fleet.finishJob();
   }
 }
 
@@ -112,7 +129,7 @@
   for (int64_t delay_ms = 4 * Second; delay_ms < LongestDelayMs;
        delay_ms += 700) {
     CAPTURE(delay_ms);
-    LateFleet fleet(1, delay_ms, LongMs);
+    LateFleet fleet(2, 1, delay_ms, oneStep(1, Cores, LongMs));
     // The start has had no answer, and its second try is not sent yet.
     fleet.advance(490);
     fleet.endpointOf(fleet.Chosen).DelayedStarts = 0;
@@ -122,14 +139,14 @@
     fleet.advance(delay_ms - 510 - 300 - 100);
     fleet.restartWithSameId(fleet.Chosen);
     fleet.endpointOf(fleet.Chosen).Facts.Draining = false;
-    fleet.finish();
+    fleet.finishJob();
   }
 }
 
 // As above: the leader hands over as planned while the start is outstanding.
 TEST_CASE("a planned change of leader passes outstanding starts on") {
   constexpr int64_t HandOverMs = 600;
-  LateFleet fleet(1, 4 * Second, LongMs);
+  LateFleet fleet(2, 1, 4 * Second, oneStep(1, Cores, LongMs));
   bool ready = false;
   fleet.dispatcher().prepareHandOver([&] { ready = true; });
   CHECK_FALSE(ready);
@@ -146,3 +163,218 @@
   fleet.dispatcher().prepareHandOver([&] { ready = true; });
   CHECK(ready);
 }
+
+// Guards against tasks that ran twice: an endpoint left the fleet in an orderly
+// way, its task was started elsewhere at once, and it came back under its id
+// and carried the unanswered try out.
+TEST_CASE("a task waits for its late starts across a leave") {
+  for (int64_t delay_ms = 4 * Second; delay_ms < LongestDelayMs;
+       delay_ms += 700) {
+    CAPTURE(delay_ms);
+    LateFleet fleet(2, 1, delay_ms, oneStep(1, Cores, LongMs));
+    fleet.advance(2 * Second);
+    TestEndpoint &endpoint = fleet.endpointOf(fleet.Chosen);
+    endpoint.Unreachable = true;
+    endpoint.Runs.clear();
+    fleet.dispatcher().handleLeave(endpoint.Facts.Id, endpoint.Facts.BornMs,
+                                   [](const core::Status &) {});
+    fleet.advance(delay_ms - 2 * Second - 100);
+    fleet.restartWithSameId(fleet.Chosen);
+    fleet.finish();
+  }
+}
+
+// As above: the endpoint was restarted because it left four tries unanswered.
+TEST_CASE("a task waits for late starts after its last try") {
+  for (int64_t delay_ms = 4 * Second; delay_ms < LongestDelayMs;
+       delay_ms += 700) {
+    CAPTURE(delay_ms);
+    LateFleet fleet(2, 4, delay_ms, oneStep(1, Cores, LongMs));
+    fleet.advance(delay_ms - 100);
+    fleet.restartWithSameId(fleet.Chosen);
+    fleet.finish();
+  }
+}
+
+// As above: the next incarnation carries the try out just before it can't any
+// more, is cut off, and runs the task until its lease expires.
+TEST_CASE("a late start may run for the longest lease") {
+  for (int64_t delay_ms = 10 * Second; delay_ms < LongestDelayMs;
+       delay_ms += 300) {
+    CAPTURE(delay_ms);
+    LateFleet fleet(2, 2, delay_ms, oneStep(1, Cores, LongMs));
+    fleet.advance(delay_ms - 100);
+    fleet.restartWithSameId(fleet.Chosen);
+    fleet.advance(150);
+    fleet.endpointOf(fleet.Chosen).Unreachable = true;
+    fleet.finish();
+  }
+}
+
+// As above, for work that waits for the longest lease only.
+TEST_CASE("a long-running task waits for its late starts") {
+  for (int64_t delay_ms = 7 * Second; delay_ms < LongestDelayMs;
+       delay_ms += 700) {
+    CAPTURE(delay_ms);
+    LateFleet fleet(2, 1, delay_ms, longRunning(1, 1));
+    fleet.endpointOf(fleet.Chosen).Unreachable = true;
+    fleet.advance(delay_ms - 100);
+    fleet.restartWithSameId(fleet.Chosen);
+    fleet.finish();
+  }
+}
+
+// Guards against starts after an end: the second try ran to its end, which was
+// acknowledged, and the next incarnation carried the first one out.
+TEST_CASE("a task that is done is not started by a late start") {
+  for (int64_t delay_ms = 3 * Second; delay_ms < LongestDelayMs;
+       delay_ms += 700) {
+    CAPTURE(delay_ms);
+    LateFleet fleet(2, 1, delay_ms, oneStep(1, Cores, Second));
+    fleet.advance(delay_ms - 100);
+    fleet.restartWithSameId(fleet.Chosen);
+    fleet.finish();
+  }
+}
+
+// Guards against tasks that ran twice after a change of leader: a start without
+// an answer of long ago, at another endpoint, was still in the ledger, and with
+// two endpoints the new leader bound the task to neither.
+TEST_CASE("an old unanswered start does not hide a new one") {
+  for (const bool earlier : {false, true})
+    for (int64_t delay_ms = 4 * Second; delay_ms < LongestDelayMs;
+         delay_ms += 1400) {
+      CAPTURE(earlier);
+      CAPTURE(delay_ms);
+      int64_t failures = 1;
+      // The first start is answered late, but is ruled out by the second.
+      LateFleet fleet(3, earlier ? 1 : 0, 700, oneStep(1, Cores, 15 * Second));
+      fleet.Fails = [&](const jobs::TaskRef &) { return failures-- > 0; };
+      fleet.advance(1500);
+      if (!earlier)
+        for (const auto &vm : fleet.VmIds)
+          if (!fleet.endpointOf(vm).Runs.empty())
+            fleet.Chosen = vm;
+      if (!earlier)
+        for (auto &[task, run] : fleet.endpointOf(fleet.Chosen).Runs)
+          run.Fails = true;
+      const auto first = fleet.Chosen;
+      fleet.drain(first);
+      fleet.advance(13 * Second);
+      fleet.delayStarts(1, delay_ms);
+      while (fleet.running() > 0)
+        fleet.advance(1);
+      bool ordered = false;
+      for (int i = 0; i < 500 && !ordered; ++i) {
+        fleet.advance(1);
+        for (const auto &vm : fleet.VmIds)
+          ordered = ordered || fleet.endpointOf(vm).DelayedStarts == 0;
+      }
+      REQUIRE(ordered);
+      fleet.choose(1);
+      REQUIRE(fleet.Chosen != first);
+      fleet.advance(510);
+      fleet.changeLeader();
+      fleet.drain(fleet.Chosen);
+      fleet.advance(delay_ms - 510 - 300 - 100);
+      fleet.restartWithSameId(fleet.Chosen);
+      fleet.endpointOf(fleet.Chosen).Facts.Draining = false;
+      fleet.finish();
+    }
+}
+
+// A planned change of leader gives no further starts, neither while the last
+// events are made durable: the next leader would not know of them.
+TEST_CASE("no starts while the last unanswered ones are recorded") {
+  LateFleet fleet(2, 1, 4 * Second, oneStep(1, Cores, LongMs));
+  fleet.submit(jobId(2), oneStep(1, Cores, LongMs));
+  fleet.CommitMs = 100;
+  bool ready = false;
+  fleet.dispatcher().prepareHandOver([&] { ready = true; });
+  // The job is accepted 100 ms from now, and the free VM could start it.
+  int64_t at_hand_over = -1;
+  int64_t first_start = -1;
+  for (int64_t ms = 0; ms < Second; ++ms) {
+    if (ready && at_hand_over < 0)
+      at_hand_over = ms;
+    if (fleet.running() > 0 && first_start < 0)
+      first_start = ms;
+    fleet.advance(1);
+  }
+  CAPTURE(at_hand_over);
+  CAPTURE(first_start);
+  REQUIRE(at_hand_over > 0);
+  const bool after = first_start < 0 || first_start > at_hand_over;
+  CHECK(after);
+}
+
+// Guards against tasks that ran twice: an incarnation that lived for less than
+// half a second was replaced while a start for it waited to be sent. The clock
+// of the answer looked like its own.
+TEST_CASE("a start that the next incarnation accepted is not lost") {
+  for (int64_t lived_ms = 100; lived_ms <= 700; lived_ms += 100) {
+    CAPTURE(lived_ms);
+    Fleet fleet(2);
+    for (const auto &vm : fleet.VmIds) {
+      fleet.restartWithSameId(vm);
+      fleet.dispatcher().handleHeartbeat(fleet.endpointOf(vm).Facts, 1,
+                                         [](const core::Status &) {});
+    }
+    fleet.advance(lived_ms - 30);
+    fleet.OrderQueueMs = 50;
+    fleet.submit(jobId(1), oneStep(1, Cores, LongMs));
+    fleet.advance(30);
+    const auto &known = fleet.dispatcher().endpoints();
+    for (const auto &vm : fleet.VmIds)
+      if (!known.at(fleet.endpointOf(vm).Facts.Id).Runs.empty())
+        fleet.restartWithSameId(vm);
+    fleet.advance(LongMs * 2);
+    fleet.checkViolations();
+  }
+}
+
+// Guards against starvation: an endpoint answers renewals but no start, and the
+// task was tried there for ever, beside a free VM.
+TEST_CASE("a task leaves an endpoint that answers no starts") {
+  LateFleet fleet(2, INT64_MAX, LongestDelayMs, oneStep(1, Cores, Second));
+  fleet.advance(60 * Second);
+  fleet.checkViolations();
+  CHECK(fleet.stateOf(jobId(1)) == JobState::Completed);
+}
+
+// Guards against delays after a change of leader: the ledger keeps unanswered
+// starts long after they can be carried out, and each new leader waits for them
+// again.
+TEST_CASE("an unanswered start of long ago delays no task") {
+  LateFleet fleet(3, 1, 700, oneStep(1, Cores, 15 * Second));
+  fleet.advance(1500);
+  for (auto &[task, run] : fleet.endpointOf(fleet.Chosen).Runs)
+    run.Fails = true;
+  fleet.drain(fleet.Chosen);
+  while (fleet.running() > 0)
+    fleet.advance(1);
+  fleet.changeLeader();
+  fleet.advance(3 * Second);
+  CHECK(fleet.running() == 1);
+}
+
+// Guards against delays: a gang waits for the late starts of one member
+// although all members run, or have run, since.
+TEST_CASE("a gang that failed starts again") {
+  jobs::JobSpec spec = oneStep(2, Cores, Second);
+  spec.Steps[0].Gang = true;
+  Fleet fleet(3);
+  int64_t failures = 2;
+  fleet.Fails = [&](const jobs::TaskRef &) { return failures-- > 0; };
+  fleet.endpointOf(fleet.VmIds[0]).DelayedStarts = 1;
+  fleet.endpointOf(fleet.VmIds[0]).StartDelayMs = 5 * Second;
+  fleet.endpointOf(fleet.VmIds[1]).DelayedStarts = 1;
+  fleet.endpointOf(fleet.VmIds[1]).StartDelayMs = 5 * Second;
+  fleet.submit(jobId(1), spec);
+  const int64_t from = fleet.now();
+  while (fleet.stateOf(jobId(1)) != JobState::Completed &&
+         fleet.now() < from + 60 * Second)
+    fleet.advance(10);
+  CAPTURE(fleet.now() - from);
+  CHECK(fleet.now() - from < 6 * Second);
+}
--- a/src/almondgate/dispatch/lease_clock.cpp
+++ b/src/almondgate/dispatch/lease_clock.cpp
@@ -30,8 +30,8 @@
 
 bool LeaseClock::matchesClosely(int64_t clock_ms, TimeMs given,
                                 TimeMs now) const {
-  return Received &&
-         isWithin(clock_ms, given, now, CloseTolerance, CloseTolerance);
+  return Received && isWithin(clock_ms, given, now, CloseLowerTolerance,
+                              CloseUpperTolerance);
 }
 
 bool LeaseClock::isWithin(int64_t clock_ms, TimeMs given, TimeMs now,
--- a/src/almondgate/encoding/jobs_json.hpp
+++ b/src/almondgate/encoding/jobs_json.hpp
@@ -88,7 +88,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(VmOrdered, Vm, To)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(VmOrdersLapsed, Vms)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(StartUnanswered, Job, Task,
-                                                Endpoint)
+                                                Endpoint, Over)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(JobCall, Verb, Host, Path, Key,
                                                 Call, Spec, SpecError)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(JobReply, Outcome, State,
--- a/src/almondgate/jobs/ledger.cpp
+++ b/src/almondgate/jobs/ledger.cpp
@@ -114,11 +114,14 @@
                      !it->second.Tasks[event.Task].Done;
   if (!waits)
     return;
-  auto &at = it->second.UnansweredStarts[event.Task];
-  // Endpoints that have left the fleet carry nothing out.
-  std::erase_if(
-      at, [&](const EndpointId &id) { return !ledger.Endpoints.contains(id); });
-  at.insert(event.Endpoint);
+  auto &starts = it->second.UnansweredStarts;
+  auto &at = starts[event.Task];
+  if (event.Over)
+    at.erase(event.Endpoint);
+  else
+    at.insert(event.Endpoint);
+  if (at.empty())
+    starts.erase(event.Task);
 }
 
 void on(Ledger &ledger, const ConfigRevised &event) {
--- a/src/almondgate/jobs/ledger_test.cpp
+++ b/src/almondgate/jobs/ledger_test.cpp
@@ -218,26 +218,21 @@
 // sent without an answer, and against records of them that grow without end.
 TEST_CASE("starts without an answer are kept until their task or job ends") {
   Ledger ledger = withJob(steps({3}));
-  const auto add = [&](const char *id) {
-    EndpointFacts facts;
-    facts.Id = EndpointId(id);
-    facts.BornMs = 1;
-    apply(ledger, EndpointRegistered{facts});
-  };
-  const auto unanswered = [&](uint64_t task, const char *at) {
-    apply(ledger, StartUnanswered{Job, task, EndpointId(at)});
+  const auto unanswered = [&](uint64_t task, const char *at,
+                              bool over = false) {
+    apply(ledger, StartUnanswered{Job, task, EndpointId(at), over});
   };
   const auto &kept = ledger.Jobs.at(Job).UnansweredStarts;
-  add("a");
-  add("b");
   unanswered(0, "a");
   unanswered(0, "a");
   unanswered(1, "a");
   unanswered(3, "a");
   CHECK(kept.size() == 2);
-  apply(ledger, EndpointGone{EndpointId("a"), 1});
   unanswered(1, "b");
+  unanswered(1, "a", true);
   CHECK(kept.at(1) == std::set<EndpointId>{EndpointId("b")});
+  unanswered(1, "b", true);
+  CHECK_FALSE(kept.contains(1));
   apply(ledger, ended(0, 1, true));
   CHECK_FALSE(kept.contains(0));
   unanswered(0, "b");
