Fence an endpoint's next incarnation as soon as it is heard of

Callers saw a task start again after its end: the next incarnation had sent its heartbeat and carried a late start out while its registration was being made durable, before the first call with a higher token.

What is left is the time between an incarnation's listening and the first call that reaches it; nothing of ours can be there earlier.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -301,6 +301,7 @@
   /// The endpoints known on a VM: one, or two while the older of them is not
   /// known to be gone.
   std::vector<EndpointView *> endpointsOf(const core::VmId &vm) const;
+  void fenceSuccessor(EndpointView &known, const jobs::EndpointFacts &next);
   void linkToVm(EndpointView &endpoint);
   void unlinkFromVm(const EndpointView &endpoint);
   VmLoad loadOf(const core::VmId &vm) const;
--- a/include/almondgate/dispatch/endpoint_view.hpp
+++ b/include/almondgate/dispatch/endpoint_view.hpp
@@ -50,6 +50,8 @@
   core::TimeMs LastRead{INT64_MIN / 2};
   /// When a call that extends the lease was last given, answered or given up.
   core::TimeMs LastLeaseCall{INT64_MIN / 2};
+  /// When it last left a start unanswered.
+  core::TimeMs LastUnanswered{INT64_MIN / 2};
   /// The last request to the endpoint failed.
   bool Suspect = false;
   /// A renewal is outstanding.
--- a/src/almondgate/dispatch/dispatcher_endpoints.cpp
+++ b/src/almondgate/dispatch/dispatcher_endpoints.cpp
@@ -47,6 +47,7 @@
     // Calls for the old incarnation, of earlier leaders as well, may have given
     // the new one runs and a lease.
     view.LastLeaseCall = it->second.LastLeaseCall;
+    view.LastUnanswered = it->second.LastUnanswered;
     view.Lease.assumeValidUntil(std::max(
         it->second.isUnread() ? it->second.Lease.assumedUntil()
                               : core::TimeMs{INT64_MIN / 2},
@@ -210,12 +211,26 @@
     if (id != facts.Id && replaced && other.Facts.BornMs < facts.BornMs)
       recordReplaced(id, other.Facts.BornMs);
   }
+  if (it != Endpoints.end() && facts.BornMs > it->second.Facts.BornMs)
+    fenceSuccessor(it->second, next);
   Hooks.Log("endpoint " + facts.Id.str() + " at " + core::toString(facts.At) +
             " pool " + facts.Pool.str() + " vm " + facts.Vm.str() +
             (next.Draining ? " drains" : " registers"));
   recordEvent(jobs::EndpointRegistered{next}, replyWhenDurable(done));
 }
 
+// Keeps the next incarnation from carrying out late orders for this one as soon
+// as it is heard of. Its registration is not durable yet.
+void Dispatcher::fenceSuccessor(EndpointView &known,
+                                const EndpointFacts &next) {
+  known.Suspect = true;
+  known.Fence = Fences.next();
+  known.FenceUsed = false;
+  RenewRequest request;
+  request.Epoch = known.Fence;
+  Hooks.Renew(next, request, [](const RenewReply &) {});
+}
+
 void Dispatcher::handleLeave(const jobs::EndpointId &id, int64_t born_ms,
                              const OnStatus &done) {
   if (!isActive()) {
--- a/src/almondgate/dispatch/dispatcher_late_starts.cpp
+++ b/src/almondgate/dispatch/dispatcher_late_starts.cpp
@@ -101,6 +101,9 @@
   ++it->Tries;
   it->Since = Hooks.Now();
   LateTasks.insert(task_key);
+  const auto endpoint = Endpoints.find(at);
+  if (endpoint != Endpoints.end())
+    endpoint->second.LastUnanswered = it->Since;
 }
 
 void Dispatcher::removeLateStart(const TaskKey &task_key, const EndpointId &at,
--- a/src/almondgate/dispatch/dispatcher_renewals.cpp
+++ b/src/almondgate/dispatch/dispatcher_renewals.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr DurationMs MaxRestartDelay{1000};
+// A call fails this soon only if its connection is refused or reset.
+constexpr DurationMs QuickFailure{50};
 // How long a renewal waits for the ends of the one before to become durable.
 constexpr DurationMs MaxRenewalDelay{500};
 constexpr int64_t RestartDelayStepMs = 100;
@@ -115,6 +117,14 @@
       Hooks.Log("endpoint " + id.str() +
                 " could not be read: " + orderResultName(reply.Result));
     endpoint.Suspect = true;
+    // A later call with a higher token may have overtaken this one.
+    if (reply.Result == OrderResult::Fenced)
+      endpoint.Fence = Fences.next();
+    // The endpoint's process is gone. Its next incarnation is to be called
+    // before it carries out a late start.
+    if (now - sent < QuickFailure &&
+        now - endpoint.LastUnanswered < Options.LateOrderLimit)
+      endpoint.RenewDue = now;
     // Until the new incarnation registers, the next renewal keeps it from
     // carrying out late orders that were given before.
     if (other_incarnation &&
