Let the virtual fleet lose, delay and reorder calls as endpoints do

Cause: the fleet of the dispatcher's tests delayed starts only; stops and renewals were always carried out at once, stops were not fenced, clocks ran exactly, an endpoint was back at once, and members of a gang worked alone. What an endpoint may do after a restart under its id could not be drawn.

Change: each kind of call may get no answer and be carried out late by whichever incarnation is there, lose its answer or have it delayed; a restart under the same id has a time down, a first heartbeat, a clock and a lag of that clock; stops are fenced and raise the token; gangs work and end together where a test asks for it; orders that wait in our queues end with their leader. A start that nothing can prevent has a violation text of its own, "a late start after an acknowledged end".

--- a/src/almondgate/dispatch/random_days_test.cpp
+++ b/src/almondgate/dispatch/random_days_test.cpp
@@ -1,8 +1,8 @@
+#include "random_day.hpp"
 #include "test_jobs.hpp"
 
 #include <doctest/doctest.h>
 
-#include <cstdlib>
 #include <random>
 #include <sstream>
 
@@ -280,17 +280,6 @@
   return DayPlayer().play(day);
 }
 
-// Leaves out actions for as long as the day still breaks something.
-Day shorten(Day day) {
-  for (size_t i = day.size(); i-- > 0;) {
-    Day shorter = day;
-    shorter.erase(shorter.begin() + int64_t(i));
-    if (!playDay(shorter).empty())
-      day = shorter;
-  }
-  return day;
-}
-
 std::string describe(const Day &day) {
   std::ostringstream out;
   for (const auto &action : day)
@@ -299,28 +288,14 @@
   return out.str();
 }
 
-// ALMONDGATE_SEEDS=FIRST-LAST plays other seeds than those of the test run.
-// Days that broke a promise are kept as tests of their own.
-std::vector<uint64_t> seeds() {
-  constexpr uint64_t DefaultSeeds = 100;
-  const char *text = std::getenv("ALMONDGATE_SEEDS");
-  std::vector<uint64_t> out;
-  uint64_t first = 1;
-  uint64_t last = DefaultSeeds;
-  if (text) {
-    char *end = nullptr;
-    first = std::strtoull(text, &end, 10);
-    last = *end == '-' ? std::strtoull(end + 1, nullptr, 10) : first;
-  }
-  for (uint64_t seed = first; seed <= last; ++seed)
-    out.push_back(seed);
-  return out;
-}
-
 } // namespace
 
+// ALMONDGATE_SEEDS=FIRST-LAST plays other seeds than those of the test run.
+// Days that broke a promise are kept as tests of their own.
 TEST_CASE("random days with overlapping faults break no promise") {
-  for (const uint64_t seed : seeds()) {
+  constexpr uint64_t DefaultSeeds = 100;
+  const auto is_broken = [](const Day &day) { return !playDay(day).empty(); };
+  for (const uint64_t seed : seedsToPlay("ALMONDGATE_SEEDS", DefaultSeeds)) {
     const Day day = drawDay(seed);
     const auto broken = playDay(day);
     if (broken.empty())
@@ -328,6 +303,7 @@
     CAPTURE(seed);
     for (const auto &violation : broken)
       FAIL_CHECK(violation);
-    MESSAGE("shortened day of seed ", seed, ":\n", describe(shorten(day)));
+    MESSAGE("shortened day of seed ", seed, ":\n",
+            describe(shorten<Action>(day, is_broken)));
   }
 }
--- /dev/null
+++ b/src/almondgate/dispatch/test_call_fault.hpp
@@ -0,0 +1,30 @@
+#ifndef ALMONDGATE_SRC_DISPATCH_TEST_CALL_FAULT_HPP
+#define ALMONDGATE_SRC_DISPATCH_TEST_CALL_FAULT_HPP
+
+#include <cstdint>
+
+namespace almondgate::dispatch {
+
+/// The calls to an endpoint that a TestFleet can disturb.
+enum class CallKind { Start, Stop, Renew };
+
+/// What happens to one call to an endpoint.
+struct CallFault {
+  /// Above 0, the call gets no answer and is carried out this much later by
+  /// whichever incarnation is there.
+  int64_t LateMs = 0;
+  /// The call is carried out at once, but its answer is lost.
+  bool LosesAnswer = false;
+  /// How long the answer takes in addition; it counts as lost if that is too
+  /// long.
+  int64_t AnswerDelayMs = 0;
+  /// After how long a call without an answer fails; 0 stands for the time-out,
+  /// a short time for a connection that is reset.
+  int64_t FailsAfterMs = 0;
+
+  bool operator==(const CallFault &) const = default;
+};
+
+} // namespace almondgate::dispatch
+
+#endif
--- a/src/almondgate/dispatch/test_endpoint.hpp
+++ b/src/almondgate/dispatch/test_endpoint.hpp
@@ -22,6 +22,10 @@
   bool Fails = false;
   /// When the stop that was ordered ends the run; none was ordered if empty.
   std::optional<int64_t> StopsAt;
+  /// For a member of a gang, how long the gang works once all members of one
+  /// run are present, and when it waits for them no longer; 0 for other tasks.
+  int64_t GangMs = 0;
+  int64_t GangDue = 0;
 
   /// A long-running task is ready and is not being stopped.
   bool isAtWork(int64_t now) const { return now >= ReadyAt && !StopsAt; }
@@ -41,6 +45,12 @@
   int64_t LostReplies = 0;
   /// Offset of its clock from the virtual time, in milliseconds.
   int64_t ClockOffset = 0;
+  /// How much its clock loses against the virtual time.
+  int64_t ClockLagPerMille = 0;
+  /// It sends no heartbeat before this time.
+  int64_t FirstHeartbeat = 0;
+  /// This incarnation has answered a call.
+  bool HasAnswered = false;
 
   uint64_t Epoch = 0;
   int64_t Deadline = 0;
@@ -69,7 +79,11 @@
   /// The longest lease that it grants, whatever is requested.
   static constexpr int64_t MaxLeaseMs = 6000;
 
-  int64_t clock(int64_t now) const { return now + ClockOffset; }
+  int64_t clock(int64_t now) const {
+    constexpr int64_t Thousand = 1000;
+    return now + ClockOffset -
+           (now - Facts.BornMs) * ClockLagPerMille / Thousand;
+  }
   /// Extends the lease; a deadline never moves back.
   void extendLease(int64_t deadline, int64_t now) {
     Deadline = std::max(Deadline, std::min(deadline, clock(now) + MaxLeaseMs));
--- a/src/almondgate/dispatch/test_fleet.hpp
+++ b/src/almondgate/dispatch/test_fleet.hpp
@@ -3,8 +3,10 @@
 
 #include "almondgate/dispatch/dispatcher.hpp"
 
+#include "test_call_fault.hpp"
 #include "test_endpoint.hpp"
 
+#include <deque>
 #include <memory>
 #include <random>
 
@@ -29,17 +31,38 @@
   void restart(const core::VmId &vm);
   /// Restarts the VM's endpoint under the same id; its runs are lost.
   void restartWithSameId(const core::VmId &vm);
+  /// How an endpoint comes back under its id.
+  struct Return {
+    int64_t DownMs = 0;
+    /// When its first heartbeat comes, counted from its return.
+    int64_t HeartbeatDelayMs = 0;
+    /// What its clock shows at its return.
+    int64_t ClockMs = 0;
+    int64_t ClockLagPerMille = 0;
+  };
+  /// Ends the VM's endpoint and brings it back under the same id.
+  void restartWithSameId(const core::VmId &vm, const Return &as);
+  /// Disturbs the next call of the kind to the VM's endpoint that has no fault
+  /// yet, whichever incarnation is there.
+  void addFault(const core::VmId &vm, CallKind kind, const CallFault &fault);
+  /// Runs a function after a time.
+  void schedule(int64_t ms, std::function<void()> fn) {
+    scheduleAt(Now + ms, std::move(fn));
+  }
   void advance(int64_t ms);
   /// The number of runs at all endpoints.
   int64_t running() const;
   /// The number of runs whose stop has been ordered and is being carried out.
   int64_t stopping() const;
   int64_t now() const { return Now; }
+  /// Time since the fleet was created, as in its log lines.
+  int64_t sinceStart() const { return Now - StartMs; }
 
   // --- leadership
 
   void lead();
   void stopLeading();
+  bool hasLeader() const { return Core != nullptr; }
 
   // --- callers and operators
 
@@ -105,14 +128,38 @@
   int64_t MostWaitingStops = 0;
   /// How long a run goes on, and is listed, after its stop was acknowledged.
   int64_t StopMs = 0;
+  /// How long a member of a gang waits for the others; the tasks of a gang run
+  /// on their own if 0.
+  int64_t GangTimeoutMs = 0;
+  /// Calls that a later incarnation than the one they were sent to carried out.
+  int64_t CallsOfFormerIncarnations = 0;
 
 private:
   DispatcherHooks hooks();
   void scheduleAt(int64_t time, std::function<void()> fn);
+  /// When a task was started, and what is known of the order.
+  struct StartRecord {
+    int64_t At = 0;
+    int64_t Sent = 0;
+    bool Answered = false;
+  };
+
+  CallFault takeFault(const jobs::EndpointId &id, CallKind kind);
+  /// Carries a call out when its fault says, and passes the reply on.
+  template <class Reply>
+  void deliver(const jobs::EndpointId &id, const CallFault &fault,
+               int64_t timeout_ms,
+               const std::function<Reply(TestEndpoint &)> &execute,
+               const std::function<void(Reply)> &done);
   void onStart(const jobs::EndpointId &id, const StartOrder &order,
                const std::function<void(OrderReply)> &done);
   void onStop(const jobs::EndpointId &id, const StopOrder &order,
               const std::function<void(OrderReply)> &done);
+  void onRenew(const jobs::EndpointId &id, const RenewRequest &request,
+               const std::function<void(RenewReply)> &done);
+  OrderReply execute(TestEndpoint &endpoint, const StopOrder &order);
+  /// Returns false for a request that is fenced.
+  bool execute(TestEndpoint &endpoint, const RenewRequest &request);
   bool hasValidTicket(const TestEndpoint &endpoint,
                       const StartOrder &order) const;
   OrderReply execute(TestEndpoint &endpoint, const StartOrder &order,
@@ -130,8 +177,10 @@
   void removeEndpoint(const jobs::EndpointId &id);
   void bringUp(const core::VmId &vm, const core::PoolId &pool);
   void step();
+  void runGangs();
   void answerRenewals(TestEndpoint &endpoint);
   void forgetEnds(TestEndpoint &endpoint, int64_t last_seen);
+  void recordAcknowledgedEnd(const jobs::TaskRef &task, int64_t ended_at);
   void sendHeartbeats();
   void checkLimits();
 
@@ -150,10 +199,11 @@
   std::map<std::string, int64_t> AcceptedAt;
   /// The validity of each ticket granted, by its text.
   std::map<std::string, int64_t> TicketEnds;
-  /// When each task was last started.
-  std::map<jobs::TaskRef, int64_t> LastStart;
-  /// Tasks of which an end as done was acknowledged to its endpoint.
-  std::set<jobs::TaskRef> AcknowledgedDone;
+  /// The last start of each task.
+  std::map<jobs::TaskRef, StartRecord> LastStart;
+  /// When an end as done of each task was first acknowledged to its endpoint.
+  std::map<jobs::TaskRef, int64_t> AcknowledgedDone;
+  std::map<std::pair<jobs::EndpointId, CallKind>, std::deque<CallFault>> Faults;
   int64_t StartedEndpoints = 0;
   int64_t WaitingStarts = 0;
   int64_t WaitingStops = 0;
--- a/src/almondgate/dispatch/test_fleet_test.cpp
+++ b/src/almondgate/dispatch/test_fleet_test.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <iostream>
+#include <tuple>
 
 namespace almondgate::dispatch {
 
@@ -198,6 +199,43 @@
   Endpoints[endpoint.Facts.Id] = endpoint;
 }
 
+void TestFleet::restartWithSameId(const core::VmId &vm, const Return &as) {
+  TestEndpoint next;
+  next.Facts = endpointOf(vm).Facts;
+  next.MaxListedEnds = endpointOf(vm).MaxListedEnds;
+  next.Unreachable = endpointOf(vm).Unreachable;
+  removeEndpoint(next.Facts.Id);
+  scheduleAt(Now + as.DownMs, [this, vm, as, next]() mutable {
+    const auto &listing = Vms.at(vm);
+    if (listing.State != VmState::Up || listing.Endpoint != next.Facts.Id ||
+        Endpoints.contains(next.Facts.Id))
+      return;
+    next.Facts.BornMs = Now;
+    next.ClockOffset = as.ClockMs - Now;
+    next.ClockLagPerMille = as.ClockLagPerMille;
+    next.FirstHeartbeat = Now + as.HeartbeatDelayMs;
+    Endpoints[next.Facts.Id] = next;
+    scheduleAt(next.FirstHeartbeat, [this] {
+      if (Core)
+        sendHeartbeats();
+    });
+  });
+}
+
+void TestFleet::addFault(const core::VmId &vm, CallKind kind,
+                         const CallFault &fault) {
+  Faults[{Vms.at(vm).Endpoint, kind}].push_back(fault);
+}
+
+CallFault TestFleet::takeFault(const EndpointId &id, CallKind kind) {
+  const auto it = Faults.find({id, kind});
+  if (it == Faults.end() || it->second.empty())
+    return {};
+  const CallFault out = it->second.front();
+  it->second.pop_front();
+  return out;
+}
+
 void TestFleet::drain(const core::VmId &vm) {
   endpointOf(vm).Facts.Draining = true;
   Core->handleHeartbeat(endpointOf(vm).Facts, ++Sequence,
@@ -220,6 +258,7 @@
     Scheduled.erase(Scheduled.begin());
     fn();
   }
+  runGangs();
   for (auto &[id, endpoint] : Endpoints) {
     if (endpoint.clock(Now) >= endpoint.Deadline)
       endpoint.LapsedAt = Now;
@@ -251,6 +290,37 @@
   }
 }
 
+// A gang works from the moment when all members of one run are present, and
+// ends for all of them at once.
+void TestFleet::runGangs() {
+  using Gang = std::tuple<jobs::JobId, int64_t, int64_t, int64_t>;
+  std::map<Gang, std::vector<std::pair<TestEndpoint *, TaskRef>>> gangs;
+  for (auto &[id, endpoint] : Endpoints)
+    for (const auto &[task, run] : endpoint.Runs)
+      if (run.GangMs > 0)
+        gangs[{task.Job, task.Occurrence, task.Step, run.Run}].emplace_back(
+            &endpoint, task);
+  for (const auto &[gang, members] : gangs) {
+    const auto run_of = [](const auto &row) -> TestRun & {
+      return row.first->Runs.at(row.second);
+    };
+    const auto *job = jobs::findJob(Ledger, std::get<0>(gang));
+    const bool complete = int64_t(members.size()) ==
+                          job->Spec->Steps[size_t(std::get<2>(gang))].Count;
+    const bool works = run_of(members.front()).GangDue == 0;
+    for (const auto &row : members) {
+      TestRun &run = run_of(row);
+      if (works && !complete)
+        row.first->end(row.second, RunEnd::GangBroken, Now);
+      else if (!works && complete) {
+        run.GangDue = 0;
+        run.EndsAt = Now + run.GangMs;
+      } else if (!works && Now >= run.GangDue)
+        row.first->end(row.second, RunEnd::GangIncomplete, Now);
+    }
+  }
+}
+
 void TestFleet::answerRenewals(TestEndpoint &endpoint) {
   std::vector<TestEndpoint::PendingRenewal> later;
   for (auto &renewal : std::exchange(endpoint.Renewals, {})) {
@@ -265,6 +335,7 @@
       continue;
     }
     const RenewReply reply{OrderResult::Accepted, found};
+    endpoint.HasAnswered = true;
     scheduleAt(Now + LatencyMs, [done = renewal.Done, reply] { done(reply); });
   }
   endpoint.Renewals = std::move(later);
@@ -272,7 +343,7 @@
 
 void TestFleet::sendHeartbeats() {
   for (const auto &[id, endpoint] : Endpoints)
-    if (!endpoint.Unreachable)
+    if (!endpoint.Unreachable && Now >= endpoint.FirstHeartbeat)
       Core->handleHeartbeat(endpoint.Facts, ++Sequence,
                             [](const core::Status &) {});
 }
@@ -328,7 +399,11 @@
       send();
       return;
     }
-    scheduleAt(Now + OrderQueueMs, [may_send, done, send, guard] {
+    scheduleAt(Now + OrderQueueMs, [this, may_send, done, send, guard,
+                                    generation = Generation] {
+      // The queue ends with its leader.
+      if (generation != Generation)
+        return;
       if (may_send())
         send();
       else
@@ -364,27 +439,9 @@
     });
   };
   hooks.Renew = [this, guard](const auto &to, const auto &request, auto done) {
-    const auto answer = [guard, done](const RenewReply &reply) {
+    onRenew(to.Id, request, [guard, done](const RenewReply &reply) {
       guard([done, reply] { done(reply); })();
-    };
-    const auto it = Endpoints.find(to.Id);
-    if (it == Endpoints.end() || it->second.Unreachable) {
-      scheduleAt(Now + request.WaitMs + TimeoutMs,
-                 [answer] { answer(RenewReply{}); });
-      return;
-    }
-    TestEndpoint &endpoint = it->second;
-    if (request.Epoch < endpoint.Epoch) {
-      scheduleAt(Now + LatencyMs, [answer] {
-        answer(RenewReply{OrderResult::Fenced, {}});
-      });
-      return;
-    }
-    endpoint.Epoch = request.Epoch;
-    endpoint.extendLease(request.DeadlineMs, Now);
-    forgetEnds(endpoint, request.LastSeen);
-    endpoint.Renewals.push_back({request, Now + request.WaitMs, answer});
-    answerRenewals(endpoint);
+    });
   };
   hooks.Advise = [this, guard](const auto &request, auto done) {
     ++AdviceRequests;
@@ -424,6 +481,30 @@
   return hooks;
 }
 
+// The end of one member of a gang stands for all of them.
+void TestFleet::recordAcknowledgedEnd(const TaskRef &task, int64_t ended_at) {
+  const auto *job = jobs::findJob(Ledger, task.Job);
+  const auto &step = job->Spec->Steps[task.Step];
+  std::vector<TaskRef> tasks = {task};
+  if (step.Gang && GangTimeoutMs > 0) {
+    tasks.clear();
+    for (int64_t i = 0; i < step.Count; ++i)
+      tasks.push_back({task.Job, task.Occurrence, task.Step, i});
+  }
+  for (const auto &ended : tasks) {
+    AcknowledgedDone.try_emplace(ended, Now);
+    const auto started = LastStart.find(ended);
+    if (started == LastStart.end() || started->second.At <= ended_at)
+      continue;
+    const StartRecord &start = started->second;
+    const bool late =
+        start.Sent < start.At && start.Sent <= ended_at && !start.Answered;
+    Violations.push_back((late ? "late start after a run has ended done: "
+                               : "start after a run has ended done: ") +
+                         nameOf(ended));
+  }
+}
+
 // An end that is acknowledged counts for good, unless the lease expired after
 // it: no later start of its task is allowed.
 void TestFleet::forgetEnds(TestEndpoint &endpoint, int64_t last_seen) {
@@ -434,11 +515,7 @@
                         endpoint.LapsedAt < ended_at && job &&
                         !job->Spec->Steps[end.Task.Step].LongRunning;
     if (counts)
-      AcknowledgedDone.insert(end.Task);
-    const auto started = LastStart.find(end.Task);
-    if (counts && started != LastStart.end() && started->second > ended_at)
-      Violations.push_back("start after a run has ended done: " +
-                           nameOf(end.Task));
+      recordAcknowledgedEnd(end.Task, ended_at);
   }
   std::erase_if(endpoint.Ended,
                 [&](const EndReport &end) { return end.Number <= last_seen; });
@@ -446,41 +523,80 @@
 
 // --- orders
 
-void TestFleet::onStart(const EndpointId &id, const StartOrder &order,
-                        const std::function<void(OrderReply)> &done) {
+template <class Reply>
+void TestFleet::deliver(const EndpointId &id, const CallFault &fault,
+                        int64_t timeout_ms,
+                        const std::function<Reply(TestEndpoint &)> &execute,
+                        const std::function<void(Reply)> &done) {
   const auto it = Endpoints.find(id);
-  if (it == Endpoints.end() || it->second.Unreachable) {
-    scheduleAt(Now + TimeoutMs, [done] { done(OrderReply{}); });
-    return;
-  }
-  if (it->second.DelayedStarts > 0) {
-    --it->second.DelayedStarts;
-    scheduleAt(Now + it->second.StartDelayMs, [this, id, order, sent = Now] {
+  const auto fail = [&](int64_t after_ms) {
+    scheduleAt(Now + after_ms, [done] { done(Reply{}); });
+  };
+  const int64_t fails_after =
+      fault.FailsAfterMs > 0 ? fault.FailsAfterMs : timeout_ms;
+  if (fault.LateMs > 0) {
+    const int64_t born = it == Endpoints.end() ? 0 : it->second.Facts.BornMs;
+    scheduleAt(Now + fault.LateMs, [this, id, born, execute] {
       const auto late = Endpoints.find(id);
-      if (late != Endpoints.end())
-        execute(late->second, order, sent);
+      if (late == Endpoints.end())
+        return;
+      CallsOfFormerIncarnations += late->second.Facts.BornMs != born ? 1 : 0;
+      execute(late->second);
     });
-    scheduleAt(Now + TimeoutMs, [done] { done(OrderReply{}); });
+    fail(fails_after);
+    return;
+  }
+  if (it == Endpoints.end() || it->second.Unreachable) {
+    fail(timeout_ms);
     return;
   }
-  const OrderReply reply = execute(it->second, order, Now);
-  if (it->second.LostReplies > 0) {
-    --it->second.LostReplies;
-    scheduleAt(Now + TimeoutMs, [done] { done(OrderReply{}); });
+  const Reply reply = execute(it->second);
+  if (fault.LosesAnswer || fault.AnswerDelayMs >= TimeoutMs) {
+    fail(fails_after);
     return;
   }
-  scheduleAt(Now + LatencyMs, [done, reply] { done(reply); });
+  it->second.HasAnswered = true;
+  scheduleAt(Now + LatencyMs + fault.AnswerDelayMs,
+             [done, reply] { done(reply); });
+}
+
+void TestFleet::onStart(const EndpointId &id, const StartOrder &order,
+                        const std::function<void(OrderReply)> &done) {
+  CallFault fault = takeFault(id, CallKind::Start);
+  const auto it = Endpoints.find(id);
+  if (it != Endpoints.end() && !it->second.Unreachable) {
+    if (it->second.DelayedStarts > 0) {
+      --it->second.DelayedStarts;
+      fault.LateMs = it->second.StartDelayMs;
+    } else if (it->second.LostReplies > 0) {
+      --it->second.LostReplies;
+      fault.LosesAnswer = true;
+    }
+  }
+  deliver<OrderReply>(
+      id, fault, TimeoutMs,
+      [this, order, sent = Now](TestEndpoint &endpoint) {
+        return execute(endpoint, order, sent);
+      },
+      done);
 }
 
 void TestFleet::onStop(const EndpointId &id, const StopOrder &order,
                        const std::function<void(OrderReply)> &done) {
   checkStop(id, order.Task);
-  const auto it = Endpoints.find(id);
-  if (it == Endpoints.end() || it->second.Unreachable) {
-    scheduleAt(Now + TimeoutMs, [done] { done(OrderReply{}); });
-    return;
-  }
-  TestEndpoint &endpoint = it->second;
+  deliver<OrderReply>(
+      id, takeFault(id, CallKind::Stop), TimeoutMs,
+      [this, order](TestEndpoint &endpoint) {
+        return execute(endpoint, order);
+      },
+      done);
+}
+
+OrderReply TestFleet::execute(TestEndpoint &endpoint, const StopOrder &order) {
+  const int64_t clock = endpoint.clock(Now);
+  if (order.Epoch < endpoint.Epoch)
+    return {OrderResult::Fenced, clock};
+  endpoint.Epoch = order.Epoch;
   const auto run = endpoint.Runs.find(order.Task);
   if (run != endpoint.Runs.end() && run->second.Run <= order.Run) {
     if (StopMs == 0)
@@ -490,9 +606,47 @@
   }
   endpoint.Closed[order.Task] =
       std::max(endpoint.Closed[order.Task], order.Run);
-  scheduleAt(Now + LatencyMs, [done, clock = endpoint.clock(Now)] {
-    done(OrderReply{OrderResult::Accepted, clock});
-  });
+  return {OrderResult::Accepted, clock};
+}
+
+bool TestFleet::execute(TestEndpoint &endpoint, const RenewRequest &request) {
+  if (request.Epoch < endpoint.Epoch)
+    return false;
+  endpoint.Epoch = request.Epoch;
+  endpoint.extendLease(request.DeadlineMs, Now);
+  forgetEnds(endpoint, request.LastSeen);
+  return true;
+}
+
+void TestFleet::onRenew(const EndpointId &id, const RenewRequest &request,
+                        const std::function<void(RenewReply)> &done) {
+  const CallFault fault = takeFault(id, CallKind::Renew);
+  const auto it = Endpoints.find(id);
+  const bool arrives = it != Endpoints.end() && !it->second.Unreachable;
+  const bool answered = arrives && fault.LateMs == 0 && !fault.LosesAnswer &&
+                        fault.AnswerDelayMs < TimeoutMs;
+  if (!answered || request.Epoch < it->second.Epoch) {
+    deliver<RenewReply>(
+        id, fault, request.WaitMs + TimeoutMs,
+        [this, request](TestEndpoint &endpoint) {
+          return RenewReply{execute(endpoint, request) ? OrderResult::Accepted
+                                                       : OrderResult::Fenced,
+                            {}};
+        },
+        done);
+    return;
+  }
+  execute(it->second, request);
+  // The answer waits for a run to end, and is then on its way for a while.
+  const auto answer = [this, delay = fault.AnswerDelayMs,
+                       done](const RenewReply &reply) {
+    if (delay == 0)
+      done(reply);
+    else
+      scheduleAt(Now + delay, [done, reply] { done(reply); });
+  };
+  it->second.Renewals.push_back({request, Now + request.WaitMs, answer});
+  answerRenewals(it->second);
 }
 
 bool TestFleet::hasValidTicket(const TestEndpoint &endpoint,
@@ -532,8 +686,14 @@
   endpoint.Runs[order.Task] = {
       order.Run, Now + duration,    Now + (step.LongRunning ? StartupMs : 0),
       step.Need, Fails(order.Task), std::nullopt};
+  if (step.Gang && GangTimeoutMs > 0) {
+    TestRun &member = endpoint.Runs[order.Task];
+    member.GangMs = duration;
+    member.GangDue = Now + GangTimeoutMs;
+    member.EndsAt = INT64_MAX;
+  }
   ++endpoint.Starts;
-  LastStart[order.Task] = Now;
+  LastStart[order.Task] = {Now, sent, endpoint.HasAnswered};
   return {OrderResult::Accepted, clock};
 }
 
@@ -549,17 +709,28 @@
     if (other.Runs.contains(order.Task))
       Violations.push_back("task runs twice at a time: " + nameOf(order.Task));
   const auto *job = jobs::findJob(Ledger, order.Task.Job);
-  if (job->Tasks[*jobs::indexOf(*job->Spec, order.Task)].Done)
-    Violations.push_back("start after the task is done: " + nameOf(order.Task));
-  if (AcknowledgedDone.contains(order.Task))
-    Violations.push_back("start after an acknowledged end: " +
+  const auto ended = AcknowledgedDone.find(order.Task);
+  const bool acknowledged = ended != AcknowledgedDone.end();
+  // Nothing keeps an incarnation that no leader has reached from carrying out
+  // an order that left before the end was known.
+  if (acknowledged && sent < Now && sent <= ended->second &&
+      !endpoint.HasAnswered) {
+    Violations.push_back("a late start after an acknowledged end: " +
                          nameOf(order.Task));
+  } else {
+    if (job->Tasks[*jobs::indexOf(*job->Spec, order.Task)].Done)
+      Violations.push_back("start after the task is done: " +
+                           nameOf(order.Task));
+    if (acknowledged)
+      Violations.push_back("start after an acknowledged end: " +
+                           nameOf(order.Task));
+  }
   if (!jobs::isStepReady(*job, order.Task.Occurrence, order.Task.Step))
     Violations.push_back("start before the step is ready: " +
                          nameOf(order.Task));
   // An order that was sent before its job ended can't be recalled.
-  const bool ended = job->Cancelled || job->Failed;
-  if (ended && sent > job->EndedWallMs)
+  const bool job_ended = job->Cancelled || job->Failed;
+  if (job_ended && sent > job->EndedWallMs)
     Violations.push_back("start after the job has ended: " +
                          nameOf(order.Task));
   if (endpoint.Facts.Draining)
@@ -659,8 +830,8 @@
     return VmOrderResult::Accepted;
   if (vm.State != VmState::Up)
     return VmOrderResult::Busy;
-  if (!vm.Endpoint.empty())
-    for (const auto &[task, run] : Endpoints.at(vm.Endpoint).Runs) {
+  if (const auto at = Endpoints.find(vm.Endpoint); at != Endpoints.end())
+    for (const auto &[task, run] : at->second.Runs) {
       if (!run.isAtWork(Now))
         continue;
       const auto *job = jobs::findJob(Ledger, task.Job);
