Let only an inventory confirm which incarnation has a run

Change: a run moves on to the next incarnation unless an inventory, which names the incarnation, has listed it; the next inventory there decides. If the endpoint is lost instead, a run that only the clock of an answer confirms is waited for 500 ms longer, as that clock may be so much behind.

--- a/include/almondgate/dispatch/lease_clock.hpp
+++ b/include/almondgate/dispatch/lease_clock.hpp
@@ -49,8 +49,9 @@
   /// endpoint began at `began`.
   static core::TimeMs latestExpiry(core::TimeMs began, core::DurationMs lease);
 
-  /// False once the leases of all runs on the endpoint have certainly expired.
-  bool mayBeValid(core::TimeMs now) const;
+  /// False once the leases of all runs on the endpoint have certainly expired,
+  /// even if its clock is `behind` the one observed.
+  bool mayBeValid(core::TimeMs now, core::DurationMs behind = {}) const;
 
   /// What is known of the lease, for log lines.
   std::string describe(core::TimeMs now) const;
--- a/include/almondgate/dispatch/task_state.hpp
+++ b/include/almondgate/dispatch/task_state.hpp
@@ -44,10 +44,12 @@
   bool StopAcknowledged = false;
   /// An earlier leader started the run.
   bool Inherited = false;
-  /// The endpoint's incarnation has the run: an inventory has listed it, or the
-  /// answer to its start came with that incarnation's clock. Any other answer
-  /// may have come from the next incarnation.
+  /// The answer to its start came with a clock that can be that of the
+  /// endpoint's incarnation. The next one's may be up to
+  /// LeaseClock::LowerTolerance behind it.
   bool Confirmed = false;
+  /// An inventory, which names the incarnation, has listed the run.
+  bool Listed = false;
   /// The start got no answer and was sent a second time.
   bool StartResent = false;
   /// Starts of this run and of earlier ones that may still be carried out.
@@ -66,7 +68,7 @@
   /// there: orders name the endpoint only by its id, and one without an answer
   /// may be carried out late.
   bool mayRunInNextIncarnation() const {
-    return isPlaced() && (!Confirmed || StartResent);
+    return isPlaced() && (!Listed || StartResent);
   }
 
   /// The task occupies capacity of an endpoint.
--- a/src/almondgate/dispatch/dispatcher_endpoints.cpp
+++ b/src/almondgate/dispatch/dispatcher_endpoints.cpp
@@ -113,6 +113,8 @@
     if (state.Phase != TaskPhase::Stopping)
       state.Phase = TaskPhase::Unanswered;
     state.StopAcknowledged = false;
+    state.Confirmed = false;
+    state.Listed = false;
     state.Since = Hooks.Now();
     open.insert(task_key);
   }
--- a/src/almondgate/dispatch/dispatcher_orders.cpp
+++ b/src/almondgate/dispatch/dispatcher_orders.cpp
@@ -76,6 +76,7 @@
   state.StopAcknowledged = false;
   state.StartResent = false;
   state.Confirmed = false;
+  state.Listed = false;
   state.Inherited = false;
   state.Percent = 0;
   if (!std::exchange(job.Started, true))
--- a/src/almondgate/dispatch/dispatcher_renewals.cpp
+++ b/src/almondgate/dispatch/dispatcher_renewals.cpp
@@ -259,7 +259,7 @@
     }
     if (is_current || adopt) {
       removeLateStart(state, endpoint.Facts.Id, report.Run);
-      state.Confirmed = true;
+      state.Listed = true;
       if (state.Phase == TaskPhase::Ordered ||
           state.Phase == TaskPhase::Unanswered) {
         state.Phase = TaskPhase::Running;
@@ -404,8 +404,16 @@
 void Dispatcher::releaseExpiredRuns(EndpointView &endpoint) {
   size_t released = 0;
   const auto task_keys = endpoint.Runs;
+  // A next incarnation whose clock is taken for this one's may be this far
+  // behind it.
+  const bool expired_behind =
+      !endpoint.Lease.mayBeValid(Hooks.Now(), LeaseClock::LowerTolerance);
   for (const auto &task_key : task_keys) {
-    if (findTaskState(task_key)->mayRunInNextIncarnation())
+    const TaskState &state = *findTaskState(task_key);
+    const bool ended =
+        !state.mayRunInNextIncarnation() ||
+        (state.Confirmed && !state.StartResent && expired_behind);
+    if (!ended)
       continue;
     releaseTask(task_key, TaskPhase::Waiting);
     Hooks.IncrementCounter("run_ends", "how", "lost");
--- a/src/almondgate/dispatch/incarnation_test.cpp
+++ b/src/almondgate/dispatch/incarnation_test.cpp
@@ -148,3 +148,36 @@
   CHECK(fleet.endpointOf(fleet.VmIds[0]).Starts == 1);
   fleet.checkViolations();
 }
+
+// Guards against tasks that ran twice: the clock of an incarnation that had not
+// registered yet was near that of the former one, so that its answer to a start
+// was taken for the former one's, and the run was given up with that one.
+TEST_CASE("a clock near the former one's confirms no run") {
+  for (const int64_t ahead_ms : {-400, 0, 300, 1500})
+    for (const bool cut_off : {false, true}) {
+      CAPTURE(ahead_ms);
+      CAPTURE(cut_off);
+      HalfBusyFleet fleet;
+      fleet.OrderQueueMs = 50;
+      const auto &vm = fleet.FreeVm;
+      // The order leaves after the restart.
+      auto call = testCall(jobs::JobVerb::Submit, jobId(2));
+      call.Spec = oneStep(1, Cores, LongMs);
+      fleet.dispatcher().handleCall(call, [](const auto &) {});
+      fleet.advance(20);
+      const int64_t clock = fleet.endpointOf(vm).clock(fleet.now());
+      fleet.restartWithSameId(vm, {.DownMs = 1,
+                                   .HeartbeatDelayMs = Second / 2,
+                                   .ClockMs = clock + ahead_ms});
+      fleet.advance(100);
+      REQUIRE(fleet.endpointOf(vm).Runs.size() == 1);
+      if (cut_off) {
+        fleet.cutOffAndCheck(LongMs * 2);
+        continue;
+      }
+      fleet.addVm("p");
+      fleet.advance(LongMs * 2);
+      fleet.checkViolations();
+      CHECK(fleet.stateOf(jobId(2)) == JobState::Completed);
+    }
+}
--- a/src/almondgate/dispatch/lease_clock.cpp
+++ b/src/almondgate/dispatch/lease_clock.cpp
@@ -50,10 +50,11 @@
   return began + DurationMs{longest} + SafetyMargin;
 }
 
-bool LeaseClock::mayBeValid(TimeMs now) const {
+bool LeaseClock::mayBeValid(TimeMs now, DurationMs behind) const {
   if (now < AssumedUntil)
     return true;
-  return Received && Granted + SafetyMargin.Count > earliestClock(now);
+  return Received &&
+         Granted + SafetyMargin.Count > earliestClock(now) - behind.Count;
 }
 
 std::string LeaseClock::describe(TimeMs now) const {
