--- a/src/almondgate/dispatch/test_fleet.hpp
+++ b/src/almondgate/dispatch/test_fleet.hpp
@@ -180,6 +180,8 @@
   void runGangs();
   void answerRenewals(TestEndpoint &endpoint);
   void forgetEnds(TestEndpoint &endpoint, int64_t last_seen);
+  void violate(const std::string &text);
+  void recordDoneTasks(const jobs::Event &event);
   void recordAcknowledgedEnd(const jobs::TaskRef &task, int64_t ended_at);
   void sendHeartbeats();
   void checkLimits();
@@ -201,6 +203,8 @@
   std::map<std::string, int64_t> TicketEnds;
   /// The last start of each task.
   std::map<jobs::TaskRef, StartRecord> LastStart;
+  /// When the end of each task became durable.
+  std::map<jobs::TaskRef, int64_t> DoneAt;
   /// When an end as done of each task was first acknowledged to its endpoint.
   std::map<jobs::TaskRef, int64_t> AcknowledgedDone;
   std::map<std::pair<jobs::EndpointId, CallKind>, std::deque<CallFault>> Faults;
--- a/src/almondgate/dispatch/test_fleet_test.cpp
+++ b/src/almondgate/dispatch/test_fleet_test.cpp
@@ -110,6 +110,12 @@
   jobs::apply(Ledger, jobs::ConfigReplaced{config});
 }
 
+void TestFleet::violate(const std::string &text) {
+  Violations.push_back(text);
+  if (std::getenv("ALMONDGATE_TEST_LOG"))
+    std::cerr << sinceStart() << " VIOLATION " << text << "\n";
+}
+
 void TestFleet::scheduleAt(int64_t time, std::function<void()> fn) {
   Scheduled.emplace(time, std::move(fn));
 }
@@ -386,8 +392,10 @@
     scheduleAt(Now + CommitMs, guard([this, events = std::move(events), done] {
                  // Like the replicated state: applies all events of a change
                  // before it reports them.
-                 for (const auto &event : events)
+                 for (const auto &event : events) {
                    jobs::apply(Ledger, event);
+                   recordDoneTasks(event);
+                 }
                  for (const auto &event : events)
                    Core->onEventApplied(event);
                  done(true);
@@ -481,6 +489,15 @@
   return hooks;
 }
 
+// The durable end of one member of a gang ends all of them.
+void TestFleet::recordDoneTasks(const jobs::Event &event) {
+  const auto *ended = std::get_if<jobs::TaskEnded>(&event);
+  const auto *job = ended ? jobs::findJob(Ledger, ended->Job) : nullptr;
+  for (size_t i = 0; job && i < job->Tasks.size(); ++i)
+    if (job->Tasks[i].Done)
+      DoneAt.try_emplace(jobs::taskAt(job->Id, *job->Spec, i), Now);
+}
+
 // The end of one member of a gang stands for all of them.
 void TestFleet::recordAcknowledgedEnd(const TaskRef &task, int64_t ended_at) {
   const auto *job = jobs::findJob(Ledger, task.Job);
@@ -499,9 +516,9 @@
     const StartRecord &start = started->second;
     const bool late =
         start.Sent < start.At && start.Sent <= ended_at && !start.Answered;
-    Violations.push_back((late ? "late start after a run has ended done: "
-                               : "start after a run has ended done: ") +
-                         nameOf(ended));
+    violate((late ? "late start after a run has ended done: "
+                  : "start after a run has ended done: ") +
+            nameOf(ended));
   }
 }
 
@@ -540,6 +557,11 @@
       const auto late = Endpoints.find(id);
       if (late == Endpoints.end())
         return;
+      if (std::getenv("ALMONDGATE_TEST_LOG"))
+        std::cerr << sinceStart() << " a call of " << born - StartMs
+                  << " is carried out late at " << id.str() << " incarnation "
+                  << late->second.Facts.BornMs - StartMs << ", token "
+                  << late->second.Epoch << "\n";
       CallsOfFormerIncarnations += late->second.Facts.BornMs != born ? 1 : 0;
       execute(late->second);
     });
@@ -704,37 +726,36 @@
   for (const auto &[task, run] : endpoint.Runs)
     used = used + run.Need;
   if (!core::fits(used, endpoint.Facts.Capacity))
-    Violations.push_back("start exceeds the capacity: " + nameOf(order.Task));
+    violate("start exceeds the capacity: " + nameOf(order.Task));
   for (const auto &[id, other] : Endpoints)
     if (other.Runs.contains(order.Task))
-      Violations.push_back("task runs twice at a time: " + nameOf(order.Task));
+      violate("task runs twice at a time: " + nameOf(order.Task));
   const auto *job = jobs::findJob(Ledger, order.Task.Job);
+  const bool done = job->Tasks[*jobs::indexOf(*job->Spec, order.Task)].Done;
   const auto ended = AcknowledgedDone.find(order.Task);
   const bool acknowledged = ended != AcknowledgedDone.end();
   // Nothing keeps an incarnation that no leader has reached from carrying out
   // an order that left before the end was known.
-  if (acknowledged && sent < Now && sent <= ended->second &&
-      !endpoint.HasAnswered) {
-    Violations.push_back("a late start after an acknowledged end: " +
-                         nameOf(order.Task));
+  const bool late = sent < Now && !endpoint.HasAnswered;
+  if (late && acknowledged && sent <= ended->second) {
+    violate("a late start after an acknowledged end: " + nameOf(order.Task));
+  } else if (late && done && !acknowledged && sent <= DoneAt.at(order.Task)) {
+    violate("a late start after an end that is not acknowledged: " +
+            nameOf(order.Task));
   } else {
-    if (job->Tasks[*jobs::indexOf(*job->Spec, order.Task)].Done)
-      Violations.push_back("start after the task is done: " +
-                           nameOf(order.Task));
+    if (done)
+      violate("start after the task is done: " + nameOf(order.Task));
     if (acknowledged)
-      Violations.push_back("start after an acknowledged end: " +
-                           nameOf(order.Task));
+      violate("start after an acknowledged end: " + nameOf(order.Task));
   }
   if (!jobs::isStepReady(*job, order.Task.Occurrence, order.Task.Step))
-    Violations.push_back("start before the step is ready: " +
-                         nameOf(order.Task));
+    violate("start before the step is ready: " + nameOf(order.Task));
   // An order that was sent before its job ended can't be recalled.
   const bool job_ended = job->Cancelled || job->Failed;
   if (job_ended && sent > job->EndedWallMs)
-    Violations.push_back("start after the job has ended: " +
-                         nameOf(order.Task));
+    violate("start after the job has ended: " + nameOf(order.Task));
   if (endpoint.Facts.Draining)
-    Violations.push_back("start on a draining endpoint: " + nameOf(order.Task));
+    violate("start on a draining endpoint: " + nameOf(order.Task));
 }
 
 int64_t TestFleet::countMissing(const TaskRef &task,
@@ -763,8 +784,7 @@
   const auto &step = job->Spec->Steps[task.Step];
   if (step.HasMayMiss && !job->Cancelled &&
       countMissing(task, EndpointId()) >= step.MayMiss)
-    Violations.push_back("availability budget exceeded by a stop: " +
-                         nameOf(task));
+    violate("availability budget exceeded by a stop: " + nameOf(task));
 }
 
 void TestFleet::checkVmOrder(const VmOrder &order) {
@@ -772,11 +792,9 @@
   if (it != LastVmOrder.end()) {
     const auto &[epoch, when] = it->second;
     if (epoch != order.Epoch && Now - when < VmOrderLeaseMs)
-      Violations.push_back("two leaders order within the lease for vm " +
-                           order.Vm.str());
+      violate("two leaders order within the lease for vm " + order.Vm.str());
     if (epoch > order.Epoch)
-      Violations.push_back("an earlier leader orders again for vm " +
-                           order.Vm.str());
+      violate("an earlier leader orders again for vm " + order.Vm.str());
   }
   LastVmOrder[order.Vm] = {order.Epoch, Now};
   OrderedMoves += order.To.empty() ? 0 : 1;
@@ -817,8 +835,8 @@
         return Vms.at(vm).State == VmState::Maintenance;
       });
   if (down >= wave.UpperLimit)
-    Violations.push_back("maintenance above the limit of wave " +
-                         std::to_string(order.Wave) + ": " + order.Vm.str());
+    violate("maintenance above the limit of wave " +
+            std::to_string(order.Wave) + ": " + order.Vm.str());
 }
 
 VmOrderResult TestFleet::execute(const VmOrder &order) {
@@ -838,8 +856,7 @@
       const auto &step = job->Spec->Steps[task.Step];
       if (step.HasMayMiss && !job->Cancelled &&
           countMissing(task, vm.Endpoint) >= step.MayMiss)
-        Violations.push_back("availability budget exceeded by a VM order: " +
-                             nameOf(task));
+        violate("availability budget exceeded by a VM order: " + nameOf(task));
     }
   if (maintenance)
     checkWaveLimit(order);
