Wait for a registered incarnation that was never read

Its view knew of no lease, so it was declared lost within 50 ms, and its tasks started elsewhere.

Change: calls for the former incarnation count as calls that extend the lease of the next one until it registers; with runs that it may have, it is given up once the longest lease after that is over.

--- a/src/almondgate/dispatch/dispatcher_endpoints.cpp
+++ b/src/almondgate/dispatch/dispatcher_endpoints.cpp
@@ -47,6 +47,9 @@
     // the new one.
     if (it->second.isUnread())
       view.Lease.assumeValidUntil(it->second.Lease.assumedUntil());
+    // Calls for the old incarnation may have given the new one a lease until
+    // now.
+    view.LastLeaseCall = Hooks.Now();
     releaseLostRuns(it->second);
     unlinkFromVm(it->second);
     Endpoints.erase(it);
--- a/src/almondgate/dispatch/incarnation_test.cpp
+++ b/src/almondgate/dispatch/incarnation_test.cpp
@@ -181,3 +181,32 @@
       CHECK(fleet.stateOf(jobId(2)) == JobState::Completed);
     }
 }
+
+// Guards against tasks that ran twice: an incarnation took a start that was
+// meant for the former one, registered and could not be read even once. It was
+// given up at once, as no lease of it was known.
+TEST_CASE("a registered incarnation that was never read is waited for") {
+  for (const int64_t heartbeat_ms : {45, 60, 75, 90}) {
+    CAPTURE(heartbeat_ms);
+    HalfBusyFleet fleet;
+    fleet.OrderQueueMs = 50;
+    const auto &vm = fleet.FreeVm;
+    // The order leaves after the restart.
+    auto call = testCall(jobs::JobVerb::Submit, jobId(2));
+    call.Spec = oneStep(1, Cores, LongMs);
+    fleet.dispatcher().handleCall(call, [](const auto &) {});
+    fleet.advance(20);
+    const int64_t clock = fleet.endpointOf(vm).clock(fleet.now());
+    fleet.restartWithSameId(
+        vm, {.DownMs = 1, .HeartbeatDelayMs = heartbeat_ms, .ClockMs = clock});
+    const auto is_known = [&] {
+      const auto &facts = fleet.endpointOf(vm).Facts;
+      return fleet.dispatcher().endpoints().at(facts.Id).Facts == facts;
+    };
+    fleet.advance(2);
+    while (!is_known())
+      fleet.advance(1);
+    REQUIRE(fleet.endpointOf(vm).Runs.size() == 1);
+    fleet.cutOffAndCheck(LongMs * 3);
+  }
+}
