--- a/include/almondgate/dispatch/lease_clock.hpp
+++ b/include/almondgate/dispatch/lease_clock.hpp
@@ -22,10 +22,6 @@
   /// of it. No answer takes longer than the latter.
   static constexpr core::DurationMs LowerTolerance{500};
   static constexpr core::DurationMs UpperTolerance{2000};
-  /// The same for an answer that must be this incarnation's. What an answer
-  /// took on its way makes later ones seem ahead, never behind.
-  static constexpr core::DurationMs CloseLowerTolerance{5};
-  static constexpr core::DurationMs CloseUpperTolerance{100};
 
   /// Records the endpoint's clock, which an answer received at `now` reported.
   void observe(int64_t clock_ms, core::TimeMs now);
@@ -34,11 +30,6 @@
   /// `given`, can be this endpoint's. That of another incarnation starts anew.
   bool matches(int64_t clock_ms, core::TimeMs given, core::TimeMs now) const;
 
-  /// As matches(), but false for the clock of an incarnation that began when
-  /// this one was young.
-  bool matchesClosely(int64_t clock_ms, core::TimeMs given,
-                      core::TimeMs now) const;
-
   bool isClockKnown() const { return Received.has_value(); }
 
   /// Grants a lease and returns its deadline by the endpoint's clock, at most
@@ -58,15 +49,14 @@
   /// endpoint began at `began`.
   static core::TimeMs latestExpiry(core::TimeMs began, core::DurationMs lease);
 
-  /// False once the leases of all runs on the endpoint have certainly expired.
-  bool mayBeValid(core::TimeMs now) const;
+  /// False once the leases of all runs on the endpoint have certainly expired,
+  /// even if its clock is `behind` the one observed.
+  bool mayBeValid(core::TimeMs now, core::DurationMs behind = {}) const;
 
   /// What is known of the lease, for log lines.
   std::string describe(core::TimeMs now) const;
 
 private:
-  bool isWithin(int64_t clock_ms, core::TimeMs given, core::TimeMs now,
-                core::DurationMs below, core::DurationMs above) const;
   int64_t earliestClock(core::TimeMs now) const;
 
   std::optional<core::TimeMs> Received;
--- a/src/almondgate/dispatch/dispatcher_orders.cpp
+++ b/src/almondgate/dispatch/dispatcher_orders.cpp
@@ -76,6 +76,7 @@
   state.StopAcknowledged = false;
   state.StartResent = false;
   state.Confirmed = false;
+  state.Listed = false;
   state.Inherited = false;
   state.Percent = 0;
   if (!std::exchange(job.Started, true))
@@ -128,10 +129,6 @@
 void Dispatcher::onStartReply(const TaskKey &task_key, int64_t run,
                               const EndpointId &at, int64_t born_ms,
                               core::TimeMs given, OrderReply reply) {
-  const auto known = Endpoints.find(at);
-  const bool same_clock =
-      known != Endpoints.end() && reply.ClockMs &&
-      known->second.Lease.matchesClosely(*reply.ClockMs, given, Hooks.Now());
   EndpointView *answering = findAnsweringIncarnation(at, born_ms, given, reply);
   if (!answering)
     return;
@@ -178,7 +175,7 @@
   case OrderResult::Accepted:
     state->Phase = TaskPhase::Running;
     state->Since = now;
-    state->Confirmed = same_clock;
+    state->Confirmed = reply.ClockMs.has_value();
     return;
   case OrderResult::NoAnswer:
     endpoint.Suspect = true;
--- a/src/almondgate/dispatch/lease_clock.cpp
+++ b/src/almondgate/dispatch/lease_clock.cpp
@@ -24,22 +24,13 @@
 }
 
 bool LeaseClock::matches(int64_t clock_ms, TimeMs given, TimeMs now) const {
-  return !Received ||
-         isWithin(clock_ms, given, now, LowerTolerance, UpperTolerance);
-}
-
-bool LeaseClock::matchesClosely(int64_t clock_ms, TimeMs given,
-                                TimeMs now) const {
-  return Received && isWithin(clock_ms, given, now, CloseLowerTolerance,
-                              CloseUpperTolerance);
-}
-
-bool LeaseClock::isWithin(int64_t clock_ms, TimeMs given, TimeMs now,
-                          DurationMs below, DurationMs above) const {
+  if (!Received)
+    return true;
   const int64_t earliest =
       std::min(earliestClock(given), ClockMs + (given - *Received).Count);
   const int64_t latest = ClockMs + (now - *Received).Count;
-  return clock_ms >= earliest - below.Count && clock_ms <= latest + above.Count;
+  return clock_ms >= earliest - LowerTolerance.Count &&
+         clock_ms <= latest + UpperTolerance.Count;
 }
 
 // The least that the endpoint's clock can show at `now`.
@@ -59,10 +50,11 @@
   return began + DurationMs{longest} + SafetyMargin;
 }
 
-bool LeaseClock::mayBeValid(TimeMs now) const {
+bool LeaseClock::mayBeValid(TimeMs now, DurationMs behind) const {
   if (now < AssumedUntil)
     return true;
-  return Received && Granted + SafetyMargin.Count > earliestClock(now);
+  return Received &&
+         Granted + SafetyMargin.Count > earliestClock(now) - behind.Count;
 }
 
 std::string LeaseClock::describe(TimeMs now) const {
