Look for late starts and orphans only where there are any

A pass asked for each waiting task which of the job's tasks it is and whether a run of it is being stopped.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -227,7 +227,7 @@
   /// Takes over the starts of earlier leaders that may be carried out late.
   void inheritLateStarts(const jobs::JobRecord &record, OpenJob &job);
   void handOverIfReady();
-  StartLimit startLimit(const TaskKey &task_key);
+  StartLimit startLimit(const TaskKey &task_key, const TaskState &state);
   bool isUsable(const EndpointView &endpoint) const;
 
   // dispatcher_renewals.cpp
--- a/src/almondgate/dispatch/dispatcher_late_starts.cpp
+++ b/src/almondgate/dispatch/dispatcher_late_starts.cpp
@@ -164,8 +164,10 @@
 // the task then runs nowhere else. If it goes on like that, the task waits.
 // Gangs, and work that must not be missing for long, go elsewhere once the
 // incarnation that is there carries nothing out any more.
-Dispatcher::StartLimit Dispatcher::startLimit(const TaskKey &task_key) {
-  const TaskState &state = *findTaskState(task_key);
+Dispatcher::StartLimit Dispatcher::startLimit(const TaskKey &task_key,
+                                              const TaskState &state) {
+  if (state.LateStarts.empty() && OrphanCounts.empty())
+    return {};
   const auto *record = jobs::findJob(Ledger, task_key.first);
   const auto task =
       jobs::taskAt(task_key.first, *record->Spec, task_key.second);
--- a/src/almondgate/dispatch/dispatcher_placing.cpp
+++ b/src/almondgate/dispatch/dispatcher_placing.cpp
@@ -259,7 +259,7 @@
     const TaskState &state = ready.Job->Tasks[i];
     if (state.Phase != TaskPhase::Waiting || state.NotBefore > now)
       continue;
-    const StartLimit limit = startLimit({ready.Record->Id, i});
+    const StartLimit limit = startLimit({ready.Record->Id, i}, state);
     if (limit.Anywhere) {
       free.push_back(i);
     } else if (isInPool(limit.Only, *ready.Job)) {
@@ -295,7 +295,8 @@
         return state.Phase == TaskPhase::Waiting && state.NotBefore <= now;
       });
   for (size_t i = 0; all && i < count; ++i)
-    all = startLimit({ready.Record->Id, ready.First + i}).Anywhere;
+    all = startLimit({ready.Record->Id, ready.First + i}, from[int64_t(i)])
+              .Anywhere;
   core::Size total;
   for (size_t i = 0; i < count; ++i)
     total = total + ready.Spec->Need;
