Log what the resident memory consists of when it passes a part of its limit

Users saw two control members warn of peaks of 140 and 147 MB of 256 MB right after a planned stop. The line names budgets, all of them nearly empty, and neither says whether the process had just started nor whether the bytes are allocated.

The same figures are metrics. No change of logic.

--- a/apps/memory_report.hpp
+++ b/apps/memory_report.hpp
@@ -1,6 +1,8 @@
 #ifndef ALMONDGATE_APPS_MEMORY_REPORT_HPP
 #define ALMONDGATE_APPS_MEMORY_REPORT_HPP
 
+#include "almondgate/core/time_ms.hpp"
+#include "almondgate/observe/memory_reading.hpp"
 #include "almondgate/observe/process_report.hpp"
 #include "almondgate/task/timer.hpp"
 
@@ -11,8 +13,8 @@
 namespace almondgate::apps {
 
 /// Warns when the peak memory of the process passes a part of its limit, and
-/// names what holds bytes: a process that is killed at the limit writes
-/// nothing.
+/// names what holds bytes, and how long after the start: a process that is
+/// killed at the limit writes nothing.
 class MemoryReport {
 public:
   using Budgets = std::function<std::vector<core::BudgetReading>()>;
@@ -44,19 +46,23 @@
 
   void check() {
     const size_t peak = observe::peakResidentBytes();
+    const core::DurationMs uptime = core::monotonicNow() - Start;
     while (NextWarning < WarnAtPercent.size() &&
            peak >= Limit / Percent * WarnAtPercent.at(NextWarning)) {
-      observe::logWarn("memory",
-                       "peak memory passed " +
-                           std::to_string(WarnAtPercent.at(NextWarning)) +
-                           " % of the limit: " + std::to_string(peak) + " of " +
-                           std::to_string(Limit) + " bytes; " +
-                           observe::formatBudgets(readBudgets()));
+      observe::logWarn(
+          "memory", "peak memory passed " +
+                        std::to_string(WarnAtPercent.at(NextWarning)) +
+                        " % of the limit: " + std::to_string(peak) + " of " +
+                        std::to_string(Limit) + " bytes, " +
+                        std::to_string(uptime.Count) + " ms after the start; " +
+                        observe::formatMemory(observe::readMemory()) + "; " +
+                        observe::formatBudgets(readBudgets()));
       ++NextWarning;
     }
   }
 
   const size_t Limit;
+  const core::TimeMs Start = core::monotonicNow();
   std::vector<Budgets> Owners;
   size_t NextWarning = 0;
   task::Timer Timer;
--- a/include/almondgate/consensus/node.hpp
+++ b/include/almondgate/consensus/node.hpp
@@ -59,6 +59,8 @@
   uint64_t lastIndex() const { return Entries.lastIndex(); }
   /// Bytes of the data of the log entries in memory.
   size_t logBytes() const { return Entries.dataBytes(); }
+  /// Bytes of the encoded state of the last snapshot, which is in memory.
+  size_t snapshotBytes() const { return Base.Data.size(); }
   /// Empty if no leader is known.
   const MemberId &leader() const { return Leader; }
   const Membership &membership() const { return Memberships.back().second; }
--- a/src/almondgate/control/control_task.cpp
+++ b/src/almondgate/control/control_task.cpp
@@ -123,7 +123,10 @@
   core::BudgetReading log;
   log.Name = "log";
   log.Used = Core.node().logBytes();
-  return {Rpc.budget(), Inner.budget(), Jobs.jobsReading(), log};
+  core::BudgetReading snapshot;
+  snapshot.Name = "snapshot";
+  snapshot.Used = Core.node().snapshotBytes();
+  return {Rpc.budget(), Inner.budget(), Jobs.jobsReading(), log, snapshot};
 }
 
 ControlHooks ControlTask::coreHooks() {
--- a/src/almondgate/observe/process_report.cpp
+++ b/src/almondgate/observe/process_report.cpp
@@ -1,10 +1,14 @@
 #include "almondgate/observe/process_report.hpp"
+#include "almondgate/observe/memory_reading.hpp"
 
 #include <array>
 #include <atomic>
 #include <csignal>
 #include <cstdlib>
 #include <exception>
+#include <fstream>
+#include <limits>
+#include <malloc.h>
 #include <poll.h>
 #include <string_view>
 #include <sys/resource.h>
@@ -77,6 +81,20 @@
 
 std::string toMb(size_t bytes) { return std::to_string(bytes / BytesPerMb); }
 
+// Returns a field of /proc/self/status that is given in kB, in bytes; 0 if it
+// can't be read. Source: proc(5).
+size_t statusBytes(std::string_view name) {
+  std::ifstream status("/proc/self/status");
+  std::string field;
+  size_t kb = 0;
+  while (status >> field) {
+    if (field == name)
+      return status >> kb ? kb * BytesPerKb : 0;
+    status.ignore(std::numeric_limits<std::streamsize>::max(), '\n');
+  }
+  return 0;
+}
+
 } // namespace
 
 size_t peakResidentBytes() {
@@ -96,6 +114,17 @@
     ::sigaction(row.Number, &action, nullptr);
 }
 
+MemoryReading readMemory() {
+  const auto heap = ::mallinfo2();
+  return {statusBytes("VmRSS:"), heap.uordblks + heap.hblkhd, heap.fordblks};
+}
+
+std::string formatMemory(const MemoryReading &memory) {
+  return "resident " + toMb(memory.Resident) + " MB, allocated " +
+         toMb(memory.Allocated) + " MB, free in the allocator " +
+         toMb(memory.Free) + " MB";
+}
+
 std::string formatBudgets(const std::vector<core::BudgetReading> &budgets) {
   std::string out;
   for (const auto &budget : budgets)
@@ -113,6 +142,10 @@
   };
   line("memory_limit_bytes", limit_bytes);
   line("memory_peak_bytes", peakResidentBytes());
+  const MemoryReading memory = readMemory();
+  line("memory_resident_bytes", memory.Resident);
+  line("memory_allocated_bytes", memory.Allocated);
+  line("memory_allocator_free_bytes", memory.Free);
   for (const auto &budget : budgets) {
     const std::string label = "{budget=\"" + budget.Name + "\"}";
     line("budget_used_bytes" + label, budget.Used);
