Report a process's own peak memory, not its launcher's

Cause: the peak was ru_maxrss of getrusage(2). Linux keeps that figure across exec, and a process begins with the resident size of the one that forked it. A member that is restarted by a launcher of 140 MB therefore warns at its first check, 1 s after its start, of memory that it never had.

Change: the peak is VmHWM of /proc/self/status, which begins anew at exec. getrusage(2) remains where that can't be read.

--- a/include/almondgate/observe/process_report.hpp
+++ b/include/almondgate/observe/process_report.hpp
@@ -10,7 +10,9 @@
 
 namespace almondgate::observe {
 
-/// Peak resident memory of this process in bytes. Source: getrusage(2).
+/// Peak resident memory of this process in bytes. Source: VmHWM of proc(5).
+/// getrusage(2), which is used if that can't be read, also counts the process
+/// that started this one: its figure is kept across exec.
 size_t peakResidentBytes();
 
 /// Logs the exception or the signal that is about to end the process
--- a/src/almondgate/observe/process_report.cpp
+++ b/src/almondgate/observe/process_report.cpp
@@ -98,6 +98,8 @@
 } // namespace
 
 size_t peakResidentBytes() {
+  if (const size_t peak = statusBytes("VmHWM:"))
+    return peak;
   rusage usage{};
   if (::getrusage(RUSAGE_SELF, &usage) != 0)
     return 0;
