Hold the state that a member read from its disk once

Change: the state is moved from the store to the node.

Suites of storage, consensus, control and encoding pass.

--- a/include/almondgate/consensus/log.hpp
+++ b/include/almondgate/consensus/log.hpp
@@ -13,7 +13,7 @@
 /// base entry, and the entries after it.
 class Log {
 public:
-  explicit Log(const DurableState &state);
+  Log(const Snapshot &base, std::vector<LogEntry> entries);
 
   uint64_t baseIndex() const { return BaseIndex; }
   uint64_t lastIndex() const { return BaseIndex + Entries.size(); }
--- a/include/almondgate/consensus/node.hpp
+++ b/include/almondgate/consensus/node.hpp
@@ -24,7 +24,7 @@
 /// Algorithm, 2014; pre-vote and leadership transfer from Ongaro's thesis.
 class Node {
 public:
-  Node(NodeOptions options, NodeHooks hooks, const DurableState &state);
+  Node(NodeOptions options, NodeHooks hooks, DurableState state);
 
   /// Handles timeouts and heartbeats; call every few milliseconds.
   void tick();
@@ -59,8 +59,8 @@
   uint64_t lastIndex() const { return Entries.lastIndex(); }
   /// Bytes of the data of the log entries in memory.
   size_t logBytes() const { return Entries.dataBytes(); }
-  /// Bytes of the encoded state of the last snapshot, which is in memory.
-  size_t snapshotBytes() const { return Base.Data.size(); }
+  /// The last snapshot, which stays in memory for members that lag.
+  const Snapshot &snapshot() const { return Base; }
   /// Empty if no leader is known.
   const MemberId &leader() const { return Leader; }
   const Membership &membership() const { return Memberships.back().second; }
--- a/include/almondgate/control/control_core.hpp
+++ b/include/almondgate/control/control_core.hpp
@@ -26,7 +26,7 @@
   using OnDone = std::function<void(core::Status)>;
 
   ControlCore(ControlOptions options, consensus::NodeOptions node_options,
-              ControlHooks hooks, const consensus::DurableState &recovered);
+              ControlHooks hooks, consensus::DurableState recovered);
 
   void receive(const consensus::Message &message);
   void tick();
--- a/include/almondgate/control/control_task.hpp
+++ b/include/almondgate/control/control_task.hpp
@@ -81,7 +81,8 @@
 
   const config::ControlSettings Settings;
   const consensus::MemberId Identity;
-  const consensus::DurableState Recovered;
+  /// Read before `Storage` takes the store over; Core takes it.
+  consensus::DurableState Recovered;
   const OnFailure ReportFailure;
   std::minstd_rand Random;
   protocol::RpcClient Rpc;
--- a/src/almondgate/consensus/log.cpp
+++ b/src/almondgate/consensus/log.cpp
@@ -2,13 +2,14 @@
 #include "almondgate/core/invariant.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace almondgate::consensus {
 
-Log::Log(const DurableState &state)
-    : BaseIndex(state.Base.Index), BaseTerm(state.Base.Term) {
-  for (const auto &entry : state.Entries)
-    append(entry);
+Log::Log(const Snapshot &base, std::vector<LogEntry> entries)
+    : BaseIndex(base.Index), BaseTerm(base.Term) {
+  for (auto &entry : entries)
+    append(std::move(entry));
 }
 
 bool Log::covers(uint64_t index) const {
--- a/src/almondgate/consensus/node.cpp
+++ b/src/almondgate/consensus/node.cpp
@@ -17,13 +17,13 @@
 
 } // namespace
 
-Node::Node(NodeOptions options, NodeHooks hooks, const DurableState &state)
+Node::Node(NodeOptions options, NodeHooks hooks, DurableState state)
     : Options(std::move(options)), Hooks(std::move(hooks)), Voted(state.Voted),
-      Base(state.Base), Entries(state), Restarted(state.Voted.Term > 0),
-      StartedAt(Hooks.Now()) {
+      Base(std::move(state.Base)), Entries(Base, std::move(state.Entries)),
+      Restarted(state.Voted.Term > 0), StartedAt(Hooks.Now()) {
   Memberships.emplace_back(Base.Index, Base.Voters);
-  for (const auto &entry : state.Entries)
-    recordMembership(entry);
+  for (uint64_t i = Base.Index + 1; i <= Entries.lastIndex(); ++i)
+    recordMembership(Entries.at(i));
   DurableIndex = Entries.lastIndex();
   CommitIndex = std::clamp(state.Commit, Base.Index, DurableIndex);
   DeliveredIndex = Base.Index;
--- a/src/almondgate/control/control_core.cpp
+++ b/src/almondgate/control/control_core.cpp
@@ -40,13 +40,12 @@
 
 ControlCore::ControlCore(ControlOptions options,
                          consensus::NodeOptions node_options,
-                         ControlHooks hooks,
-                         const consensus::DurableState &recovered)
+                         ControlHooks hooks, consensus::DurableState recovered)
     : Options(options), Hooks(std::move(hooks)),
-      Node(std::move(node_options), Hooks.Node, recovered) {
-  if (recovered.Base.Index > 0)
-    restore(recovered.Base);
-  CompactedIndex = recovered.Base.Index;
+      Node(std::move(node_options), Hooks.Node, std::move(recovered)) {
+  if (Node.snapshot().Index > 0)
+    restore(Node.snapshot());
+  CompactedIndex = Node.snapshot().Index;
 }
 
 void ControlCore::receive(const consensus::Message &message) {
--- a/src/almondgate/control/control_task.cpp
+++ b/src/almondgate/control/control_task.cpp
@@ -68,7 +68,7 @@
       Core(coreOptions(settings),
            {.Self = Identity,
             .BytesKeptBehindSnapshot = settings.Common.Memory.Jobs / 4},
-           coreHooks(), Recovered),
+           coreHooks(), std::move(Recovered)),
       Jobs({.Holder = settings.Name,
             .MaxLease = std::max(settings.LongestLease,
                                  dispatch::DispatcherOptions().Lease),
@@ -125,7 +125,7 @@
   log.Used = Core.node().logBytes();
   core::BudgetReading snapshot;
   snapshot.Name = "snapshot";
-  snapshot.Used = Core.node().snapshotBytes();
+  snapshot.Used = Core.node().snapshot().Data.size();
   return {Rpc.budget(), Inner.budget(), Jobs.jobsReading(), log, snapshot};
 }
 
