--- a/include/almondgate/consensus/snapshot.hpp
+++ b/include/almondgate/consensus/snapshot.hpp
@@ -2,6 +2,7 @@
 #define ALMONDGATE_CONSENSUS_SNAPSHOT_HPP
 
 #include "almondgate/consensus/membership.hpp"
+#include "almondgate/core/value.hpp"
 
 #include <cstdint>
 #include <string>
@@ -14,8 +15,9 @@
   uint64_t Term = 0;
   /// The membership at Index, learners included.
   Membership Voters;
-  /// The encoded state.
-  std::string Data;
+  /// The encoded state. Shared: a snapshot is in the log, in a batch for the
+  /// disk and in messages at the same time.
+  core::Value<std::string> Data;
 
   bool operator==(const Snapshot &) const = default;
 };
--- a/include/almondgate/storage/frame.hpp
+++ b/include/almondgate/storage/frame.hpp
@@ -11,7 +11,7 @@
 
 /// Prepends a magic number, the payload's length, and a CRC-32 of both the
 /// length and the payload.
-std::string encodeFrame(std::string_view payload);
+std::string encodeFrame(std::string payload);
 
 /// The intact frames at the start of a file.
 struct Frames {
--- a/src/almondgate/consensus/replication.cpp
+++ b/src/almondgate/consensus/replication.cpp
@@ -64,7 +64,7 @@
 bool Node::maySendSnapshot(const Progress &progress) const {
   if (awaitsSnapshotReply(progress))
     return false;
-  if (Base.Data.size() < LargeSnapshotBytes)
+  if (Base.Data->size() < LargeSnapshotBytes)
     return true;
   return std::none_of(Peers.begin(), Peers.end(), [&](const auto &row) {
     const Progress &other = row.second;
--- a/src/almondgate/control/control_core.cpp
+++ b/src/almondgate/control/control_core.cpp
@@ -112,7 +112,7 @@
 }
 
 void ControlCore::restore(const consensus::Snapshot &snapshot) {
-  const auto decoded = Hooks.DecodeState(snapshot.Data);
+  const auto decoded = Hooks.DecodeState(*snapshot.Data);
   core::invariant(bool(decoded), "snapshot data cannot be decoded");
   State = decoded.value();
   AppliedIndex = snapshot.Index;
--- a/src/almondgate/control/control_task.cpp
+++ b/src/almondgate/control/control_task.cpp
@@ -125,7 +125,7 @@
   log.Used = Core.node().logBytes();
   core::BudgetReading snapshot;
   snapshot.Name = "snapshot";
-  snapshot.Used = Core.node().snapshot().Data.size();
+  snapshot.Used = Core.node().snapshot().Data->size();
   return {Rpc.budget(), Inner.budget(), Jobs.jobsReading(), log, snapshot};
 }
 
--- a/src/almondgate/storage/data_folder_test.cpp
+++ b/src/almondgate/storage/data_folder_test.cpp
@@ -55,7 +55,7 @@
     for (uint64_t i = 1; i <= entries; ++i)
       REQUIRE(bool(Open->write(entryAt(i))));
     consensus::DurableBatch batch;
-    batch.Base = consensus::Snapshot{entries, 1, {}, "state"};
+    batch.Base = consensus::Snapshot{entries, 1, {}, std::string("state")};
     batch.ReplaceFrom = entries + 1;
     REQUIRE(bool(Open->write(batch)));
     REQUIRE(bool(Open->write(entryAt(entries + 1))));
--- a/src/almondgate/storage/frame.cpp
+++ b/src/almondgate/storage/frame.cpp
@@ -56,12 +56,15 @@
 
 } // namespace
 
-std::string encodeFrame(std::string_view payload) {
+std::string encodeFrame(std::string payload) {
   std::string out(Magic);
   out.reserve(HeaderBytes + payload.size());
   putU32(out, static_cast<uint32_t>(payload.size()));
   putU32(out, crcOf(payload));
   out.append(payload);
+  // The parameter lives until the caller has written the frame; a large
+  // snapshot would be held twice until then.
+  std::string().swap(payload);
   return out;
 }
 
--- a/src/almondgate/storage/power_loss_test.cpp
+++ b/src/almondgate/storage/power_loss_test.cpp
@@ -169,7 +169,8 @@
       return append(1);
     const auto &first = Certain->Entries.front();
     DurableBatch batch;
-    batch.Base = consensus::Snapshot{first.Index, first.Term, {}, "state"};
+    batch.Base =
+        consensus::Snapshot{first.Index, first.Term, {}, std::string("state")};
     batch.ReplaceFrom = first.Index + 1;
     batch.Entries.assign(Certain->Entries.begin() + 1, Certain->Entries.end());
     batch.Commit = std::max(Certain->Commit, first.Index);
--- a/src/almondgate/storage/store_test.cpp
+++ b/src/almondgate/storage/store_test.cpp
@@ -3,8 +3,10 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
+#include <malloc.h>
 #include <sstream>
 
 using namespace almondgate;
@@ -91,13 +93,13 @@
   vote.Voted = consensus::Vote{3, MemberId("m9")};
   REQUIRE(bool(store->write(vote)));
   DurableBatch snapshot = batchOf(5);
-  snapshot.Base = consensus::Snapshot{4, 1, {}, "state"};
+  snapshot.Base = consensus::Snapshot{4, 1, {}, std::string("state")};
   REQUIRE(bool(store->write(snapshot)));
   REQUIRE(bool(store->write(batchOf(6))));
   store.reset();
   const auto state = openExisting(folder.Path)->takeRecoveredState();
   CHECK(state.Base.Index == 4);
-  CHECK(state.Base.Data == "state");
+  CHECK(state.Base.Data == std::string("state"));
   CHECK(state.Entries.size() == 2);
   CHECK(state.Voted.Term == 3);
   CHECK(!std::filesystem::exists(folder.Path + "/log-0"));
@@ -176,7 +178,7 @@
     auto store = openExisting(folder.Path, ops);
     failing = true;
     DurableBatch batch = batchOf(3);
-    batch.Base = consensus::Snapshot{2, 1, {}, "state"};
+    batch.Base = consensus::Snapshot{2, 1, {}, std::string("state")};
     CHECK(!store->write(batch));
     failing = false;
     CHECK(!store->write(batchOf(3)));
@@ -232,7 +234,7 @@
       DurableBatch batch = batchOf(3);
       batch.Voted = consensus::Vote{7, MemberId("m2")};
       if (snapshot)
-        batch.Base = consensus::Snapshot{2, 1, {}, "state"};
+        batch.Base = consensus::Snapshot{2, 1, {}, std::string("state")};
       full = true;
       for (int i = 0; i < 3; ++i) {
         const auto done = store->write(batch);
@@ -268,3 +270,28 @@
   store.reset();
   CHECK(openExisting(folder.Path)->takeRecoveredState().Entries.size() == 2);
 }
+
+// A snapshot can be a tenth of the memory limit, and is in the node, in the
+// batch and in the frame at the same time.
+TEST_CASE("a large snapshot is copied once while it is written") {
+  constexpr size_t Bytes = size_t{16} << 20;
+  const auto allocated = [] {
+    const auto heap = ::mallinfo2();
+    return heap.uordblks + heap.hblkhd;
+  };
+  const Folder folder;
+  formatWithEntries(folder.Path, 4);
+  size_t peak = 0;
+  FileOps ops = systemFileOps();
+  ops.Write = [&, write = ops.Write](int fd, uint64_t at,
+                                     std::string_view data) {
+    peak = std::max(peak, allocated());
+    return write(fd, at, data);
+  };
+  const auto store = openExisting(folder.Path, ops);
+  DurableBatch batch = batchOf(5);
+  batch.Base = consensus::Snapshot{4, 1, {}, std::string(Bytes, 'x')};
+  const size_t before = allocated();
+  REQUIRE(bool(store->write(batch)));
+  CHECK(peak < before + 2 * Bytes);
+}
