Let threads share one arena of the allocator, and return large blocks

Cause: each thread had an arena of its own, and the allocator keeps blocks up to the largest that was freed.

Change: one arena, mappings from 1 MB on, set at the start of each program.

--- a/apps/process_limits.cpp
+++ b/apps/process_limits.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <fcntl.h>
+#include <malloc.h>
 #include <pthread.h>
 #include <sys/resource.h>
 #include <unistd.h>
@@ -15,6 +16,10 @@
 // thread.
 constexpr size_t MaxThreadStackBytes = size_t{2} << 20;
 
+// Snapshots and the files of a data folder are larger, what is allocated for a
+// single request is smaller.
+constexpr int LargeBlockBytes = 1 << 20;
+
 } // namespace
 
 void openStandardDescriptors() {
@@ -45,4 +50,13 @@
   ::pthread_attr_destroy(&attributes);
 }
 
+// By default each thread has an arena, and the threshold for mappings rises to
+// the largest block that was freed, so that later ones are kept. Few threads
+// allocate at the same time here: the main one, the storage and the log.
+void limitAllocator() {
+  ::mallopt(M_ARENA_MAX, 1);
+  ::mallopt(M_MMAP_THRESHOLD, LargeBlockBytes);
+  ::mallopt(M_TRIM_THRESHOLD, LargeBlockBytes);
+}
+
 } // namespace almondgate::apps
--- a/apps/process_limits.hpp
+++ b/apps/process_limits.hpp
@@ -14,6 +14,11 @@
 /// the process, which may exceed its address space.
 void limitThreadStacks();
 
+/// Makes the threads share one arena of the allocator, so that each of them can
+/// use what another one freed, and makes it return large blocks to the system.
+/// Call before other threads are started.
+void limitAllocator();
+
 } // namespace almondgate::apps
 
 #endif
--- a/apps/program.hpp
+++ b/apps/program.hpp
@@ -63,6 +63,7 @@
   openStandardDescriptors();
   raiseDescriptorLimit();
   limitThreadStacks();
+  limitAllocator();
   int code = 0;
   const auto settings = readOrExit<Settings>(argc, argv, read, code);
   if (settings) {
--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -21,6 +21,11 @@
 if(NOT ALMONDGATE_BUILD_TESTS)
   return()
 endif()
+add_executable(process_test apps/process_limits_test.cpp
+               $<TARGET_OBJECTS:doctest_main>)
+target_link_libraries(process_test PRIVATE almondgate_process
+                      almondgate_testing)
+add_test(NAME process COMMAND process_test)
 almondgate_program(fake-worker tools/fake_worker.cpp almondgate_endpoint)
 almondgate_program(fake-endpoint tools/fake_endpoint.cpp almondgate_http)
 add_executable(almondgate-bench
