--- a/src/almondgate/control/control_core.cpp
+++ b/src/almondgate/control/control_core.cpp
@@ -40,13 +40,12 @@
 
 ControlCore::ControlCore(ControlOptions options,
                          consensus::NodeOptions node_options,
-                         ControlHooks hooks,
-                         const consensus::DurableState &recovered)
+                         ControlHooks hooks, consensus::DurableState recovered)
     : Options(options), Hooks(std::move(hooks)),
-      Node(std::move(node_options), Hooks.Node, recovered) {
-  if (recovered.Base.Index > 0)
-    restore(recovered.Base);
-  CompactedIndex = recovered.Base.Index;
+      Node(std::move(node_options), Hooks.Node, std::move(recovered)) {
+  if (Node.snapshot().Index > 0)
+    restore(Node.snapshot());
+  CompactedIndex = Node.snapshot().Index;
 }
 
 void ControlCore::receive(const consensus::Message &message) {
@@ -113,7 +112,7 @@
 }
 
 void ControlCore::restore(const consensus::Snapshot &snapshot) {
-  const auto decoded = Hooks.DecodeState(snapshot.Data);
+  const auto decoded = Hooks.DecodeState(*snapshot.Data);
   core::invariant(bool(decoded), "snapshot data cannot be decoded");
   State = decoded.value();
   AppliedIndex = snapshot.Index;
