--- a/tests/incarnation_soak.py
+++ b/tests/incarnation_soak.py
@@ -58,6 +58,7 @@
             status, _ = await self.fleet.job_call(
                 "POST", name, spec, (entry + attempt) % 2)
             if status in (429, 503):
+                self.fleet.log(f"job {name} rejected: {status}")
                 return
             if status == 200:
                 self.accepted.add(name)
@@ -223,6 +224,7 @@
         faults = Faults(fleet, seed, cut_seconds)
         until = time.monotonic() + seconds
         await asyncio.gather(callers.run(until), faults.run(until))
+        fleet.late_share = fleet.delayed_share = 0
         fleet.log("faults end")
         open_jobs = await callers.check_completion(COMPLETION_SECONDS)
         for endpoint in fleet.endpoints:
