Repeat a start without an answer with its run number

The endpoint's next incarnation carried out a try of the earlier run and one of the new run, which it took for two runs. Tries were counted for each run, two at most, so that the limit of four was never reached.

Change: the endpoint is given the start with the same run number until the limit of tries; an endpoint that has that run already starts nothing.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -219,6 +219,8 @@
   /// An order for the run may be carried out late at the endpoint.
   static bool isLateStart(const TaskState &state, const jobs::EndpointId &at,
                           int64_t run);
+  /// The endpoint may be given the run, which it left unanswered, once more.
+  bool mayRepeatStart(const TaskState &state) const;
   /// When a start that gets no answer now is carried out at the latest.
   core::TimeMs latestLateStart(const jobs::StepSpec &step) const;
   /// Takes over the starts of earlier leaders that may be carried out late.
--- a/src/almondgate/dispatch/dispatcher_late_starts.cpp
+++ b/src/almondgate/dispatch/dispatcher_late_starts.cpp
@@ -106,6 +106,17 @@
                      });
 }
 
+bool Dispatcher::mayRepeatStart(const TaskState &state) const {
+  const auto at = Endpoints.find(state.Endpoint);
+  return at != Endpoints.end() && isUsable(at->second) &&
+         std::any_of(state.LateStarts.begin(), state.LateStarts.end(),
+                     [&](const LateStart &late) {
+                       return late.Endpoint == state.Endpoint &&
+                              late.Run == state.Run &&
+                              late.Tries < MaxUnansweredTries;
+                     });
+}
+
 bool Dispatcher::hasOrphan(const EndpointView &endpoint,
                            const TaskKey &task_key) const {
   return std::any_of(
--- a/src/almondgate/dispatch/dispatcher_renewals.cpp
+++ b/src/almondgate/dispatch/dispatcher_renewals.cpp
@@ -370,11 +370,12 @@
 }
 
 // The incarnation that answered does not have the run, and its fencing token
-// keeps it from carrying the order out late. The start is sent once more, as
-// the members of a gang need the same run number.
+// keeps it from carrying the order out late. The start is sent again with the
+// same run number, so that a next incarnation which carries out several of
+// these orders runs the task once, and as the members of a gang need it.
 void Dispatcher::resolveUnansweredStart(const TaskKey &task_key,
                                         TaskState &state) {
-  if (std::exchange(state.StartResent, true)) {
+  if (std::exchange(state.StartResent, true) && !mayRepeatStart(state)) {
     releaseTask(task_key, TaskPhase::Waiting);
     return;
   }
--- a/src/almondgate/dispatch/late_start_test.cpp
+++ b/src/almondgate/dispatch/late_start_test.cpp
@@ -106,6 +106,25 @@
   }
 }
 
+// Guards against two runs of a task at one endpoint: a start had no answer four
+// times, the third and fourth try had a run number of their own, and the next
+// incarnation carried out tries with both numbers.
+TEST_CASE("a start without an answer keeps its run number at the endpoint") {
+  for (int64_t delay_ms = 4 * Second; delay_ms < LongestDelayMs;
+       delay_ms += 700) {
+    CAPTURE(delay_ms);
+    LateFleet fleet(4, delay_ms, LongMs);
+    fleet.advance(delay_ms - 100);
+    REQUIRE(fleet.endpointOf(fleet.Chosen).DelayedStarts == 0);
+    fleet.endpointOf(fleet.Chosen).Unreachable = true;
+    fleet.restartWithSameId(fleet.Chosen);
+    fleet.endpointOf(fleet.Chosen).Unreachable = true;
+    fleet.advance(3 * Second);
+    fleet.endpointOf(fleet.Chosen).Unreachable = false;
+    fleet.finish();
+  }
+}
+
 // As above, with a change of leader between the try and the restart: the next
 // leader finds the endpoint idle and does not know of the try.
 TEST_CASE("a new leader waits for late starts of the one before") {
