--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -221,6 +221,8 @@
   /// An order for the run may be carried out late at the endpoint.
   static bool isLateStart(const TaskState &state, const jobs::EndpointId &at,
                           int64_t run);
+  /// The endpoint may be given the run, which it left unanswered, once more.
+  bool mayRepeatStart(const TaskKey &task_key, const TaskState &state) const;
   core::TimeMs latestLateStart(const TaskKey &task_key,
                                core::TimeMs since) const;
   bool isOver(const TaskKey &task_key, const LateStart &late) const;
--- a/src/almondgate/dispatch/dispatcher_late_starts.cpp
+++ b/src/almondgate/dispatch/dispatcher_late_starts.cpp
@@ -159,6 +159,19 @@
                      });
 }
 
+bool Dispatcher::mayRepeatStart(const TaskKey &task_key,
+                                const TaskState &state) const {
+  const auto at = Endpoints.find(state.Endpoint);
+  return !findStep(task_key)->LongRunning && at != Endpoints.end() &&
+         isUsable(at->second) &&
+         std::any_of(state.LateStarts.begin(), state.LateStarts.end(),
+                     [&](const LateStart &late) {
+                       return late.Endpoint == state.Endpoint &&
+                              late.Run == state.Run &&
+                              late.Tries < MaxUnansweredTries;
+                     });
+}
+
 // An endpoint that has left a start unanswered is given the task again rather
 // than another one: whichever of its incarnations carries the old order out,
 // the task then runs nowhere else. If it goes on like that, the task waits.
