Soak of restarted endpoints: plays at the same time take different networks

Three plays that began together took one network, and two of them ended with 'address already in use'. Each now holds an address of its network to its end.

--- a/tests/incarnation_fleet.py
+++ b/tests/incarnation_fleet.py
@@ -9,6 +9,7 @@
 import json
 import os
 import random
+import socket
 import time
 
 from platform_deployment import (KEY, HOST, OPERATORS_PORT, STATUS_PORT,
@@ -442,6 +443,22 @@
 class RealProcesses(Deployment):
     """The deploy file's processes; the endpoints send their own heartbeats."""
 
+    def free_net(self):
+        """Returns a network that no other play takes before this one ends."""
+        while True:
+            net = super().free_net()
+            self.claim = socket.socket()
+            try:
+                self.claim.bind((f"{net}.250.1", ENDPOINT_PORT))
+                return net
+            except OSError:
+                self.claim.close()
+                time.sleep(random.random())
+
+    def __exit__(self, *args):
+        super().__exit__(*args)
+        self.claim.close()
+
     def send_heartbeats(self):
         pass
 
