--- a/src/almondgate/dispatch/dispatcher_endpoints.cpp
+++ b/src/almondgate/dispatch/dispatcher_endpoints.cpp
@@ -45,13 +45,11 @@
               it->second.Lease.describe(Hooks.Now()) + "); " +
               std::to_string(open.size()) + " runs may be in progress there");
     // Calls for the old incarnation, of earlier leaders as well, may have given
-    // the new one runs and a lease.
-    view.LastLeaseCall = it->second.LastLeaseCall;
+    // the new one runs and a lease until now.
+    view.LastLeaseCall = Hooks.Now();
     view.LastUnanswered = it->second.LastUnanswered;
-    view.Lease.assumeValidUntil(std::max(
-        it->second.isUnread() ? it->second.Lease.assumedUntil()
-                              : core::TimeMs{INT64_MIN / 2},
-        LeaseClock::latestExpiry(view.LastLeaseCall, Options.MaxLease)));
+    view.Lease.assumeValidUntil(
+        LeaseClock::latestExpiry(view.LastLeaseCall, Options.MaxLease));
     releaseLostRuns(it->second);
     unlinkFromVm(it->second);
     Endpoints.erase(it);
@@ -118,6 +116,8 @@
     if (state.Phase != TaskPhase::Stopping)
       state.Phase = TaskPhase::Unanswered;
     state.StopAcknowledged = false;
+    state.Confirmed = false;
+    state.Listed = false;
     state.Since = Hooks.Now();
     open.insert(task_key);
   }
