Bind the members of a gang to endpoints with late starts too

Callers could see a task of a gang run twice (random restarts, seed 490): gangs went elsewhere once the endpoint that had left a start unanswered was read; its next incarnation carried the old order out two seconds later. That exception was made for gangs that waited 12.5 s although their endpoints were fine.

Change: each member that is bound gets its endpoint, the others get the rest.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -271,6 +271,10 @@
   /// Returns false if a task fits on no endpoint.
   bool placeStep(const ReadyStep &ready,
                  const std::vector<EndpointView *> &pool);
+  std::vector<EndpointView *>
+  chooseForGang(const ReadyStep &ready,
+                const std::vector<EndpointView *> &members,
+                const std::vector<EndpointView *> &bound) const;
   void placeGang(const ReadyStep &ready,
                  const std::vector<EndpointView *> &pool);
   StepCandidates candidatesFor(const ReadyStep &ready,
--- a/src/almondgate/dispatch/dispatcher_late_starts.cpp
+++ b/src/almondgate/dispatch/dispatcher_late_starts.cpp
@@ -175,8 +175,8 @@
 // An endpoint that has left a start unanswered is given the task again rather
 // than another one: whichever of its incarnations carries the old order out,
 // the task then runs nowhere else. If it goes on like that, the task waits.
-// Gangs, and work that must not be missing for long, go elsewhere once the
-// incarnation that is there carries nothing out any more.
+// Work that must not be missing for long goes elsewhere once the incarnation
+// that is there carries nothing out any more.
 Dispatcher::StartLimit Dispatcher::startLimit(const TaskKey &task_key,
                                               const TaskState &state) {
   if (state.LateStarts.empty() && OrphanCounts.empty())
@@ -205,7 +205,7 @@
     return {false, nullptr};
   if (at.empty())
     return {};
-  if (step.LongRunning || step.Gang) {
+  if (step.LongRunning) {
     const bool read = std::all_of(at.begin(), at.end(), [](const auto *row) {
       return row->InventoryRead && !row->Suspect;
     });
--- a/src/almondgate/dispatch/dispatcher_placing.cpp
+++ b/src/almondgate/dispatch/dispatcher_placing.cpp
@@ -284,6 +284,35 @@
          mayOrderStarts(1);
 }
 
+// Returns an endpoint for each member, or fewer if there is no room for all.
+// `bound` holds the only endpoint where a member may start, or null.
+std::vector<EndpointView *>
+Dispatcher::chooseForGang(const ReadyStep &ready,
+                          const std::vector<EndpointView *> &members,
+                          const std::vector<EndpointView *> &bound) const {
+  std::map<EndpointView *, StepCandidates> at_bound;
+  std::vector<EndpointView *> others;
+  for (auto *endpoint : members) {
+    if (std::find(bound.begin(), bound.end(), endpoint) == bound.end())
+      others.push_back(endpoint);
+    else
+      at_bound.emplace(endpoint, candidatesFor(ready, {endpoint}));
+  }
+  auto anywhere = candidatesFor(ready, others);
+  std::vector<EndpointView *> chosen;
+  for (auto *only : bound) {
+    const auto it = at_bound.find(only);
+    if (only && it == at_bound.end())
+      break;
+    auto &candidates = only ? it->second : anywhere;
+    EndpointView *at = candidates.allocate(Hooks.Policies.ChooseEndpoint);
+    if (!at)
+      break;
+    chosen.push_back(at);
+  }
+  return chosen;
+}
+
 // Places all members of the gang or none: members that wait for the last one
 // occupy capacity without working.
 void Dispatcher::placeGang(const ReadyStep &ready,
@@ -294,9 +323,13 @@
       from, from + int64_t(count), [now = Hooks.Now()](const TaskState &state) {
         return state.Phase == TaskPhase::Waiting && state.NotBefore <= now;
       });
-  for (size_t i = 0; all && i < count; ++i)
-    all = startLimit({ready.Record->Id, ready.First + i}, from[int64_t(i)])
-              .Anywhere;
+  std::vector<EndpointView *> bound(count);
+  for (size_t i = 0; all && i < count; ++i) {
+    const StartLimit limit =
+        startLimit({ready.Record->Id, ready.First + i}, from[int64_t(i)]);
+    bound[i] = limit.Only;
+    all = limit.Anywhere || limit.Only;
+  }
   core::Size total;
   for (size_t i = 0; i < count; ++i)
     total = total + ready.Spec->Need;
@@ -322,14 +355,7 @@
   for (auto it = racks.rbegin(); it != racks.rend(); ++it)
     tries.push_back(it->second);
   for (const auto &members : tries) {
-    auto candidates = candidatesFor(ready, members);
-    std::vector<EndpointView *> chosen;
-    while (chosen.size() < count) {
-      EndpointView *at = candidates.allocate(Hooks.Policies.ChooseEndpoint);
-      if (!at)
-        break;
-      chosen.push_back(at);
-    }
+    const auto chosen = chooseForGang(ready, members, bound);
     if (chosen.size() < count)
       continue;
     for (size_t i = 0; i < count; ++i) {
