--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -149,6 +149,9 @@
   jobs::Event makeConfigEvent(const jobs::FleetConfig &config);
   /// False for a heartbeat that can't come from an endpoint of the fleet.
   bool isPlausible(const jobs::EndpointFacts &facts) const;
+  /// Calls an incarnation that was heard of, and is not registered yet, with a
+  /// token above those of all orders for the known one.
+  void fenceSuccessor(EndpointView &known, const jobs::EndpointFacts &next);
   void onEndpointRegistered(const jobs::EndpointFacts &facts);
   /// Removes from an endpoint's old incarnation the runs whose start orders its
   /// next incarnation may still carry out, and returns them.
@@ -230,7 +233,6 @@
   void inheritLateStarts(const jobs::JobRecord &record, OpenJob &job);
   void handOverIfReady();
   StartLimit startLimit(const TaskKey &task_key, const TaskState &state);
-  bool isUsable(const EndpointView &endpoint) const;
 
   // dispatcher_renewals.cpp
   void renew(EndpointView &endpoint);
@@ -238,22 +240,10 @@
   bool hasUnansweredStarts(const EndpointView &endpoint) const;
   void onRenewed(const jobs::EndpointId &id, int64_t born_ms, core::TimeMs sent,
                  const RenewRequest &request, const RenewReply &reply);
-  void applyInventory(EndpointView &endpoint, core::TimeMs sent,
-                      const RunInventory &inventory);
-  void applyRunning(EndpointView &endpoint, const RunReport &report);
-  void applyEnd(EndpointView &endpoint, const EndReport &report);
-  void releaseMissingRuns(EndpointView &endpoint, core::TimeMs sent,
-                          const RunInventory &inventory);
   /// Re-registers an endpoint that was declared lost, once all its unresolved
   /// starts are stopped.
   void readmit(EndpointView &endpoint);
   void stopUnresolvedStarts(EndpointView &endpoint);
-  void resolveUnansweredStart(const TaskKey &task_key, TaskState &state);
-  void releaseLostRuns(EndpointView &endpoint);
-  void releaseOrphan(const EndpointView::RunKey &key,
-                     const OrphanedRun &orphan);
-  /// Releases the runs that ended when the endpoint's lease expired.
-  void releaseExpiredRuns(EndpointView &endpoint);
   void declareLostIfExpired(EndpointView &endpoint);
   /// All endpoints have been read that an earlier leader may have started tasks
   /// of the job on.
@@ -263,6 +253,20 @@
   /// All endpoints have been read, or the time limit for reading them passed.
   bool isFleetRead() const;
 
+  // dispatcher_inventory.cpp
+  void applyInventory(EndpointView &endpoint, core::TimeMs sent,
+                      const RunInventory &inventory);
+  void applyRunning(EndpointView &endpoint, const RunReport &report);
+  void applyEnd(EndpointView &endpoint, const EndReport &report);
+  void releaseMissingRuns(EndpointView &endpoint, core::TimeMs sent,
+                          const RunInventory &inventory);
+  void resolveUnansweredStart(const TaskKey &task_key, TaskState &state);
+  void releaseLostRuns(EndpointView &endpoint);
+  void releaseOrphan(const EndpointView::RunKey &key,
+                     const OrphanedRun &orphan);
+  /// Releases the runs that ended when the endpoint's lease expired.
+  void releaseExpiredRuns(EndpointView &endpoint);
+
   // dispatcher_placing.cpp
   struct ReadyStep;
   struct PoolCapacity;
@@ -279,6 +283,7 @@
                  const std::vector<EndpointView *> &pool);
   StepCandidates candidatesFor(const ReadyStep &ready,
                                const std::vector<EndpointView *> &pool) const;
+  bool isUsable(const EndpointView &endpoint) const;
   std::map<core::PoolId, PoolCapacity> usablePools();
   /// One more task of the step may start, as far as limits and orders go.
   bool mayStartTask(const ReadyStep &ready) const;
@@ -290,6 +295,9 @@
   /// read yet.
   std::map<core::TeamId, core::Size> unreadUsageByTeam() const;
   core::Size unreadUsageOf(const OpenJob &job) const;
+  int64_t nextRunNumber(int64_t last) const;
+
+  // dispatcher_tickets.cpp
   bool ensureTickets(const ReadyStep &ready,
                      const std::vector<EndpointView *> &pool);
   /// Records the tickets granted. `asked` are the incarnations, by
@@ -298,7 +306,6 @@
                 const std::map<jobs::EndpointId, int64_t> &asked,
                 core::TimeMs valid_until,
                 const core::Result<std::vector<Ticket>> &answer);
-  int64_t nextRunNumber(int64_t last) const;
 
   // dispatcher_maintenance.cpp
   VmOperationHooks maintenanceHooks();
@@ -307,7 +314,6 @@
   /// The endpoints known on a VM: one, or two while the older of them is not
   /// known to be gone.
   std::vector<EndpointView *> endpointsOf(const core::VmId &vm) const;
-  void fenceSuccessor(EndpointView &known, const jobs::EndpointFacts &next);
   void linkToVm(EndpointView &endpoint);
   void unlinkFromVm(const EndpointView &endpoint);
   VmLoad loadOf(const core::VmId &vm) const;
--- /dev/null
+++ b/src/almondgate/dispatch/dispatcher_inventory.cpp
@@ -0,0 +1,257 @@
+#include "almondgate/dispatch/dispatcher.hpp"
+
+#include "run_accounting.hpp"
+
+#include <algorithm>
+
+namespace almondgate::dispatch {
+
+using core::DurationMs;
+using core::TimeMs;
+
+namespace {
+
+constexpr DurationMs MaxRestartDelay{1000};
+constexpr int64_t RestartDelayStepMs = 100;
+
+} // namespace
+
+void Dispatcher::applyInventory(EndpointView &endpoint, TimeMs sent,
+                                const RunInventory &inventory) {
+  for (auto &[key, orphan] : endpoint.OrphanedRuns)
+    orphan.Listed = false;
+  for (const auto &report : inventory.Ended)
+    if (report.Number > endpoint.LastReadEnd) {
+      applyEnd(endpoint, report);
+      endpoint.LastReadEnd = report.Number;
+    }
+  for (const auto &report : inventory.Running)
+    applyRunning(endpoint, report);
+  // A run that is not listed may be among the ends that are still to be read.
+  if (inventory.MoreEnds)
+    return;
+  releaseMissingRuns(endpoint, sent, inventory);
+  for (auto it = endpoint.OrphanedRuns.begin();
+       it != endpoint.OrphanedRuns.end();) {
+    if (it->second.Listed || it->second.StopSent >= sent) {
+      ++it;
+      continue;
+    }
+    endpoint.Used = endpoint.Used - it->second.Need;
+    releaseOrphan(it->first, it->second);
+    it = endpoint.OrphanedRuns.erase(it);
+  }
+}
+
+void Dispatcher::applyRunning(EndpointView &endpoint, const RunReport &report) {
+  const auto *record = jobs::findJob(Ledger, report.Task.Job);
+  const auto task_index =
+      record ? jobs::indexOf(*record->Spec, report.Task) : std::nullopt;
+  const auto open = OpenJobs.find(report.Task.Job);
+  if (task_index && open != OpenJobs.end()) {
+    const TaskKey task_key{report.Task.Job, *task_index};
+    TaskState &state = open->second.Tasks[*task_index];
+    const bool is_current = state.Endpoint == endpoint.Facts.Id &&
+                            state.Run == report.Run && state.isPlaced();
+    const bool inherited = open->second.Inherited && report.Run > state.Run;
+    const bool late = report.Run == state.Run &&
+                      isLateStart(state, endpoint.Facts.Id, report.Run);
+    const bool adopt = state.Phase == TaskPhase::Waiting && record->isOpen() &&
+                       (inherited || late);
+    if (adopt) {
+      const auto &step = record->Spec->Steps[report.Task.Step];
+      state.Phase = TaskPhase::Running;
+      state.Endpoint = endpoint.Facts.Id;
+      state.Run = report.Run;
+      state.Since = Hooks.Now();
+      state.Inherited = true;
+      open->second.Started = true;
+      ++open->second.Placed;
+      addRun(endpoint, task_key, step);
+      TeamUsage[record->Team] = TeamUsage[record->Team] + step.Need;
+    }
+    if (is_current || adopt) {
+      removeLateStart(task_key, endpoint.Facts.Id, report.Run);
+      state.Listed = true;
+      if (state.Phase == TaskPhase::Ordered ||
+          state.Phase == TaskPhase::Unanswered) {
+        state.Phase = TaskPhase::Running;
+        state.Since = Hooks.Now();
+      }
+      if (!report.Checkpoint.empty())
+        state.Checkpoint = report.Checkpoint;
+      state.Percent = report.Percent;
+      state.Usage = report.Usage;
+      return;
+    }
+  }
+  const EndpointView::RunKey key{report.Task, report.Run};
+  const auto [it, added] = endpoint.OrphanedRuns.try_emplace(key);
+  it->second.Listed = true;
+  if (added)
+    ++OrphanCounts[report.Task];
+  if (added && task_index) {
+    it->second.Need = requiredCapacity(record->Spec->Steps[report.Task.Step]);
+    it->second.Team = record->Team;
+    endpoint.Used = endpoint.Used + it->second.Need;
+    TeamUsage[record->Team] = TeamUsage[record->Team] + it->second.Need;
+  }
+  stopOrphanedRun(endpoint, key);
+}
+
+void Dispatcher::applyEnd(EndpointView &endpoint, const EndReport &report) {
+  const auto *record = jobs::findJob(Ledger, report.Task.Job);
+  const auto task_index =
+      record ? jobs::indexOf(*record->Spec, report.Task) : std::nullopt;
+  if (!task_index)
+    return;
+  const TaskKey task_key{report.Task.Job, *task_index};
+  TaskState *state = findTaskState(task_key);
+  const bool is_current = state && state->isPlaced() &&
+                          state->Endpoint == endpoint.Facts.Id &&
+                          state->Run == report.Run;
+  const bool long_running = record->Spec->Steps[report.Task.Step].LongRunning;
+  const bool conclusive = !long_running && (report.How == RunEnd::Done ||
+                                            report.How == RunEnd::Failed);
+  Hooks.Log("task " + report.Task.Job.str() + "#" +
+            std::to_string(*task_index) + " run " + std::to_string(report.Run) +
+            " at " + endpoint.Facts.Id.str() +
+            " ended: " + runEndName(report.How));
+  Hooks.IncrementCounter("run_ends", "how", runEndName(report.How));
+  if (report.How == RunEnd::Failed)
+    ++endpoint.FailuresInRow;
+  if (report.How == RunEnd::Done)
+    endpoint.FailuresInRow = 0;
+  if (is_current && report.How == RunEnd::Done && !long_running &&
+      state->Phase == TaskPhase::Running && state->Checkpoint.empty())
+    RunTimes[record->Queue].observe(
+        record->Spec->Steps[report.Task.Step].EstimateMs,
+        (Hooks.Now() - state->Since).Count);
+  if (state) {
+    state->Run = std::max(state->Run, report.Run);
+    removeLateStart(task_key, endpoint.Facts.Id, report.Run);
+  }
+  if (is_current) {
+    if (!report.Checkpoint.empty())
+      state->Checkpoint = report.Checkpoint;
+    if (report.How == RunEnd::Failed && long_running)
+      state->NotBefore =
+          Hooks.Now() +
+          std::min(MaxRestartDelay,
+                   DurationMs{RestartDelayStepMs * endpoint.FailuresInRow});
+    releaseTask(task_key, conclusive ? TaskPhase::Ending : TaskPhase::Waiting);
+  } else if (conclusive && state && state->Phase == TaskPhase::Waiting) {
+    state->Phase = TaskPhase::Ending;
+  }
+  if (conclusive && record->isOpen())
+    this->recordEvent(jobs::TaskEnded{report.Task.Job, *task_index, report.Run,
+                                      report.How == RunEnd::Done,
+                                      Hooks.WallClock()});
+}
+
+// Releases the runs that the endpoint no longer has: the last order for each
+// was answered before the inventory was requested, and the inventory lists it
+// neither as running nor as ended. The inventory must list all ends. A run
+// whose orders got no answer may still start.
+void Dispatcher::releaseMissingRuns(EndpointView &endpoint, TimeMs sent,
+                                    const RunInventory &inventory) {
+  std::set<EndpointView::RunKey> listed;
+  for (const auto &report : inventory.Running)
+    listed.emplace(report.Task, report.Run);
+  const auto task_keys = endpoint.Runs;
+  for (const auto &task_key : task_keys) {
+    TaskState &state = *findTaskState(task_key);
+    const auto *record = jobs::findJob(Ledger, task_key.first);
+    const auto task =
+        jobs::taskAt(task_key.first, *record->Spec, task_key.second);
+    if (listed.contains({task, state.Run}) || state.Since >= sent)
+      continue;
+    if (state.Phase == TaskPhase::Unanswered) {
+      if (!endpoint.DeclaredLost)
+        resolveUnansweredStart(task_key, state);
+      continue;
+    }
+    const bool answered =
+        state.Phase == TaskPhase::Running ||
+        (state.Phase == TaskPhase::Stopping && state.StopAcknowledged);
+    if (!answered)
+      continue;
+    Hooks.Log("task " + task_key.first.str() + "#" +
+              std::to_string(task_key.second) + " run " +
+              std::to_string(state.Run) + " is no longer in the inventory of " +
+              endpoint.Facts.Id.str());
+    releaseTask(task_key, TaskPhase::Waiting);
+  }
+}
+
+// The incarnation that answered does not have the run, and its fencing token
+// keeps it from carrying the order out late. The start is sent again with the
+// same run number, so that a next incarnation which carries out several of
+// these orders runs the task once, and as the members of a gang need it.
+void Dispatcher::resolveUnansweredStart(const TaskKey &task_key,
+                                        TaskState &state) {
+  if (HandingOver)
+    return;
+  if (std::exchange(state.StartResent, true) &&
+      !mayRepeatStart(task_key, state)) {
+    releaseTask(task_key, TaskPhase::Waiting);
+    return;
+  }
+  state.Phase = TaskPhase::Ordered;
+  state.Since = Hooks.Now();
+  sendStart(task_key);
+}
+
+void Dispatcher::releaseLostRuns(EndpointView &endpoint) {
+  const auto task_keys = endpoint.Runs;
+  for (const auto &task_key : task_keys) {
+    if (findTaskState(task_key)->Phase == TaskPhase::Ordered)
+      addLateStart(task_key, endpoint.Facts.Id);
+    releaseTask(task_key, TaskPhase::Waiting);
+  }
+  for (const auto &[key, orphan] : endpoint.OrphanedRuns)
+    releaseOrphan(key, orphan);
+  endpoint.OrphanedRuns.clear();
+  endpoint.Used = {};
+  for (size_t i = 0; i < task_keys.size(); ++i)
+    Hooks.IncrementCounter("run_ends", "how", "lost");
+  if (!task_keys.empty())
+    Hooks.Log("endpoint " + endpoint.Facts.Id.str() + ": " +
+              std::to_string(task_keys.size()) + " runs lost");
+}
+
+void Dispatcher::releaseOrphan(const EndpointView::RunKey &key,
+                               const OrphanedRun &orphan) {
+  TeamUsage[orphan.Team] = TeamUsage[orphan.Team] - orphan.Need;
+  const auto it = OrphanCounts.find(key.first);
+  if (--it->second == 0)
+    OrphanCounts.erase(it);
+}
+
+void Dispatcher::releaseExpiredRuns(EndpointView &endpoint) {
+  size_t released = 0;
+  const auto task_keys = endpoint.Runs;
+  // A next incarnation whose clock is taken for this one's may be this far
+  // behind it.
+  const bool expired_behind =
+      !endpoint.Lease.mayBeValid(Hooks.Now(), LeaseClock::LowerTolerance);
+  for (const auto &task_key : task_keys) {
+    const TaskState &state = *findTaskState(task_key);
+    const bool ended =
+        !state.mayRunInNextIncarnation() ||
+        (state.Confirmed && !state.StartResent && expired_behind);
+    if (!ended)
+      continue;
+    releaseTask(task_key, TaskPhase::Waiting);
+    Hooks.IncrementCounter("run_ends", "how", "lost");
+    ++released;
+  }
+  if (released > 0)
+    Hooks.Log("endpoint " + endpoint.Facts.Id.str() + " incarnation " +
+              std::to_string(endpoint.Facts.BornMs) + ": " +
+              std::to_string(released) + " runs lost with its lease, " +
+              std::to_string(endpoint.Runs.size()) +
+              " may be in progress in a next incarnation");
+}
+
+} // namespace almondgate::dispatch
--- a/src/almondgate/dispatch/dispatcher_placing.cpp
+++ b/src/almondgate/dispatch/dispatcher_placing.cpp
@@ -2,12 +2,12 @@
 #include "almondgate/policy/job_timing.hpp"
 
 #include "pool_capacity.hpp"
+#include "ready_step.hpp"
 #include "run_accounting.hpp"
 #include "start_limit.hpp"
 #include "step_candidates.hpp"
 
 #include <algorithm>
-#include <tuple>
 
 namespace almondgate::dispatch {
 
@@ -19,8 +19,6 @@
 // Distance between the first run numbers of two epochs, so that runs of a later
 // epoch have higher numbers.
 constexpr int64_t RunsPerEpoch = 1000;
-// Most endpoints in one request to the placement policy service.
-constexpr size_t MaxAdvisedEndpoints = 100;
 // A task waits for the rack near its data while its slack is more than this
 // share of its estimated run time.
 constexpr int64_t MaxDataWaitPercent = 30;
@@ -28,29 +26,6 @@
 
 } // namespace
 
-/// One occurrence of a step, with tasks that may start now.
-struct Dispatcher::ReadyStep {
-  OpenJob *Job = nullptr;
-  const jobs::JobRecord *Record = nullptr;
-  int64_t Occurrence = 0;
-  int64_t Step = 0;
-  /// Index of its first task in OpenJob::Tasks.
-  size_t First = 0;
-  const jobs::StepSpec *Spec = nullptr;
-  /// Time left until the step must start for the job to meet its due time;
-  /// negative once that has passed.
-  int64_t SlackMs = 0;
-
-  /// Sort key: long-running work first, fill work last. Within each group,
-  /// steps that can meet their due time come first, the most urgent one first,
-  /// and then late steps, the one with the shortest delay first.
-  auto rank() const {
-    const bool late = SlackMs < 0;
-    return std::make_tuple(!Spec->LongRunning, Spec->Fills, late,
-                           late ? -SlackMs : SlackMs);
-  }
-};
-
 void Dispatcher::placeReadySteps() {
   std::erase_if(OpenJobs, [&](const auto &row) {
     return row.second.Placed == 0 && !row.second.Record->isOpen();
@@ -367,67 +342,4 @@
   }
 }
 
-// --- tickets
-
-// Tickets hold for one life of an endpoint. Endpoints that joined the pool or
-// started anew since are asked about in addition, while the others are used.
-bool Dispatcher::ensureTickets(const ReadyStep &ready,
-                               const std::vector<EndpointView *> &pool) {
-  const auto &terms = ready.Record->Terms;
-  if (!terms.NeedsTicket)
-    return true;
-  const auto now = Hooks.Now();
-  StepTickets &tickets = ready.Job->Tickets[{ready.Occurrence, ready.Step}];
-  const bool valid = tickets.areValid(now);
-  if (tickets.Requested)
-    return valid;
-  if (!valid)
-    tickets = {};
-  std::map<jobs::EndpointId, int64_t> asked;
-  for (const auto *endpoint : pool)
-    if (!tickets.covers(endpoint->Facts))
-      asked.emplace(endpoint->Facts.Id, endpoint->Facts.BornMs);
-  if (asked.empty())
-    return valid;
-  AdviceRequest request{ready.Record->Id, ready.Occurrence, ready.Step, {}};
-  for (const auto &[id, born_ms] : asked) {
-    tickets.Tickets.erase(id);
-    if (request.Endpoints.size() < MaxAdvisedEndpoints)
-      request.Endpoints.push_back(id);
-  }
-  tickets.Requested = true;
-  Hooks.Advise(request, [this, request, asked = std::move(asked),
-                         valid_until = now + DurationMs{terms.TicketLifeMs},
-                         generation = Generation](
-                            const core::Result<std::vector<Ticket>> &answer) {
-    if (generation == Generation)
-      onAdvice(request, asked, valid_until, answer);
-  });
-  return valid;
-}
-
-void Dispatcher::onAdvice(const AdviceRequest &request,
-                          const std::map<jobs::EndpointId, int64_t> &asked,
-                          TimeMs valid_until,
-                          const core::Result<std::vector<Ticket>> &answer) {
-  const auto open = OpenJobs.find(request.Job);
-  if (open == OpenJobs.end())
-    return;
-  auto &known = open->second.Tickets[{request.Occurrence, request.Step}];
-  known.Requested = false;
-  if (!answer) {
-    Hooks.Log("no placement advice for job " + request.Job.str() + ": " +
-              answer.error().Text);
-    return;
-  }
-  // All tickets are renewed together, when the first of them expires.
-  if (known.Asked.empty())
-    known.ValidUntil = valid_until;
-  for (const auto &[id, born_ms] : asked)
-    known.Asked.insert_or_assign(id, born_ms);
-  for (const auto &ticket : answer.value())
-    known.Tickets.insert_or_assign(ticket.Endpoint, ticket.Text);
-  schedulePass();
-}
-
 } // namespace almondgate::dispatch
--- /dev/null
+++ b/src/almondgate/dispatch/ready_step.hpp
@@ -0,0 +1,35 @@
+#ifndef ALMONDGATE_SRC_DISPATCH_READY_STEP_HPP
+#define ALMONDGATE_SRC_DISPATCH_READY_STEP_HPP
+
+#include "almondgate/dispatch/dispatcher.hpp"
+
+#include <tuple>
+
+namespace almondgate::dispatch {
+
+/// One occurrence of a step, with tasks that may start now.
+struct Dispatcher::ReadyStep {
+  OpenJob *Job = nullptr;
+  const jobs::JobRecord *Record = nullptr;
+  int64_t Occurrence = 0;
+  int64_t Step = 0;
+  /// Index of its first task in OpenJob::Tasks.
+  size_t First = 0;
+  const jobs::StepSpec *Spec = nullptr;
+  /// Time left until the step must start for the job to meet its due time;
+  /// negative once that has passed.
+  int64_t SlackMs = 0;
+
+  /// Sort key: long-running work first, fill work last. Within each group,
+  /// steps that can meet their due time come first, the most urgent one first,
+  /// and then late steps, the one with the shortest delay first.
+  auto rank() const {
+    const bool late = SlackMs < 0;
+    return std::make_tuple(!Spec->LongRunning, Spec->Fills, late,
+                           late ? -SlackMs : SlackMs);
+  }
+};
+
+} // namespace almondgate::dispatch
+
+#endif
