--- a/src/almondgate/dispatch/dispatcher_late_starts.cpp
+++ b/src/almondgate/dispatch/dispatcher_late_starts.cpp
@@ -16,7 +16,7 @@
 // Longer than an order waits for its answer.
 constexpr core::DurationMs MaxHandOverWait{600};
 
-auto findLateStart(std::vector<LateStart> &all, const EndpointId &at) {
+auto findLateStart(auto &all, const EndpointId &at) {
   return std::find_if(all.begin(), all.end(), [&](const LateStart &late) {
     return late.Endpoint == at;
   });
@@ -130,14 +130,10 @@
     const auto row = recorded.find(task_key.second);
     if (row == recorded.end())
       return state->LateStarts.empty();
-    for (const auto &id : row->second) {
-      const bool open = std::any_of(
-          state->LateStarts.begin(), state->LateStarts.end(),
-          [&](const LateStart &late) { return late.Endpoint == id; });
-      if (!open)
+    for (const auto &id : row->second)
+      if (findLateStart(state->LateStarts, id) == state->LateStarts.end())
         recordEvent(
             jobs::StartUnanswered{task_key.first, task_key.second, id, true});
-    }
     return state->LateStarts.empty();
   });
   std::erase_if(Replaced, [this](const auto &row) {
@@ -153,10 +149,8 @@
 
 bool Dispatcher::isLateStart(const TaskState &state, const EndpointId &at,
                              int64_t run) {
-  return std::any_of(state.LateStarts.begin(), state.LateStarts.end(),
-                     [&](const LateStart &late) {
-                       return late.Endpoint == at && late.Run == run;
-                     });
+  const auto it = findLateStart(state.LateStarts, at);
+  return it != state.LateStarts.end() && it->Run == run;
 }
 
 bool Dispatcher::mayRepeatStart(const TaskKey &task_key,
@@ -164,12 +158,9 @@
   const auto at = Endpoints.find(state.Endpoint);
   return !findStep(task_key)->LongRunning && at != Endpoints.end() &&
          isUsable(at->second) &&
-         std::any_of(state.LateStarts.begin(), state.LateStarts.end(),
-                     [&](const LateStart &late) {
-                       return late.Endpoint == state.Endpoint &&
-                              late.Run == state.Run &&
-                              late.Tries < MaxUnansweredTries;
-                     });
+         isLateStart(state, state.Endpoint, state.Run) &&
+         findLateStart(state.LateStarts, state.Endpoint)->Tries <
+             MaxUnansweredTries;
 }
 
 // An endpoint that has left a start unanswered is given the task again rather
