--- a/src/almondgate/dispatch/incarnation_test.cpp
+++ b/src/almondgate/dispatch/incarnation_test.cpp
@@ -84,9 +84,7 @@
     fleet.OrderQueueMs = 50;
     const auto &vm = fleet.FreeVm;
     // The order leaves after the restart.
-    auto call = testCall(jobs::JobVerb::Submit, jobId(2));
-    call.Spec = oneStep(1, Cores, LongMs);
-    fleet.dispatcher().handleCall(call, [](const auto &) {});
+    fleet.submitAsync(jobId(2), oneStep(1, Cores, LongMs));
     fleet.advance(20 + restart_ms);
     fleet.restartWithSameId(vm);
     fleet.advance(100);
@@ -138,9 +136,7 @@
   fleet.advance(Second);
   REQUIRE(fleet.stateOf(jobId(1)) == JobState::Completed);
   fleet.OrderQueueMs = 50;
-  auto call = testCall(jobs::JobVerb::Submit, jobId(2));
-  call.Spec = oneStep(1, Cores, ShortMs);
-  fleet.dispatcher().handleCall(call, [](const auto &) {});
+  fleet.submitAsync(jobId(2), oneStep(1, Cores, ShortMs));
   fleet.advance(30);
   fleet.restartWithSameId(fleet.VmIds[0]);
   fleet.advance(LongMs);
@@ -156,23 +152,15 @@
 struct SucceededFleet : HalfBusyFleet {
   explicit SucceededFleet(int64_t age_ms) {
     restartWithSameId(FreeVm);
-    beat();
+    sendHeartbeat(FreeVm);
     advance(age_ms - 50);
     OrderQueueMs = 50;
-    auto call = testCall(jobs::JobVerb::Submit, jobId(2));
-    call.Spec = oneStep(1, Cores, LongMs);
-    dispatcher().handleCall(call, [](const auto &) {});
+    submitAsync(jobId(2), oneStep(1, Cores, LongMs));
     advance(50);
     restartWithSameId(FreeVm);
     advance(30);
     REQUIRE(endpointOf(FreeVm).Runs.size() == 1);
   }
-
-  void beat() {
-    constexpr int64_t LateSequence = 1 << 30;
-    dispatcher().handleHeartbeat(endpointOf(FreeVm).Facts, LateSequence,
-                                 [](const core::Status &) {});
-  }
 };
 
 } // namespace
@@ -187,7 +175,7 @@
     // The task has room elsewhere as soon as it is given up.
     fleet.addVm("p");
     fleet.advance(200);
-    fleet.beat();
+    fleet.sendHeartbeat(fleet.FreeVm);
     fleet.advance(LongMs * 3);
     fleet.checkViolations();
     CHECK(fleet.stateOf(jobId(2)) == JobState::Completed);
@@ -201,7 +189,7 @@
     CAPTURE(age_ms);
     SucceededFleet fleet(age_ms);
     fleet.endpointOf(fleet.FreeVm).Unreachable = true;
-    fleet.beat();
+    fleet.sendHeartbeat(fleet.FreeVm);
     fleet.cutOffAndCheck(LongMs * 3);
   }
 }
@@ -218,9 +206,7 @@
       fleet.OrderQueueMs = 50;
       const auto &vm = fleet.FreeVm;
       // The order leaves after the restart.
-      auto call = testCall(jobs::JobVerb::Submit, jobId(2));
-      call.Spec = oneStep(1, Cores, LongMs);
-      fleet.dispatcher().handleCall(call, [](const auto &) {});
+      fleet.submitAsync(jobId(2), oneStep(1, Cores, LongMs));
       fleet.advance(20);
       const int64_t clock = fleet.endpointOf(vm).clock(fleet.now());
       fleet.restartWithSameId(vm, {.DownMs = 1,
@@ -249,9 +235,7 @@
     fleet.OrderQueueMs = 50;
     const auto &vm = fleet.FreeVm;
     // The order leaves after the restart.
-    auto call = testCall(jobs::JobVerb::Submit, jobId(2));
-    call.Spec = oneStep(1, Cores, LongMs);
-    fleet.dispatcher().handleCall(call, [](const auto &) {});
+    fleet.submitAsync(jobId(2), oneStep(1, Cores, LongMs));
     fleet.advance(20);
     const int64_t clock = fleet.endpointOf(vm).clock(fleet.now());
     fleet.restartWithSameId(
--- a/src/almondgate/dispatch/late_start_test.cpp
+++ b/src/almondgate/dispatch/late_start_test.cpp
@@ -402,7 +402,6 @@
 // heartbeat, and carried a late start out while its registration was being made
 // durable.
 TEST_CASE("an incarnation carries nothing out late once it is heard of") {
-  constexpr int64_t LateSequence = 1 << 30;
   for (int64_t delay_ms = 3 * Second; delay_ms < LongestDelayMs;
        delay_ms += 700) {
     CAPTURE(delay_ms);
@@ -410,9 +409,7 @@
     fleet.advance(delay_ms - 120);
     fleet.CommitMs = 300;
     fleet.restartWithSameId(fleet.Chosen);
-    fleet.dispatcher().handleHeartbeat(fleet.endpointOf(fleet.Chosen).Facts,
-                                       LateSequence,
-                                       [](const core::Status &) {});
+    fleet.sendHeartbeat(fleet.Chosen);
     fleet.finishJob();
   }
 }
--- a/src/almondgate/dispatch/random_day.hpp
+++ b/src/almondgate/dispatch/random_day.hpp
@@ -1,9 +1,12 @@
 #ifndef ALMONDGATE_SRC_DISPATCH_RANDOM_DAY_HPP
 #define ALMONDGATE_SRC_DISPATCH_RANDOM_DAY_HPP
 
+#include "almondgate/jobs/ledger.hpp"
+
 #include <cstdint>
 #include <cstdlib>
 #include <functional>
+#include <string>
 #include <vector>
 
 namespace almondgate::dispatch {
@@ -37,6 +40,19 @@
   return day;
 }
 
+/// Appends what is wrong with the jobs at the end of a day on which no job may
+/// fail and all faults are over: long-running ones stay open.
+inline void checkJobs(const jobs::Ledger &ledger,
+                      std::vector<std::string> &out) {
+  for (const auto &[id, job] : ledger.Jobs) {
+    const bool lasts = job.Spec->Steps.at(0).LongRunning;
+    if (job.Failed)
+      out.push_back("job " + id.str() + " failed without cause");
+    if (job.isOpen() && !lasts)
+      out.push_back("job " + id.str() + " has not ended");
+  }
+}
+
 } // namespace almondgate::dispatch
 
 #endif
--- a/src/almondgate/dispatch/random_days_test.cpp
+++ b/src/almondgate/dispatch/random_days_test.cpp
@@ -110,8 +110,7 @@
     }
     recover();
     auto out = Fl.Violations;
-    for (const auto &[id, job] : Fl.ledger().Jobs)
-      checkJob(job, out);
+    checkJobs(Fl.ledger(), out);
     for (const auto &[number, wave] : Fl.ledger().Waves)
       if (!wave.isCompleted())
         out.push_back("wave " + std::to_string(number) + " is not completed");
@@ -141,15 +140,6 @@
     Fl.advance(RecoveryMs);
   }
 
-  static void checkJob(const jobs::JobRecord &job,
-                       std::vector<std::string> &out) {
-    const bool lasts = job.Spec->Steps.at(0).LongRunning;
-    if (job.Failed)
-      out.push_back("job " + job.Id.str() + " failed without cause");
-    if (job.isOpen() && !lasts)
-      out.push_back("job " + job.Id.str() + " has not ended");
-  }
-
   static constexpr int64_t QuickCommitMs = 5;
   // More than the runs that fail on a day, so that no job may fail.
   static constexpr int64_t ManyAttempts = 1000;
--- a/src/almondgate/dispatch/random_restarts_test.cpp
+++ b/src/almondgate/dispatch/random_restarts_test.cpp
@@ -133,8 +133,7 @@
         ++out.LateStartsAfterLostEnds;
       else
         out.Broken.push_back(violation);
-    for (const auto &[id, job] : Fl.ledger().Jobs)
-      checkJob(job, out.Broken);
+    checkJobs(Fl.ledger(), out.Broken);
     out.CallsOfFormerIncarnations = Fl.CallsOfFormerIncarnations;
     out.Trace = Trace.str();
     return out;
@@ -170,15 +169,6 @@
     }
   }
 
-  static void checkJob(const jobs::JobRecord &job,
-                       std::vector<std::string> &out) {
-    const bool lasts = job.Spec->Steps.at(0).LongRunning;
-    if (job.Failed)
-      out.push_back("job " + job.Id.str() + " failed without cause");
-    if (job.isOpen() && !lasts)
-      out.push_back("job " + job.Id.str() + " has not ended");
-  }
-
   Fleet Fl;
   bool SubmitsLongRunning;
   int64_t NextJob = 1;
@@ -189,11 +179,8 @@
 };
 
 void DayPlayer::submit(const jobs::JobSpec &spec) {
-  if (!Fl.hasLeader())
-    return;
-  auto call = testCall(jobs::JobVerb::Submit, jobId(NextJob++));
-  call.Spec = spec;
-  Fl.dispatcher().handleCall(call, [](const auto &) {});
+  if (Fl.hasLeader())
+    Fl.submitAsync(jobId(NextJob++), spec);
 }
 
 void DayPlayer::cancel(int64_t job) {
--- a/src/almondgate/dispatch/test_jobs.hpp
+++ b/src/almondgate/dispatch/test_jobs.hpp
@@ -44,6 +44,21 @@
     advance(200);
   }
 
+  /// Submits a job without waiting for the answer.
+  void submitAsync(const std::string &id, const jobs::JobSpec &spec) {
+    auto call = testCall(jobs::JobVerb::Submit, id);
+    call.Spec = spec;
+    dispatcher().handleCall(call, [](const auto &) {});
+  }
+
+  /// Sends a heartbeat of the VM's endpoint, newer than all others of its
+  /// incarnation.
+  void sendHeartbeat(const core::VmId &vm) {
+    constexpr int64_t LateSequence = 1 << 30;
+    dispatcher().handleHeartbeat(endpointOf(vm).Facts, LateSequence,
+                                 [](const core::Status &) {});
+  }
+
   /// Leaves the fleet without a leader for a while.
   void changeLeader(int64_t without_ms = 300) {
     stopLeading();
