Pass the memory limit and the longest lease by environment variables

They pass environment variables on as they are.

ALMONDGATE_MEMORY_LIMIT_MB, ALMONDGATE_LONGEST_LEASE_MS and the new ALMONDGATE_REMOTE_FACTOR (a fraction, for placement near data) now stand in env. A value that isn't a number, an unfilled placeholder included, gives one warning and the documented default; the process goes on.

Ruled out: a word of run that stays without a value, since TCLAP rejects it and the tools would still meet the placeholder.

--- a/apps/control_program.cpp
+++ b/apps/control_program.cpp
@@ -155,8 +155,10 @@
   if (adapter.Start)
     if (auto done = adapter.Start(control); !done)
       return reportStartError(done.error());
-  observe::logInfo("start", "control member at " +
-                                core::toString(settings.Common.Inner));
+  observe::logInfo(
+      "start", "control member at " + core::toString(settings.Common.Inner) +
+                   ", longest lease " +
+                   std::to_string(settings.LongestLease.Count) + " ms");
   loop.run();
   return code;
 }
--- a/include/almondgate/config/settings.hpp
+++ b/include/almondgate/config/settings.hpp
@@ -75,6 +75,9 @@
   core::DurationMs RunStopTimeout{1000};
   /// Longest lease that an endpoint accepts, whatever is requested.
   core::DurationMs LongestLease{6000};
+  /// How many times as long a task takes away from the rack of its data, or a
+  /// gang on several racks; at least 1.
+  double RemoteFactor = 2.0;
   /// Address of the VM service; optional.
   core::Address VmService;
   /// Address of the placement policy service; optional.
--- a/src/almondgate/config/flags.cpp
+++ b/src/almondgate/config/flags.cpp
@@ -142,6 +142,21 @@
   return clamped;
 }
 
+double Flags::readFraction(const std::string &name, double least, double most) {
+  const std::string value = text(name);
+  const auto number = parseFraction(value);
+  if (!number) {
+    warn(name, value, "must be a number; using " + Defaults.at(name));
+    return parseFraction(Defaults.at(name)).value_or(least);
+  }
+  const double clamped = std::clamp(*number, least, most);
+  if (clamped != *number)
+    warn(name, value,
+         "must be " + std::to_string(least) + " to " + std::to_string(most) +
+             "; using " + std::to_string(clamped));
+  return clamped;
+}
+
 uint16_t Flags::readPort(const std::string &name) {
   const int64_t port = numberOrDefault(name);
   if (port >= 0 && port <= MaxPort)
--- a/src/almondgate/config/flags.hpp
+++ b/src/almondgate/config/flags.hpp
@@ -54,6 +54,9 @@
   /// Reads a number and clamps it to least..most.
   int64_t readNumber(const std::string &name, int64_t least, int64_t most);
 
+  /// Reads a number with its fraction and clamps it to least..most.
+  double readFraction(const std::string &name, double least, double most);
+
   /// Reads a port; 0 stands for none.
   uint16_t readPort(const std::string &name);
 
--- a/src/almondgate/config/parse_value.cpp
+++ b/src/almondgate/config/parse_value.cpp
@@ -42,17 +42,23 @@
   return out;
 }
 
+std::optional<double> parseFraction(const std::string &text) {
+  const char *end = text.data() + text.size();
+  double value = 0;
+  const auto done = std::from_chars(text.data(), end, value);
+  if (done.ec != std::errc() || done.ptr != end || !std::isfinite(value))
+    return std::nullopt;
+  return value;
+}
+
 std::optional<int64_t> parseNumber(const std::string &text) {
   const char *end = text.data() + text.size();
   int64_t whole = 0;
   const auto exact = std::from_chars(text.data(), end, whole);
   if (exact.ec == std::errc() && exact.ptr == end)
     return whole;
-  double value = 0;
-  const auto done = std::from_chars(text.data(), end, value);
-  if (done.ec != std::errc() || done.ptr != end || !std::isfinite(value))
-    return std::nullopt;
-  return roundDown(value);
+  const auto value = parseFraction(text);
+  return value ? std::optional<int64_t>(roundDown(*value)) : std::nullopt;
 }
 
 std::optional<bool> parseBool(const std::string &text) {
--- a/src/almondgate/config/parse_value.hpp
+++ b/src/almondgate/config/parse_value.hpp
@@ -19,6 +19,10 @@
 /// std::nullopt for any other text.
 std::optional<int64_t> parseNumber(const std::string &text);
 
+/// Parses a decimal number with its fraction, such as "1.5"; std::nullopt for
+/// any other text.
+std::optional<double> parseFraction(const std::string &text);
+
 /// Parses true, false, 1 or 0, in any case; std::nullopt for any other text.
 std::optional<bool> parseBool(const std::string &text);
 
--- a/src/almondgate/config/read_settings.cpp
+++ b/src/almondgate/config/read_settings.cpp
@@ -20,6 +20,7 @@
 // A process without work needs about a third of this.
 constexpr int64_t MinMemoryLimitMb = 32;
 constexpr int64_t MaxMemoryLimitMb = int64_t{1} << 20;
+constexpr double MaxRemoteFactor = 100;
 
 // Keeps the first of equal addresses: as a founder it would vote twice.
 std::vector<core::Address> withoutDuplicates(std::vector<core::Address> all) {
@@ -152,6 +153,7 @@
       flags.readNumber("tolerated-losses", -1, MaxToleratedLosses);
   out.RunStopTimeout = flags.readDuration("stop-order-timeout-ms");
   out.LongestLease = flags.readDuration("longest-lease-ms");
+  out.RemoteFactor = flags.readFraction("remote-factor", 1, MaxRemoteFactor);
   // Holders of orders are told apart by name.
   out.Name = flags.text("name").empty() ? core::toString(out.Common.Inner)
                                         : flags.text("name");
@@ -228,6 +230,10 @@
             "The longest lease that an endpoint accepts, whatever is "
             "requested, in milliseconds",
             "6000");
+  flags.add("remote-factor",
+            "How many times as long a task takes away from the rack of its "
+            "data, or a gang on several racks",
+            "2.0");
   flags.add("init-as", "Format the data folder for this first member and exit");
   flags.add("first-members", "All first members, NAME=IP:PORT[,...]");
   return parseSettings<ControlSettings>(flags, args, readControl);
--- a/src/almondgate/config/read_settings_test.cpp
+++ b/src/almondgate/config/read_settings_test.cpp
@@ -87,6 +87,11 @@
       {"--longest-lease-ms=", [](auto &s) { s.LongestLease = {6000}; }, 0},
       {"--longest-lease-ms=8e3", [](auto &) {}, 0},
       {"--longest-lease-ms=long", [](auto &s) { s.LongestLease = {6000}; }, 1},
+      {"--remote-factor=1.5", [](auto &s) { s.RemoteFactor = 1.5; }, 0},
+      {"--remote-factor=3", [](auto &s) { s.RemoteFactor = 3; }, 0},
+      {"--remote-factor=", [](auto &) {}, 0},
+      {"--remote-factor=0.5", [](auto &s) { s.RemoteFactor = 1; }, 1},
+      {"--remote-factor=far", [](auto &) {}, 1},
       {"--stop-order-timeout-ms=200.0", [](auto &) {}, 0},
       {"--stop-order-timeout-ms=2e2", [](auto &) {}, 0},
       {"--stop-order-timeout-ms=200.9", [](auto &) {}, 0},
@@ -151,6 +156,32 @@
   }
 }
 
+// Guards against a process that does not start because a deployment tool left
+// the placeholder of a setting unfilled.
+TEST_CASE("a placeholder that was not filled gives the default and a warning") {
+  const std::vector<std::string> names = {
+      "ALMONDGATE_MEMORY_LIMIT_MB", "ALMONDGATE_LONGEST_LEASE_MS",
+      "ALMONDGATE_REMOTE_FACTOR", "ALMONDGATE_STOP_ORDER_TIMEOUT_MS"};
+  std::vector<std::string> args = ControlArgs;
+  std::erase_if(args, [](const auto &arg) {
+    return arg.starts_with("--memory-limit-mb") ||
+           arg.starts_with("--longest-lease-ms") ||
+           arg.starts_with("--stop-order-timeout-ms");
+  });
+  for (const auto &name : names)
+    ::setenv(name.c_str(), "{{bounds.of-the-deployment}}", 1);
+  const auto read = config::readControlSettings(args);
+  for (const auto &name : names)
+    ::unsetenv(name.c_str());
+  REQUIRE(bool(read));
+  CHECK(read.value().Warnings.size() == names.size());
+  const auto &settings = read.value().Values;
+  CHECK(settings.Common.Memory == core::planMemory(0));
+  CHECK(settings.LongestLease.Count == 6000);
+  CHECK(settings.RemoteFactor == 2.0);
+  CHECK(settings.RunStopTimeout.Count == 1000);
+}
+
 TEST_CASE("an operator without a valid key is refused, the others are not") {
   const std::string key(64, 'a');
   const auto read = config::readEntrySettings(
--- a/tests/platform_deployment.py
+++ b/tests/platform_deployment.py
@@ -77,7 +77,8 @@
 
     def spawn(self, options):
         env = {"PATH": "/usr/bin:/bin", "HOME": "/", "LANG": "C.UTF-8",
-               **self.role.get("env", {})}
+               **{name: render(value, self.settings)
+                  for name, value in self.role.get("env", {}).items()}}
         with open(self.log, "ab") as out:
             options = {"stdout": out, "stderr": out, **options}
             self.popen = subprocess.Popen(
@@ -182,6 +183,7 @@
             "fault-tolerance.machines": "1",
             "bounds.stop-timeout-ms": "200",
             "bounds.max-hold-ms": "6000",
+            "bounds.remote-factor": "2",
             "cloud-api.address": f"127.0.0.1:{self.services.port}",
             "advice": f"127.0.0.1:{self.services.port}",
         }
