Bench: processor time of the dispatcher by fleet size

build/almondgate-dispatch-bench plays a dispatcher with lean stand-in endpoints in virtual time: an order including its completion, a heartbeat without changes, an idle second (135 open jobs of short tasks, about 800 tasks waiting, 332 orders/s at every size; the other VMs run long-running tasks).

--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -35,6 +35,9 @@
 target_link_libraries(almondgate-bench PRIVATE almondgate_placer)
 almondgate_program(almondgate-capacity bench/capacity.cpp almondgate_placer
                    almondgate_control)
+add_executable(almondgate-dispatch-bench bench/dispatch.cpp
+               bench/lean_fleet.cpp)
+target_link_libraries(almondgate-dispatch-bench PRIVATE almondgate_dispatch)
 almondgate_program(example-choose-vm examples/choose_vm.cpp almondgate_policy)
 almondgate_program(example-share-slots examples/share_slots.cpp
                    almondgate_policy)
