Place steps of equal rank in the order of their jobs' ids

The sort was not stable, so that which of several equal steps came first depended on how the steps had been collected.

--- a/src/almondgate/dispatch/dispatcher_placing.cpp
+++ b/src/almondgate/dispatch/dispatcher_placing.cpp
@@ -34,10 +34,7 @@
   TeamUnreadUsage = unreadUsageByTeam();
   std::vector<ReadyStep> ready;
   collectReadySteps(ready);
-  std::sort(ready.begin(), ready.end(),
-            [](const ReadyStep &a, const ReadyStep &b) {
-              return a.rank() < b.rank();
-            });
+  std::sort(ready.begin(), ready.end());
   for (const auto &step : ready) {
     const auto it = pools.find(step.Job->pool());
     if (it == pools.end())
--- a/src/almondgate/dispatch/ready_step.hpp
+++ b/src/almondgate/dispatch/ready_step.hpp
@@ -28,6 +28,17 @@
     return std::make_tuple(!Spec->LongRunning, Spec->Fills, late,
                            late ? -SlackMs : SlackMs);
   }
+
+  /// Steps of equal rank are placed in the order of their jobs' ids, so that
+  /// the order does not depend on how the steps were collected.
+  bool operator<(const ReadyStep &other) const {
+    const auto own = rank();
+    const auto others = other.rank();
+    if (own != others)
+      return own < others;
+    return std::tie(Record->Id, Occurrence, Step) <
+           std::tie(other.Record->Id, other.Occurrence, other.Step);
+  }
 };
 
 } // namespace almondgate::dispatch
