Keep lists and capacity sums of pools up to date instead of rebuilding them

EndpointPools follows each change of an endpoint: usable endpoints, free processor time, serving and unread capacity by pool. Passes, submissions, unreadUsageByTeam(), areEndpointsRead() and hasCapacityFor() no longer look at all endpoints, and placing a step looks only at endpoints with enough free processor time.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -3,6 +3,7 @@
 
 #include "almondgate/dispatch/dispatcher_hooks.hpp"
 #include "almondgate/dispatch/dispatcher_options.hpp"
+#include "almondgate/dispatch/endpoint_pools.hpp"
 #include "almondgate/dispatch/endpoint_view.hpp"
 #include "almondgate/dispatch/fence_counter.hpp"
 #include "almondgate/dispatch/job_budget.hpp"
@@ -109,6 +110,9 @@
   /// True while the member leads and no other member may lead.
   bool isActive() const { return Active && Hooks.MayAct(); }
 
+  /// Describes each sum that differs from one computed anew, for tests.
+  std::vector<std::string> checkSums();
+
   /// All known endpoints, as the leader sees them.
   const std::map<jobs::EndpointId, EndpointView> &endpoints() const {
     return Endpoints;
@@ -284,7 +288,8 @@
   StepCandidates candidatesFor(const ReadyStep &ready,
                                const std::vector<EndpointView *> &pool) const;
   bool isUsable(const EndpointView &endpoint) const;
-  std::map<core::PoolId, PoolCapacity> usablePools();
+  /// Unless the endpoint is to be left alone for a while.
+  static bool acceptsStarts(const EndpointView &endpoint);
   /// One more task of the step may start, as far as limits and orders go.
   bool mayStartTask(const ReadyStep &ready) const;
   static bool isInPool(const EndpointView *endpoint, const OpenJob &job);
@@ -314,8 +319,9 @@
   /// The endpoints known on a VM: one, or two while the older of them is not
   /// known to be gone.
   std::vector<EndpointView *> endpointsOf(const core::VmId &vm) const;
-  void linkToVm(EndpointView &endpoint);
-  void unlinkFromVm(const EndpointView &endpoint);
+  /// Adds the endpoint to the indexes by VM and by pool, or takes it out.
+  void link(EndpointView &endpoint);
+  void unlink(EndpointView &endpoint);
   VmLoad loadOf(const core::VmId &vm) const;
   bool keepsBudgets(const EndpointView &endpoint) const;
   /// The task's step has an availability budget, and its job is open.
@@ -373,6 +379,8 @@
   bool FleetWasEmpty = false;
   std::map<jobs::JobId, OpenJob> OpenJobs;
   std::map<jobs::EndpointId, EndpointView> Endpoints;
+  /// The endpoints in Endpoints by pool; to be told of each change of them.
+  EndpointPools Pools;
   /// The endpoints in Endpoints by the VM that they run on.
   std::map<core::VmId, std::map<jobs::EndpointId, EndpointView *>>
       EndpointsByVm;
--- a/include/almondgate/dispatch/endpoint_view.hpp
+++ b/include/almondgate/dispatch/endpoint_view.hpp
@@ -2,6 +2,7 @@
 #define ALMONDGATE_DISPATCH_ENDPOINT_VIEW_HPP
 
 #include "almondgate/dispatch/lease_clock.hpp"
+#include "almondgate/dispatch/pool_share.hpp"
 #include "almondgate/jobs/endpoint_facts.hpp"
 #include "almondgate/jobs/task_ref.hpp"
 
@@ -92,6 +93,9 @@
   /// acknowledged.
   std::map<RunKey, core::TimeMs> UnresolvedStarts;
 
+  /// What EndpointPools counts for it now.
+  PoolShare Share;
+
   /// The endpoint may have runs that an earlier leader started and that are not
   /// known here.
   bool isUnread() const { return !InventoryRead && !Facts.Idle; }
--- a/src/almondgate/dispatch/dispatcher.cpp
+++ b/src/almondgate/dispatch/dispatcher.cpp
@@ -19,6 +19,8 @@
 Dispatcher::Dispatcher(DispatcherOptions options, DispatcherHooks hooks,
                        const jobs::Ledger &ledger)
     : Options(std::move(options)), Hooks(std::move(hooks)), Ledger(ledger),
+      Pools([](const EndpointView &at) { return at.isServing(); },
+            acceptsStarts),
       JobBytes(Options.JobsLimitBytes, ledger),
       Vms({Hooks.Now, Hooks.ListVms, Hooks.Log}),
       VmOrders(Options.VmOrderLease,
@@ -81,6 +83,7 @@
   Arrivals.clear();
   DemandHistory.clear();
   OpenJobs.clear();
+  Pools.clear();
   Endpoints.clear();
   EndpointsByVm.clear();
   TeamUsage.clear();
@@ -134,6 +137,10 @@
   return Index;
 }
 
+std::vector<std::string> Dispatcher::checkSums() {
+  return Pools.check(Hooks.Now());
+}
+
 // --- durable events
 
 void Dispatcher::recordEvent(jobs::Event event,
--- a/src/almondgate/dispatch/dispatcher_calls.cpp
+++ b/src/almondgate/dispatch/dispatcher_calls.cpp
@@ -212,10 +212,7 @@
                             const jobs::QueueSpec &queue,
                             core::TimeMs sent) const {
   policy::JobAdmissionInput input;
-  for (const auto &[id, endpoint] : Endpoints)
-    if (endpoint.Facts.Pool == queue.Pool && endpoint.isServing())
-      input.CapacityMilliCpus +=
-          endpoint.Facts.Capacity.MilliCpus - endpoint.LongRunningMilliCpus;
+  input.CapacityMilliCpus = Pools.servingMilliCpus(queue.Pool);
   for (const auto &[id, job] : OpenJobs)
     if (job.pool() == queue.Pool && job.Record->isOpen())
       input.OpenJobs.push_back(remainingLoadOf(job));
--- a/src/almondgate/dispatch/dispatcher_endpoints.cpp
+++ b/src/almondgate/dispatch/dispatcher_endpoints.cpp
@@ -27,10 +27,10 @@
     return;
   const auto it = Endpoints.find(facts.Id);
   if (it != Endpoints.end() && it->second.Facts.BornMs == facts.BornMs) {
-    unlinkFromVm(it->second);
+    unlink(it->second);
     it->second.Facts = facts;
-    linkToVm(it->second);
     it->second.DeclaredLost = facts.Idle;
+    link(it->second);
     return;
   }
   Replaced.erase(facts.Id);
@@ -51,7 +51,7 @@
     view.Lease.assumeValidUntil(
         LeaseClock::latestExpiry(view.LastLeaseCall, Options.MaxLease));
     releaseLostRuns(it->second);
-    unlinkFromVm(it->second);
+    unlink(it->second);
     Endpoints.erase(it);
   }
   view.Facts = facts;
@@ -64,14 +64,16 @@
     if (findTaskState(task_key)->Phase == TaskPhase::Stopping)
       view.StopRetries.insert(task_key);
   }
-  linkToVm(Endpoints.emplace(facts.Id, std::move(view)).first->second);
+  link(Endpoints.emplace(facts.Id, std::move(view)).first->second);
 }
 
-void Dispatcher::linkToVm(EndpointView &endpoint) {
+void Dispatcher::link(EndpointView &endpoint) {
+  Pools.add(endpoint);
   EndpointsByVm[endpoint.Facts.Vm].emplace(endpoint.Facts.Id, &endpoint);
 }
 
-void Dispatcher::unlinkFromVm(const EndpointView &endpoint) {
+void Dispatcher::unlink(EndpointView &endpoint) {
+  Pools.remove(endpoint);
   const auto on_vm = EndpointsByVm.find(endpoint.Facts.Vm);
   on_vm->second.erase(endpoint.Facts.Id);
   if (on_vm->second.empty())
@@ -123,6 +125,7 @@
   }
   for (const auto &task_key : open)
     removeRun(old_incarnation, task_key, *findStep(task_key));
+  Pools.update(old_incarnation);
   return open;
 }
 
@@ -131,6 +134,7 @@
   if (it == Endpoints.end() || it->second.Facts.BornMs != event.BornMs)
     return;
   it->second.Facts.Idle = true;
+  Pools.update(it->second);
   recordUnresolvedStarts(it->second);
   releaseLostRuns(it->second);
 }
@@ -140,7 +144,7 @@
   if (it == Endpoints.end() || it->second.Facts.BornMs > born_ms)
     return;
   releaseLostRuns(it->second);
-  unlinkFromVm(it->second);
+  unlink(it->second);
   Endpoints.erase(it);
 }
 
@@ -201,6 +205,7 @@
       // Takes effect before it is durable, so that no order is sent after the
       // drain is known.
       known.Facts.Draining = next.Draining;
+      Pools.update(known);
     }
   }
   // Only one incarnation can run on a VM or listen at an address: older ones
@@ -224,6 +229,7 @@
 void Dispatcher::fenceSuccessor(EndpointView &known,
                                 const EndpointFacts &next) {
   known.Suspect = true;
+  Pools.update(known);
   known.Fence = Fences.next();
   known.FenceUsed = false;
   RenewRequest request;
--- a/src/almondgate/dispatch/dispatcher_inventory.cpp
+++ b/src/almondgate/dispatch/dispatcher_inventory.cpp
@@ -38,6 +38,7 @@
       continue;
     }
     endpoint.Used = endpoint.Used - it->second.Need;
+    Pools.update(endpoint);
     releaseOrphan(it->first, it->second);
     it = endpoint.OrphanedRuns.erase(it);
   }
@@ -68,6 +69,7 @@
       open->second.Started = true;
       ++open->second.Placed;
       addRun(endpoint, task_key, step);
+      Pools.update(endpoint);
       TeamUsage[record->Team] = TeamUsage[record->Team] + step.Need;
     }
     if (is_current || adopt) {
@@ -94,6 +96,7 @@
     it->second.Need = requiredCapacity(record->Spec->Steps[report.Task.Step]);
     it->second.Team = record->Team;
     endpoint.Used = endpoint.Used + it->second.Need;
+    Pools.update(endpoint);
     TeamUsage[record->Team] = TeamUsage[record->Team] + it->second.Need;
   }
   stopOrphanedRun(endpoint, key);
@@ -213,6 +216,7 @@
     releaseOrphan(key, orphan);
   endpoint.OrphanedRuns.clear();
   endpoint.Used = {};
+  Pools.update(endpoint);
   for (size_t i = 0; i < task_keys.size(); ++i)
     Hooks.IncrementCounter("run_ends", "how", "lost");
   if (!task_keys.empty())
--- a/src/almondgate/dispatch/dispatcher_maintenance.cpp
+++ b/src/almondgate/dispatch/dispatcher_maintenance.cpp
@@ -1,6 +1,5 @@
 #include "almondgate/dispatch/dispatcher.hpp"
 
-#include "pool_capacity.hpp"
 #include "run_accounting.hpp"
 
 #include <algorithm>
@@ -24,6 +23,7 @@
     for (auto *endpoint : endpointsOf(vm)) {
       endpoint->Reserved = reserved;
       endpoint->TerminationPending = endpoint->TerminationPending && reserved;
+      Pools.update(*endpoint);
     }
   };
   hooks.WallClock = Hooks.WallClock;
@@ -175,9 +175,11 @@
 void Dispatcher::releaseInheritedMoves() {
   const auto expired = VmOrders.takeExpiredMoves();
   for (const auto &vm : expired)
-    for (auto *endpoint : endpointsOf(vm))
+    for (auto *endpoint : endpointsOf(vm)) {
       endpoint->Reserved = endpoint->TerminationPending =
           hasUnresolvedVmOrder(endpoint->Facts);
+      Pools.update(*endpoint);
+    }
 }
 
 // Counts the tasks of a step that are not confirmed ready, without those at
@@ -246,14 +248,11 @@
 
 bool Dispatcher::hasCapacityFor(const jobs::StepSpec &step,
                                 const core::PoolId &pool) {
-  const auto pools = usablePools();
-  const auto it = pools.find(pool);
-  return it != pools.end() &&
-         std::any_of(it->second.Endpoints.begin(), it->second.Endpoints.end(),
-                     [&](const EndpointView *at) {
-                       return core::fits(requiredCapacity(step),
-                                         at->Facts.Capacity - at->Used);
-                     });
+  const auto need = requiredCapacity(step);
+  const auto usable = Pools.usableWithFree(pool, need.MilliCpus, Hooks.Now());
+  return std::any_of(usable.begin(), usable.end(), [&](const EndpointView *at) {
+    return core::fits(need, at->Facts.Capacity - at->Used);
+  });
 }
 
 } // namespace almondgate::dispatch
--- a/src/almondgate/dispatch/dispatcher_orders.cpp
+++ b/src/almondgate/dispatch/dispatcher_orders.cpp
@@ -1,5 +1,6 @@
 #include "almondgate/dispatch/dispatcher.hpp"
 
+#include "pool_update.hpp"
 #include "run_accounting.hpp"
 
 #include <algorithm>
@@ -83,6 +84,7 @@
     Hooks.RecordDuration("job_wait", (state.Since - job.SentAt).Count);
   ++job.Placed;
   addRun(at, task_key, *step);
+  Pools.update(at);
   TeamUsage[record->Team] = TeamUsage[record->Team] + step->Need;
   Hooks.Log(
       "task " + taskName(task_key) + " run " + std::to_string(run) + " -> " +
@@ -133,6 +135,7 @@
   if (!answering)
     return;
   EndpointView &endpoint = *answering;
+  const PoolUpdate update(Pools, endpoint);
   const auto now = Hooks.Now();
   endpoint.LastLeaseCall = now;
   Hooks.IncrementCounter("start_orders", "result",
@@ -291,6 +294,7 @@
   if (!answering)
     return;
   EndpointView &endpoint = *answering;
+  const PoolUpdate update(Pools, endpoint);
   TaskState *state = findTaskState(task_key);
   if (!state || state->Endpoint != at || state->Run != run ||
       state->Phase != TaskPhase::Stopping)
@@ -381,8 +385,10 @@
     --job.Placed;
     TeamUsage[record->Team] = TeamUsage[record->Team] - step->Need;
     const auto at = Endpoints.find(state.Endpoint);
-    if (at != Endpoints.end())
+    if (at != Endpoints.end()) {
       removeRun(at->second, task_key, *step);
+      Pools.update(at->second);
+    }
   }
   // Another run of the task may have completed it in the meantime.
   const bool done = record->Tasks[task_key.second].Done;
--- a/src/almondgate/dispatch/dispatcher_placing.cpp
+++ b/src/almondgate/dispatch/dispatcher_placing.cpp
@@ -30,29 +30,37 @@
   std::erase_if(OpenJobs, [&](const auto &row) {
     return row.second.Placed == 0 && !row.second.Record->isOpen();
   });
-  auto pools = usablePools();
+  std::map<core::PoolId, PoolCapacity> pools;
   TeamUnreadUsage = unreadUsageByTeam();
   std::vector<ReadyStep> ready;
   collectReadySteps(ready);
+  const auto now = Hooks.Now();
+  for (const auto &step : ready) {
+    const auto [it, added] = pools.try_emplace(step.Job->pool());
+    if (!added)
+      continue;
+    it->second.Endpoints = &Pools.usable(it->first, now);
+    it->second.LargestFreeMilliCpus = Pools.largestFree(it->first, now);
+  }
   std::sort(ready.begin(), ready.end());
   for (const auto &step : ready) {
-    const auto it = pools.find(step.Job->pool());
-    if (it == pools.end())
+    PoolCapacity &capacity = pools.at(step.Job->pool());
+    if (capacity.Endpoints->empty())
       continue;
-    PoolCapacity &capacity = it->second;
     const int64_t need = requiredCapacity(*step.Spec).MilliCpus;
     if (need > capacity.LargestFreeMilliCpus ||
         need >= capacity.SmallestUnplacedMilliCpus)
       continue;
     if (step.Job->Inherited && !areEndpointsRead(*step.Job))
       continue;
-    if (!ensureTickets(step, capacity.Endpoints))
+    if (!ensureTickets(step, *capacity.Endpoints))
       continue;
     if (step.Spec->Gang) {
-      placeGang(step, capacity.Endpoints);
+      placeGang(step, *capacity.Endpoints);
       continue;
     }
-    const bool placed = placeStep(step, capacity.Endpoints);
+    const bool placed =
+        placeStep(step, Pools.usableWithFree(step.Job->pool(), need, now));
     const bool unconstrained =
         step.Spec->Affinity.empty() && step.Spec->Label.empty() &&
         step.Spec->AntiAffinity == 0 && step.Job->Tickets.empty();
@@ -99,22 +107,12 @@
 }
 
 bool Dispatcher::isUsable(const EndpointView &endpoint) const {
-  return endpoint.isServing() && !endpoint.DeclaredLost &&
-         endpoint.Lease.isClockKnown() && endpoint.BackOffUntil <= Hooks.Now();
+  return acceptsStarts(endpoint) && endpoint.BackOffUntil <= Hooks.Now();
 }
 
-std::map<core::PoolId, Dispatcher::PoolCapacity> Dispatcher::usablePools() {
-  std::map<core::PoolId, PoolCapacity> out;
-  for (auto &[id, endpoint] : Endpoints) {
-    if (!isUsable(endpoint))
-      continue;
-    PoolCapacity &capacity = out[endpoint.Facts.Pool];
-    capacity.Endpoints.push_back(&endpoint);
-    capacity.LargestFreeMilliCpus =
-        std::max(capacity.LargestFreeMilliCpus,
-                 endpoint.Facts.Capacity.MilliCpus - endpoint.Used.MilliCpus);
-  }
-  return out;
+bool Dispatcher::acceptsStarts(const EndpointView &endpoint) {
+  return endpoint.isServing() && !endpoint.DeclaredLost &&
+         endpoint.Lease.isClockKnown();
 }
 
 StepCandidates
@@ -162,13 +160,9 @@
 // that has not been read, but no more of them than those endpoints have
 // capacity for.
 std::map<core::TeamId, core::Size> Dispatcher::unreadUsageByTeam() const {
-  std::map<core::PoolId, core::Size> unread;
-  for (const auto &[id, endpoint] : Endpoints)
-    if (endpoint.isUnread())
-      unread[endpoint.Facts.Pool] =
-          unread[endpoint.Facts.Pool] + endpoint.Facts.Capacity;
-  if (unread.empty())
+  if (!Pools.hasUnread())
     return {};
+  const auto unread = Pools.unreadCapacity();
   std::map<core::TeamId, std::map<core::PoolId, core::Size>> waiting;
   for (const auto &[id, job] : OpenJobs) {
     if (!job.Inherited)
--- a/src/almondgate/dispatch/dispatcher_renewals.cpp
+++ b/src/almondgate/dispatch/dispatcher_renewals.cpp
@@ -1,5 +1,7 @@
 #include "almondgate/dispatch/dispatcher.hpp"
 
+#include "pool_update.hpp"
+
 #include <algorithm>
 
 namespace almondgate::dispatch {
@@ -83,6 +85,7 @@
     return;
   EndpointView &endpoint = it->second;
   endpoint.Renewing = false;
+  const PoolUpdate update(Pools, endpoint);
   const auto now = Hooks.Now();
   if (request.DeadlineMs > 0)
     endpoint.LastLeaseCall = now;
@@ -180,6 +183,7 @@
   auto facts = endpoint.Facts;
   facts.Idle = false;
   endpoint.DeclaredLost = false;
+  Pools.update(endpoint);
   recordEvent(jobs::EndpointRegistered{facts});
 }
 
@@ -226,6 +230,7 @@
       now < LeaseClock::latestExpiry(endpoint.LastLeaseCall, Options.MaxLease))
     return;
   endpoint.DeclaredLost = true;
+  Pools.update(endpoint);
   Hooks.Log("endpoint " + endpoint.Facts.Id.str() + " incarnation " +
             std::to_string(endpoint.Facts.BornMs) +
             " declared lost: unreachable until its lease expired, " +
@@ -237,16 +242,12 @@
   const auto passed = Hooks.Now() - LeadingSince;
   if (FleetWasEmpty)
     return passed >= NewFleetDiscoveryTime;
-  return passed >= MaxInitialReadTime ||
-         std::none_of(Endpoints.begin(), Endpoints.end(),
-                      [](const auto &row) { return row.second.isUnread(); });
+  return passed >= MaxInitialReadTime || !Pools.hasUnread();
 }
 
 bool Dispatcher::areEndpointsRead(const OpenJob &job) const {
-  return std::none_of(Endpoints.begin(), Endpoints.end(), [&](const auto &row) {
-    const EndpointView &endpoint = row.second;
-    return endpoint.isUnread() && mayRunIn(job, endpoint.Facts.Pool);
-  });
+  return job.Record->Terms.PoolReplaced ? !Pools.hasUnread()
+                                        : !Pools.hasUnread(job.pool());
 }
 
 bool Dispatcher::mayRunIn(const OpenJob &job, const core::PoolId &pool) {
--- a/src/almondgate/dispatch/pool_capacity.hpp
+++ b/src/almondgate/dispatch/pool_capacity.hpp
@@ -7,7 +7,7 @@
 
 /// The endpoints of a pool that accept starts, in one placement pass.
 struct Dispatcher::PoolCapacity {
-  std::vector<EndpointView *> Endpoints;
+  const EndpointPools::Endpoints *Endpoints = nullptr;
   /// The most processor time that is free on one endpoint.
   int64_t LargestFreeMilliCpus = 0;
   /// Smallest processor time for which no endpoint had capacity in this pass;
--- a/src/almondgate/dispatch/test_fleet.hpp
+++ b/src/almondgate/dispatch/test_fleet.hpp
@@ -185,6 +185,7 @@
   void recordAcknowledgedEnd(const jobs::TaskRef &task, int64_t ended_at);
   void sendHeartbeats();
   void checkLimits();
+  void checkSums();
 
   DispatchPolicies Policies;
   jobs::Ledger Ledger;
--- a/src/almondgate/dispatch/test_fleet_test.cpp
+++ b/src/almondgate/dispatch/test_fleet_test.cpp
@@ -116,6 +116,13 @@
     std::cerr << sinceStart() << " VIOLATION " << text << "\n";
 }
 
+// Sums that follow each event must equal those computed anew, or decisions are
+// made on wrong capacity or demand.
+void TestFleet::checkSums() {
+  for (const auto &difference : Core->checkSums())
+    violate(difference);
+}
+
 void TestFleet::scheduleAt(int64_t time, std::function<void()> fn) {
   Scheduled.emplace(time, std::move(fn));
 }
@@ -285,6 +292,7 @@
   }
   if (!Core)
     return;
+  checkSums();
   if (Now % TickMs == 0)
     Core->tick();
   if (Now % HeartbeatMs == 0)
