Keep the loads of jobs and pools up to date instead of recounting tasks

JobLoads::setPhase() is the only function that changes the phase of a task, and updates the counts of its step and job and the demand of its pool. A pass looks only at jobs with waiting tasks in pools with room, and at steps whose tasks may fit; submissions and ticks no longer look at tasks, and the jobs that have ended with runs left are listed. The property test of the virtual fleet checks these counts too.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -7,6 +7,7 @@
 #include "almondgate/dispatch/endpoint_view.hpp"
 #include "almondgate/dispatch/fence_counter.hpp"
 #include "almondgate/dispatch/job_budget.hpp"
+#include "almondgate/dispatch/job_loads.hpp"
 #include "almondgate/dispatch/maintenance_scheduler.hpp"
 #include "almondgate/dispatch/open_job.hpp"
 #include "almondgate/dispatch/vm_mover.hpp"
@@ -166,6 +167,10 @@
   void onEndpointIdled(const jobs::EndpointIdled &event);
   void onEndpointGone(const jobs::EndpointId &id, int64_t born_ms);
   void closeIfFinished(const jobs::JobId &id);
+  /// Brings the pools of jobs up to date after a change of the configuration.
+  /// To be called before Loads is read: the ledger applies events before they
+  /// are passed to onEventApplied().
+  void updateLoads();
   void expireJobs();
 
   // dispatcher_calls.cpp
@@ -212,6 +217,8 @@
   void stopOrphanedRun(EndpointView &at, const EndpointView::RunKey &key);
   void releaseTask(const TaskKey &task_key, TaskPhase next);
   TaskState *findTaskState(const TaskKey &task_key);
+  /// Changes the phase of a task; its job must be known.
+  void setPhase(const TaskKey &task_key, TaskPhase phase);
   const jobs::StepSpec *findStep(const TaskKey &task_key) const;
 
   // dispatcher_late_starts.cpp
@@ -275,7 +282,8 @@
   struct ReadyStep;
   struct PoolCapacity;
   void placeReadySteps();
-  void collectReadySteps(std::vector<ReadyStep> &out);
+  void collectReadySteps(OpenJob &job, int64_t largest_free,
+                         std::vector<ReadyStep> &out);
   /// Returns false if a task fits on no endpoint.
   bool placeStep(const ReadyStep &ready,
                  const std::vector<EndpointView *> &pool);
@@ -361,8 +369,6 @@
   void recordArrival(const core::PoolId &pool, int64_t work);
   int64_t forecastDemand(const core::PoolId &pool, int64_t waiting);
   int64_t arrivalRate(const core::PoolId &pool);
-  std::map<core::PoolId, int64_t> demandByPool();
-  std::map<core::PoolId, int64_t> minVmsByPool() const;
   std::vector<PoolDemand> poolDemands();
   void logDemands(const std::vector<PoolDemand> &demands);
   void balancePools();
@@ -378,6 +384,10 @@
   /// No endpoint was known when the member became the leader.
   bool FleetWasEmpty = false;
   std::map<jobs::JobId, OpenJob> OpenJobs;
+  /// The load of OpenJobs; their tasks change their phase through it.
+  JobLoads Loads;
+  /// Version of the configuration by which Loads counts jobs in their pools.
+  uint64_t LoadsVersion = 0;
   std::map<jobs::EndpointId, EndpointView> Endpoints;
   /// The endpoints in Endpoints by pool; to be told of each change of them.
   EndpointPools Pools;
--- a/include/almondgate/dispatch/open_job.hpp
+++ b/include/almondgate/dispatch/open_job.hpp
@@ -2,11 +2,13 @@
 #define ALMONDGATE_DISPATCH_OPEN_JOB_HPP
 
 #include "almondgate/dispatch/advice.hpp"
+#include "almondgate/dispatch/step_tasks.hpp"
 #include "almondgate/dispatch/task_state.hpp"
 #include "almondgate/jobs/endpoint_facts.hpp"
 #include "almondgate/jobs/job_record.hpp"
 
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace almondgate::dispatch {
@@ -47,8 +49,13 @@
   /// leader has not read yet.
   bool Inherited = false;
   std::vector<TaskState> Tasks;
-  /// Number of tasks that occupy capacity, see TaskState::isPlaced().
+  /// Steps to CountedIn are kept by JobLoads. By occurrence, then by step.
+  std::vector<StepTasks> Steps;
+  /// Number of tasks that wait, and that occupy capacity; see StepTasks.
+  int64_t Waiting = 0;
   int64_t Placed = 0;
+  /// The pool whose load it is part of; none once it has ended.
+  std::optional<core::PoolId> CountedIn;
   /// By occurrence and step.
   std::map<std::pair<int64_t, int64_t>, StepTickets> Tickets;
 
--- a/include/almondgate/dispatch/task_state.hpp
+++ b/include/almondgate/dispatch/task_state.hpp
@@ -26,6 +26,7 @@
 
 /// The leader's view of one task.
 struct TaskState {
+  /// Changed by JobLoads::setPhase() only.
   TaskPhase Phase = TaskPhase::Waiting;
   /// The endpoint where it runs or may run; empty while it waits.
   jobs::EndpointId Endpoint;
@@ -55,6 +56,9 @@
   /// Starts of this run and of earlier ones that may still be carried out.
   std::vector<LateStart> LateStarts;
 
+  /// Index of its step in OpenJob::Steps.
+  size_t Step = 0;
+
   bool operator==(const TaskState &) const = default;
 
   /// The start order may still be carried out: neither it nor a stop, which
--- a/src/almondgate/dispatch/dispatcher.cpp
+++ b/src/almondgate/dispatch/dispatcher.cpp
@@ -65,7 +65,7 @@
             std::to_string(OpenJobs.size()) + " open jobs and " +
             std::to_string(Endpoints.size()) + " endpoints to read");
   FleetWasEmpty = Endpoints.empty();
-  RecordedConfigVersion = Ledger.Config.Version;
+  RecordedConfigVersion = LoadsVersion = Ledger.Config.Version;
   Maintenance.begin(epoch);
   Mover.begin(epoch);
   schedulePass();
@@ -82,6 +82,7 @@
   Vms.clear();
   Arrivals.clear();
   DemandHistory.clear();
+  Loads.clear();
   OpenJobs.clear();
   Pools.clear();
   Endpoints.clear();
@@ -138,7 +139,11 @@
 }
 
 std::vector<std::string> Dispatcher::checkSums() {
-  return Pools.check(Hooks.Now());
+  updateLoads();
+  auto out = Pools.check(Hooks.Now());
+  for (auto &difference : Loads.check(OpenJobs))
+    out.push_back(std::move(difference));
+  return out;
 }
 
 // --- durable events
@@ -264,7 +269,7 @@
       job.SentAt +
       DurationMs{int64_t(terms.Stretch * double(chain.Count)) + terms.TargetMs};
   inheritLateStarts(record, job);
-  OpenJobs.emplace(record.Id, std::move(job));
+  Loads.add(OpenJobs.emplace(record.Id, std::move(job)).first->second);
 }
 
 void Dispatcher::onJobAccepted(const jobs::JobAccepted &event) {
@@ -295,6 +300,7 @@
   for (size_t i = 0; i < it->second.Tasks.size(); ++i)
     if (it->second.Tasks[i].isPlaced())
       stopTask({id, i}, "cancelled");
+  Loads.update(it->second);
   closeIfFinished(id);
 }
 
@@ -304,15 +310,16 @@
   if (it == OpenJobs.end() || !record)
     return;
   for (size_t i = 0; i < it->second.Tasks.size(); ++i) {
-    TaskState &state = it->second.Tasks[i];
+    const TaskState &state = it->second.Tasks[i];
     const bool finished = record->Tasks[i].Done || !record->isOpen();
     if (finished && state.isPlaced())
       stopTask({event.Job, i}, "ended");
     else if (record->Tasks[i].Done)
-      state.Phase = TaskPhase::Done;
+      Loads.setPhase(it->second, i, TaskPhase::Done);
     else if (state.Phase == TaskPhase::Ending && i == event.Task)
-      state.Phase = TaskPhase::Waiting;
+      Loads.setPhase(it->second, i, TaskPhase::Waiting);
   }
+  Loads.update(it->second);
   closeIfFinished(event.Job);
 }
 
@@ -321,8 +328,18 @@
   const auto *record = jobs::findJob(Ledger, id);
   if (it == OpenJobs.end() || (record && record->isOpen()))
     return;
-  if (it->second.Placed == 0)
-    OpenJobs.erase(it);
+  if (it->second.Placed > 0)
+    return;
+  Loads.remove(it->second);
+  OpenJobs.erase(it);
+}
+
+void Dispatcher::updateLoads() {
+  if (std::exchange(LoadsVersion, Ledger.Config.Version) ==
+      Ledger.Config.Version)
+    return;
+  for (auto &[id, job] : OpenJobs)
+    Loads.update(job);
 }
 
 void Dispatcher::expireJobs() {
--- a/src/almondgate/dispatch/dispatcher_calls.cpp
+++ b/src/almondgate/dispatch/dispatcher_calls.cpp
@@ -147,6 +147,7 @@
     return;
   }
   const auto sent = Resubmissions.firstSentAt(id, now);
+  updateLoads();
   const auto verdict = decideAdmission(call.Spec, queue, sent);
   if (!verdict.Accept) {
     refuseJob(call, id, queue, verdict, done);
@@ -190,19 +191,14 @@
   load.DueInMs = (job.Due - Hooks.Now()).Count;
   const auto expect = runTimeEstimator(job.Record->Queue);
   const auto &steps = job.Record->Spec->Steps;
-  size_t at = 0;
   for (size_t s = 0; s < steps.size(); ++s) {
     const auto &step = steps[s];
     const bool counts = !step.LongRunning && !step.Fills;
     const int64_t work = counts ? step.Need.MilliCpus * expect(step) : 0;
-    const bool ready = jobs::isStepReady(*job.Record, 0, int64_t(s));
-    for (int64_t i = 0; i < step.Count; ++i, ++at) {
-      const TaskState &state = job.Tasks[at];
-      if (state.isPlaced())
-        load.ReadyWork += work / 2; // On average, a run is half done.
-      else if (state.Phase == TaskPhase::Waiting)
-        (ready ? load.ReadyWork : load.LaterWork) += work;
-    }
+    const StepTasks &tasks = job.Steps[s];
+    // On average, a run is half done.
+    load.ReadyWork += tasks.Placed * (work / 2);
+    (tasks.Ready ? load.ReadyWork : load.LaterWork) += tasks.Waiting * work;
   }
   return load;
 }
@@ -213,9 +209,9 @@
                             core::TimeMs sent) const {
   policy::JobAdmissionInput input;
   input.CapacityMilliCpus = Pools.servingMilliCpus(queue.Pool);
-  for (const auto &[id, job] : OpenJobs)
-    if (job.pool() == queue.Pool && job.Record->isOpen())
-      input.OpenJobs.push_back(remainingLoadOf(job));
+  if (const auto *load = Loads.find(queue.Pool))
+    for (const auto &[id, job] : load->Open)
+      input.OpenJobs.push_back(remainingLoadOf(*job));
   // VMs that are moving to the pool, and spare VMs that could be moved to it,
   // are available within the duration of a move.
   input.IncomingMilliCpus =
--- a/src/almondgate/dispatch/dispatcher_endpoints.cpp
+++ b/src/almondgate/dispatch/dispatcher_endpoints.cpp
@@ -116,7 +116,7 @@
     if (state.Phase == TaskPhase::Ordered)
       addLateStart(task_key, old_incarnation.Facts.Id);
     if (state.Phase != TaskPhase::Stopping)
-      state.Phase = TaskPhase::Unanswered;
+      setPhase(task_key, TaskPhase::Unanswered);
     state.StopAcknowledged = false;
     state.Confirmed = false;
     state.Listed = false;
--- a/src/almondgate/dispatch/dispatcher_inventory.cpp
+++ b/src/almondgate/dispatch/dispatcher_inventory.cpp
@@ -61,13 +61,12 @@
                        (inherited || late);
     if (adopt) {
       const auto &step = record->Spec->Steps[report.Task.Step];
-      state.Phase = TaskPhase::Running;
+      Loads.setPhase(open->second, *task_index, TaskPhase::Running);
       state.Endpoint = endpoint.Facts.Id;
       state.Run = report.Run;
       state.Since = Hooks.Now();
       state.Inherited = true;
       open->second.Started = true;
-      ++open->second.Placed;
       addRun(endpoint, task_key, step);
       Pools.update(endpoint);
       TeamUsage[record->Team] = TeamUsage[record->Team] + step.Need;
@@ -77,7 +76,7 @@
       state.Listed = true;
       if (state.Phase == TaskPhase::Ordered ||
           state.Phase == TaskPhase::Unanswered) {
-        state.Phase = TaskPhase::Running;
+        Loads.setPhase(open->second, *task_index, TaskPhase::Running);
         state.Since = Hooks.Now();
       }
       if (!report.Checkpoint.empty())
@@ -144,7 +143,7 @@
                    DurationMs{RestartDelayStepMs * endpoint.FailuresInRow});
     releaseTask(task_key, conclusive ? TaskPhase::Ending : TaskPhase::Waiting);
   } else if (conclusive && state && state->Phase == TaskPhase::Waiting) {
-    state->Phase = TaskPhase::Ending;
+    setPhase(task_key, TaskPhase::Ending);
   }
   if (conclusive && record->isOpen())
     this->recordEvent(jobs::TaskEnded{report.Task.Job, *task_index, report.Run,
@@ -200,7 +199,7 @@
     releaseTask(task_key, TaskPhase::Waiting);
     return;
   }
-  state.Phase = TaskPhase::Ordered;
+  setPhase(task_key, TaskPhase::Ordered);
   state.Since = Hooks.Now();
   sendStart(task_key);
 }
--- a/src/almondgate/dispatch/dispatcher_moves.cpp
+++ b/src/almondgate/dispatch/dispatcher_moves.cpp
@@ -1,7 +1,5 @@
 #include "almondgate/dispatch/dispatcher.hpp"
 
-#include "run_accounting.hpp"
-
 #include <algorithm>
 
 namespace almondgate::dispatch {
@@ -64,51 +62,6 @@
   return std::min(wanted + growth, wanted * MaxGrowthFactor);
 }
 
-std::map<PoolId, int64_t> Dispatcher::demandByPool() {
-  std::map<PoolId, int64_t> out;
-  for (const auto &[id, job] : OpenJobs) {
-    const auto *record = job.Record;
-    if (!record->isOpen() || record->Spec->Repetitions > 0)
-      continue;
-    size_t at = 0;
-    for (size_t s = 0; s < record->Spec->Steps.size(); ++s) {
-      const auto &step = record->Spec->Steps[s];
-      const bool counts =
-          !step.Fills && jobs::isStepReady(*record, 0, int64_t(s));
-      for (int64_t i = 0; i < step.Count; ++i, ++at) {
-        const TaskState &state = job.Tasks[at];
-        // Placed long-running tasks are left out: the capacity that they occupy
-        // is not counted as usable either.
-        const bool needs_capacity = state.Phase == TaskPhase::Waiting ||
-                                    (state.isPlaced() && !step.LongRunning);
-        if (counts && needs_capacity)
-          out[job.pool()] += step.Need.MilliCpus;
-      }
-    }
-  }
-  return out;
-}
-
-// Returns the VMs needed to spread long-running steps, so that the loss of one
-// VM keeps to their availability budgets.
-std::map<PoolId, int64_t> Dispatcher::minVmsByPool() const {
-  std::map<PoolId, int64_t> out;
-  for (const auto &[id, job] : OpenJobs) {
-    const auto *record = job.Record;
-    if (!record->isOpen())
-      continue;
-    for (const auto &step : record->Spec->Steps) {
-      if (!step.LongRunning)
-        continue;
-      const int64_t per_vm =
-          policy::maxTasksPerEndpoint(step.Count, step.MayMiss);
-      int64_t &min_vms = out[job.pool()];
-      min_vms = std::max(min_vms, (step.Count + per_vm - 1) / per_vm);
-    }
-  }
-  return out;
-}
-
 std::vector<PoolDemand> Dispatcher::poolDemands() {
   std::map<PoolId, PoolDemand> pools;
   for (const auto &pool : Ledger.Config.Pools)
@@ -129,16 +82,13 @@
     if (!pinned && !endpoint.Facts.Vm.empty())
       movable[it->first].emplace_back(endpoint.Runs.size(), endpoint.Facts.Vm);
   }
-  const auto wanted = demandByPool();
-  const auto min_vms = minVmsByPool();
+  updateLoads();
   std::vector<PoolDemand> out;
   for (auto &[id, demand] : pools) {
-    const auto found = wanted.find(id);
-    const int64_t now = found == wanted.end() ? 0 : found->second;
-    demand.Balance.Wanted = forecastDemand(id, now);
-    const auto minimum = min_vms.find(id);
-    demand.Balance.MinVms =
-        std::max(MinVmsPerPool, minimum == min_vms.end() ? 0 : minimum->second);
+    const auto *load = Loads.find(id);
+    demand.Balance.Wanted =
+        forecastDemand(id, load ? load->DemandMilliCpus : 0);
+    demand.Balance.MinVms = std::max(MinVmsPerPool, load ? load->minVms() : 0);
     demand.Balance.DemandKnown = Arrivals.contains(id);
     auto &vms = movable[id];
     std::sort(vms.begin(), vms.end());
--- a/src/almondgate/dispatch/dispatcher_orders.cpp
+++ b/src/almondgate/dispatch/dispatcher_orders.cpp
@@ -28,6 +28,10 @@
   return &it->second.Tasks[task_key.second];
 }
 
+void Dispatcher::setPhase(const TaskKey &task_key, TaskPhase phase) {
+  Loads.setPhase(OpenJobs.at(task_key.first), task_key.second, phase);
+}
+
 const jobs::StepSpec *Dispatcher::findStep(const TaskKey &task_key) const {
   const auto *record = jobs::findJob(Ledger, task_key.first);
   if (!record)
@@ -70,7 +74,7 @@
   TaskState &state = job.Tasks[task_key.second];
   const auto *record = jobs::findJob(Ledger, task_key.first);
   const auto *step = findStep(task_key);
-  state.Phase = TaskPhase::Ordered;
+  Loads.setPhase(job, task_key.second, TaskPhase::Ordered);
   state.Endpoint = at.Facts.Id;
   state.Run = run;
   state.Since = Hooks.Now();
@@ -82,7 +86,6 @@
   state.Percent = 0;
   if (!std::exchange(job.Started, true))
     Hooks.RecordDuration("job_wait", (state.Since - job.SentAt).Count);
-  ++job.Placed;
   addRun(at, task_key, *step);
   Pools.update(at);
   TeamUsage[record->Team] = TeamUsage[record->Team] + step->Need;
@@ -162,7 +165,7 @@
     return;
   }
   const auto await_inventory = [&] {
-    state->Phase = TaskPhase::Unanswered;
+    setPhase(task_key, TaskPhase::Unanswered);
     state->Since = now;
   };
   const auto release_for_retry = [&](DurationMs delay) {
@@ -176,7 +179,7 @@
   };
   switch (reply.Result) {
   case OrderResult::Accepted:
-    state->Phase = TaskPhase::Running;
+    setPhase(task_key, TaskPhase::Running);
     state->Since = now;
     state->Confirmed = reply.ClockMs.has_value();
     return;
@@ -214,7 +217,7 @@
     return;
   case OrderResult::Outdated:
     // The run has ended or will never start; the next inventory shows which.
-    state->Phase = TaskPhase::Running;
+    setPhase(task_key, TaskPhase::Running);
     state->Since = now;
     return;
   case OrderResult::Fenced:
@@ -259,7 +262,7 @@
             std::to_string(state.Run) + " at " + state.Endpoint.str() + " (" +
             reason + "), " + describeBudget(task_key));
   Hooks.IncrementCounter("stop_orders", "why", reason);
-  state.Phase = TaskPhase::Stopping;
+  setPhase(task_key, TaskPhase::Stopping);
   state.StopAcknowledged = false;
   state.Since = Hooks.Now();
   if (Hooks.HasRoomForStop())
@@ -382,7 +385,6 @@
   const auto *record = jobs::findJob(Ledger, task_key.first);
   const auto *step = findStep(task_key);
   if (state.isPlaced()) {
-    --job.Placed;
     TeamUsage[record->Team] = TeamUsage[record->Team] - step->Need;
     const auto at = Endpoints.find(state.Endpoint);
     if (at != Endpoints.end()) {
@@ -392,7 +394,7 @@
   }
   // Another run of the task may have completed it in the meantime.
   const bool done = record->Tasks[task_key.second].Done;
-  state.Phase = done ? TaskPhase::Done : next;
+  Loads.setPhase(job, task_key.second, done ? TaskPhase::Done : next);
   state.Since = Hooks.Now();
   state.Endpoint = EndpointId();
   schedulePass();
--- a/src/almondgate/dispatch/dispatcher_placing.cpp
+++ b/src/almondgate/dispatch/dispatcher_placing.cpp
@@ -27,29 +27,30 @@
 } // namespace
 
 void Dispatcher::placeReadySteps() {
-  std::erase_if(OpenJobs, [&](const auto &row) {
-    return row.second.Placed == 0 && !row.second.Record->isOpen();
-  });
+  updateLoads();
+  for (const auto &id : Loads.takeFinished())
+    OpenJobs.erase(id);
   std::map<core::PoolId, PoolCapacity> pools;
   TeamUnreadUsage = unreadUsageByTeam();
   std::vector<ReadyStep> ready;
-  collectReadySteps(ready);
   const auto now = Hooks.Now();
-  for (const auto &step : ready) {
-    const auto [it, added] = pools.try_emplace(step.Job->pool());
-    if (!added)
+  for (const auto &[pool, load] : Loads.pools()) {
+    if (load.Waiting.empty())
+      continue;
+    PoolCapacity capacity;
+    capacity.Endpoints = &Pools.usable(pool, now);
+    if (capacity.Endpoints->empty())
       continue;
-    it->second.Endpoints = &Pools.usable(it->first, now);
-    it->second.LargestFreeMilliCpus = Pools.largestFree(it->first, now);
+    capacity.LargestFreeMilliCpus = Pools.largestFree(pool, now);
+    for (const auto &[id, job] : load.Waiting)
+      collectReadySteps(*job, capacity.LargestFreeMilliCpus, ready);
+    pools.emplace(pool, capacity);
   }
   std::sort(ready.begin(), ready.end());
   for (const auto &step : ready) {
     PoolCapacity &capacity = pools.at(step.Job->pool());
-    if (capacity.Endpoints->empty())
-      continue;
     const int64_t need = requiredCapacity(*step.Spec).MilliCpus;
-    if (need > capacity.LargestFreeMilliCpus ||
-        need >= capacity.SmallestUnplacedMilliCpus)
+    if (need >= capacity.SmallestUnplacedMilliCpus)
       continue;
     if (step.Job->Inherited && !areEndpointsRead(*step.Job))
       continue;
@@ -70,39 +71,40 @@
   }
 }
 
-void Dispatcher::collectReadySteps(std::vector<ReadyStep> &out) {
+// Leaves out steps whose tasks need more than `largest_free` millicores.
+void Dispatcher::collectReadySteps(OpenJob &job, int64_t largest_free,
+                                   std::vector<ReadyStep> &out) {
   const auto now = Hooks.Now();
   const int64_t wall = Hooks.WallClock();
-  for (auto &[id, job] : OpenJobs) {
-    const auto *record = job.Record;
-    if (!record->isOpen())
+  const auto *record = job.Record;
+  const auto &spec = *record->Spec;
+  const bool timed = spec.Repetitions > 0;
+  for (size_t at = 0; at < job.Steps.size(); ++at) {
+    const auto occurrence = int64_t(at / spec.Steps.size());
+    const int64_t due_ms = spec.StartAtMs + occurrence * spec.IntervalMs;
+    if (timed && wall < due_ms)
+      break;
+    const StepTasks &tasks = job.Steps[at];
+    const auto s = int64_t(at % spec.Steps.size());
+    const auto &step = spec.Steps[size_t(s)];
+    const bool may_fit = tasks.Waiting > 0 && tasks.Ready &&
+                         requiredCapacity(step).MilliCpus <= largest_free;
+    if (!may_fit)
       continue;
-    const auto &spec = *record->Spec;
-    const auto expect = runTimeEstimator(record->Queue);
-    size_t first = 0;
-    for (int64_t k = 0; k < spec.occurrences(); ++k) {
-      const int64_t due_ms = spec.StartAtMs + k * spec.IntervalMs;
-      const bool timed = spec.Repetitions > 0;
-      if (timed && wall < due_ms)
-        break;
-      const TimeMs due =
-          timed ? job.Due + (now - DurationMs{wall - due_ms} - job.SentAt)
-                : job.Due;
-      for (int64_t s = 0; s < int64_t(spec.Steps.size()); ++s) {
-        const auto &step = spec.Steps[s];
-        const auto from = job.Tasks.begin() + int64_t(first);
-        const bool waiting =
-            std::any_of(from, from + step.Count, [&](const TaskState &state) {
-              return state.Phase == TaskPhase::Waiting &&
-                     state.NotBefore <= now;
-            });
-        if (waiting && jobs::isStepReady(*record, k, s))
-          out.push_back(
-              {&job, record, k, s, first, &step,
-               (due - now).Count - policy::chainFromMs(spec, s, expect)});
-        first += size_t(step.Count);
-      }
-    }
+    const auto from = job.Tasks.begin() + int64_t(tasks.First);
+    const bool waiting =
+        std::any_of(from, from + step.Count, [&](const TaskState &state) {
+          return state.Phase == TaskPhase::Waiting && state.NotBefore <= now;
+        });
+    if (!waiting)
+      continue;
+    const TimeMs due =
+        timed ? job.Due + (now - DurationMs{wall - due_ms} - job.SentAt)
+              : job.Due;
+    out.push_back(
+        {&job, record, occurrence, s, tasks.First, &step,
+         (due - now).Count -
+             policy::chainFromMs(spec, s, runTimeEstimator(record->Queue))});
   }
 }
 
--- a/src/almondgate/dispatch/dispatcher_renewals.cpp
+++ b/src/almondgate/dispatch/dispatcher_renewals.cpp
@@ -70,11 +70,13 @@
 }
 
 bool Dispatcher::hasUnansweredStarts(const EndpointView &endpoint) const {
-  return std::any_of(
-      endpoint.Runs.begin(), endpoint.Runs.end(), [this](const auto &task_key) {
-        const OpenJob &job = OpenJobs.at(task_key.first);
-        return job.Tasks[task_key.second].Phase == TaskPhase::Unanswered;
-      });
+  return Loads.unanswered() > 0 &&
+         std::any_of(endpoint.Runs.begin(), endpoint.Runs.end(),
+                     [this](const auto &task_key) {
+                       const OpenJob &job = OpenJobs.at(task_key.first);
+                       return job.Tasks[task_key.second].Phase ==
+                              TaskPhase::Unanswered;
+                     });
 }
 
 void Dispatcher::onRenewed(const EndpointId &id, int64_t born_ms, TimeMs sent,
