--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -3,9 +3,11 @@
 
 #include "almondgate/dispatch/dispatcher_hooks.hpp"
 #include "almondgate/dispatch/dispatcher_options.hpp"
+#include "almondgate/dispatch/endpoint_pools.hpp"
 #include "almondgate/dispatch/endpoint_view.hpp"
 #include "almondgate/dispatch/fence_counter.hpp"
 #include "almondgate/dispatch/job_budget.hpp"
+#include "almondgate/dispatch/job_loads.hpp"
 #include "almondgate/dispatch/maintenance_scheduler.hpp"
 #include "almondgate/dispatch/open_job.hpp"
 #include "almondgate/dispatch/vm_mover.hpp"
@@ -109,6 +111,9 @@
   /// True while the member leads and no other member may lead.
   bool isActive() const { return Active && Hooks.MayAct(); }
 
+  /// Describes each sum that differs from one computed anew, for tests.
+  std::vector<std::string> checkSums();
+
   /// All known endpoints, as the leader sees them.
   const std::map<jobs::EndpointId, EndpointView> &endpoints() const {
     return Endpoints;
@@ -162,6 +167,10 @@
   void onEndpointIdled(const jobs::EndpointIdled &event);
   void onEndpointGone(const jobs::EndpointId &id, int64_t born_ms);
   void closeIfFinished(const jobs::JobId &id);
+  /// Brings the pools of jobs up to date after a change of the configuration.
+  /// To be called before Loads is read: the ledger applies events before they
+  /// are passed to onEventApplied().
+  void updateLoads();
   void expireJobs();
 
   // dispatcher_calls.cpp
@@ -208,6 +217,8 @@
   void stopOrphanedRun(EndpointView &at, const EndpointView::RunKey &key);
   void releaseTask(const TaskKey &task_key, TaskPhase next);
   TaskState *findTaskState(const TaskKey &task_key);
+  /// Changes the phase of a task; its job must be known.
+  void setPhase(const TaskKey &task_key, TaskPhase phase);
   const jobs::StepSpec *findStep(const TaskKey &task_key) const;
 
   // dispatcher_late_starts.cpp
@@ -271,7 +282,8 @@
   struct ReadyStep;
   struct PoolCapacity;
   void placeReadySteps();
-  void collectReadySteps(std::vector<ReadyStep> &out);
+  void collectReadySteps(OpenJob &job, int64_t largest_free,
+                         std::vector<ReadyStep> &out);
   /// Returns false if a task fits on no endpoint.
   bool placeStep(const ReadyStep &ready,
                  const std::vector<EndpointView *> &pool);
@@ -284,7 +296,8 @@
   StepCandidates candidatesFor(const ReadyStep &ready,
                                const std::vector<EndpointView *> &pool) const;
   bool isUsable(const EndpointView &endpoint) const;
-  std::map<core::PoolId, PoolCapacity> usablePools();
+  /// Unless the endpoint is to be left alone for a while.
+  static bool acceptsStarts(const EndpointView &endpoint);
   /// One more task of the step may start, as far as limits and orders go.
   bool mayStartTask(const ReadyStep &ready) const;
   static bool isInPool(const EndpointView *endpoint, const OpenJob &job);
@@ -314,8 +327,9 @@
   /// The endpoints known on a VM: one, or two while the older of them is not
   /// known to be gone.
   std::vector<EndpointView *> endpointsOf(const core::VmId &vm) const;
-  void linkToVm(EndpointView &endpoint);
-  void unlinkFromVm(const EndpointView &endpoint);
+  /// Adds the endpoint to the indexes by VM and by pool, or takes it out.
+  void link(EndpointView &endpoint);
+  void unlink(EndpointView &endpoint);
   VmLoad loadOf(const core::VmId &vm) const;
   bool keepsBudgets(const EndpointView &endpoint) const;
   /// The task's step has an availability budget, and its job is open.
@@ -355,8 +369,6 @@
   void recordArrival(const core::PoolId &pool, int64_t work);
   int64_t forecastDemand(const core::PoolId &pool, int64_t waiting);
   int64_t arrivalRate(const core::PoolId &pool);
-  std::map<core::PoolId, int64_t> demandByPool();
-  std::map<core::PoolId, int64_t> minVmsByPool() const;
   std::vector<PoolDemand> poolDemands();
   void logDemands(const std::vector<PoolDemand> &demands);
   void balancePools();
@@ -372,7 +384,13 @@
   /// No endpoint was known when the member became the leader.
   bool FleetWasEmpty = false;
   std::map<jobs::JobId, OpenJob> OpenJobs;
+  /// The load of OpenJobs; their tasks change their phase through it.
+  JobLoads Loads;
+  /// Version of the configuration by which Loads counts jobs in their pools.
+  uint64_t LoadsVersion = 0;
   std::map<jobs::EndpointId, EndpointView> Endpoints;
+  /// The endpoints in Endpoints by pool; to be told of each change of them.
+  EndpointPools Pools;
   /// The endpoints in Endpoints by the VM that they run on.
   std::map<core::VmId, std::map<jobs::EndpointId, EndpointView *>>
       EndpointsByVm;
--- a/src/almondgate/dispatch/dispatcher_inventory.cpp
+++ b/src/almondgate/dispatch/dispatcher_inventory.cpp
@@ -38,6 +38,7 @@
       continue;
     }
     endpoint.Used = endpoint.Used - it->second.Need;
+    Pools.update(endpoint);
     releaseOrphan(it->first, it->second);
     it = endpoint.OrphanedRuns.erase(it);
   }
@@ -60,14 +61,14 @@
                        (inherited || late);
     if (adopt) {
       const auto &step = record->Spec->Steps[report.Task.Step];
-      state.Phase = TaskPhase::Running;
+      Loads.setPhase(open->second, *task_index, TaskPhase::Running);
       state.Endpoint = endpoint.Facts.Id;
       state.Run = report.Run;
       state.Since = Hooks.Now();
       state.Inherited = true;
       open->second.Started = true;
-      ++open->second.Placed;
       addRun(endpoint, task_key, step);
+      Pools.update(endpoint);
       TeamUsage[record->Team] = TeamUsage[record->Team] + step.Need;
     }
     if (is_current || adopt) {
@@ -75,7 +76,7 @@
       state.Listed = true;
       if (state.Phase == TaskPhase::Ordered ||
           state.Phase == TaskPhase::Unanswered) {
-        state.Phase = TaskPhase::Running;
+        Loads.setPhase(open->second, *task_index, TaskPhase::Running);
         state.Since = Hooks.Now();
       }
       if (!report.Checkpoint.empty())
@@ -94,6 +95,7 @@
     it->second.Need = requiredCapacity(record->Spec->Steps[report.Task.Step]);
     it->second.Team = record->Team;
     endpoint.Used = endpoint.Used + it->second.Need;
+    Pools.update(endpoint);
     TeamUsage[record->Team] = TeamUsage[record->Team] + it->second.Need;
   }
   stopOrphanedRun(endpoint, key);
@@ -141,7 +143,7 @@
                    DurationMs{RestartDelayStepMs * endpoint.FailuresInRow});
     releaseTask(task_key, conclusive ? TaskPhase::Ending : TaskPhase::Waiting);
   } else if (conclusive && state && state->Phase == TaskPhase::Waiting) {
-    state->Phase = TaskPhase::Ending;
+    setPhase(task_key, TaskPhase::Ending);
   }
   if (conclusive && record->isOpen())
     this->recordEvent(jobs::TaskEnded{report.Task.Job, *task_index, report.Run,
@@ -197,7 +199,7 @@
     releaseTask(task_key, TaskPhase::Waiting);
     return;
   }
-  state.Phase = TaskPhase::Ordered;
+  setPhase(task_key, TaskPhase::Ordered);
   state.Since = Hooks.Now();
   sendStart(task_key);
 }
@@ -213,6 +215,7 @@
     releaseOrphan(key, orphan);
   endpoint.OrphanedRuns.clear();
   endpoint.Used = {};
+  Pools.update(endpoint);
   for (size_t i = 0; i < task_keys.size(); ++i)
     Hooks.IncrementCounter("run_ends", "how", "lost");
   if (!task_keys.empty())
