Wait for a nearby place only while that saves time

A task with an affinity waited while its slack was above 30 % of its estimate, even for a rack that could not free any capacity, and a gang with SameRack went to the whole pool as soon as no rack had room.

Dispatcher now asks DispatchPolicies::NearWait for tasks that prefer a rack and for gangs that prefer one rack. RackForecast gathers the expected ends of the runs of the endpoints concerned once a pass at most, only if such a task finds no place near; the list of an endpoint is kept until its runs change. Tasks that wait reserve no capacity and block no other task. The wait of a step begins once and is logged at its start and end.

The remote factor comes from the settings.

--- a/include/almondgate/dispatch/dispatch_policies.hpp
+++ b/include/almondgate/dispatch/dispatch_policies.hpp
@@ -2,6 +2,7 @@
 #define ALMONDGATE_DISPATCH_DISPATCH_POLICIES_HPP
 
 #include "almondgate/policy/job_admission.hpp"
+#include "almondgate/policy/near_wait.hpp"
 #include "almondgate/policy/task_placement.hpp"
 #include "almondgate/policy/vm_balance.hpp"
 
@@ -26,6 +27,9 @@
       const std::vector<policy::PlacementOption> &,
       const policy::PlacementRequirements &)>
       ChooseEndpoint = policy::choosePlacement;
+  /// Whether a task, or a gang, waits for a nearby place.
+  std::function<policy::NearWaitDecision(const policy::NearWaitInput &)>
+      NearWait = policy::decideNearWait;
   /// Measure a resubmitted job's waiting time from its first submission.
   bool TrackResubmissions = true;
   /// Correct the submitters' run time estimates by observed run times.
--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -7,6 +7,8 @@
 #include "almondgate/dispatch/fence_counter.hpp"
 #include "almondgate/dispatch/job_budget.hpp"
 #include "almondgate/dispatch/maintenance_scheduler.hpp"
+#include "almondgate/dispatch/near_group.hpp"
+#include "almondgate/dispatch/near_waits.hpp"
 #include "almondgate/dispatch/open_job.hpp"
 #include "almondgate/dispatch/vm_mover.hpp"
 #include "almondgate/dispatch/vm_order_sender.hpp"
@@ -18,6 +20,7 @@
 #include "almondgate/policy/job_admission.hpp"
 #include "almondgate/policy/job_timing.hpp"
 #include "almondgate/policy/refusal_history.hpp"
+#include "almondgate/policy/remote_share.hpp"
 
 #include <deque>
 #include <map>
@@ -275,6 +278,9 @@
   /// Returns false if a task fits on no endpoint.
   bool placeStep(const ReadyStep &ready,
                  const std::vector<EndpointView *> &pool);
+  /// Starts one task; returns false if it fits on none of the candidates.
+  bool placeTask(const ReadyStep &ready, size_t index,
+                 StepCandidates &candidates);
   std::vector<EndpointView *>
   chooseForGang(const ReadyStep &ready,
                 const std::vector<EndpointView *> &members,
@@ -297,6 +303,41 @@
   core::Size unreadUsageOf(const OpenJob &job) const;
   int64_t nextRunNumber(int64_t last) const;
 
+  // dispatcher_near_wait.cpp
+  NearWaits::Hooks nearWaitHooks();
+  void beginNearWaitPass();
+  /// The tasks of the step run faster on some endpoints, and end.
+  static bool prefersPlace(const jobs::StepSpec &step);
+  /// The task or gang runs slower on these endpoints than near.
+  static bool isRemote(const jobs::StepSpec &step,
+                       const std::vector<EndpointView *> &at);
+  /// Expected run time of a task near, in milliseconds.
+  int64_t nearRunMs(const core::QueueId &queue,
+                    const jobs::StepSpec &step) const;
+  std::vector<ExpectedRun> expectedRuns(const EndpointView &endpoint) const;
+  NearGroup &nearGroupOf(const ReadyStep &ready,
+                         const std::vector<EndpointView *> &pool);
+  static NearWait &nearWaitOf(const ReadyStep &ready);
+  NearWaits::Request nearWaitRequest(const ReadyStep &ready) const;
+  /// The endpoints with the label and the tickets that the step requires.
+  std::vector<EndpointView *>
+  eligibleFor(const ReadyStep &ready,
+              const std::vector<EndpointView *> &endpoints) const;
+  /// Places tasks near their data, or elsewhere once they don't wait for a
+  /// nearby place. Returns false if a task fits on no endpoint.
+  bool placeNearData(const ReadyStep &ready,
+                     const std::vector<EndpointView *> &pool,
+                     const std::vector<size_t> &tasks);
+  bool waitsForNearPlace(const ReadyStep &ready,
+                         const std::vector<EndpointView *> &pool,
+                         const std::vector<std::vector<EndpointView *>> &near);
+  /// Returns an endpoint for each member of a gang that prefers a place, or
+  /// none if it has to wait.
+  std::vector<EndpointView *>
+  choosePreferred(const ReadyStep &ready,
+                  const std::vector<EndpointView *> &pool,
+                  const std::vector<EndpointView *> &bound);
+
   // dispatcher_tickets.cpp
   bool ensureTickets(const ReadyStep &ready,
                      const std::vector<EndpointView *> &pool);
@@ -380,6 +421,11 @@
   /// Result of unreadUsageByTeam() in the last pass.
   std::map<core::TeamId, core::Size> TeamUnreadUsage;
   std::map<core::QueueId, policy::DurationModel> RunTimes;
+  /// Of the runs in RunTimes.
+  std::map<core::QueueId, policy::RemoteShare> RemoteShares;
+  NearWaits NearPlaces;
+  /// By pool and rack; gathered in each placement pass as needed.
+  std::map<std::pair<core::PoolId, core::RackId>, NearGroup> NearGroups;
   std::map<jobs::JobId, Submission> Submissions;
   JobBudget JobBytes;
   policy::RefusalHistory Resubmissions;
--- a/include/almondgate/dispatch/dispatcher_options.hpp
+++ b/include/almondgate/dispatch/dispatcher_options.hpp
@@ -40,6 +40,9 @@
   core::DurationMs MaintenanceDuration{2000};
   /// How long a VM takes to move to another pool.
   core::DurationMs MoveDuration{1500};
+  /// How many times as long a task takes away from the rack of its data, or a
+  /// gang on several racks; at least 1.
+  double RemoteFactor = 2.0;
   /// Bytes that the jobs in the ledger may take before further ones are
   /// refused.
   size_t JobsLimitBytes = core::planMemory(0).Jobs;
--- a/include/almondgate/dispatch/endpoint_view.hpp
+++ b/include/almondgate/dispatch/endpoint_view.hpp
@@ -1,6 +1,7 @@
 #ifndef ALMONDGATE_DISPATCH_ENDPOINT_VIEW_HPP
 #define ALMONDGATE_DISPATCH_ENDPOINT_VIEW_HPP
 
+#include "almondgate/dispatch/expected_run.hpp"
 #include "almondgate/dispatch/lease_clock.hpp"
 #include "almondgate/jobs/endpoint_facts.hpp"
 #include "almondgate/jobs/task_ref.hpp"
@@ -9,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <utility>
+#include <vector>
 
 namespace almondgate::dispatch {
 
@@ -80,6 +82,9 @@
   /// Capacity that its runs occupy, orphaned ones included.
   core::Size Used;
   std::set<TaskKey> Runs;
+  /// The runs that are expected to end, see RackForecast; empty if Runs has
+  /// changed since they were listed.
+  std::optional<std::vector<ExpectedRun>> ExpectedRuns;
   /// The share of long-running tasks in Runs and in Used.
   int64_t LongRunningCount = 0;
   int64_t LongRunningMilliCpus = 0;
--- a/include/almondgate/dispatch/open_job.hpp
+++ b/include/almondgate/dispatch/open_job.hpp
@@ -2,6 +2,7 @@
 #define ALMONDGATE_DISPATCH_OPEN_JOB_HPP
 
 #include "almondgate/dispatch/advice.hpp"
+#include "almondgate/dispatch/near_wait.hpp"
 #include "almondgate/dispatch/task_state.hpp"
 #include "almondgate/jobs/endpoint_facts.hpp"
 #include "almondgate/jobs/job_record.hpp"
@@ -51,6 +52,8 @@
   int64_t Placed = 0;
   /// By occurrence and step.
   std::map<std::pair<int64_t, int64_t>, StepTickets> Tickets;
+  /// Waits for a nearby place, by occurrence and step.
+  std::map<std::pair<int64_t, int64_t>, NearWait> NearWaits;
 
   bool operator==(const OpenJob &) const = default;
 
--- a/include/almondgate/dispatch/task_state.hpp
+++ b/include/almondgate/dispatch/task_state.hpp
@@ -50,6 +50,9 @@
   bool Confirmed = false;
   /// An inventory, which names the incarnation, has listed the run.
   bool Listed = false;
+  /// It was started away from the rack of its data, or its gang on several
+  /// racks; not known of runs that an earlier leader started.
+  bool Remote = false;
   /// The start got no answer and was sent a second time.
   bool StartResent = false;
   /// Starts of this run and of earlier ones that may still be carried out.
--- a/include/almondgate/policy/task_placement.hpp
+++ b/include/almondgate/policy/task_placement.hpp
@@ -34,8 +34,6 @@
   bool LongRunning = false;
   /// Preferred maximum of long-running tasks of a step on one endpoint.
   int64_t MaxStepTasks = 1;
-  /// The task waits for the rack near the data instead of running elsewhere.
-  bool OnlyNearData = false;
 
   bool operator==(const PlacementRequirements &) const = default;
 };
--- a/src/almondgate/control/control_task.cpp
+++ b/src/almondgate/control/control_task.cpp
@@ -73,6 +73,7 @@
             .MaxLease = std::max(settings.LongestLease,
                                  dispatch::DispatcherOptions().Lease),
             .RunStopTimeout = settings.RunStopTimeout,
+            .RemoteFactor = settings.RemoteFactor,
             .JobsLimitBytes = settings.Common.Memory.Jobs},
            dispatcherHooks(std::move(gateway)), Core.state().Jobs),
       Ticker(loop) {}
--- a/src/almondgate/dispatch/dispatcher.cpp
+++ b/src/almondgate/dispatch/dispatcher.cpp
@@ -19,6 +19,7 @@
 Dispatcher::Dispatcher(DispatcherOptions options, DispatcherHooks hooks,
                        const jobs::Ledger &ledger)
     : Options(std::move(options)), Hooks(std::move(hooks)), Ledger(ledger),
+      NearPlaces(Options.RemoteFactor, nearWaitHooks()),
       JobBytes(Options.JobsLimitBytes, ledger),
       Vms({Hooks.Now, Hooks.ListVms, Hooks.Log}),
       VmOrders(Options.VmOrderLease,
@@ -81,6 +82,7 @@
   Arrivals.clear();
   DemandHistory.clear();
   OpenJobs.clear();
+  NearGroups.clear();
   Endpoints.clear();
   EndpointsByVm.clear();
   TeamUsage.clear();
--- a/src/almondgate/dispatch/dispatcher_inventory.cpp
+++ b/src/almondgate/dispatch/dispatcher_inventory.cpp
@@ -123,10 +123,12 @@
   if (report.How == RunEnd::Done)
     endpoint.FailuresInRow = 0;
   if (is_current && report.How == RunEnd::Done && !long_running &&
-      state->Phase == TaskPhase::Running && state->Checkpoint.empty())
+      state->Phase == TaskPhase::Running && state->Checkpoint.empty()) {
     RunTimes[record->Queue].observe(
         record->Spec->Steps[report.Task.Step].EstimateMs,
         (Hooks.Now() - state->Since).Count);
+    RemoteShares[record->Queue].observe(state->Remote);
+  }
   if (state) {
     state->Run = std::max(state->Run, report.Run);
     removeLateStart(task_key, endpoint.Facts.Id, report.Run);
--- a/src/almondgate/dispatch/dispatcher_placing.cpp
+++ b/src/almondgate/dispatch/dispatcher_placing.cpp
@@ -19,10 +19,6 @@
 // Distance between the first run numbers of two epochs, so that runs of a later
 // epoch have higher numbers.
 constexpr int64_t RunsPerEpoch = 1000;
-// A task waits for the rack near its data while its slack is more than this
-// share of its estimated run time.
-constexpr int64_t MaxDataWaitPercent = 30;
-constexpr int64_t PercentScale = 100;
 
 } // namespace
 
@@ -31,6 +27,7 @@
     return row.second.Placed == 0 && !row.second.Record->isOpen();
   });
   auto pools = usablePools();
+  beginNearWaitPass();
   TeamUnreadUsage = unreadUsageByTeam();
   std::vector<ReadyStep> ready;
   collectReadySteps(ready);
@@ -125,8 +122,6 @@
                           const std::vector<EndpointView *> &pool) const {
   const auto &step = *ready.Spec;
   StepCandidates out(step);
-  out.setWaitForData(ready.SlackMs >
-                     step.EstimateMs * MaxDataWaitPercent / PercentScale);
   if (out.dependsOnSameStep())
     for (size_t i = ready.First; i < ready.First + size_t(step.Count); ++i)
       if (ready.Job->Tasks[i].isPlaced()) {
@@ -221,13 +216,6 @@
 bool Dispatcher::placeStep(const ReadyStep &ready,
                            const std::vector<EndpointView *> &pool) {
   const auto now = Hooks.Now();
-  const auto place = [&](size_t index, StepCandidates &candidates) {
-    EndpointView *at = candidates.allocate(Hooks.Policies.ChooseEndpoint);
-    if (at)
-      startTask({ready.Record->Id, index}, *at,
-                nextRunNumber(ready.Job->Tasks[index].Run));
-    return at != nullptr;
-  };
   std::vector<size_t> free;
   for (size_t i = ready.First; i < ready.First + size_t(ready.Spec->Count);
        ++i) {
@@ -241,19 +229,32 @@
       if (!mayStartTask(ready))
         return true;
       auto candidates = candidatesFor(ready, {limit.Only});
-      place(i, candidates);
+      placeTask(ready, i, candidates);
     }
   }
+  if (prefersPlace(*ready.Spec))
+    return placeNearData(ready, pool, free);
   auto candidates = candidatesFor(ready, pool);
   for (const size_t i : free) {
     if (!mayStartTask(ready))
       return true;
-    if (!place(i, candidates))
+    if (!placeTask(ready, i, candidates))
       return false;
   }
   return true;
 }
 
+bool Dispatcher::placeTask(const ReadyStep &ready, size_t index,
+                           StepCandidates &candidates) {
+  EndpointView *at = candidates.allocate(Hooks.Policies.ChooseEndpoint);
+  if (!at)
+    return false;
+  TaskState &state = ready.Job->Tasks[index];
+  state.Remote = isRemote(*ready.Spec, {at});
+  startTask({ready.Record->Id, index}, *at, nextRunNumber(state.Run));
+  return true;
+}
+
 bool Dispatcher::mayStartTask(const ReadyStep &ready) const {
   return isWithinLimit(ready.Record->Team, ready.Spec->Need) &&
          mayOrderStarts(1);
@@ -311,12 +312,6 @@
   if (!all || !isWithinLimit(ready.Record->Team, total) ||
       !mayOrderStarts(count))
     return;
-  std::map<core::RackId, std::vector<EndpointView *>> racks;
-  for (auto *endpoint : pool)
-    racks[ready.Spec->SameRack ? endpoint->Facts.Rack : core::RackId()]
-        .push_back(endpoint);
-  if (racks.size() > 1)
-    racks[core::RackId()] = pool;
   int64_t run = 0;
   std::string checkpoint;
   for (size_t i = 0; i < count; ++i) {
@@ -324,21 +319,18 @@
     if (!from[int64_t(i)].Checkpoint.empty())
       checkpoint = from[int64_t(i)].Checkpoint;
   }
-  // The racks come first and the whole pool last: its entry has the empty rack
-  // id, which sorts first, and the loop runs backwards.
-  std::vector<std::vector<EndpointView *>> tries;
-  for (auto it = racks.rbegin(); it != racks.rend(); ++it)
-    tries.push_back(it->second);
-  for (const auto &members : tries) {
-    const auto chosen = chooseForGang(ready, members, bound);
-    if (chosen.size() < count)
-      continue;
-    for (size_t i = 0; i < count; ++i) {
-      ready.Job->Tasks[ready.First + i].Checkpoint = checkpoint;
-      startTask({ready.Record->Id, ready.First + i}, *chosen[i],
-                nextRunNumber(run));
-    }
+  const auto chosen = prefersPlace(*ready.Spec)
+                          ? choosePreferred(ready, pool, bound)
+                          : chooseForGang(ready, pool, bound);
+  if (chosen.size() < count)
     return;
+  const bool remote = isRemote(*ready.Spec, chosen);
+  for (size_t i = 0; i < count; ++i) {
+    TaskState &state = ready.Job->Tasks[ready.First + i];
+    state.Checkpoint = checkpoint;
+    state.Remote = remote;
+    startTask({ready.Record->Id, ready.First + i}, *chosen[i],
+              nextRunNumber(run));
   }
 }
 
--- a/src/almondgate/dispatch/run_accounting.hpp
+++ b/src/almondgate/dispatch/run_accounting.hpp
@@ -21,6 +21,7 @@
                    const jobs::StepSpec &step) {
   if (!at.Runs.insert(task_key).second)
     return;
+  at.ExpectedRuns.reset();
   at.Used = at.Used + requiredCapacity(step);
   at.LongRunningCount += step.LongRunning ? 1 : 0;
   at.LongRunningMilliCpus +=
@@ -32,6 +33,7 @@
                       const jobs::StepSpec &step) {
   if (at.Runs.erase(task_key) == 0)
     return;
+  at.ExpectedRuns.reset();
   at.Used = at.Used - requiredCapacity(step);
   at.LongRunningCount -= step.LongRunning ? 1 : 0;
   at.LongRunningMilliCpus -=
--- a/src/almondgate/dispatch/step_candidates.cpp
+++ b/src/almondgate/dispatch/step_candidates.cpp
@@ -8,12 +8,6 @@
 
 namespace {
 
-bool hasLabel(const EndpointView &endpoint, const std::string &label) {
-  const auto &labels = endpoint.Facts.Labels;
-  return label.empty() ||
-         std::find(labels.begin(), labels.end(), label) != labels.end();
-}
-
 template <class Key>
 int64_t countOf(const std::map<Key, int64_t> &counts, const Key &key) {
   const auto it = counts.find(key);
@@ -22,16 +16,18 @@
 
 } // namespace
 
+bool hasLabel(const EndpointView &endpoint, const std::string &label) {
+  const auto &labels = endpoint.Facts.Labels;
+  return label.empty() ||
+         std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
 StepCandidates::StepCandidates(const jobs::StepSpec &step) : Step(&step) {
   Need.Need = requiredCapacity(step);
   Need.LongRunning = step.LongRunning;
   Need.MaxStepTasks = policy::maxTasksPerEndpoint(step.Count, step.MayMiss);
 }
 
-void StepCandidates::setWaitForData(bool wait) {
-  Need.OnlyNearData = wait && !Step->Affinity.empty() && !Step->LongRunning;
-}
-
 void StepCandidates::recordRunningTask(const EndpointView &endpoint) {
   ++Running[endpoint.Facts.Id];
   ++RunningOnRack[endpoint.Facts.Rack];
--- a/src/almondgate/dispatch/step_candidates.hpp
+++ b/src/almondgate/dispatch/step_candidates.hpp
@@ -7,6 +7,9 @@
 
 namespace almondgate::dispatch {
 
+/// Tells whether the endpoint has the label; any endpoint has the empty one.
+bool hasLabel(const EndpointView &endpoint, const std::string &label);
+
 /// The endpoints that may run tasks of one step, kept up to date while the
 /// tasks are placed one by one.
 class StepCandidates {
@@ -16,10 +19,6 @@
   /// `step` must outlive the object.
   explicit StepCandidates(const jobs::StepSpec &step);
 
-  /// Sets whether the tasks wait for the rack near their data rather than run
-  /// elsewhere; no effect on steps that are long-running or have no affinity.
-  void setWaitForData(bool wait);
-
   /// Tells whether the placement depends on tasks of the step that are placed
   /// already.
   bool dependsOnSameStep() const {
--- a/src/almondgate/policy/task_placement.cpp
+++ b/src/almondgate/policy/task_placement.cpp
@@ -42,9 +42,7 @@
                 const PlacementRequirements &need) {
   std::optional<size_t> best;
   for (size_t i = 0; i < options.size(); ++i) {
-    const bool fit = core::fits(need.Need, options[i].Free) &&
-                     (options[i].NearData || !need.OnlyNearData);
-    if (!fit)
+    if (!core::fits(need.Need, options[i].Free))
       continue;
     if (!best || rank(options[i], need) < rank(options[*best], need))
       best = i;
