Play many jobs that want one rack, and wait less for it

The virtual fleet now takes RemoteFactor times as long for a task away from its rack and for a gang on several racks. A wait is now worthwhile up to a quarter of what it saves (half where only a nearby place meets the due time), not when its limit comes before the place, and the steps that wait are served in the order in which their waits began.

--- a/include/almondgate/policy/near_wait.hpp
+++ b/include/almondgate/policy/near_wait.hpp
@@ -28,15 +28,16 @@
 };
 
 enum class NearWaitReason {
-  /// By expectation, it ends earlier near than elsewhere.
+  /// By expectation, it ends clearly earlier near than elsewhere.
   Worthwhile,
   /// The near endpoints can't free enough capacity.
   NoCapacity,
-  /// By expectation, it ends no earlier near than elsewhere.
+  /// By expectation, the wait takes too much of what it saves.
   TooLong,
-  /// The wait has lasted as long as it could save.
+  /// The wait has lasted as long as it could save, or is expected to.
   BoundReached,
-  /// A longer wait would take the last chance to meet the due time elsewhere.
+  /// A longer wait, or one as long as expected, would take the last chance to
+  /// meet the due time elsewhere.
   DueTime,
   /// The due time is missed either way, and the pool has capacity to spare.
   PoolIdle,
--- a/src/almondgate/dispatch/ready_step.hpp
+++ b/src/almondgate/dispatch/ready_step.hpp
@@ -20,13 +20,28 @@
   /// negative once that has passed.
   int64_t SlackMs = 0;
 
+  /// Since when tasks of the step wait for a nearby place; later than any time
+  /// if none do.
+  core::TimeMs nearWaitSince() const {
+    constexpr core::TimeMs Never{INT64_MAX};
+    if (Job->NearWaits.empty())
+      return Never;
+    const auto it = Job->NearWaits.find({Occurrence, Step});
+    return it == Job->NearWaits.end() || it->second.Waiting == 0
+               ? Never
+               : it->second.Since;
+  }
+
   /// Sort key: long-running work first, fill work last. Within each group,
-  /// steps that can meet their due time come first, the most urgent one first,
-  /// and then late steps, the one with the shortest delay first.
+  /// steps that wait for a nearby place come first, in the order in which their
+  /// waits began: they could have started before, and their expected waits hold
+  /// only if no later step overtakes them. Then steps that can meet their due
+  /// time come first, the most urgent one first, and then late steps, the one
+  /// with the shortest delay first.
   auto rank() const {
     const bool late = SlackMs < 0;
-    return std::make_tuple(!Spec->LongRunning, Spec->Fills, late,
-                           late ? -SlackMs : SlackMs);
+    return std::make_tuple(!Spec->LongRunning, Spec->Fills, nearWaitSince(),
+                           late, late ? -SlackMs : SlackMs);
   }
 };
 
--- a/src/almondgate/dispatch/test_fleet.hpp
+++ b/src/almondgate/dispatch/test_fleet.hpp
@@ -131,6 +131,10 @@
   /// How long a member of a gang waits for the others; the tasks of a gang run
   /// on their own if 0.
   int64_t GangTimeoutMs = 0;
+  /// How often each counter was incremented, as "name value".
+  std::map<std::string, int64_t> Counters;
+  /// Receives the dispatcher's log lines; optional.
+  std::function<void(const std::string &)> OnLogLine;
   /// Calls that a later incarnation than the one they were sent to carried out.
   int64_t CallsOfFormerIncarnations = 0;
 
@@ -178,6 +182,10 @@
   void bringUp(const core::VmId &vm, const core::PoolId &pool);
   void step();
   void runGangs();
+  /// How long a run takes there, with RemoteFactor where it is away from the
+  /// rack of its data.
+  int64_t runMsAt(const TestEndpoint &endpoint,
+                  const jobs::StepSpec &step) const;
   void answerRenewals(TestEndpoint &endpoint);
   void forgetEnds(TestEndpoint &endpoint, int64_t last_seen);
   void violate(const std::string &text);
--- a/src/almondgate/dispatch/test_fleet_test.cpp
+++ b/src/almondgate/dispatch/test_fleet_test.cpp
@@ -297,7 +297,8 @@
 }
 
 // A gang works from the moment when all members of one run are present, and
-// ends for all of them at once.
+// ends for all of them at once, as late as its slowest member. It takes longer
+// if it prefers one rack and is on several.
 void TestFleet::runGangs() {
   using Gang = std::tuple<jobs::JobId, int64_t, int64_t, int64_t>;
   std::map<Gang, std::vector<std::pair<TestEndpoint *, TaskRef>>> gangs;
@@ -311,16 +312,26 @@
       return row.first->Runs.at(row.second);
     };
     const auto *job = jobs::findJob(Ledger, std::get<0>(gang));
-    const bool complete = int64_t(members.size()) ==
-                          job->Spec->Steps[size_t(std::get<2>(gang))].Count;
+    const auto &step = job->Spec->Steps[size_t(std::get<2>(gang))];
+    const bool complete = int64_t(members.size()) == step.Count;
     const bool works = run_of(members.front()).GangDue == 0;
+    bool spread = false;
+    int64_t gang_ms = 0;
+    for (const auto &row : members) {
+      gang_ms = std::max(gang_ms, run_of(row).GangMs);
+      spread = spread ||
+               (step.SameRack &&
+                row.first->Facts.Rack != members.front().first->Facts.Rack);
+    }
+    if (spread)
+      gang_ms = int64_t(double(gang_ms) * Options.RemoteFactor);
     for (const auto &row : members) {
       TestRun &run = run_of(row);
       if (works && !complete)
         row.first->end(row.second, RunEnd::GangBroken, Now);
       else if (!works && complete) {
         run.GangDue = 0;
-        run.EndsAt = Now + run.GangMs;
+        run.EndsAt = Now + gang_ms;
       } else if (!works && Now >= run.GangDue)
         row.first->end(row.second, RunEnd::GangIncomplete, Now);
     }
@@ -480,12 +491,17 @@
       guard([done, result] { done(result); })();
     });
   };
-  if (std::getenv("ALMONDGATE_TEST_LOG"))
-    hooks.Log = [this](const std::string &line) {
+  hooks.IncrementCounter = [this](const char *name, const char *,
+                                  const char *value) {
+    ++Counters[std::string(name) + " " + value];
+  };
+  hooks.Log = [this, print = std::getenv("ALMONDGATE_TEST_LOG") !=
+                             nullptr](const std::string &line) {
+    if (print)
       std::cerr << Now - StartMs << " " << line << "\n";
-    };
-  else
-    hooks.Log = [](const std::string &) {};
+    if (OnLogLine)
+      OnLogLine(line);
+  };
   return hooks;
 }
 
@@ -704,7 +720,7 @@
   const auto &step = job->Spec->Steps[order.Task.Step];
   checkStart(endpoint, order, step, sent);
   const int64_t duration =
-      step.LongRunning ? int64_t{1} << 40 : std::max<int64_t>(RunMs(step), 1);
+      step.LongRunning ? int64_t{1} << 40 : runMsAt(endpoint, step);
   endpoint.Runs[order.Task] = {
       order.Run, Now + duration,    Now + (step.LongRunning ? StartupMs : 0),
       step.Need, Fails(order.Task), std::nullopt};
@@ -719,6 +735,16 @@
   return {OrderResult::Accepted, clock};
 }
 
+int64_t TestFleet::runMsAt(const TestEndpoint &endpoint,
+                           const jobs::StepSpec &step) const {
+  const auto &labels = endpoint.Facts.Labels;
+  const bool remote =
+      !step.Affinity.empty() && std::find(labels.begin(), labels.end(),
+                                          step.Affinity.str()) == labels.end();
+  const int64_t near_ms = std::max<int64_t>(RunMs(step), 1);
+  return remote ? int64_t(double(near_ms) * Options.RemoteFactor) : near_ms;
+}
+
 void TestFleet::checkStart(const TestEndpoint &endpoint,
                            const StartOrder &order, const jobs::StepSpec &step,
                            int64_t sent) {
--- a/src/almondgate/policy/near_wait_test.cpp
+++ b/src/almondgate/policy/near_wait_test.cpp
@@ -17,7 +17,7 @@
   NearWaitInput input;
   input.NearRunMs = 1000;
   input.RemoteFactor = 2;
-  input.ExpectedWaitMs = 300;
+  input.ExpectedWaitMs = 200;
   input.SlackMs = 5000;
   return input;
 }
@@ -42,19 +42,19 @@
   const std::vector<Case> cases = {
       {"a short wait", [](auto &) {}, wait(1000)},
       {"a free place", [](auto &i) { i.ExpectedWaitMs = 0; }, wait(1000)},
-      {"just worthwhile", [](auto &i) { i.ExpectedWaitMs = 999; }, wait(1000)},
-      {"saves nothing", [](auto &i) { i.ExpectedWaitMs = 1000; },
+      {"just worthwhile", [](auto &i) { i.ExpectedWaitMs = 249; }, wait(1000)},
+      {"saves too little", [](auto &i) { i.ExpectedWaitMs = 250; },
        leave(Reason::TooLong)},
       {"smaller factor",
        [](auto &i) {
          i.RemoteFactor = 1.25;
-         i.ExpectedWaitMs = 250;
+         i.ExpectedWaitMs = 63;
        },
        leave(Reason::TooLong)},
       {"larger factor",
        [](auto &i) {
          i.RemoteFactor = 3;
-         i.ExpectedWaitMs = 1999;
+         i.ExpectedWaitMs = 499;
        },
        wait(2000)},
       {"factor of 1",
@@ -68,7 +68,16 @@
       {"a rack that frees nothing", [](auto &i) { i.ExpectedWaitMs.reset(); },
        leave(Reason::NoCapacity)},
       {"waited for a while", [](auto &i) { i.WaitedMs = 400; }, wait(600)},
-      {"just before the bound", [](auto &i) { i.WaitedMs = 999; }, wait(1)},
+      {"just before the bound",
+       [](auto &i) {
+         i.WaitedMs = 999;
+         i.ExpectedWaitMs = 1;
+       },
+       wait(1)},
+      {"expected after the bound", [](auto &i) { i.WaitedMs = 801; },
+       leave(Reason::BoundReached)},
+      {"expected after the last chance to be on time elsewhere",
+       [](auto &i) { i.SlackMs = 1199; }, leave(Reason::DueTime)},
       {"the bound", [](auto &i) { i.WaitedMs = 1000; },
        leave(Reason::BoundReached)},
       {"the bound, with a place expected at once",
@@ -80,7 +89,7 @@
       {"a wait that became too long",
        [](auto &i) {
          i.WaitedMs = 400;
-         i.ExpectedWaitMs = 1200;
+         i.ExpectedWaitMs = 300;
        },
        leave(Reason::TooLong)},
       {"the due time limits the wait", [](auto &i) { i.SlackMs = 1350; },
@@ -89,6 +98,7 @@
        [](auto &i) {
          i.SlackMs = 1050;
          i.WaitedMs = 300;
+         i.ExpectedWaitMs = 50;
        },
        wait(50)},
       {"the last chance to be on time elsewhere",
@@ -109,6 +119,12 @@
          i.PoolIdle = true;
        },
        wait(1000)},
+      {"only near is on time, after a longer wait",
+       [](auto &i) {
+         i.SlackMs = 700;
+         i.ExpectedWaitMs = 499;
+       },
+       wait(1000)},
       {"late either way in a busy pool", [](auto &i) { i.SlackMs = -200; },
        wait(1000)},
       {"late either way in an idle pool",
