--- a/src/almondgate/dispatch/dispatcher.cpp
+++ b/src/almondgate/dispatch/dispatcher.cpp
@@ -21,6 +21,7 @@
     : Options(std::move(options)), Hooks(std::move(hooks)), Ledger(ledger),
       Pools([](const EndpointView &at) { return at.isServing(); },
             acceptsStarts),
+      NearPlaces(Options.RemoteFactor, nearWaitHooks()),
       JobBytes(Options.JobsLimitBytes, ledger),
       Vms({Hooks.Now, Hooks.ListVms, Hooks.Log}),
       VmOrders(Options.VmOrderLease,
@@ -85,6 +86,7 @@
   Loads.clear();
   OpenJobs.clear();
   Pools.clear();
+  NearGroups.clear();
   Endpoints.clear();
   EndpointsByVm.clear();
   TeamUsage.clear();
