Record evacuations of zones in the ledger

Cause: an operator's request to evacuate an availability zone has no durable state to live in.

Two events, zone-evacuated and evacuation-withdrawn, change the evacuations in the ledger. Each names the revision it was decided on and is ignored on any other, so that a late record can't undo a newer one.

--- a/include/almondgate/jobs/event.hpp
+++ b/include/almondgate/jobs/event.hpp
@@ -142,21 +142,50 @@
   bool operator==(const StartUnanswered &) const = default;
 };
 
+/// An operator requested the evacuation of a zone.
+struct ZoneEvacuated {
+  core::ZoneId Zone;
+  /// Name of the operator.
+  std::string By;
+  std::string Reason;
+  /// Wall-clock time of the request, in milliseconds since 1970.
+  int64_t WallMs = 0;
+  /// Ledger::EvacuationRevision that the change was decided on; an event with
+  /// another one is ignored.
+  uint64_t Base = 0;
+  bool operator==(const ZoneEvacuated &) const = default;
+};
+
+/// An operator withdrew the evacuation of a zone.
+struct EvacuationWithdrawn {
+  core::ZoneId Zone;
+  std::string By;
+  std::string Reason;
+  int64_t WallMs = 0;
+  /// As in ZoneEvacuated.
+  uint64_t Base = 0;
+  bool operator==(const EvacuationWithdrawn &) const = default;
+};
+
 /// Any change to the ledger. New kinds are only appended, never inserted.
-using Event = std::variant<JobAccepted, JobCancelled, TaskEnded, ConfigReplaced,
-                           EndpointRegistered, EndpointGone, EndpointIdled,
-                           EpochBegun, WaveStarted, MaintenanceBegun,
-                           MaintenanceFinished, JobsExpired, VmOrdered,
-                           VmOrdersLapsed, ConfigRevised, StartUnanswered>;
+using Event =
+    std::variant<JobAccepted, JobCancelled, TaskEnded, ConfigReplaced,
+                 EndpointRegistered, EndpointGone, EndpointIdled, EpochBegun,
+                 WaveStarted, MaintenanceBegun, MaintenanceFinished,
+                 JobsExpired, VmOrdered, VmOrdersLapsed, ConfigRevised,
+                 StartUnanswered, ZoneEvacuated, EvacuationWithdrawn>;
 
 /// Stored names of the kinds, in the order of the variant.
 inline constexpr const char *EventKinds[] = {
-    "job-accepted",    "job-cancelled",    "task-ended",
-    "config-given",    "registered",       "gone",
-    "idled",           "epoch-begun",      "wave-started",
-    "upkeep-begun",    "upkeep-finished",  "jobs-expired",
-    "vm-ordered",      "vm-orders-lapsed", "config-revised",
-    "start-unanswered"};
+    "job-accepted",    "job-cancelled",
+    "task-ended",      "config-given",
+    "registered",      "gone",
+    "idled",           "epoch-begun",
+    "wave-started",    "upkeep-begun",
+    "upkeep-finished", "jobs-expired",
+    "vm-ordered",      "vm-orders-lapsed",
+    "config-revised",  "start-unanswered",
+    "zone-evacuated",  "evacuation-withdrawn"};
 
 } // namespace almondgate::jobs
 
--- a/include/almondgate/jobs/ledger.hpp
+++ b/include/almondgate/jobs/ledger.hpp
@@ -1,6 +1,7 @@
 #ifndef ALMONDGATE_JOBS_LEDGER_HPP
 #define ALMONDGATE_JOBS_LEDGER_HPP
 
+#include "almondgate/jobs/evacuation_record.hpp"
 #include "almondgate/jobs/event.hpp"
 #include "almondgate/jobs/job_record.hpp"
 #include "almondgate/jobs/job_state.hpp"
@@ -26,6 +27,10 @@
   std::set<core::VmId> VmsOrdered;
   /// Where those of them that have a move order are moved to.
   std::map<core::VmId, core::PoolId> MoveTargets;
+  /// Zones under evacuation.
+  std::map<core::ZoneId, EvacuationRecord> Evacuations;
+  /// Number of changes to Evacuations so far.
+  uint64_t EvacuationRevision = 0;
 
   bool operator==(const Ledger &) const = default;
 };
--- a/src/almondgate/encoding/codec_test.cpp
+++ b/src/almondgate/encoding/codec_test.cpp
@@ -1,5 +1,7 @@
 #include "almondgate/consensus/message.hpp"
 #include "almondgate/encoding/codec.hpp"
+#include "almondgate/jobs/evacuation_change.hpp"
+#include "almondgate/jobs/evacuation_list.hpp"
 #include "almondgate/model/announcement.hpp"
 #include "almondgate/state/state.hpp"
 
@@ -48,6 +50,60 @@
   CHECK(decode<state::State>(encode(state)).value() == state);
 }
 
+namespace {
+
+state::Change jobEvents(std::vector<jobs::Event> events) {
+  state::Change out;
+  out.What = state::RecordJobs{std::move(events)};
+  return out;
+}
+
+// Changes the member with this name in an encoded value to one that no decoder
+// knows, as if the value came from a version without the member.
+void hideMember(std::string &bytes, const std::string &name) {
+  const size_t at = bytes.find(name);
+  REQUIRE(at != std::string::npos);
+  bytes[at] = '_';
+}
+
+} // namespace
+
+// Guards against a log or a snapshot that a member can't read back.
+TEST_CASE("evacuations survive encoding and decoding") {
+  const core::ZoneId zone("z-1");
+  const auto change =
+      jobEvents({jobs::ZoneEvacuated{zone, "ann", "fire", 7, 3},
+                 jobs::EvacuationWithdrawn{zone, "bob", "over", 8, 4}});
+  CHECK(decode<state::Change>(encode(change)).value() == change);
+  CHECK(toJson(change).find("zone-evacuated") != std::string::npos);
+  CHECK(toJson(change).find("evacuation-withdrawn") != std::string::npos);
+  state::State state;
+  jobs::apply(state.Jobs, jobs::ZoneEvacuated{zone, "ann", "fire", 7, 0});
+  CHECK(decode<state::State>(encode(state)).value() == state);
+  const jobs::EvacuationChange request{zone, false, "ann", "over", {5, 6, 7}};
+  CHECK(decode<jobs::EvacuationChange>(encode(request)).value() == request);
+  const jobs::EvacuationList list{{1, 2, 3},
+                                  {{zone, {"ann", "fire", 7}}},
+                                  {{jobs::EndpointId("e"), zone, 4, 5}}};
+  CHECK(decode<jobs::EvacuationList>(encode(list)).value() == list);
+}
+
+// Guards against a new version that can't start from an earlier one's files.
+TEST_CASE("a snapshot without evacuations is read") {
+  state::State state;
+  state.Jobs.Epoch = 4;
+  jobs::apply(state.Jobs,
+              jobs::ZoneEvacuated{core::ZoneId("z-1"), "ann", "fire", 7, 0});
+  std::string bytes = encode(state);
+  hideMember(bytes, "EvacuationRevision");
+  hideMember(bytes, "Evacuations");
+  const auto read = decode<state::State>(bytes);
+  REQUIRE(read);
+  CHECK(read.value().Jobs.Evacuations.empty());
+  CHECK(read.value().Jobs.EvacuationRevision == 0);
+  CHECK(read.value().Jobs.Epoch == 4);
+}
+
 TEST_CASE("JSON written by people is checked") {
   struct Case {
     const char *Text;
--- a/src/almondgate/encoding/jobs_json.hpp
+++ b/src/almondgate/encoding/jobs_json.hpp
@@ -2,6 +2,8 @@
 #define ALMONDGATE_SRC_ENCODING_JOBS_JSON_HPP
 
 #include "almondgate/jobs/endpoint_heartbeat.hpp"
+#include "almondgate/jobs/evacuation_change.hpp"
+#include "almondgate/jobs/evacuation_list.hpp"
 #include "almondgate/jobs/job_call.hpp"
 #include "almondgate/jobs/job_reply.hpp"
 #include "almondgate/jobs/ledger.hpp"
@@ -89,6 +91,20 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(VmOrdersLapsed, Vms)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(StartUnanswered, Job, Task,
                                                 Endpoint, Over)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ZoneEvacuated, Zone, By, Reason,
+                                                WallMs, Base)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(EvacuationWithdrawn, Zone, By,
+                                                Reason, WallMs, Base)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(EvacuationRecord, By, Reason,
+                                                SinceWallMs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(EvacuationBasis, Revision,
+                                                Epoch, Confirmations)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(EvacuationChange, Zone,
+                                                Evacuate, By, Reason, Basis)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(EvacuatedEndpoint, Id, Zone,
+                                                ShortRuns, LongRuns)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(EvacuationList, Basis, Zones,
+                                                Remaining)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(JobCall, Verb, Host, Path, Key,
                                                 Call, Spec, SpecError)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(JobReply, Outcome, State,
@@ -124,7 +140,8 @@
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Ledger, Epoch, Config, Jobs,
                                                 Endpoints, Gone, Waves,
-                                                VmsOrdered, MoveTargets)
+                                                VmsOrdered, MoveTargets,
+                                                Evacuations, EvacuationRevision)
 
 } // namespace almondgate::jobs
 
--- a/src/almondgate/jobs/ledger.cpp
+++ b/src/almondgate/jobs/ledger.cpp
@@ -199,6 +199,21 @@
   }
 }
 
+void on(Ledger &ledger, const ZoneEvacuated &event) {
+  if (event.Base != ledger.EvacuationRevision)
+    return;
+  ++ledger.EvacuationRevision;
+  ledger.Evacuations.insert_or_assign(
+      event.Zone, EvacuationRecord{event.By, event.Reason, event.WallMs});
+}
+
+void on(Ledger &ledger, const EvacuationWithdrawn &event) {
+  if (event.Base != ledger.EvacuationRevision)
+    return;
+  ++ledger.EvacuationRevision;
+  ledger.Evacuations.erase(event.Zone);
+}
+
 } // namespace
 
 void apply(Ledger &ledger, const Event &event) {
--- a/src/almondgate/jobs/ledger_test.cpp
+++ b/src/almondgate/jobs/ledger_test.cpp
@@ -240,3 +240,21 @@
   apply(ledger, JobCancelled{Job, 5});
   CHECK(kept.empty());
 }
+
+// Guards against a delayed event that undoes a newer one.
+TEST_CASE("a change of an evacuation applies only to its base revision") {
+  const core::ZoneId zone("z-1");
+  Ledger ledger;
+  apply(ledger, ZoneEvacuated{zone, "ann", "fire", 7, 0});
+  CHECK(ledger.EvacuationRevision == 1);
+  CHECK(ledger.Evacuations.at(zone) == EvacuationRecord{"ann", "fire", 7});
+  apply(ledger, EvacuationWithdrawn{zone, "bob", "", 8, 0});
+  CHECK(ledger.Evacuations.contains(zone));
+  apply(ledger, EvacuationWithdrawn{zone, "bob", "", 9, 1});
+  CHECK(ledger.Evacuations.empty());
+  CHECK(ledger.EvacuationRevision == 2);
+  apply(ledger, ZoneEvacuated{zone, "ann", "fire", 10, 0});
+  apply(ledger, ZoneEvacuated{zone, "ann", "fire", 10, 1});
+  CHECK(ledger.Evacuations.empty());
+  CHECK(ledger.EvacuationRevision == 2);
+}
