--- a/src/almondgate/dispatch/random_days_test.cpp
+++ b/src/almondgate/dispatch/random_days_test.cpp
@@ -14,6 +14,8 @@
 constexpr int64_t Vms = 6;
 constexpr int64_t Actions = 40;
 constexpr int64_t LongestPauseMs = 300;
+constexpr int64_t Evacuations = 8;
+constexpr int64_t Zones = 2;
 // Longer than two waves take that may have one VM down at a time.
 constexpr int64_t RecoveryMs = 60000;
 constexpr int64_t MaxWaves = 2;
@@ -45,17 +47,36 @@
   QuickCommits,
   FailRuns,
   Last = FailRuns,
+  /// Only on days with evacuations.
+  Evacuate,
+  WithdrawEvacuation,
 };
 
-const char *const ActionNames[] = {
-    "submit",           "submit steps",    "submit long-running",
-    "cancel",           "cut off",         "reconnect",
-    "lose start",       "lose reply",      "crash",
-    "crash keeping id", "change leader",   "suspend leader",
-    "remove queue",     "restore queue",   "redirect queue",
-    "foreign pool",     "foreign facts",   "wave",
-    "VM service away",  "VM service back", "slow commits",
-    "quick commits",    "fail runs"};
+const char *const ActionNames[] = {"submit",
+                                   "submit steps",
+                                   "submit long-running",
+                                   "cancel",
+                                   "cut off",
+                                   "reconnect",
+                                   "lose start",
+                                   "lose reply",
+                                   "crash",
+                                   "crash keeping id",
+                                   "change leader",
+                                   "suspend leader",
+                                   "remove queue",
+                                   "restore queue",
+                                   "redirect queue",
+                                   "foreign pool",
+                                   "foreign facts",
+                                   "wave",
+                                   "VM service away",
+                                   "VM service back",
+                                   "slow commits",
+                                   "quick commits",
+                                   "fail runs",
+                                   "evacuate",
+                                   "withdraw evacuation"};
 
 /// One event of a day. The meaning of the numbers depends on the kind.
 struct Action {
@@ -82,6 +103,21 @@
   return day;
 }
 
+// The other actions of the day are those of drawDay().
+Day drawDayWithEvacuations(uint64_t seed) {
+  constexpr uint64_t OtherSeries = 7919;
+  std::minstd_rand random(seed + OtherSeries);
+  const auto below = [&](int64_t n) { return int64_t(random() % uint64_t(n)); };
+  Day day = drawDay(seed);
+  for (int64_t i = 0; i < Evacuations; ++i) {
+    const auto kind =
+        below(3) == 0 ? ActionKind::WithdrawEvacuation : ActionKind::Evacuate;
+    const auto at = day.begin() + below(int64_t(day.size()));
+    day.insert(at, {kind, below(LongestPauseMs), 0, below(1000)});
+  }
+  return day;
+}
+
 /// Plays a day on a fleet of its own, with two pools.
 class DayPlayer {
 public:
@@ -97,7 +133,7 @@
     };
     VmIds = Fl.VmIds;
     for (int64_t i = 0; i < Vms / 2; ++i)
-      VmIds.push_back(Fl.addVm("other"));
+      VmIds.push_back(Fl.addVm("other", "r1", zoneName(i)));
     for (const auto &vm : VmIds)
       Fl.endpointOf(vm).MaxListedEnds = EndsPerInventory;
     Fl.advance(1600);
@@ -119,6 +155,11 @@
 
 private:
   void perform(const Action &action);
+  // A change of an earlier call may be pending.
+  void withdraw(const std::string &zone) {
+    while (Fl.ledger().Evacuations.contains(core::ZoneId(zone)))
+      Fl.advance(Fl.setEvacuation(zone, false) ? 0 : 10);
+  }
   void submit(const jobs::JobSpec &spec) { Fl.submit(jobId(NextJob++), spec); }
   void setQueues(const std::vector<jobs::QueueSpec> &queues) {
     Fl.configure([&](jobs::FleetConfig &config) { config.Queues = queues; });
@@ -129,6 +170,10 @@
                                     [](const core::Status &) {});
   }
 
+  static std::string zoneName(int64_t n) {
+    return "z" + std::to_string(n % Zones);
+  }
+
   // Ends all faults, and gives the fleet time to finish its work.
   void recover() {
     setQueues({Queue});
@@ -137,6 +182,8 @@
     for (const auto &vm : VmIds)
       if (Fl.isUp(vm))
         Fl.endpointOf(vm).Unreachable = false;
+    for (int64_t i = 0; i < Zones; ++i)
+      withdraw(zoneName(i));
     Fl.advance(RecoveryMs);
   }
 
@@ -263,6 +310,12 @@
   case ActionKind::FailRuns:
     RunsToFail = 1 + n % 4;
     return;
+  case ActionKind::Evacuate:
+    Fl.setEvacuation(zoneName(n), true);
+    return;
+  case ActionKind::WithdrawEvacuation:
+    Fl.setEvacuation(zoneName(n), false);
+    return;
   }
 }
 
@@ -278,15 +331,10 @@
   return out.str();
 }
 
-} // namespace
-
-// ALMONDGATE_SEEDS=FIRST-LAST plays other seeds than those of the test run.
-// Days that broke a promise are kept as tests of their own.
-TEST_CASE("random days with overlapping faults break no promise") {
-  constexpr uint64_t DefaultSeeds = 100;
+void playDays(Day (*draw)(uint64_t), uint64_t last_seed) {
   const auto is_broken = [](const Day &day) { return !playDay(day).empty(); };
-  for (const uint64_t seed : seedsToPlay("ALMONDGATE_SEEDS", DefaultSeeds)) {
-    const Day day = drawDay(seed);
+  for (const uint64_t seed : seedsToPlay("ALMONDGATE_SEEDS", last_seed)) {
+    const Day day = draw(seed);
     const auto broken = playDay(day);
     if (broken.empty())
       continue;
@@ -297,3 +345,18 @@
             describe(shorten<Action>(day, is_broken)));
   }
 }
+
+} // namespace
+
+// ALMONDGATE_SEEDS=FIRST-LAST plays other seeds than those of the test run.
+// Days that broke a promise are kept as tests of their own.
+TEST_CASE("random days with overlapping faults break no promise") {
+  constexpr uint64_t DefaultSeeds = 100;
+  playDays(drawDay, DefaultSeeds);
+}
+
+// Guards against starts in a zone under evacuation, whatever else happens.
+TEST_CASE("random days with evacuations break no promise") {
+  constexpr uint64_t DefaultSeeds = 100;
+  playDays(drawDayWithEvacuations, DefaultSeeds);
+}
--- a/src/almondgate/dispatch/test_jobs.hpp
+++ b/src/almondgate/dispatch/test_jobs.hpp
@@ -32,14 +32,16 @@
   return spec;
 }
 
-/// A fleet with a leader and `vms` VMs in one pool, four to a rack.
+/// A fleet with a leader and `vms` VMs in one pool, four to a rack; the racks
+/// are in the zones "z0" and "z1" in turn.
 struct Fleet : TestFleet {
   std::vector<core::VmId> VmIds;
 
   explicit Fleet(int vms, DispatchPolicies policies = {})
       : TestFleet(std::move(policies)) {
     for (int i = 0; i < vms; ++i)
-      VmIds.push_back(addVm("p", "r" + std::to_string(i / 4)));
+      VmIds.push_back(addVm("p", "r" + std::to_string(i / 4),
+                            "z" + std::to_string(i / 4 % 2)));
     lead();
     advance(200);
   }
