Serve evacuations on the platform's operator interface

Cause: POST and DELETE /evacuations/ZONE are answered 404.

It sends nothing for a caller that has closed the connection, which it looks at directly (Exchange::IsConnected), because a call that was found after a suspension may be older than one that was acknowledged elsewhere.

--- a/include/almondgate/http/exchange.hpp
+++ b/include/almondgate/http/exchange.hpp
@@ -16,6 +16,10 @@
   std::function<void(const Response &)> Respond;
   /// Sets a callback for a caller that disconnects before the response.
   std::function<void(std::function<void()>)> OnDisconnect;
+  /// False once the request is answered, or its caller has closed the
+  /// connection. Looks at the connection, while OnDisconnect may be up to 250
+  /// ms late.
+  std::function<bool()> IsConnected = [] { return true; };
 };
 
 } // namespace almondgate::http
--- a/include/almondgate/protocol/method.hpp
+++ b/include/almondgate/protocol/method.hpp
@@ -63,6 +63,10 @@
   RenewRuns,
   /// Member to nothing; joining process to any control member.
   Join,
+  /// EvacuationChange to nothing; entry or control member to the leader.
+  SetEvacuation,
+  /// Nothing to EvacuationList; entry or control member to the leader.
+  ListEvacuations,
 };
 
 /// The method's name in request paths, such as "watch".
--- a/src/almondgate/control/control_task.cpp
+++ b/src/almondgate/control/control_task.cpp
@@ -2,6 +2,8 @@
 #include "almondgate/core/invariant.hpp"
 #include "almondgate/encoding/codec.hpp"
 #include "almondgate/jobs/endpoint_heartbeat.hpp"
+#include "almondgate/jobs/evacuation_change.hpp"
+#include "almondgate/jobs/evacuation_list.hpp"
 #include "almondgate/task/loop.hpp"
 
 #include "control_errors.hpp"
@@ -115,6 +117,7 @@
   line("config_version", ledger.Config.Version);
   line("jobs_remembered", ledger.Jobs.size());
   line("endpoints", ledger.Endpoints.size());
+  line("evacuations", ledger.Evacuations.size());
   line("log_lines_dropped", uint64_t(observe::droppedLines()));
   return out + Metrics.text();
 }
@@ -383,6 +386,14 @@
       respondEncoded<bool>(respond)(Jobs.isWaveCompleted(number));
     });
     return true;
+  case Method::SetEvacuation:
+    withDecoded<jobs::EvacuationChange>(body, respond, [&](const auto &change) {
+      Jobs.setEvacuation(change, respond_status);
+    });
+    return true;
+  case Method::ListEvacuations:
+    respondEncoded<jobs::EvacuationList>(respond)(Jobs.evacuations());
+    return true;
   default:
     return false;
   }
--- a/src/almondgate/http/server.cpp
+++ b/src/almondgate/http/server.cpp
@@ -354,6 +354,14 @@
     if (it != (*self)->Requests.end())
       it->second.OnDisconnect = std::move(fn);
   };
+  exchange.IsConnected = [weak, id] {
+    const auto self = weak.lock();
+    if (!self)
+      return false;
+    const auto it = (*self)->Requests.find(id);
+    return it != (*self)->Requests.end() && !it->second.Answered &&
+           !callerDisconnected(it->second.Raw);
+  };
   // No exception may pass through h2o's C code.
   try {
     Handler(std::move(exchange));
--- a/src/almondgate/protocol/method.cpp
+++ b/src/almondgate/protocol/method.cpp
@@ -29,8 +29,10 @@
                                            "stop-run",
                                            "pace-run",
                                            "renew-runs",
-                                           "join"};
-static_assert(MethodNames.size() == size_t(Method::Join) + 1,
+                                           "join",
+                                           "set-evacuation",
+                                           "list-evacuations"};
+static_assert(MethodNames.size() == size_t(Method::ListEvacuations) + 1,
               "each method has a name");
 
 const char *methodName(Method method) {
