--- a/src/almondgate/dispatch/dispatcher_calls.cpp
+++ b/src/almondgate/dispatch/dispatcher_calls.cpp
@@ -18,6 +18,8 @@
 
 constexpr size_t JobIdDigits = 16;
 constexpr int64_t ShortRetryAfterMs = 300;
+// For a pool whose zones are all under evacuation.
+constexpr int64_t EvacuatedRetryAfterMs = 3000;
 
 bool isJobId(const std::string &text) {
   return text.size() == JobIdDigits &&
@@ -207,6 +209,9 @@
 Dispatcher::decideAdmission(const jobs::JobSpec &spec,
                             const jobs::QueueSpec &queue,
                             core::TimeMs sent) const {
+  if (isPoolEvacuated(queue.Pool))
+    return {false, EvacuatedRetryAfterMs,
+            "all VMs of the pool are in zones under evacuation"};
   policy::JobAdmissionInput input;
   input.CapacityMilliCpus = Pools.servingMilliCpus(queue.Pool);
   if (const auto *load = Loads.find(queue.Pool))
--- a/src/almondgate/dispatch/dispatcher_placing.cpp
+++ b/src/almondgate/dispatch/dispatcher_placing.cpp
@@ -112,8 +112,8 @@
   return acceptsStarts(endpoint) && endpoint.BackOffUntil <= Hooks.Now();
 }
 
-bool Dispatcher::acceptsStarts(const EndpointView &endpoint) {
-  return endpoint.isServing() && !endpoint.DeclaredLost &&
+bool Dispatcher::acceptsStarts(const EndpointView &endpoint) const {
+  return isAvailable(endpoint) && !endpoint.DeclaredLost &&
          endpoint.Lease.isClockKnown();
 }
 
