Follow pointers instead of looking jobs up by id for each reported run

An inventory marks the runs that it lists, so that the runs of the endpoint are looked at one by one only when one of them is missing; before, each end of a run built a set of all listed runs and looked every run of the endpoint up several times. Open jobs are found by hash, their record and step by pointer.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -25,6 +25,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace almondgate::dispatch {
@@ -216,7 +217,9 @@
   void retryStops();
   void stopOrphanedRun(EndpointView &at, const EndpointView::RunKey &key);
   void releaseTask(const TaskKey &task_key, TaskPhase next);
-  TaskState *findTaskState(const TaskKey &task_key);
+  OpenJob *findOpenJob(const jobs::JobId &id) const;
+  void forgetJob(const jobs::JobId &id);
+  TaskState *findTaskState(const TaskKey &task_key) const;
   /// Changes the phase of a task; its job must be known.
   void setPhase(const TaskKey &task_key, TaskPhase phase);
   const jobs::StepSpec *findStep(const TaskKey &task_key) const;
@@ -228,8 +231,8 @@
   /// answer, may be carried out late.
   void addLateStart(const TaskKey &task_key, const jobs::EndpointId &at);
   /// The endpoint has the run: an order that was sent once was carried out.
-  void removeLateStart(const TaskKey &task_key, const jobs::EndpointId &at,
-                       int64_t run);
+  static void removeLateStart(TaskState &state, const jobs::EndpointId &at,
+                              int64_t run);
   void expireLateStarts();
   void recordReplaced(const jobs::EndpointId &id, int64_t born_ms);
   /// An order for the run may be carried out late at the endpoint.
@@ -267,10 +270,11 @@
   // dispatcher_inventory.cpp
   void applyInventory(EndpointView &endpoint, core::TimeMs sent,
                       const RunInventory &inventory);
-  void applyRunning(EndpointView &endpoint, const RunReport &report);
+  /// Returns true if the report is the first in this inventory of a run that
+  /// is known at the endpoint.
+  bool applyRunning(EndpointView &endpoint, const RunReport &report);
   void applyEnd(EndpointView &endpoint, const EndReport &report);
-  void releaseMissingRuns(EndpointView &endpoint, core::TimeMs sent,
-                          const RunInventory &inventory);
+  void releaseMissingRuns(EndpointView &endpoint, core::TimeMs sent);
   void resolveUnansweredStart(const TaskKey &task_key, TaskState &state);
   void releaseLostRuns(EndpointView &endpoint);
   void releaseOrphan(const EndpointView::RunKey &key,
@@ -384,6 +388,8 @@
   /// No endpoint was known when the member became the leader.
   bool FleetWasEmpty = false;
   std::map<jobs::JobId, OpenJob> OpenJobs;
+  /// OpenJobs by id; a look-up by hash takes a third of the time.
+  std::unordered_map<jobs::JobId, OpenJob *> OpenJobsById;
   /// The load of OpenJobs; their tasks change their phase through it.
   JobLoads Loads;
   /// Version of the configuration by which Loads counts jobs in their pools.
@@ -411,6 +417,8 @@
   /// Version of the newest configuration recorded, durable or not.
   uint64_t RecordedConfigVersion = 0;
   bool PassScheduled = false;
+  /// Number of inventories read, to tell which runs the current one lists.
+  uint64_t Inventories = 0;
   /// How many orphaned runs of each task there are.
   std::map<jobs::TaskRef, int64_t> OrphanCounts;
   /// Tasks with LateStarts, here or in the ledger.
--- a/include/almondgate/dispatch/open_job.hpp
+++ b/include/almondgate/dispatch/open_job.hpp
@@ -61,6 +61,12 @@
 
   bool operator==(const OpenJob &) const = default;
 
+  /// The step of a task; `task` is an index into Tasks.
+  const jobs::StepSpec &stepOf(size_t task) const {
+    const auto &steps = Record->Spec->Steps;
+    return steps[Tasks[task].Step % steps.size()];
+  }
+
   /// Where its tasks run; empty while that is not known.
   const core::PoolId &pool() const { return Record->Terms.Pool; }
 };
--- a/include/almondgate/dispatch/task_state.hpp
+++ b/include/almondgate/dispatch/task_state.hpp
@@ -51,6 +51,9 @@
   bool Confirmed = false;
   /// An inventory, which names the incarnation, has listed the run.
   bool Listed = false;
+  /// Number of the last inventory that listed the current run; see
+  /// Dispatcher::Inventories.
+  uint64_t ListedIn = 0;
   /// The start got no answer and was sent a second time.
   bool StartResent = false;
   /// Starts of this run and of earlier ones that may still be carried out.
--- a/src/almondgate/dispatch/dispatcher.cpp
+++ b/src/almondgate/dispatch/dispatcher.cpp
@@ -84,6 +84,7 @@
   DemandHistory.clear();
   Loads.clear();
   OpenJobs.clear();
+  OpenJobsById.clear();
   Pools.clear();
   Endpoints.clear();
   EndpointsByVm.clear();
@@ -269,7 +270,9 @@
       job.SentAt +
       DurationMs{int64_t(terms.Stretch * double(chain.Count)) + terms.TargetMs};
   inheritLateStarts(record, job);
-  Loads.add(OpenJobs.emplace(record.Id, std::move(job)).first->second);
+  OpenJob &added = OpenJobs.emplace(record.Id, std::move(job)).first->second;
+  OpenJobsById.emplace(record.Id, &added);
+  Loads.add(added);
 }
 
 void Dispatcher::onJobAccepted(const jobs::JobAccepted &event) {
@@ -331,7 +334,12 @@
   if (it->second.Placed > 0)
     return;
   Loads.remove(it->second);
-  OpenJobs.erase(it);
+  forgetJob(id);
+}
+
+void Dispatcher::forgetJob(const jobs::JobId &id) {
+  OpenJobsById.erase(id);
+  OpenJobs.erase(id);
 }
 
 void Dispatcher::updateLoads() {
--- a/src/almondgate/dispatch/dispatcher_inventory.cpp
+++ b/src/almondgate/dispatch/dispatcher_inventory.cpp
@@ -25,12 +25,15 @@
       applyEnd(endpoint, report);
       endpoint.LastReadEnd = report.Number;
     }
+  ++Inventories;
+  size_t listed = 0;
   for (const auto &report : inventory.Running)
-    applyRunning(endpoint, report);
+    listed += applyRunning(endpoint, report) ? 1 : 0;
   // A run that is not listed may be among the ends that are still to be read.
   if (inventory.MoreEnds)
     return;
-  releaseMissingRuns(endpoint, sent, inventory);
+  if (listed < endpoint.Runs.size())
+    releaseMissingRuns(endpoint, sent);
   for (auto it = endpoint.OrphanedRuns.begin();
        it != endpoint.OrphanedRuns.end();) {
     if (it->second.Listed || it->second.StopSent >= sent) {
@@ -44,46 +47,46 @@
   }
 }
 
-void Dispatcher::applyRunning(EndpointView &endpoint, const RunReport &report) {
-  const auto *record = jobs::findJob(Ledger, report.Task.Job);
+bool Dispatcher::applyRunning(EndpointView &endpoint, const RunReport &report) {
+  OpenJob *open = findOpenJob(report.Task.Job);
+  const auto *record =
+      open ? open->Record : jobs::findJob(Ledger, report.Task.Job);
   const auto task_index =
       record ? jobs::indexOf(*record->Spec, report.Task) : std::nullopt;
-  const auto open = OpenJobs.find(report.Task.Job);
-  if (task_index && open != OpenJobs.end()) {
-    const TaskKey task_key{report.Task.Job, *task_index};
-    TaskState &state = open->second.Tasks[*task_index];
+  if (task_index && open) {
+    TaskState &state = open->Tasks[*task_index];
     const bool is_current = state.Endpoint == endpoint.Facts.Id &&
                             state.Run == report.Run && state.isPlaced();
-    const bool inherited = open->second.Inherited && report.Run > state.Run;
+    const bool inherited = open->Inherited && report.Run > state.Run;
     const bool late = report.Run == state.Run &&
                       isLateStart(state, endpoint.Facts.Id, report.Run);
     const bool adopt = state.Phase == TaskPhase::Waiting && record->isOpen() &&
                        (inherited || late);
     if (adopt) {
       const auto &step = record->Spec->Steps[report.Task.Step];
-      Loads.setPhase(open->second, *task_index, TaskPhase::Running);
+      Loads.setPhase(*open, *task_index, TaskPhase::Running);
       state.Endpoint = endpoint.Facts.Id;
       state.Run = report.Run;
       state.Since = Hooks.Now();
       state.Inherited = true;
-      open->second.Started = true;
-      addRun(endpoint, task_key, step);
+      open->Started = true;
+      addRun(endpoint, {report.Task.Job, *task_index}, step);
       Pools.update(endpoint);
       TeamUsage[record->Team] = TeamUsage[record->Team] + step.Need;
     }
     if (is_current || adopt) {
-      removeLateStart(task_key, endpoint.Facts.Id, report.Run);
+      removeLateStart(state, endpoint.Facts.Id, report.Run);
       state.Listed = true;
       if (state.Phase == TaskPhase::Ordered ||
           state.Phase == TaskPhase::Unanswered) {
-        Loads.setPhase(open->second, *task_index, TaskPhase::Running);
+        Loads.setPhase(*open, *task_index, TaskPhase::Running);
         state.Since = Hooks.Now();
       }
       if (!report.Checkpoint.empty())
         state.Checkpoint = report.Checkpoint;
       state.Percent = report.Percent;
       state.Usage = report.Usage;
-      return;
+      return std::exchange(state.ListedIn, Inventories) != Inventories;
     }
   }
   const EndpointView::RunKey key{report.Task, report.Run};
@@ -99,10 +102,13 @@
     TeamUsage[record->Team] = TeamUsage[record->Team] + it->second.Need;
   }
   stopOrphanedRun(endpoint, key);
+  return false;
 }
 
 void Dispatcher::applyEnd(EndpointView &endpoint, const EndReport &report) {
-  const auto *record = jobs::findJob(Ledger, report.Task.Job);
+  const OpenJob *open = findOpenJob(report.Task.Job);
+  const auto *record =
+      open ? open->Record : jobs::findJob(Ledger, report.Task.Job);
   const auto task_index =
       record ? jobs::indexOf(*record->Spec, report.Task) : std::nullopt;
   if (!task_index)
@@ -131,7 +137,7 @@
         (Hooks.Now() - state->Since).Count);
   if (state) {
     state->Run = std::max(state->Run, report.Run);
-    removeLateStart(task_key, endpoint.Facts.Id, report.Run);
+    removeLateStart(*state, endpoint.Facts.Id, report.Run);
   }
   if (is_current) {
     if (!report.Checkpoint.empty())
@@ -155,19 +161,15 @@
 // was answered before the inventory was requested, and the inventory lists it
 // neither as running nor as ended. The inventory must list all ends. A run
 // whose orders got no answer may still start.
-void Dispatcher::releaseMissingRuns(EndpointView &endpoint, TimeMs sent,
-                                    const RunInventory &inventory) {
-  std::set<EndpointView::RunKey> listed;
-  for (const auto &report : inventory.Running)
-    listed.emplace(report.Task, report.Run);
-  const auto task_keys = endpoint.Runs;
-  for (const auto &task_key : task_keys) {
+void Dispatcher::releaseMissingRuns(EndpointView &endpoint, TimeMs sent) {
+  std::vector<TaskKey> missing;
+  for (const auto &task_key : endpoint.Runs) {
+    const TaskState &state = *findTaskState(task_key);
+    if (state.ListedIn != Inventories && state.Since < sent)
+      missing.push_back(task_key);
+  }
+  for (const auto &task_key : missing) {
     TaskState &state = *findTaskState(task_key);
-    const auto *record = jobs::findJob(Ledger, task_key.first);
-    const auto task =
-        jobs::taskAt(task_key.first, *record->Spec, task_key.second);
-    if (listed.contains({task, state.Run}) || state.Since >= sent)
-      continue;
     if (state.Phase == TaskPhase::Unanswered) {
       if (!endpoint.DeclaredLost)
         resolveUnansweredStart(task_key, state);
--- a/src/almondgate/dispatch/dispatcher_late_starts.cpp
+++ b/src/almondgate/dispatch/dispatcher_late_starts.cpp
@@ -106,9 +106,10 @@
     endpoint->second.LastUnanswered = it->Since;
 }
 
-void Dispatcher::removeLateStart(const TaskKey &task_key, const EndpointId &at,
+void Dispatcher::removeLateStart(TaskState &state, const EndpointId &at,
                                  int64_t run) {
-  TaskState &state = *findTaskState(task_key);
+  if (state.LateStarts.empty())
+    return;
   const bool sent_once = state.Run == run && !state.StartResent;
   const auto it = findLateStart(state.LateStarts, at);
   if (it != state.LateStarts.end() && it->Run == run && it->Tries == 1 &&
--- a/src/almondgate/dispatch/dispatcher_orders.cpp
+++ b/src/almondgate/dispatch/dispatcher_orders.cpp
@@ -21,18 +21,25 @@
 
 } // namespace
 
-TaskState *Dispatcher::findTaskState(const TaskKey &task_key) {
-  const auto it = OpenJobs.find(task_key.first);
-  if (it == OpenJobs.end() || task_key.second >= it->second.Tasks.size())
-    return nullptr;
-  return &it->second.Tasks[task_key.second];
+OpenJob *Dispatcher::findOpenJob(const jobs::JobId &id) const {
+  const auto it = OpenJobsById.find(id);
+  return it == OpenJobsById.end() ? nullptr : it->second;
+}
+
+TaskState *Dispatcher::findTaskState(const TaskKey &task_key) const {
+  OpenJob *job = findOpenJob(task_key.first);
+  return job && task_key.second < job->Tasks.size()
+             ? &job->Tasks[task_key.second]
+             : nullptr;
 }
 
 void Dispatcher::setPhase(const TaskKey &task_key, TaskPhase phase) {
-  Loads.setPhase(OpenJobs.at(task_key.first), task_key.second, phase);
+  Loads.setPhase(*findOpenJob(task_key.first), task_key.second, phase);
 }
 
 const jobs::StepSpec *Dispatcher::findStep(const TaskKey &task_key) const {
+  if (const OpenJob *job = findOpenJob(task_key.first))
+    return &job->stepOf(task_key.second);
   const auto *record = jobs::findJob(Ledger, task_key.first);
   if (!record)
     return nullptr;
@@ -70,10 +77,10 @@
 
 void Dispatcher::startTask(const TaskKey &task_key, EndpointView &at,
                            int64_t run) {
-  OpenJob &job = OpenJobs.at(task_key.first);
+  OpenJob &job = *findOpenJob(task_key.first);
   TaskState &state = job.Tasks[task_key.second];
-  const auto *record = jobs::findJob(Ledger, task_key.first);
-  const auto *step = findStep(task_key);
+  const auto *record = job.Record;
+  const auto *step = &job.stepOf(task_key.second);
   Loads.setPhase(job, task_key.second, TaskPhase::Ordered);
   state.Endpoint = at.Facts.Id;
   state.Run = run;
@@ -100,10 +107,10 @@
 }
 
 void Dispatcher::sendStart(const TaskKey &task_key) {
-  OpenJob &job = OpenJobs.at(task_key.first);
-  TaskState &state = job.Tasks[task_key.second];
+  const OpenJob &job = *findOpenJob(task_key.first);
+  const TaskState &state = job.Tasks[task_key.second];
   EndpointView &at = Endpoints.at(state.Endpoint);
-  const auto *record = jobs::findJob(Ledger, task_key.first);
+  const auto *record = job.Record;
   StartOrder order;
   order.Task = jobs::taskAt(task_key.first, *record->Spec, task_key.second);
   order.Run = state.Run;
@@ -121,7 +128,7 @@
     if (ticket != tickets->second.Tickets.end())
       order.Ticket = ticket->second;
   }
-  const auto facts = at.Facts;
+  const auto &facts = at.Facts;
   Hooks.Start(facts, order, makeSendCheck(task_key, state, TaskPhase::Ordered),
               [this, task_key, run = state.Run, id = facts.Id,
                born_ms = facts.BornMs, given = Hooks.Now(),
@@ -377,13 +384,13 @@
 // --- ends
 
 void Dispatcher::releaseTask(const TaskKey &task_key, TaskPhase next) {
-  const auto open = OpenJobs.find(task_key.first);
-  if (open == OpenJobs.end())
+  OpenJob *open = findOpenJob(task_key.first);
+  if (!open)
     return;
-  OpenJob &job = open->second;
+  OpenJob &job = *open;
   TaskState &state = job.Tasks[task_key.second];
-  const auto *record = jobs::findJob(Ledger, task_key.first);
-  const auto *step = findStep(task_key);
+  const auto *record = job.Record;
+  const auto *step = &job.stepOf(task_key.second);
   if (state.isPlaced()) {
     TeamUsage[record->Team] = TeamUsage[record->Team] - step->Need;
     const auto at = Endpoints.find(state.Endpoint);
--- a/src/almondgate/dispatch/dispatcher_placing.cpp
+++ b/src/almondgate/dispatch/dispatcher_placing.cpp
@@ -29,7 +29,7 @@
 void Dispatcher::placeReadySteps() {
   updateLoads();
   for (const auto &id : Loads.takeFinished())
-    OpenJobs.erase(id);
+    forgetJob(id);
   std::map<core::PoolId, PoolCapacity> pools;
   TeamUnreadUsage = unreadUsageByTeam();
   std::vector<ReadyStep> ready;
--- a/src/almondgate/dispatch/dispatcher_renewals.cpp
+++ b/src/almondgate/dispatch/dispatcher_renewals.cpp
@@ -73,7 +73,7 @@
   return Loads.unanswered() > 0 &&
          std::any_of(endpoint.Runs.begin(), endpoint.Runs.end(),
                      [this](const auto &task_key) {
-                       const OpenJob &job = OpenJobs.at(task_key.first);
+                       const OpenJob &job = *findOpenJob(task_key.first);
                        return job.Tasks[task_key.second].Phase ==
                               TaskPhase::Unanswered;
                      });
