Look in a tick only at the endpoints that need it

EndpointAgenda lists the endpoints without an outstanding renewal and those with stops to repeat, and finds endpoints by address for registrations; EndpointPools lists the suspected ones, whose leases may have expired. Demands of pools are taken from the pools' own members. The property test checks these lists too.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -3,6 +3,7 @@
 
 #include "almondgate/dispatch/dispatcher_hooks.hpp"
 #include "almondgate/dispatch/dispatcher_options.hpp"
+#include "almondgate/dispatch/endpoint_agenda.hpp"
 #include "almondgate/dispatch/endpoint_pools.hpp"
 #include "almondgate/dispatch/endpoint_view.hpp"
 #include "almondgate/dispatch/fence_counter.hpp"
@@ -331,7 +332,7 @@
   /// The endpoints known on a VM: one, or two while the older of them is not
   /// known to be gone.
   std::vector<EndpointView *> endpointsOf(const core::VmId &vm) const;
-  /// Adds the endpoint to the indexes by VM and by pool, or takes it out.
+  /// Adds the endpoint to the indexes by VM, pool and address, or takes it out.
   void link(EndpointView &endpoint);
   void unlink(EndpointView &endpoint);
   VmLoad loadOf(const core::VmId &vm) const;
@@ -373,6 +374,8 @@
   void recordArrival(const core::PoolId &pool, int64_t work);
   int64_t forecastDemand(const core::PoolId &pool, int64_t waiting);
   int64_t arrivalRate(const core::PoolId &pool);
+  std::vector<const EndpointView *> countServing(const core::PoolId &pool,
+                                                 policy::PoolBalance &balance);
   std::vector<PoolDemand> poolDemands();
   void logDemands(const std::vector<PoolDemand> &demands);
   void balancePools();
@@ -397,6 +400,8 @@
   std::map<jobs::EndpointId, EndpointView> Endpoints;
   /// The endpoints in Endpoints by pool; to be told of each change of them.
   EndpointPools Pools;
+  /// Those of them that a tick has to look at.
+  EndpointAgenda Agenda;
   /// The endpoints in Endpoints by the VM that they run on.
   std::map<core::VmId, std::map<jobs::EndpointId, EndpointView *>>
       EndpointsByVm;
--- a/include/almondgate/dispatch/endpoint_pools.hpp
+++ b/include/almondgate/dispatch/endpoint_pools.hpp
@@ -51,12 +51,15 @@
   /// tasks leave, in millicores.
   int64_t servingMilliCpus(const core::PoolId &pool) const;
 
+  /// All endpoints with EndpointView::Suspect, by id.
+  const std::map<jobs::EndpointId, EndpointView *> &suspects() const {
+    return Suspects;
+  }
+
   bool hasUnread() const { return UnreadCount > 0; }
   bool hasUnread(const core::PoolId &pool) const;
   /// Capacity of the endpoints that have not been read, by pool.
   std::map<core::PoolId, core::Size> unreadCapacity() const;
-  /// The pools with such endpoints.
-  std::vector<core::PoolId> unreadPools() const;
 
   /// Describes each difference to sums and lists computed anew from the
   /// endpoints, for tests.
@@ -87,6 +90,7 @@
   const Predicate IsUsable;
   std::map<core::PoolId, Pool> Pools;
   int64_t UnreadCount = 0;
+  std::map<jobs::EndpointId, EndpointView *> Suspects;
 };
 
 } // namespace almondgate::dispatch
--- a/include/almondgate/dispatch/job_loads.hpp
+++ b/include/almondgate/dispatch/job_loads.hpp
@@ -39,8 +39,7 @@
   std::vector<jobs::JobId> takeFinished();
 
   /// Describes each difference to counts made anew from `jobs`, for tests.
-  std::vector<std::string>
-  check(const std::map<jobs::JobId, OpenJob> &jobs) const;
+  std::vector<std::string> check(std::map<jobs::JobId, OpenJob> &jobs) const;
 
 private:
   void countOpen(OpenJob &job);
--- a/include/almondgate/dispatch/pool_share.hpp
+++ b/include/almondgate/dispatch/pool_share.hpp
@@ -16,6 +16,8 @@
   bool Usable = false;
   /// It may have runs that are not known here.
   bool Unread = false;
+  /// Its last request failed.
+  bool Suspect = false;
   core::TimeMs BackOffUntil{INT64_MIN / 2};
   core::Size Capacity;
   int64_t FreeMilliCpus = 0;
--- a/include/almondgate/dispatch/vm_list_cache.hpp
+++ b/include/almondgate/dispatch/vm_list_cache.hpp
@@ -49,11 +49,15 @@
   void recordParked(const core::VmId &vm);
 
   /// Some VM was away for a move or for maintenance when the list was read.
-  bool hasVmsInTransition() const;
+  bool hasVmsInTransition() const { return InTransition > 0; }
 
 private:
+  void countInTransition();
+
   const VmListCacheHooks Hooks;
   std::map<core::VmId, VmListing> Vms;
+  /// Number of VMs that are moving or in maintenance.
+  int64_t InTransition = 0;
   bool Loaded = false;
   bool CallPending = false;
   /// When the list in the cache was requested.
--- a/src/almondgate/dispatch/dispatcher.cpp
+++ b/src/almondgate/dispatch/dispatcher.cpp
@@ -86,6 +86,7 @@
   OpenJobs.clear();
   OpenJobsById.clear();
   Pools.clear();
+  Agenda.clear();
   Endpoints.clear();
   EndpointsByVm.clear();
   TeamUsage.clear();
@@ -114,11 +115,12 @@
   if (!isActive())
     return;
   const auto now = Hooks.Now();
-  for (auto &[id, endpoint] : Endpoints)
-    if (!endpoint.Renewing && now >= endpoint.RenewDue)
-      renew(endpoint);
-  for (auto &[id, endpoint] : Endpoints)
-    declareLostIfExpired(endpoint);
+  for (auto *endpoint : Agenda.dueRenewals(now))
+    renew(*endpoint);
+  // A copy: releasing the runs of an endpoint updates the list.
+  const auto suspects = Pools.suspects();
+  for (const auto &[id, endpoint] : suspects)
+    declareLostIfExpired(*endpoint);
   retryStops();
   releaseInheritedMoves();
   if (isFleetRead()) {
@@ -142,8 +144,8 @@
 std::vector<std::string> Dispatcher::checkSums() {
   updateLoads();
   auto out = Pools.check(Hooks.Now());
-  for (auto &difference : Loads.check(OpenJobs))
-    out.push_back(std::move(difference));
+  for (const auto &others : {Loads.check(OpenJobs), Agenda.check(Endpoints)})
+    out.insert(out.end(), others.begin(), others.end());
   return out;
 }
 
--- a/src/almondgate/dispatch/dispatcher_endpoints.cpp
+++ b/src/almondgate/dispatch/dispatcher_endpoints.cpp
@@ -69,11 +69,13 @@
 
 void Dispatcher::link(EndpointView &endpoint) {
   Pools.add(endpoint);
+  Agenda.add(endpoint);
   EndpointsByVm[endpoint.Facts.Vm].emplace(endpoint.Facts.Id, &endpoint);
 }
 
 void Dispatcher::unlink(EndpointView &endpoint) {
   Pools.remove(endpoint);
+  Agenda.remove(endpoint);
   const auto on_vm = EndpointsByVm.find(endpoint.Facts.Vm);
   on_vm->second.erase(endpoint.Facts.Id);
   if (on_vm->second.empty())
@@ -210,12 +212,15 @@
   }
   // Only one incarnation can run on a VM or listen at an address: older ones
   // with the same VM or address are gone.
-  for (const auto &[id, other] : Endpoints) {
-    const bool replaced = (!facts.Vm.empty() && other.Facts.Vm == facts.Vm) ||
-                          other.Facts.At == facts.At;
-    if (id != facts.Id && replaced && other.Facts.BornMs < facts.BornMs)
-      recordReplaced(id, other.Facts.BornMs);
-  }
+  std::map<jobs::EndpointId, int64_t> replaced;
+  for (const auto *other : Agenda.at(facts.At))
+    replaced.emplace(other->Facts.Id, other->Facts.BornMs);
+  if (!facts.Vm.empty())
+    for (const auto *other : endpointsOf(facts.Vm))
+      replaced.emplace(other->Facts.Id, other->Facts.BornMs);
+  for (const auto &[id, born_ms] : replaced)
+    if (id != facts.Id && born_ms < facts.BornMs)
+      recordReplaced(id, born_ms);
   if (it != Endpoints.end() && facts.BornMs > it->second.Facts.BornMs)
     fenceSuccessor(it->second, next);
   Hooks.Log("endpoint " + facts.Id.str() + " at " + core::toString(facts.At) +
--- a/src/almondgate/dispatch/dispatcher_moves.cpp
+++ b/src/almondgate/dispatch/dispatcher_moves.cpp
@@ -62,38 +62,48 @@
   return std::min(wanted + growth, wanted * MaxGrowthFactor);
 }
 
+// Adds the serving endpoints of a pool to its balance, and returns those whose
+// VMs run no long-running tasks.
+std::vector<const EndpointView *>
+Dispatcher::countServing(const PoolId &pool, policy::PoolBalance &balance) {
+  std::vector<const EndpointView *> movable;
+  const auto *members = Pools.members(pool);
+  if (!members)
+    return movable;
+  balance.Usable = Pools.servingMilliCpus(pool);
+  for (const auto &[id, endpoint] : *members) {
+    if (!endpoint->Share.Serving)
+      continue;
+    ++balance.Vms;
+    balance.PerVm = std::max(balance.PerVm, endpoint->Facts.Capacity.MilliCpus);
+    if (endpoint->LongRunningCount == 0 && !endpoint->Facts.Vm.empty())
+      movable.push_back(endpoint);
+  }
+  LargestVmMilliCpus = std::max(LargestVmMilliCpus, balance.PerVm);
+  return movable;
+}
+
 std::vector<PoolDemand> Dispatcher::poolDemands() {
   std::map<PoolId, PoolDemand> pools;
   for (const auto &pool : Ledger.Config.Pools)
     if (!pool.Spare)
       pools[pool.Id].Balance.Pool = pool.Id;
-  std::map<PoolId, std::vector<std::pair<size_t, core::VmId>>> movable;
-  for (const auto &[id, endpoint] : Endpoints) {
-    const auto it = pools.find(endpoint.Facts.Pool);
-    if (it == pools.end() || !endpoint.isServing())
-      continue;
-    const bool pinned = endpoint.LongRunningCount > 0;
-    auto &balance = it->second.Balance;
-    ++balance.Vms;
-    balance.Usable +=
-        endpoint.Facts.Capacity.MilliCpus - endpoint.LongRunningMilliCpus;
-    balance.PerVm = std::max(balance.PerVm, endpoint.Facts.Capacity.MilliCpus);
-    LargestVmMilliCpus = std::max(LargestVmMilliCpus, balance.PerVm);
-    if (!pinned && !endpoint.Facts.Vm.empty())
-      movable[it->first].emplace_back(endpoint.Runs.size(), endpoint.Facts.Vm);
-  }
   updateLoads();
   std::vector<PoolDemand> out;
   for (auto &[id, demand] : pools) {
+    auto vms = countServing(id, demand.Balance);
     const auto *load = Loads.find(id);
     demand.Balance.Wanted =
         forecastDemand(id, load ? load->DemandMilliCpus : 0);
     demand.Balance.MinVms = std::max(MinVmsPerPool, load ? load->minVms() : 0);
     demand.Balance.DemandKnown = Arrivals.contains(id);
-    auto &vms = movable[id];
-    std::sort(vms.begin(), vms.end());
-    for (const auto &[runs, vm] : vms)
-      demand.Movable.push_back(vm);
+    std::sort(vms.begin(), vms.end(), [](const auto *a, const auto *b) {
+      const size_t a_runs = a->Runs.size();
+      const size_t b_runs = b->Runs.size();
+      return a_runs != b_runs ? a_runs < b_runs : a->Facts.Vm < b->Facts.Vm;
+    });
+    for (const auto *endpoint : vms)
+      demand.Movable.push_back(endpoint->Facts.Vm);
     out.push_back(std::move(demand));
   }
   return out;
--- a/src/almondgate/dispatch/dispatcher_orders.cpp
+++ b/src/almondgate/dispatch/dispatcher_orders.cpp
@@ -275,7 +275,7 @@
   if (Hooks.HasRoomForStop())
     sendStop(task_key);
   else
-    Endpoints.at(state.Endpoint).StopRetries.insert(task_key);
+    Agenda.retryStop(Endpoints.at(state.Endpoint), task_key);
 }
 
 void Dispatcher::sendStop(const TaskKey &task_key) {
@@ -323,7 +323,7 @@
     recordReplaced(at, born_ms);
     return;
   }
-  endpoint.StopRetries.insert(task_key);
+  Agenda.retryStop(endpoint, task_key);
   const bool withheld =
       reply.Result == OrderResult::NotSent && !mayStop(task_key);
   endpoint.Suspect = endpoint.Suspect ||
@@ -333,9 +333,9 @@
 
 void Dispatcher::retryStops() {
   const auto now = Hooks.Now();
-  for (auto &[id, endpoint] : Endpoints) {
-    std::set<TaskKey> later;
-    for (const auto &task_key : std::exchange(endpoint.StopRetries, {})) {
+  for (auto *endpoint : Agenda.takeStopRetries()) {
+    const auto &id = endpoint->Facts.Id;
+    for (const auto &task_key : std::exchange(endpoint->StopRetries, {})) {
       TaskState *state = findTaskState(task_key);
       const bool wanted = state && state->Endpoint == id &&
                           state->Phase == TaskPhase::Stopping &&
@@ -344,13 +344,12 @@
         continue;
       if (now - state->Since < Options.RetryInterval || !mayStop(task_key) ||
           !Hooks.HasRoomForStop()) {
-        later.insert(task_key);
+        Agenda.retryStop(*endpoint, task_key);
         continue;
       }
       state->Since = now;
       sendStop(task_key);
     }
-    endpoint.StopRetries.insert(later.begin(), later.end());
   }
 }
 
--- a/src/almondgate/dispatch/dispatcher_renewals.cpp
+++ b/src/almondgate/dispatch/dispatcher_renewals.cpp
@@ -52,7 +52,7 @@
   // answered at once; the others may wait for a run to end.
   if (endpoint.InventoryRead && !endpoint.Suspect && !unanswered_starts)
     request.WaitMs = renewWait(endpoint).Count;
-  endpoint.Renewing = true;
+  Agenda.setRenewing(endpoint, true);
   Hooks.Renew(facts, request,
               [this, id = facts.Id, born_ms = facts.BornMs, sent = now, request,
                generation = Generation](const RenewReply &reply) {
@@ -86,7 +86,7 @@
   if (it == Endpoints.end() || it->second.Facts.BornMs != born_ms)
     return;
   EndpointView &endpoint = it->second;
-  endpoint.Renewing = false;
+  Agenda.setRenewing(endpoint, false);
   const PoolUpdate update(Pools, endpoint);
   const auto now = Hooks.Now();
   if (request.DeadlineMs > 0)
--- a/src/almondgate/dispatch/endpoint_pools.cpp
+++ b/src/almondgate/dispatch/endpoint_pools.cpp
@@ -15,6 +15,7 @@
   share.Serving = IsServing(endpoint);
   share.Usable = IsUsable(endpoint);
   share.Unread = endpoint.isUnread();
+  share.Suspect = endpoint.Suspect;
   share.BackOffUntil = endpoint.BackOffUntil;
   share.Capacity = endpoint.Facts.Capacity;
   share.FreeMilliCpus = share.Capacity.MilliCpus - endpoint.Used.MilliCpus;
@@ -33,6 +34,10 @@
     pool.UnreadCapacity = sign > 0 ? pool.UnreadCapacity + share.Capacity
                                    : pool.UnreadCapacity - share.Capacity;
   }
+  if (share.Suspect && sign > 0)
+    Suspects.emplace(endpoint.Facts.Id, &endpoint);
+  else if (share.Suspect)
+    Suspects.erase(endpoint.Facts.Id);
   if (share.Usable && sign > 0)
     pool.ByFree.emplace(share.FreeMilliCpus, &endpoint);
   else if (share.Usable)
@@ -78,6 +83,7 @@
 
 void EndpointPools::clear() {
   Pools.clear();
+  Suspects.clear();
   UnreadCount = 0;
 }
 
@@ -163,17 +169,10 @@
   return out;
 }
 
-std::vector<PoolId> EndpointPools::unreadPools() const {
-  std::vector<PoolId> out;
-  for (const auto &[id, pool] : Pools)
-    if (pool.UnreadCount > 0)
-      out.push_back(id);
-  return out;
-}
-
 std::vector<std::string> EndpointPools::check(TimeMs now) {
   std::vector<std::string> out;
   int64_t unread = 0;
+  std::map<jobs::EndpointId, EndpointView *> suspects;
   for (auto &[id, pool] : Pools) {
     Pool fresh;
     fresh.Members = pool.Members;
@@ -182,6 +181,8 @@
       if (share != endpoint->Share)
         out.push_back("the pool does not know of a change of endpoint " +
                       endpoint_id.str());
+      if (share.Suspect)
+        suspects.emplace(endpoint_id, endpoint);
       fresh.ServingMilliCpus += share.Serving ? share.ShortTaskMilliCpus : 0;
       fresh.UnreadCount += share.Unread ? 1 : 0;
       if (share.Unread)
@@ -197,6 +198,8 @@
         fresh.ByFree != pool.ByFree || fresh.Usable != usable(id, now))
       out.push_back("sums or lists of pool " + id.str() + " are out of date");
   }
+  if (suspects != Suspects)
+    out.push_back("the suspected endpoints are out of date");
   if (unread != UnreadCount)
     out.push_back("the number of unread endpoints is out of date");
   return out;
--- a/src/almondgate/dispatch/job_loads.cpp
+++ b/src/almondgate/dispatch/job_loads.cpp
@@ -193,11 +193,11 @@
 }
 
 std::vector<std::string>
-JobLoads::check(const std::map<jobs::JobId, OpenJob> &jobs) const {
+JobLoads::check(std::map<jobs::JobId, OpenJob> &jobs) const {
   std::vector<std::string> out;
   std::map<core::PoolId, PoolLoad> pools;
   int64_t unanswered = 0;
-  for (const auto &[id, job] : jobs) {
+  for (auto &[id, job] : jobs) {
     int64_t placed = 0;
     for (const TaskState &state : job.Tasks) {
       placed += state.isPlaced() ? 1 : 0;
@@ -207,7 +207,7 @@
         placed != job.Placed)
       out.push_back("the counts of job " + id.str() + " are out of date");
     if (job.Record->isOpen())
-      addTo(pools[job.pool()], const_cast<OpenJob &>(job));
+      addTo(pools[job.pool()], job);
     else if (!Closed.contains(id))
       out.push_back("it is not known that job " + id.str() + " has ended");
   }
--- a/src/almondgate/dispatch/vm_list_cache.cpp
+++ b/src/almondgate/dispatch/vm_list_cache.cpp
@@ -15,6 +15,7 @@
 void VmListCache::clear() {
   ++Generation;
   Vms.clear();
+  InTransition = 0;
   Loaded = false;
   CallPending = false;
   ReadAt = RequestedAt = core::TimeMs{INT64_MIN / 2};
@@ -39,6 +40,7 @@
     Vms.clear();
     for (const auto &vm : answer.value())
       Vms[vm.Id] = vm;
+    countInTransition();
   });
 }
 
@@ -53,12 +55,14 @@
 
 void VmListCache::recordParked(const core::VmId &vm) {
   const auto it = Vms.find(vm);
-  if (it != Vms.end())
-    it->second.State = VmState::Up;
+  if (it == Vms.end())
+    return;
+  it->second.State = VmState::Up;
+  countInTransition();
 }
 
-bool VmListCache::hasVmsInTransition() const {
-  return std::any_of(Vms.begin(), Vms.end(), [](const auto &row) {
+void VmListCache::countInTransition() {
+  InTransition = std::count_if(Vms.begin(), Vms.end(), [](const auto &row) {
     return row.second.State == VmState::Moving ||
            row.second.State == VmState::Maintenance;
   });
