Compare a heartbeat without changes before copying it

Such a heartbeat needs no copy of what the endpoint reported. The log line of a start is built in one string.

--- a/src/almondgate/dispatch/dispatcher_endpoints.cpp
+++ b/src/almondgate/dispatch/dispatcher_endpoints.cpp
@@ -3,6 +3,8 @@
 #include "dispatch_errors.hpp"
 #include "run_accounting.hpp"
 
+#include <algorithm>
+
 namespace almondgate::dispatch {
 
 using core::Error;
@@ -185,8 +187,14 @@
     done(core::ok());
     return;
   }
-  EndpointFacts next = facts;
   const auto it = Endpoints.find(facts.Id);
+  if (it != Endpoints.end() && facts == it->second.Facts) {
+    it->second.HeartbeatSequence =
+        std::max(it->second.HeartbeatSequence, sequence);
+    done(core::ok());
+    return;
+  }
+  EndpointFacts next = facts;
   if (it != Endpoints.end()) {
     EndpointView &known = it->second;
     const bool older = facts.BornMs < known.Facts.BornMs ||
--- a/src/almondgate/dispatch/dispatcher_orders.cpp
+++ b/src/almondgate/dispatch/dispatcher_orders.cpp
@@ -96,13 +96,19 @@
   addRun(at, task_key, *step);
   Pools.update(at);
   TeamUsage[record->Team] = TeamUsage[record->Team] + step->Need;
-  Hooks.Log(
-      "task " + taskName(task_key) + " run " + std::to_string(run) + " -> " +
-      at.Facts.Id.str() + " incarnation " + std::to_string(at.Facts.BornMs) +
-      ", used " + std::to_string(at.Used.MilliCpus) + "/" +
-      std::to_string(at.Facts.Capacity.MilliCpus) + " millicores, estimate " +
-      std::to_string(step->EstimateMs) + " ms, lateness " +
-      std::to_string((Hooks.Now() - job.Due).Count) + " ms");
+  std::string line;
+  constexpr size_t UsualLineBytes = 256;
+  line.reserve(UsualLineBytes);
+  line.append("task ").append(task_key.first.str()).append("#");
+  line.append(std::to_string(task_key.second)).append(" run ");
+  line.append(std::to_string(run)).append(" -> ").append(at.Facts.Id.str());
+  line.append(" incarnation ").append(std::to_string(at.Facts.BornMs));
+  line.append(", used ").append(std::to_string(at.Used.MilliCpus)).append("/");
+  line.append(std::to_string(at.Facts.Capacity.MilliCpus));
+  line.append(" millicores, estimate ");
+  line.append(std::to_string(step->EstimateMs)).append(" ms, lateness ");
+  line.append(std::to_string((state.Since - job.Due).Count)).append(" ms");
+  Hooks.Log(line);
   sendStart(task_key);
 }
 
--- a/src/almondgate/dispatch/endpoint_pools.cpp
+++ b/src/almondgate/dispatch/endpoint_pools.cpp
@@ -108,10 +108,10 @@
 
 const EndpointPools::Endpoints &EndpointPools::usable(const PoolId &pool,
                                                       TimeMs now) {
-  static const Endpoints None;
+  static const Endpoints none;
   const auto it = Pools.find(pool);
   if (it == Pools.end())
-    return None;
+    return none;
   if (it->second.Stale || now >= it->second.RecheckAt)
     rebuild(it->second, now);
   return it->second.Usable;
