--- a/include/almondgate/dispatch/task_state.hpp
+++ b/include/almondgate/dispatch/task_state.hpp
@@ -54,6 +54,9 @@
   /// It was started away from the rack of its data, or its gang on several
   /// racks; not known of runs that an earlier leader started.
   bool Remote = false;
+  /// Number of the last inventory that listed the current run; see
+  /// Dispatcher::Inventories.
+  uint64_t ListedIn = 0;
   /// The start got no answer and was sent a second time.
   bool StartResent = false;
   /// Starts of this run and of earlier ones that may still be carried out.
--- a/src/almondgate/dispatch/dispatcher.cpp
+++ b/src/almondgate/dispatch/dispatcher.cpp
@@ -87,8 +87,10 @@
   DemandHistory.clear();
   Loads.clear();
   OpenJobs.clear();
+  OpenJobsById.clear();
   Pools.clear();
   NearGroups.clear();
+  Agenda.clear();
   Endpoints.clear();
   EndpointsByVm.clear();
   TeamUsage.clear();
@@ -118,11 +120,12 @@
   if (!isActive())
     return;
   const auto now = Hooks.Now();
-  for (auto &[id, endpoint] : Endpoints)
-    if (!endpoint.Renewing && now >= endpoint.RenewDue)
-      renew(endpoint);
-  for (auto &[id, endpoint] : Endpoints)
-    declareLostIfExpired(endpoint);
+  for (auto *endpoint : Agenda.dueRenewals(now))
+    renew(*endpoint);
+  // A copy: releasing the runs of an endpoint updates the list.
+  const auto suspects = Pools.suspects();
+  for (const auto &[id, endpoint] : suspects)
+    declareLostIfExpired(*endpoint);
   retryStops();
   releaseInheritedMoves();
   if (isFleetRead()) {
@@ -148,8 +151,8 @@
 std::vector<std::string> Dispatcher::checkSums() {
   updateLoads();
   auto out = Pools.check(Hooks.Now());
-  for (auto &difference : Loads.check(OpenJobs))
-    out.push_back(std::move(difference));
+  for (const auto &others : {Loads.check(OpenJobs), Agenda.check(Endpoints)})
+    out.insert(out.end(), others.begin(), others.end());
   return out;
 }
 
@@ -282,7 +285,9 @@
       job.SentAt +
       DurationMs{int64_t(terms.Stretch * double(chain.Count)) + terms.TargetMs};
   inheritLateStarts(record, job);
-  Loads.add(OpenJobs.emplace(record.Id, std::move(job)).first->second);
+  OpenJob &added = OpenJobs.emplace(record.Id, std::move(job)).first->second;
+  OpenJobsById.emplace(record.Id, &added);
+  Loads.add(added);
 }
 
 void Dispatcher::onJobAccepted(const jobs::JobAccepted &event) {
@@ -344,7 +349,12 @@
   if (it->second.Placed > 0)
     return;
   Loads.remove(it->second);
-  OpenJobs.erase(it);
+  forgetJob(id);
+}
+
+void Dispatcher::forgetJob(const jobs::JobId &id) {
+  OpenJobsById.erase(id);
+  OpenJobs.erase(id);
 }
 
 void Dispatcher::updateLoads() {
--- a/src/almondgate/dispatch/dispatcher_endpoints.cpp
+++ b/src/almondgate/dispatch/dispatcher_endpoints.cpp
@@ -3,6 +3,8 @@
 #include "dispatch_errors.hpp"
 #include "run_accounting.hpp"
 
+#include <algorithm>
+
 namespace almondgate::dispatch {
 
 using core::Error;
@@ -69,11 +71,13 @@
 
 void Dispatcher::link(EndpointView &endpoint) {
   Pools.add(endpoint);
+  Agenda.add(endpoint);
   EndpointsByVm[endpoint.Facts.Vm].emplace(endpoint.Facts.Id, &endpoint);
 }
 
 void Dispatcher::unlink(EndpointView &endpoint) {
   Pools.remove(endpoint);
+  Agenda.remove(endpoint);
   const auto on_vm = EndpointsByVm.find(endpoint.Facts.Vm);
   on_vm->second.erase(endpoint.Facts.Id);
   if (on_vm->second.empty())
@@ -183,8 +187,14 @@
     done(core::ok());
     return;
   }
-  EndpointFacts next = facts;
   const auto it = Endpoints.find(facts.Id);
+  if (it != Endpoints.end() && facts == it->second.Facts) {
+    it->second.HeartbeatSequence =
+        std::max(it->second.HeartbeatSequence, sequence);
+    done(core::ok());
+    return;
+  }
+  EndpointFacts next = facts;
   if (it != Endpoints.end()) {
     EndpointView &known = it->second;
     const bool older = facts.BornMs < known.Facts.BornMs ||
@@ -214,12 +224,15 @@
   }
   // Only one incarnation can run on a VM or listen at an address: older ones
   // with the same VM or address are gone.
-  for (const auto &[id, other] : Endpoints) {
-    const bool replaced = (!facts.Vm.empty() && other.Facts.Vm == facts.Vm) ||
-                          other.Facts.At == facts.At;
-    if (id != facts.Id && replaced && other.Facts.BornMs < facts.BornMs)
-      recordReplaced(id, other.Facts.BornMs);
-  }
+  std::map<jobs::EndpointId, int64_t> replaced;
+  for (const auto *other : Agenda.at(facts.At))
+    replaced.emplace(other->Facts.Id, other->Facts.BornMs);
+  if (!facts.Vm.empty())
+    for (const auto *other : endpointsOf(facts.Vm))
+      replaced.emplace(other->Facts.Id, other->Facts.BornMs);
+  for (const auto &[id, born_ms] : replaced)
+    if (id != facts.Id && born_ms < facts.BornMs)
+      recordReplaced(id, born_ms);
   if (it != Endpoints.end() && facts.BornMs > it->second.Facts.BornMs)
     fenceSuccessor(it->second, next);
   Hooks.Log("endpoint " + facts.Id.str() + " at " + core::toString(facts.At) +
--- a/src/almondgate/dispatch/dispatcher_orders.cpp
+++ b/src/almondgate/dispatch/dispatcher_orders.cpp
@@ -21,18 +21,25 @@
 
 } // namespace
 
-TaskState *Dispatcher::findTaskState(const TaskKey &task_key) {
-  const auto it = OpenJobs.find(task_key.first);
-  if (it == OpenJobs.end() || task_key.second >= it->second.Tasks.size())
-    return nullptr;
-  return &it->second.Tasks[task_key.second];
+OpenJob *Dispatcher::findOpenJob(const jobs::JobId &id) const {
+  const auto it = OpenJobsById.find(id);
+  return it == OpenJobsById.end() ? nullptr : it->second;
+}
+
+TaskState *Dispatcher::findTaskState(const TaskKey &task_key) const {
+  OpenJob *job = findOpenJob(task_key.first);
+  return job && task_key.second < job->Tasks.size()
+             ? &job->Tasks[task_key.second]
+             : nullptr;
 }
 
 void Dispatcher::setPhase(const TaskKey &task_key, TaskPhase phase) {
-  Loads.setPhase(OpenJobs.at(task_key.first), task_key.second, phase);
+  Loads.setPhase(*findOpenJob(task_key.first), task_key.second, phase);
 }
 
 const jobs::StepSpec *Dispatcher::findStep(const TaskKey &task_key) const {
+  if (const OpenJob *job = findOpenJob(task_key.first))
+    return &job->stepOf(task_key.second);
   const auto *record = jobs::findJob(Ledger, task_key.first);
   if (!record)
     return nullptr;
@@ -70,10 +77,10 @@
 
 void Dispatcher::startTask(const TaskKey &task_key, EndpointView &at,
                            int64_t run) {
-  OpenJob &job = OpenJobs.at(task_key.first);
+  OpenJob &job = *findOpenJob(task_key.first);
   TaskState &state = job.Tasks[task_key.second];
-  const auto *record = jobs::findJob(Ledger, task_key.first);
-  const auto *step = findStep(task_key);
+  const auto *record = job.Record;
+  const auto *step = &job.stepOf(task_key.second);
   Loads.setPhase(job, task_key.second, TaskPhase::Ordered);
   state.Endpoint = at.Facts.Id;
   state.Run = run;
@@ -89,21 +96,27 @@
   addRun(at, task_key, *step);
   Pools.update(at);
   TeamUsage[record->Team] = TeamUsage[record->Team] + step->Need;
-  Hooks.Log(
-      "task " + taskName(task_key) + " run " + std::to_string(run) + " -> " +
-      at.Facts.Id.str() + " incarnation " + std::to_string(at.Facts.BornMs) +
-      ", used " + std::to_string(at.Used.MilliCpus) + "/" +
-      std::to_string(at.Facts.Capacity.MilliCpus) + " millicores, estimate " +
-      std::to_string(step->EstimateMs) + " ms, lateness " +
-      std::to_string((Hooks.Now() - job.Due).Count) + " ms");
+  std::string line;
+  constexpr size_t UsualLineBytes = 256;
+  line.reserve(UsualLineBytes);
+  line.append("task ").append(task_key.first.str()).append("#");
+  line.append(std::to_string(task_key.second)).append(" run ");
+  line.append(std::to_string(run)).append(" -> ").append(at.Facts.Id.str());
+  line.append(" incarnation ").append(std::to_string(at.Facts.BornMs));
+  line.append(", used ").append(std::to_string(at.Used.MilliCpus)).append("/");
+  line.append(std::to_string(at.Facts.Capacity.MilliCpus));
+  line.append(" millicores, estimate ");
+  line.append(std::to_string(step->EstimateMs)).append(" ms, lateness ");
+  line.append(std::to_string((state.Since - job.Due).Count)).append(" ms");
+  Hooks.Log(line);
   sendStart(task_key);
 }
 
 void Dispatcher::sendStart(const TaskKey &task_key) {
-  OpenJob &job = OpenJobs.at(task_key.first);
-  TaskState &state = job.Tasks[task_key.second];
+  const OpenJob &job = *findOpenJob(task_key.first);
+  const TaskState &state = job.Tasks[task_key.second];
   EndpointView &at = Endpoints.at(state.Endpoint);
-  const auto *record = jobs::findJob(Ledger, task_key.first);
+  const auto *record = job.Record;
   StartOrder order;
   order.Task = jobs::taskAt(task_key.first, *record->Spec, task_key.second);
   order.Run = state.Run;
@@ -121,7 +134,7 @@
     if (ticket != tickets->second.Tickets.end())
       order.Ticket = ticket->second;
   }
-  const auto facts = at.Facts;
+  const auto &facts = at.Facts;
   const auto withheld = std::make_shared<bool>(false);
   Hooks.Start(facts, order, makeStartCheck(task_key, state, withheld),
               [this, task_key, run = state.Run, id = facts.Id,
@@ -285,7 +298,7 @@
   if (Hooks.HasRoomForStop())
     sendStop(task_key);
   else
-    Endpoints.at(state.Endpoint).StopRetries.insert(task_key);
+    Agenda.retryStop(Endpoints.at(state.Endpoint), task_key);
 }
 
 void Dispatcher::sendStop(const TaskKey &task_key) {
@@ -333,7 +346,7 @@
     recordReplaced(at, born_ms);
     return;
   }
-  endpoint.StopRetries.insert(task_key);
+  Agenda.retryStop(endpoint, task_key);
   const bool withheld =
       reply.Result == OrderResult::NotSent && !mayStop(task_key);
   endpoint.Suspect = endpoint.Suspect ||
@@ -343,9 +356,9 @@
 
 void Dispatcher::retryStops() {
   const auto now = Hooks.Now();
-  for (auto &[id, endpoint] : Endpoints) {
-    std::set<TaskKey> later;
-    for (const auto &task_key : std::exchange(endpoint.StopRetries, {})) {
+  for (auto *endpoint : Agenda.takeStopRetries()) {
+    const auto &id = endpoint->Facts.Id;
+    for (const auto &task_key : std::exchange(endpoint->StopRetries, {})) {
       TaskState *state = findTaskState(task_key);
       const bool wanted = state && state->Endpoint == id &&
                           state->Phase == TaskPhase::Stopping &&
@@ -354,13 +367,12 @@
         continue;
       if (now - state->Since < Options.RetryInterval || !mayStop(task_key) ||
           !Hooks.HasRoomForStop()) {
-        later.insert(task_key);
+        Agenda.retryStop(*endpoint, task_key);
         continue;
       }
       state->Since = now;
       sendStop(task_key);
     }
-    endpoint.StopRetries.insert(later.begin(), later.end());
   }
 }
 
@@ -394,13 +406,13 @@
 // --- ends
 
 void Dispatcher::releaseTask(const TaskKey &task_key, TaskPhase next) {
-  const auto open = OpenJobs.find(task_key.first);
-  if (open == OpenJobs.end())
+  OpenJob *open = findOpenJob(task_key.first);
+  if (!open)
     return;
-  OpenJob &job = open->second;
+  OpenJob &job = *open;
   TaskState &state = job.Tasks[task_key.second];
-  const auto *record = jobs::findJob(Ledger, task_key.first);
-  const auto *step = findStep(task_key);
+  const auto *record = job.Record;
+  const auto *step = &job.stepOf(task_key.second);
   if (state.isPlaced()) {
     TeamUsage[record->Team] = TeamUsage[record->Team] - step->Need;
     const auto at = Endpoints.find(state.Endpoint);
--- a/src/almondgate/dispatch/dispatcher_placing.cpp
+++ b/src/almondgate/dispatch/dispatcher_placing.cpp
@@ -25,7 +25,7 @@
 void Dispatcher::placeReadySteps() {
   updateLoads();
   for (const auto &id : Loads.takeFinished())
-    OpenJobs.erase(id);
+    forgetJob(id);
   std::map<core::PoolId, PoolCapacity> pools;
   beginNearWaitPass();
   TeamUnreadUsage = unreadUsageByTeam();
