Give cold endpoints a part of their load

VMs that come back together got a full load at once, and each of its runs was slow. An endpoint may now report how long it remains slow (cold-remaining-ms in its heartbeat). decideColdStart() lets it take a quarter of its processor time, growing to all of it with the time and with runs on time, and placing chooses it after warm ones. The time runs by the leader's clock from the first report of an incarnation, in memory only, so that heartbeats which count down cause no durable record. Long-running tasks may use all of a cold endpoint, and a task larger than the usable part runs there alone.

--- a/include/almondgate/dispatch/dispatch_policies.hpp
+++ b/include/almondgate/dispatch/dispatch_policies.hpp
@@ -1,6 +1,7 @@
 #ifndef ALMONDGATE_DISPATCH_DISPATCH_POLICIES_HPP
 #define ALMONDGATE_DISPATCH_DISPATCH_POLICIES_HPP
 
+#include "almondgate/policy/cold_start.hpp"
 #include "almondgate/policy/job_admission.hpp"
 #include "almondgate/policy/near_wait.hpp"
 #include "almondgate/policy/task_placement.hpp"
@@ -27,6 +28,9 @@
       const std::vector<policy::PlacementOption> &,
       const policy::PlacementRequirements &)>
       ChooseEndpoint = policy::choosePlacement;
+  /// The part of a cold endpoint's capacity that may be used.
+  std::function<policy::ColdStartDecision(const policy::ColdStartInput &)>
+      ColdStart = policy::decideColdStart;
   /// Whether a task, or a gang, waits for a nearby place.
   std::function<policy::NearWaitDecision(const policy::NearWaitInput &)>
       NearWait = policy::decideNearWait;
--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -1,6 +1,7 @@
 #ifndef ALMONDGATE_DISPATCH_DISPATCHER_HPP
 #define ALMONDGATE_DISPATCH_DISPATCHER_HPP
 
+#include "almondgate/dispatch/cold_endpoints.hpp"
 #include "almondgate/dispatch/dispatcher_hooks.hpp"
 #include "almondgate/dispatch/dispatcher_options.hpp"
 #include "almondgate/dispatch/endpoint_view.hpp"
@@ -84,6 +85,11 @@
   void handleHeartbeat(const jobs::EndpointFacts &facts, int64_t sequence,
                        const OnStatus &done);
 
+  /// Notes how long an endpoint remains slow after its start, as its heartbeat
+  /// reports; 0 for not at all. To be called before handleHeartbeat() of the
+  /// same heartbeat. Nothing is recorded.
+  void reportColdTime(const jobs::EndpointFacts &facts, int64_t remaining_ms);
+
   /// Removes an endpoint that shuts down; `born_ms` 0 means the incarnation
   /// known here. Errors: as handleHeartbeat().
   void handleLeave(const jobs::EndpointId &id, int64_t born_ms,
@@ -424,6 +430,7 @@
   /// Of the runs in RunTimes.
   std::map<core::QueueId, policy::RemoteShare> RemoteShares;
   NearWaits NearPlaces;
+  ColdEndpoints ColdStarts;
   /// By pool and rack; gathered in each placement pass as needed.
   std::map<std::pair<core::PoolId, core::RackId>, NearGroup> NearGroups;
   std::map<jobs::JobId, Submission> Submissions;
--- a/include/almondgate/dispatch/endpoint_view.hpp
+++ b/include/almondgate/dispatch/endpoint_view.hpp
@@ -79,6 +79,10 @@
   bool TerminationPending = false;
   /// The loss of the endpoint (EndpointIdled) was recorded, durable or not.
   bool DeclaredLost = false;
+  /// It has just started and is still slow, and the part of its processor time
+  /// that short tasks may use; see ColdEndpoints.
+  bool Cold = false;
+  int64_t CapacityPercent = 100;
   /// Capacity that its runs occupy, orphaned ones included.
   core::Size Used;
   std::set<TaskKey> Runs;
--- a/include/almondgate/policy/task_placement.hpp
+++ b/include/almondgate/policy/task_placement.hpp
@@ -22,6 +22,8 @@
   /// Number of long-running tasks on the endpoint.
   int64_t LongRunningTasks = 0;
   int64_t ConsecutiveFailures = 0;
+  /// The endpoint has just started and is still slow.
+  bool Cold = false;
 
   bool operator==(const PlacementOption &) const = default;
 };
--- a/src/almondgate/control/control_task.cpp
+++ b/src/almondgate/control/control_task.cpp
@@ -355,6 +355,7 @@
     return true;
   case Method::Heartbeat:
     withDecoded<jobs::EndpointHeartbeat>(body, respond, [&](const auto &beat) {
+      Jobs.reportColdTime(beat.Facts, beat.ColdRemainingMs);
       Jobs.handleHeartbeat(beat.Facts, beat.Sequence, respond_status);
     });
     return true;
--- a/src/almondgate/dispatch/dispatcher.cpp
+++ b/src/almondgate/dispatch/dispatcher.cpp
@@ -20,6 +20,7 @@
                        const jobs::Ledger &ledger)
     : Options(std::move(options)), Hooks(std::move(hooks)), Ledger(ledger),
       NearPlaces(Options.RemoteFactor, nearWaitHooks()),
+      ColdStarts(Hooks.Policies.ColdStart),
       JobBytes(Options.JobsLimitBytes, ledger),
       Vms({Hooks.Now, Hooks.ListVms, Hooks.Log}),
       VmOrders(Options.VmOrderLease,
@@ -83,6 +84,7 @@
   DemandHistory.clear();
   OpenJobs.clear();
   NearGroups.clear();
+  ColdStarts.clear();
   Endpoints.clear();
   EndpointsByVm.clear();
   TeamUsage.clear();
--- a/src/almondgate/dispatch/dispatcher_endpoints.cpp
+++ b/src/almondgate/dispatch/dispatcher_endpoints.cpp
@@ -219,6 +219,18 @@
   recordEvent(jobs::EndpointRegistered{next}, replyWhenDurable(done));
 }
 
+void Dispatcher::reportColdTime(const EndpointFacts &facts,
+                                int64_t remaining_ms) {
+  if (!isActive() || jobs::isGone(Ledger, facts.Id, facts.BornMs) ||
+      !isPlausible(facts) ||
+      !ColdStarts.report(facts, remaining_ms, Hooks.Now()))
+    return;
+  Hooks.Log("endpoint " + facts.Id.str() + " incarnation " +
+            std::to_string(facts.BornMs) + " is cold for " +
+            std::to_string(remaining_ms) + " ms");
+  Hooks.IncrementCounter("cold_endpoints", "event", "reported");
+}
+
 // Keeps the next incarnation from carrying out late orders for this one as soon
 // as it is heard of. Its registration is not durable yet.
 void Dispatcher::fenceSuccessor(EndpointView &known,
--- a/src/almondgate/dispatch/dispatcher_inventory.cpp
+++ b/src/almondgate/dispatch/dispatcher_inventory.cpp
@@ -124,9 +124,11 @@
     endpoint.FailuresInRow = 0;
   if (is_current && report.How == RunEnd::Done && !long_running &&
       state->Phase == TaskPhase::Running && state->Checkpoint.empty()) {
-    RunTimes[record->Queue].observe(
-        record->Spec->Steps[report.Task.Step].EstimateMs,
-        (Hooks.Now() - state->Since).Count);
+    const auto &step = record->Spec->Steps[report.Task.Step];
+    const int64_t ran_ms = (Hooks.Now() - state->Since).Count;
+    ColdStarts.onRunDone(endpoint, state->Since, ran_ms,
+                         runTimeEstimator(record->Queue)(step));
+    RunTimes[record->Queue].observe(step.EstimateMs, ran_ms);
     RemoteShares[record->Queue].observe(state->Remote);
   }
   if (state) {
--- a/src/almondgate/dispatch/dispatcher_placing.cpp
+++ b/src/almondgate/dispatch/dispatcher_placing.cpp
@@ -26,6 +26,7 @@
   std::erase_if(OpenJobs, [&](const auto &row) {
     return row.second.Placed == 0 && !row.second.Record->isOpen();
   });
+  ColdStarts.update(Endpoints, Hooks.Now());
   auto pools = usablePools();
   beginNearWaitPass();
   TeamUnreadUsage = unreadUsageByTeam();
--- a/src/almondgate/dispatch/rack_forecast.cpp
+++ b/src/almondgate/dispatch/rack_forecast.cpp
@@ -1,5 +1,7 @@
 #include "almondgate/dispatch/rack_forecast.hpp"
 
+#include "run_accounting.hpp"
+
 #include <algorithm>
 
 namespace almondgate::dispatch {
@@ -21,8 +23,7 @@
     ends.emplace_back(run.remainingMs(Now), run.Need);
   return Schedules
       .emplace(&endpoint,
-               EndpointSchedule(endpoint.Facts.Capacity - endpoint.Used,
-                                std::move(ends)))
+               EndpointSchedule(freeCapacity(endpoint), std::move(ends)))
       .first->second;
 }
 
--- a/src/almondgate/dispatch/run_accounting.hpp
+++ b/src/almondgate/dispatch/run_accounting.hpp
@@ -15,6 +15,14 @@
   return need;
 }
 
+/// Returns the capacity that is free for short tasks.
+inline core::Size freeCapacity(const EndpointView &at) {
+  constexpr int64_t Hundred = 100;
+  core::Size usable = at.Facts.Capacity;
+  usable.MilliCpus = usable.MilliCpus * at.CapacityPercent / Hundred;
+  return usable - at.Used;
+}
+
 /// Adds a run of the step to the endpoint's runs and its used capacity; does
 /// nothing if it is there already.
 inline void addRun(EndpointView &at, const EndpointView::TaskKey &task_key,
--- a/src/almondgate/dispatch/step_candidates.cpp
+++ b/src/almondgate/dispatch/step_candidates.cpp
@@ -33,10 +33,24 @@
   ++RunningOnRack[endpoint.Facts.Rack];
 }
 
+// Long-running tasks may use all of a cold endpoint: their availability comes
+// first. A task that is larger than the usable part of an idle one may run
+// there alone, so that a pool whose VMs are all cold serves it.
+core::Size StepCandidates::freeFor(const EndpointView &endpoint) const {
+  if (!endpoint.Cold || Step->LongRunning)
+    return endpoint.Facts.Capacity - endpoint.Used;
+  const core::Size usable = freeCapacity(endpoint);
+  const bool alone = endpoint.Used.MilliCpus == 0 &&
+                     !core::fits(Need.Need, usable) &&
+                     core::fits(Need.Need, endpoint.Facts.Capacity);
+  return alone ? Need.Need : usable;
+}
+
 void StepCandidates::addIfEligible(EndpointView &endpoint) {
   const auto &facts = endpoint.Facts;
   policy::PlacementOption option;
-  option.Free = facts.Capacity - endpoint.Used;
+  option.Free = freeFor(endpoint);
+  option.Cold = endpoint.Cold;
   option.SameStep = Running.empty() ? 0 : countOf(Running, facts.Id);
   const bool at_limit =
       Step->AntiAffinity > 0 && option.SameStep >= Step->AntiAffinity;
--- a/src/almondgate/dispatch/step_candidates.hpp
+++ b/src/almondgate/dispatch/step_candidates.hpp
@@ -37,6 +37,9 @@
   EndpointView *allocate(const ChooseEndpoint &choose);
 
 private:
+  /// The capacity that the endpoint has free for tasks of the step.
+  core::Size freeFor(const EndpointView &endpoint) const;
+
   const jobs::StepSpec *Step;
   policy::PlacementRequirements Need;
   std::map<jobs::EndpointId, int64_t> Running;
--- a/src/almondgate/dispatch/test_endpoint.hpp
+++ b/src/almondgate/dispatch/test_endpoint.hpp
@@ -47,6 +47,8 @@
   int64_t ClockOffset = 0;
   /// How much its clock loses against the virtual time.
   int64_t ClockLagPerMille = 0;
+  /// Its runs are slow until this time.
+  int64_t ColdUntil = 0;
   /// It sends no heartbeat before this time.
   int64_t FirstHeartbeat = 0;
   /// This incarnation has answered a call.
--- a/src/almondgate/dispatch/test_fleet.hpp
+++ b/src/almondgate/dispatch/test_fleet.hpp
@@ -29,6 +29,9 @@
   bool isUp(const core::VmId &vm) const;
   /// Restarts the VM's endpoint under a new id; its runs are lost.
   void restart(const core::VmId &vm);
+  /// Restarts the VM's endpoint under a new id; its runs take four times as
+  /// long during a time, which it reports.
+  void restartCold(const core::VmId &vm, int64_t cold_ms);
   /// Restarts the VM's endpoint under the same id; its runs are lost.
   void restartWithSameId(const core::VmId &vm);
   /// How an endpoint comes back under its id.
@@ -83,6 +86,8 @@
   DispatcherOptions Options;
   /// Invariants that were violated, in words.
   std::vector<std::string> Violations;
+  /// How many endpoints were registered or changed durably.
+  int64_t Registrations = 0;
   /// VMs that are down for maintenance now, the most that were at once, and how
   /// often each VM was.
   int64_t Down = 0;
@@ -179,11 +184,13 @@
   void onOrderVm(const VmOrder &order, const std::function<bool()> &may_send,
                  const std::function<void(VmOrderResult)> &);
   void removeEndpoint(const jobs::EndpointId &id);
-  void bringUp(const core::VmId &vm, const core::PoolId &pool);
+  void bringUp(const core::VmId &vm, const core::PoolId &pool,
+               int64_t cold_ms = 0);
+  void announce(const TestEndpoint &endpoint);
   void step();
   void runGangs();
   /// How long a run takes there, with RemoteFactor where it is away from the
-  /// rack of its data.
+  /// rack of its data, and longer while the endpoint is cold.
   int64_t runMsAt(const TestEndpoint &endpoint,
                   const jobs::StepSpec &step) const;
   void answerRenewals(TestEndpoint &endpoint);
--- a/src/almondgate/dispatch/test_fleet_test.cpp
+++ b/src/almondgate/dispatch/test_fleet_test.cpp
@@ -18,6 +18,8 @@
 constexpr int64_t TimeoutMs = 500;
 constexpr int64_t CoresOfVm = 64;
 constexpr int64_t Thousand = 1000;
+// A run takes this many times as long on a cold endpoint.
+constexpr int64_t ColdFactor = 4;
 constexpr int64_t MoveMs = 1500;
 constexpr int64_t MaintenanceMs = 2000;
 // Two leaders may not order for the same VM within this time.
@@ -132,7 +134,8 @@
   return vm;
 }
 
-void TestFleet::bringUp(const core::VmId &vm, const core::PoolId &pool) {
+void TestFleet::bringUp(const core::VmId &vm, const core::PoolId &pool,
+                        int64_t cold_ms) {
   auto &listing = Vms.at(vm);
   listing.Pool = pool;
   listing.State = VmState::Up;
@@ -150,10 +153,18 @@
   facts.Labels = {"kind", Racks[vm]};
   facts.Capacity = {0, CoresOfVm * Thousand, 1 << 20, 0};
   endpoint.ClockOffset = -Now + 5000;
+  endpoint.ColdUntil = Now + cold_ms;
   listing.Endpoint = facts.Id;
   Endpoints[facts.Id] = endpoint;
   if (Core)
-    Core->handleHeartbeat(facts, ++Sequence, [](const core::Status &) {});
+    announce(endpoint);
+}
+
+void TestFleet::announce(const TestEndpoint &endpoint) {
+  Core->reportColdTime(endpoint.Facts,
+                       std::max<int64_t>(endpoint.ColdUntil - Now, 0));
+  Core->handleHeartbeat(endpoint.Facts, ++Sequence,
+                        [](const core::Status &) {});
 }
 
 TestEndpoint &TestFleet::endpointOf(const core::VmId &vm) {
@@ -196,6 +207,11 @@
   bringUp(vm, Vms.at(vm).Pool);
 }
 
+void TestFleet::restartCold(const core::VmId &vm, int64_t cold_ms) {
+  removeEndpoint(Vms.at(vm).Endpoint);
+  bringUp(vm, Vms.at(vm).Pool, cold_ms);
+}
+
 void TestFleet::restartWithSameId(const core::VmId &vm) {
   TestEndpoint endpoint;
   endpoint.Facts = endpointOf(vm).Facts;
@@ -244,8 +260,7 @@
 
 void TestFleet::drain(const core::VmId &vm) {
   endpointOf(vm).Facts.Draining = true;
-  Core->handleHeartbeat(endpointOf(vm).Facts, ++Sequence,
-                        [](const core::Status &) {});
+  announce(endpointOf(vm));
 }
 
 // --- time
@@ -361,8 +376,7 @@
 void TestFleet::sendHeartbeats() {
   for (const auto &[id, endpoint] : Endpoints)
     if (!endpoint.Unreachable && Now >= endpoint.FirstHeartbeat)
-      Core->handleHeartbeat(endpoint.Facts, ++Sequence,
-                            [](const core::Status &) {});
+      announce(endpoint);
 }
 
 // --- leadership
@@ -406,6 +420,8 @@
                  for (const auto &event : events) {
                    jobs::apply(Ledger, event);
                    recordDoneTasks(event);
+                   Registrations +=
+                       std::holds_alternative<jobs::EndpointRegistered>(event);
                  }
                  for (const auto &event : events)
                    Core->onEventApplied(event);
@@ -742,7 +758,11 @@
       !step.Affinity.empty() && std::find(labels.begin(), labels.end(),
                                           step.Affinity.str()) == labels.end();
   const int64_t near_ms = std::max<int64_t>(RunMs(step), 1);
-  return remote ? int64_t(double(near_ms) * Options.RemoteFactor) : near_ms;
+  const int64_t warm_ms =
+      remote ? int64_t(double(near_ms) * Options.RemoteFactor) : near_ms;
+  const int64_t cold_ms = std::max<int64_t>(endpoint.ColdUntil - Now, 0);
+  return warm_ms + std::min(cold_ms * (ColdFactor - 1) / ColdFactor,
+                            warm_ms * (ColdFactor - 1));
 }
 
 void TestFleet::checkStart(const TestEndpoint &endpoint,
--- a/src/almondgate/encoding/jobs_json.hpp
+++ b/src/almondgate/encoding/jobs_json.hpp
@@ -94,7 +94,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(JobReply, Outcome, State,
                                                 Pending, RetryAfterMs, Text)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(EndpointHeartbeat, Facts,
-                                                Sequence)
+                                                Sequence, ColdRemainingMs)
 
 } // namespace almondgate::jobs
 
--- a/src/almondgate/policy/task_placement.cpp
+++ b/src/almondgate/policy/task_placement.cpp
@@ -22,12 +22,12 @@
 auto rank(const PlacementOption &option, const PlacementRequirements &need) {
   const bool failing = option.ConsecutiveFailures >= MaxConsecutiveFailures;
   if (need.LongRunning)
-    return std::make_tuple(failing, !option.NearData,
+    return std::make_tuple(failing, option.Cold, !option.NearData,
                            option.SameStep >= need.MaxStepTasks,
                            option.SameStepOnRack, option.LongRunningTasks == 0,
                            option.SameStep, -freePercent(option));
-  return std::make_tuple(failing, !option.NearData, false, int64_t{0}, false,
-                         int64_t{0}, freePercent(option));
+  return std::make_tuple(failing, option.Cold, !option.NearData, false,
+                         int64_t{0}, false, int64_t{0}, freePercent(option));
 }
 
 } // namespace
