--- a/src/almondgate/dispatch/near_wait_fleet_test.cpp
+++ b/src/almondgate/dispatch/near_wait_fleet_test.cpp
@@ -357,3 +357,52 @@
     CHECK(decided.OnTimePercent >= by_share.OnTimePercent - 5);
   }
 }
+
+// Guards against waits that break the promises about starts and lose tasks
+// while endpoints restart, drain, come back cold and leaders change.
+TEST_CASE("near wait: random days keep the promises") {
+  constexpr uint64_t Seeds = 20;
+  for (uint64_t seed = 1; seed <= Seeds; ++seed) {
+    CAPTURE(seed);
+    Fleet fleet(12);
+    fleet.GangTimeoutMs = 1000;
+    std::mt19937_64 random(seed);
+    const auto draw = [&random](int64_t below) {
+      return int64_t(random() % uint64_t(below));
+    };
+    for (int64_t i = 1; i <= 60; ++i) {
+      JobSpec spec =
+          draw(3) == 0 ? rackGang(2 + draw(8), 4 + draw(28), 200 + draw(1500))
+                       : nearJob(1 + draw(12), 4 + draw(28), 200 + draw(1500));
+      if (draw(3) == 0)
+        spec.Steps[0].Affinity = core::RackId("r" + std::to_string(draw(4)));
+      spec.Steps[0].AntiAffinity = draw(4) == 0 ? 1 + draw(3) : 0;
+      fleet.submit(jobId(i), spec);
+      fleet.advance(draw(150));
+      const auto &vm = fleet.VmIds[size_t(draw(12))];
+      if (!fleet.isUp(vm))
+        continue;
+      switch (draw(12)) {
+      case 0:
+        fleet.restart(vm);
+        break;
+      case 1:
+        fleet.restartCold(vm, 1000 + draw(3000));
+        break;
+      case 2:
+        fleet.endpointOf(vm).LostReplies = 2;
+        break;
+      case 3:
+        if (draw(3) == 0)
+          fleet.changeLeader();
+        break;
+      default:
+        break;
+      }
+    }
+    fleet.advance(60000);
+    for (const auto &[id, job] : fleet.ledger().Jobs)
+      CHECK_FALSE(job.isOpen());
+    fleet.checkViolations();
+  }
+}
