--- a/src/almondgate/dispatch/dispatcher.cpp
+++ b/src/almondgate/dispatch/dispatcher.cpp
@@ -22,6 +22,7 @@
       Pools([this](const EndpointView &at) { return isAvailable(at); },
             [this](const EndpointView &at) { return acceptsStarts(at); }),
       NearPlaces(Options.RemoteFactor, nearWaitHooks()),
+      ColdStarts(Hooks.Policies.ColdStart),
       JobBytes(Options.JobsLimitBytes, ledger),
       Vms({Hooks.Now, Hooks.ListVms, Hooks.Log}),
       VmOrders(Options.VmOrderLease,
@@ -91,6 +92,7 @@
   Pools.clear();
   NearGroups.clear();
   Agenda.clear();
+  ColdStarts.clear();
   Endpoints.clear();
   EndpointsByVm.clear();
   TeamUsage.clear();
--- a/src/almondgate/dispatch/dispatcher_placing.cpp
+++ b/src/almondgate/dispatch/dispatcher_placing.cpp
@@ -27,6 +27,7 @@
   for (const auto &id : Loads.takeFinished())
     forgetJob(id);
   std::map<core::PoolId, PoolCapacity> pools;
+  ColdStarts.update(Endpoints, Hooks.Now());
   beginNearWaitPass();
   TeamUnreadUsage = unreadUsageByTeam();
   std::vector<ReadyStep> ready;
