Admin interface and commands for evacuations

Cause: operators of the product can neither request an evacuation nor see which ones are open.

GET, PUT and DELETE /admin/v1/evacuations[/ZONE] with an operator's key and a reason; almondgate-ctl evacuate, withdraw-evacuation and evacuations, which lists who, why, since when, and the runs that remain.

--- a/include/almondgate/entry/route_task.hpp
+++ b/include/almondgate/entry/route_task.hpp
@@ -5,6 +5,7 @@
 #include "almondgate/entry/admin_api.hpp"
 #include "almondgate/entry/announcement_handler.hpp"
 #include "almondgate/entry/entry_core.hpp"
+#include "almondgate/entry/evacuation_api.hpp"
 #include "almondgate/entry/front_message.hpp"
 #include "almondgate/entry/job_api.hpp"
 #include "almondgate/entry/release_sender.hpp"
@@ -18,6 +19,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 
 namespace almondgate::entry {
 
@@ -57,6 +59,7 @@
   AnnouncementHooks announcementHooks();
   AdminHooks adminHooks();
   JobApiHooks jobHooks();
+  EvacuationApiHooks evacuationHooks();
   watch::WatcherHooks watcherHooks();
   protocol::RpcServerHooks serverHooks();
 
@@ -73,6 +76,7 @@
               const protocol::Responder &respond);
   void propose(const state::Change &change, EntryHooks::OnChange done);
 
+  task::Loop &Loop;
   const config::EntrySettings Settings;
   const model::ProcessInfo Self;
   const Post Send;
@@ -87,10 +91,13 @@
   AnnouncementHandler Announcements;
   AdminApi Admin;
   JobApi Jobs;
+  EvacuationApi Evacuations;
   task::Timer Ticker;
   std::vector<PendingApply> PendingApplies;
   OnReady Ready;
   std::map<uint64_t, core::RequestId> RequestIds;
+  /// Exchanges of calls about evacuations whose callers wait for an answer.
+  std::set<uint64_t> EvacuationCalls;
   task::Mailbox<FrontEvent> Inbox;
 };
 
--- a/src/almondgate/ctl/command_line.cpp
+++ b/src/almondgate/ctl/command_line.cpp
@@ -21,6 +21,8 @@
     "  wave pause|resume|cancel|status ID [--watch]\n"
     "  submit QUEUE JOB --file=F | job QUEUE [JOB] | cancel QUEUE JOB\n"
     "  fleet [--file=F]\n"
+    "  evacuate ZONE --reason=R | withdraw-evacuation ZONE --reason=R\n"
+    "  evacuations\n"
     "  audit | members | replace-member OLD IP:PORT";
 
 std::string environmentOr(const char *name, const std::string &other) {
--- a/src/almondgate/ctl/run.cpp
+++ b/src/almondgate/ctl/run.cpp
@@ -1,8 +1,12 @@
 #include "almondgate/ctl/run.hpp"
 #include "almondgate/core/digest.hpp"
+#include "almondgate/http/json_body.hpp"
+#include "almondgate/http/path_segment.hpp"
 
 #include "text_table.hpp"
 
+#include <chrono>
+#include <ctime>
 #include <map>
 
 namespace almondgate::ctl {
@@ -15,6 +19,19 @@
 constexpr int FirstErrorStatus = 400;
 constexpr int Indent = 2;
 
+// Such as "2026-12-07 01:02:03 UTC".
+std::string utcTime(int64_t wall_ms) {
+  using std::chrono::system_clock;
+  const std::time_t time = system_clock::to_time_t(
+      system_clock::time_point(std::chrono::milliseconds(wall_ms)));
+  std::tm fields{};
+  char text[sizeof("0000-00-00 00:00:00 UTC")] = {};
+  if (!::gmtime_r(&time, &fields) ||
+      std::strftime(text, sizeof(text), "%F %T UTC", &fields) == 0)
+    return std::to_string(wall_ms) + " ms";
+  return text;
+}
+
 /// Executes one command.
 class Runner {
 public:
@@ -55,6 +72,8 @@
   ExitCode wave() const;
   ExitCode waveStatus() const;
   void printWave(const json &wave) const;
+  ExitCode changeEvacuation(const char *method) const;
+  ExitCode listEvacuations() const;
 
   const CommandLine &Line;
   const RunHooks &Hooks;
@@ -311,6 +330,40 @@
   return sendRequest("PUT", "/admin/v1/fleet", config.value());
 }
 
+ExitCode Runner::changeEvacuation(const char *method) const {
+  if (word(1).empty() || Line.Reason.empty())
+    return usage("evacuate|withdraw-evacuation ZONE --reason=R");
+  return sendRequest(method,
+                     "/admin/v1/evacuations/" + http::encodeSegment(word(1)),
+                     http::encodeJson({{"Reason", Line.Reason}}));
+}
+
+// Prints a line for each zone, followed by one for each endpoint with runs.
+ExitCode Runner::listEvacuations() const {
+  json found;
+  if (const auto code = fetch("evacuations", found); code != Success)
+    return code;
+  if (Line.Json) {
+    Hooks.Print(found.dump(Indent) + "\n");
+    return Success;
+  }
+  for (const auto &zone : found) {
+    const auto text = [&zone](const char *name) {
+      return zone[name].get<std::string>();
+    };
+    const auto &remaining = zone["Remaining"];
+    Hooks.Print(text("Zone") + " by " + text("By") + " since " +
+                utcTime(zone["SinceWallMs"].get<int64_t>()) + ": " +
+                text("Reason") + "; runs remain at " +
+                std::to_string(remaining.size()) + " endpoints\n");
+    for (const auto &row : remaining)
+      Hooks.Print("  " + row["Endpoint"].get<std::string>() + ": " +
+                  row["ShortRuns"].dump() + " short, " +
+                  row["LongRuns"].dump() + " long-running\n");
+  }
+  return Success;
+}
+
 ExitCode Runner::sendRequest(const char *method, const std::string &path,
                              const std::string &body) const {
   const auto answer = Hooks.Call(method, path, body);
@@ -357,6 +410,12 @@
     return sendJobRequest("DELETE");
   if (verb == "fleet")
     return configureFleet();
+  if (verb == "evacuate")
+    return changeEvacuation("PUT");
+  if (verb == "withdraw-evacuation")
+    return changeEvacuation("DELETE");
+  if (verb == "evacuations")
+    return listEvacuations();
   return usage("unknown command '" + verb + "'");
 }
 
--- a/src/almondgate/entry/front_task.cpp
+++ b/src/almondgate/entry/front_task.cpp
@@ -1,4 +1,5 @@
 #include "almondgate/entry/front_task.hpp"
+#include "almondgate/entry/evacuation_api.hpp"
 
 namespace almondgate::entry {
 
@@ -35,6 +36,13 @@
 }
 
 void FrontTask::onExchange(http::Exchange exchange) {
+  // An operator who has given a call up may have sent a newer one.
+  if (EvacuationApi::serves(exchange.Request.Target) &&
+      !exchange.IsConnected()) {
+    exchange.Respond(http::problemResponse(
+        {core::ErrorCode::Cancelled, "the caller is gone"}));
+    return;
+  }
   const uint64_t id = NextExchange++;
   if (!Send(RequestArrived{id, std::move(exchange.Request)})) {
     exchange.Respond(overloaded());
--- a/src/almondgate/entry/route_hooks.cpp
+++ b/src/almondgate/entry/route_hooks.cpp
@@ -2,7 +2,9 @@
 #include "almondgate/entry/route_task.hpp"
 #include "almondgate/entry/send_job_call.hpp"
 
+#include "almondgate/protocol/evacuation_call.hpp"
 #include "almondgate/protocol/reply_decoding.hpp"
+#include "almondgate/task/loop.hpp"
 
 namespace almondgate::entry {
 
@@ -23,6 +25,7 @@
 constexpr DurationMs ReadTimeout{3000};
 constexpr DurationMs ApplyTimeout{2000};
 constexpr DurationMs ReplaceTimeout{40000};
+constexpr DurationMs EvacuationTimeout{900};
 
 } // namespace
 
@@ -160,6 +163,34 @@
   return hooks;
 }
 
+EvacuationApiHooks RouteTask::evacuationHooks() {
+  EvacuationApiHooks hooks;
+  hooks.Authenticate = [this](const http::Request &request) {
+    return Admin.authenticate(request);
+  };
+  hooks.Change = [this](const jobs::EvacuationChange &change, auto is_wanted,
+                        auto done) {
+    protocol::EvacuationCallHooks call;
+    call.Now = core::monotonicNow;
+    call.Defer = [this](DurationMs delay, std::function<void()> fn) {
+      Loop.defer(std::move(fn), delay);
+    };
+    call.CallLeader = [this](Method method, std::string body,
+                             const protocol::Responder &respond) {
+      Control.call(method, std::move(body), EvacuationTimeout, respond);
+    };
+    call.IsWanted = std::move(is_wanted);
+    protocol::changeEvacuation(call, change, std::move(done));
+  };
+  hooks.List = [this](auto done) {
+    Control.call(Method::ListEvacuations, "", ReadTimeout,
+                 [done](const auto &reply) {
+                   done(protocol::decodeReply<jobs::EvacuationList>(reply));
+                 });
+  };
+  return hooks;
+}
+
 watch::WatcherHooks RouteTask::watcherHooks() {
   return {[](model::WatchRequest &) {}, [this] { onView(); }};
 }
--- a/src/almondgate/entry/route_task.cpp
+++ b/src/almondgate/entry/route_task.cpp
@@ -36,7 +36,7 @@
 
 RouteTask::RouteTask(task::Loop &loop, const config::EntrySettings &settings,
                      Post post)
-    : Settings(settings), Self(makeProcessInfo(settings)),
+    : Loop(loop), Settings(settings), Self(makeProcessInfo(settings)),
       Send(std::move(post)),
       Rpc(loop,
           protocol::rpcOptions(settings.Common.Secret, settings.Common.Memory)),
@@ -50,9 +50,9 @@
       Core({.Self = Self.Id, .MaxViewAge = settings.FreshFor}, coreHooks()),
       Releases(releaseHooks()), Announcements(announcementHooks()),
       Admin(settings.OperatorKeys, adminHooks()), Jobs(jobHooks()),
-      Ticker(loop), Inbox(loop, InboxCapacity,
-                          [this](const FrontEvent &event) { onEvent(event); }) {
-}
+      Evacuations(evacuationHooks()), Ticker(loop),
+      Inbox(loop, InboxCapacity,
+            [this](const FrontEvent &event) { onEvent(event); }) {}
 
 Status RouteTask::start(OnReady ready) {
   Ready = std::move(ready);
@@ -163,6 +163,12 @@
     serveAnnouncement(exchange, arrived.Request);
   } else if (startsWith(target, CancelPrefix)) {
     serveCancel(exchange, arrived.Request);
+  } else if (EvacuationApi::serves(target)) {
+    EvacuationCalls.insert(exchange);
+    Evacuations.handle(
+        arrived.Request,
+        [this, exchange] { return EvacuationCalls.contains(exchange); },
+        [this, exchange](const http::Response &r) { answer(exchange, r); });
   } else if (JobApi::serves(target)) {
     Jobs.handle(arrived.Request, [this, exchange](const http::Response &r) {
       answer(exchange, r);
@@ -179,6 +185,7 @@
 }
 
 void RouteTask::onCallerDisconnected(const CallerDisconnected &gone) {
+  EvacuationCalls.erase(gone.Exchange);
   const auto it = RequestIds.find(gone.Exchange);
   if (it == RequestIds.end())
     return;
@@ -189,6 +196,7 @@
 
 void RouteTask::answer(uint64_t exchange, const http::Response &response) {
   RequestIds.erase(exchange);
+  EvacuationCalls.erase(exchange);
   Metrics.count("responses", "status", std::to_string(response.Status));
   // The FrontTask's mailbox holds more messages than requests can be open. If
   // it were full, the caller would wait until its own timeout.
--- a/tests/job_fleet.py
+++ b/tests/job_fleet.py
@@ -40,10 +40,11 @@
 class JobFleet:
     """Adds fake workers to a Fleet and submits jobs to it.
 
-    With `relayed` the control members reach each worker through a Relay.
+    With `relayed` the control members reach each worker through a Relay. The
+    workers are in `zones` in turn.
     """
 
-    def __init__(self, fleet, workers, relayed=False):
+    def __init__(self, fleet, workers, relayed=False, zones=("",)):
         self.fleet = fleet
         self.records = []
         self.relays = []
@@ -56,7 +57,8 @@
             self.records.append(record)
             port = free_port()
             args = [secret, control, f"--listen=127.0.0.1:{port}",
-                    f"--vm=w{i}", f"--rack=r{i % 2}", f"--record={record}"]
+                    f"--vm=w{i}", f"--rack=r{i % 2}", f"--record={record}",
+                    f"--zone={zones[i % len(zones)]}"]
             if relayed:
                 self.relays.append(Relay(port))
                 fleet.relays[f"worker{i}"] = self.relays[i]
--- a/tools/fake_worker.cpp
+++ b/tools/fake_worker.cpp
@@ -50,6 +50,7 @@
   std::string Pool;
   std::string Vm;
   std::string Rack;
+  std::string Zone;
   std::string Record;
 };
 
@@ -84,6 +85,7 @@
     Facts.Pool = core::PoolId(Settings.Pool);
     Facts.At = Settings.Announced;
     Facts.Rack = core::RackId(Settings.Rack);
+    Facts.Zone = core::ZoneId(Settings.Zone);
     Facts.Labels = {"standard", Settings.Rack};
     Facts.Capacity = {0, MilliCpus, MemoryMb, 0};
   }
@@ -258,6 +260,7 @@
   auto pool = flag("pool", "p");
   auto vm = flag("vm", "vm");
   auto rack = flag("rack", "r0");
+  auto zone = flag("zone", "");
   auto record = flag("record", "/dev/null");
   line.parse(argc, argv);
   Options out;
@@ -265,6 +268,7 @@
   out.Pool = pool.getValue();
   out.Vm = vm.getValue();
   out.Rack = rack.getValue();
+  out.Zone = zone.getValue();
   out.Record = record.getValue();
   out.Listen = addressOrExit(listen.getValue());
   out.Announced = announced.getValue().empty()
