--- a/tests/evacuation_test.py
+++ b/tests/evacuation_test.py
@@ -2,15 +2,18 @@
 
 import http.client
 import json
+import os
 import re
 import signal
 import socket
+import subprocess
 import threading
 import time
 
 import pytest
 
-from fleet import wait_until
+from fleet import BUILD, OPERATOR_KEYS, Fleet, wait_until
+from job_fleet import JobFleet, config, job_id, two_step_job
 from platform_deployment import (CALLERS_PORT, OPERATORS_PORT, STATUS_PORT,
                                  Deployment)
 from platform_fleet import HEARTBEAT_SECONDS, HOST, KEY, Endpoint
@@ -298,3 +301,43 @@
     d.wait_evacuations(2)
     d.change("POST", ZONE)
     d.wait_evacuations(3)
+
+
+def test_operators_of_the_product_evacuate_a_zone():
+    """The product's interface: keys, reasons, and the list of open ones."""
+    with Fleet(members=3, placers=1, entries=1) as fleet:
+        fleet.start()
+        jobs = JobFleet(fleet, workers=2, zones=(ZONE, OTHER))
+        jobs.configure(config())
+        entry = f"127.0.0.1:{fleet.public_ports['entry0']}"
+
+        def ctl(*args, key=OPERATOR_KEYS["alice"]):
+            return subprocess.run(
+                [os.path.join(BUILD, "almondgate-ctl"), f"--entries={entry}",
+                 f"--key={key}", *args], capture_output=True, text=True,
+                timeout=60)
+        jobs.submit(job_id(1), two_step_job(16, 3000))
+        wait_until(lambda: all(jobs.rows(w) for w in (0, 1)), 20,
+                   "tasks run in both zones")
+        assert ctl("evacuate", ZONE).returncode == 2
+        assert ctl("evacuate", ZONE, "--reason=x", key="no").returncode == 1
+        assert ctl("evacuations").stdout == ""
+        assert ctl("evacuate", ZONE, "--reason=power work").returncode == 0
+        started = len(jobs.rows(0))
+        shown = ctl("evacuations").stdout
+        assert f"{ZONE} by alice since 20" in shown
+        assert "power work" in shown and "short, 0 long-running" in shown
+        row = json.loads(ctl("evacuations", "--json").stdout)[0]
+        assert row["Remaining"][0]["ShortRuns"] > 0
+        jobs.wait_state(job_id(1), "completed", 60)
+        # Each task that ran there has ended; none has started since.
+        starts = [r for r in jobs.rows(0)[started:] if r[0] == "start"]
+        assert starts == []
+        assert fleet.metric(fleet.wait_leader(),
+                            "almondgate_control_evacuations") == 1
+        assert ctl("withdraw-evacuation", ZONE,
+                   "--reason=over").returncode == 0
+        assert ctl("evacuations").stdout == ""
+        jobs.submit(job_id(2), two_step_job(16, 200))
+        wait_until(lambda: [r for r in jobs.rows(0)[started:]
+                            if r[0] == "start"], 20, "the zone is used again")
