--- a/src/almondgate/task/tcp.cpp
+++ b/src/almondgate/task/tcp.cpp
@@ -7,8 +7,10 @@
 #include "uv_handle.hpp"
 
 #include <array>
+#include <fcntl.h>
 #include <optional>
 #include <poll.h>
+#include <unistd.h>
 #include <utility>
 #include <vector>
 
@@ -20,6 +22,8 @@
 // Under a constant stream of connections the queue is never seen empty.
 constexpr int MaxDrainIterations = 16;
 constexpr core::DurationMs ListenRetryInterval{100};
+// How long a listener that may not or cannot accept waits until it tries again.
+constexpr core::DurationMs AcceptPause{100};
 constexpr size_t ReadBufferBytes = size_t{64} * 1024;
 
 core::Error ioError(const std::string &what, int code) {
@@ -213,7 +217,10 @@
 }
 
 TcpListener::TcpListener(Loop &loop, OnConnection fn)
-    : Owner(loop), Fn(std::move(fn)), Retry(loop) {}
+    : TcpListener(loop, TcpListenerHooks{std::move(fn)}) {}
+
+TcpListener::TcpListener(Loop &loop, TcpListenerHooks hooks)
+    : Owner(loop), Hooks(std::move(hooks)), Retry(loop) {}
 
 TcpListener::~TcpListener() { close(); }
 
@@ -233,30 +240,37 @@
   return core::ok();
 }
 
+int TcpListener::startListening(uv_tcp_t *handle) {
+  const auto incoming = [](uv_stream_t *listener, int status) {
+    if (listener->data)
+      static_cast<TcpListener *>(listener->data)->onIncoming(status);
+  };
+  handle->data = this;
+  return uv_listen(reinterpret_cast<uv_stream_t *>(handle), ListenBacklog,
+                   incoming);
+}
+
 // A handle that failed to bind can't be bound again, so each attempt has its
 // own. Libuv reports an address in use only when it listens.
 int TcpListener::tryToListen() {
   const auto target = toSockaddr(At);
   auto *handle = new uv_tcp_t;
   uv_tcp_init(Owner.raw(), handle);
-  handle->data = this;
-  const auto incoming = [](uv_stream_t *listener, int status) {
-    auto *self = static_cast<TcpListener *>(listener->data);
-    if (status != 0 || !self)
-      return;
-    ++self->Accepted;
-    self->Fn(listener);
-  };
   int code = uv_tcp_bind(
       handle, reinterpret_cast<const sockaddr *>(&target.value()), 0);
   if (code == 0)
-    code = uv_listen(reinterpret_cast<uv_stream_t *>(handle), ListenBacklog,
-                     incoming);
-  if (code == 0)
-    Handle = handle;
-  else
+    code = startListening(handle);
+  if (code != 0) {
     closeHandle(handle);
-  return code;
+    return code;
+  }
+  Handle = handle;
+  int fd = -1;
+  uv_fileno(reinterpret_cast<const uv_handle_t *>(Handle), &fd);
+  const int spare = ::fcntl(fd, F_DUPFD_CLOEXEC, 0);
+  if (spare >= 0)
+    Spare = spare;
+  return 0;
 }
 
 void TcpListener::listenAgain() {
@@ -266,19 +280,96 @@
   observe::logInfo("listen", "listens on " + core::toString(At) + " now");
 }
 
+void TcpListener::onIncoming(int status) {
+  if (status != 0) {
+    pause(status);
+    return;
+  }
+  Failing = false;
+  Waiting = true;
+  resume();
+}
+
+// Libuv polls the socket no longer while a connection that it has accepted is
+// not taken.
+void TcpListener::resume() {
+  if (!Waiting || !Handle)
+    return;
+  if (!Hooks.MayAccept()) {
+    if (!AfterPoll)
+      Retry.once(AcceptPause, [this] { resume(); });
+    return;
+  }
+  Retry.stop();
+  Waiting = false;
+  ++Accepted;
+  Hooks.OnConnection(reinterpret_cast<uv_stream_t *>(Handle));
+}
+
+// Libuv calls back for a failed accept() again and again, without a pause,
+// until the handle is closed.
+void TcpListener::pause(int error) {
+  if (!std::exchange(Failing, true))
+    observe::logWarn("listen",
+                     ioError("accept on " + core::toString(At), error).Text +
+                         "; trying again every " +
+                         std::to_string(AcceptPause.Count) + " ms");
+  Hooks.OnPause();
+  Waiting = false;
+  closeHandle(Handle);
+  if (AfterPoll) {
+    close();
+    return;
+  }
+  reopenLater();
+}
+
+void TcpListener::reopenLater() {
+  Retry.once(AcceptPause, [this] {
+    if ((Spare ? reopen() : tryToListen()) != 0)
+      reopenLater();
+  });
+}
+
+int TcpListener::reopen() {
+  const int fd = ::fcntl(*Spare, F_DUPFD_CLOEXEC, 0);
+  if (fd < 0)
+    return UV_EMFILE;
+  auto *handle = new uv_tcp_t;
+  uv_tcp_init(Owner.raw(), handle);
+  int code = uv_tcp_open(handle, fd);
+  if (code != 0)
+    ::close(fd);
+  else
+    code = startListening(handle);
+  if (code != 0) {
+    closeHandle(handle);
+    return code;
+  }
+  Handle = handle;
+  return 0;
+}
+
 void TcpListener::close() {
   Retry.stop();
+  Waiting = false;
   closeHandle(AfterPoll);
   closeHandle(KeepPolling);
   closeHandle(Handle);
+  if (const auto spare = std::exchange(Spare, std::nullopt))
+    ::close(*spare);
 }
 
 // An iteration accepts all connections that had arrived when it polled, so the
 // queue was empty a moment ago if it accepted none.
 void TcpListener::closeOnceDrained() {
-  Retry.stop();
-  if (!Handle || AfterPoll)
+  if (AfterPoll)
+    return;
+  if (!Handle) {
+    close();
     return;
+  }
+  Retry.stop();
   AfterPoll = new uv_check_t;
   uv_check_init(Handle->loop, AfterPoll);
   AfterPoll->data = this;
@@ -302,8 +393,9 @@
 }
 
 void TcpListener::closeIfDrained() {
-  const bool drained =
-      std::exchange(Accepted, 0) == 0 && Iterations > 0 && !hasWaiting(Handle);
+  resume();
+  const bool drained = std::exchange(Accepted, 0) == 0 && Iterations > 0 &&
+                       !Waiting && !hasWaiting(Handle);
   if (drained || ++Iterations == MaxDrainIterations)
     close();
 }
