Keep servers and clients within the budget of descriptors

Cause: each server bounded its own connections, and clients none. Change: http::Server takes a lease before it accepts, closes idle connections, then incomplete requests, and pauses its listener if none is left. EndpointClient closes idle connections longest idle first; a call without a connection waits in order and fails as not sent. Inner connections count as inbound until they have shown the secret, and never wait. All programs make one budget and report it in their metrics.

--- a/apps/control_program.cpp
+++ b/apps/control_program.cpp
@@ -110,7 +110,8 @@
     return 0;
   task::Loop loop;
   int code = 0;
-  const ControlAdapter adapter = make_adapter(loop, settings);
+  const auto descriptors = task::DescriptorBudget::ofProcess(loop);
+  const ControlAdapter adapter = make_adapter(loop, settings, descriptors);
   control::ControlTask control(
       loop, settings, std::move(store),
       [&](const core::Error &error) {
@@ -120,7 +121,7 @@
         code = 1;
         loop.stop();
       },
-      adapter.Gateway);
+      adapter.Gateway, descriptors);
   task::Timer stopping(loop);
   bool stopped = false;
   core::TimeMs began;
@@ -145,7 +146,10 @@
   http::StatusServer status(
       loop,
       {[&] { return stopped ? std::string("stopping") : control.notReady(); },
-       [&] { return control.metricsText() + memory.metricsText(); }});
+       [&] {
+         return control.metricsText() + memory.metricsText() +
+                descriptors->metricsText();
+       }});
   const ProcessSignals signals(loop, stop);
   if (settings.Common.StatusAddress != core::Address{})
     if (auto done = status.listen(settings.Common.StatusAddress); !done)
--- a/apps/control_program.hpp
+++ b/apps/control_program.hpp
@@ -3,9 +3,11 @@
 
 #include "almondgate/control/control_task.hpp"
 #include "almondgate/core/budget_reading.hpp"
+#include "almondgate/task/descriptor_budget.hpp"
 #include "almondgate/task/loop.hpp"
 
 #include <functional>
+#include <memory>
 #include <vector>
 
 namespace almondgate::apps {
@@ -24,7 +26,8 @@
 };
 
 using MakeControlAdapter = std::function<ControlAdapter(
-    task::Loop &, const config::ControlSettings &)>;
+    task::Loop &, const config::ControlSettings &,
+    const std::shared_ptr<task::DescriptorBudget> &)>;
 
 /// Runs a control member until a signal or a storage error stops it; returns
 /// its exit code.
--- a/apps/entry_main.cpp
+++ b/apps/entry_main.cpp
@@ -2,6 +2,7 @@
 #include "almondgate/entry/route_task.hpp"
 #include "almondgate/http/server_budget.hpp"
 #include "almondgate/http/status_server.hpp"
+#include "almondgate/task/descriptor_budget.hpp"
 #include "almondgate/task/loop.hpp"
 
 #include "memory_report.hpp"
@@ -65,11 +66,15 @@
 int run(const config::EntrySettings &settings) {
   task::Loop loop;
   std::unique_ptr<entry::FrontTask> front;
-  entry::RouteTask route(loop, settings, [&](entry::ResponseReady answer) {
-    return front->mailbox().post(std::move(answer));
-  });
+  const auto descriptors = task::DescriptorBudget::ofProcess(loop);
+  entry::RouteTask route(
+      loop, settings,
+      [&](entry::ResponseReady answer) {
+        return front->mailbox().post(std::move(answer));
+      },
+      descriptors);
   const auto budget = std::make_shared<http::ServerBudget>(
-      http::ServerBudget::ofPlan(settings.Common.Memory));
+      http::ServerBudget::ofPlan(settings.Common.Memory, descriptors));
   front = std::make_unique<entry::FrontTask>(
       loop, budget, [&](entry::FrontEvent event) {
         return route.mailbox().post(std::move(event));
@@ -86,9 +91,11 @@
                ? apps::notListening(settings.Public)
                : why;
   };
-  http::StatusServer status(
-      loop,
-      {not_ready, [&] { return route.metricsText() + memory.metricsText(); }});
+  http::StatusServer status(loop, {not_ready, [&] {
+                                     return route.metricsText() +
+                                            memory.metricsText() +
+                                            descriptors->metricsText();
+                                   }});
   const apps::ProcessSignals signals(loop, [&] { shutdown.begin(); });
   if (settings.Common.StatusAddress != core::Address{})
     if (auto done = status.listen(settings.Common.StatusAddress); !done)
--- a/apps/placer_main.cpp
+++ b/apps/placer_main.cpp
@@ -1,5 +1,6 @@
 #include "almondgate/http/status_server.hpp"
 #include "almondgate/placer/placer_task.hpp"
+#include "almondgate/task/descriptor_budget.hpp"
 #include "almondgate/task/loop.hpp"
 
 #include "memory_report.hpp"
@@ -15,7 +16,8 @@
 
 int run(const config::PlacerSettings &settings) {
   task::Loop loop;
-  placer::PlacerTask placer(loop, settings);
+  const auto descriptors = task::DescriptorBudget::ofProcess(loop);
+  placer::PlacerTask placer(loop, settings, descriptors);
   task::Timer stopping(loop);
   bool stopped = false;
   core::TimeMs began;
@@ -42,7 +44,7 @@
   http::StatusServer status(
       loop,
       {[&] { return stopped ? std::string("stopping") : placer.notReady(); },
-       [&] { return memory.metricsText(); }});
+       [&] { return memory.metricsText() + descriptors->metricsText(); }});
   const apps::ProcessSignals signals(loop, stop);
   if (settings.Common.StatusAddress != core::Address{})
     if (auto done = status.listen(settings.Common.StatusAddress); !done)
--- a/include/almondgate/control/control_task.hpp
+++ b/include/almondgate/control/control_task.hpp
@@ -35,7 +35,8 @@
   /// jobs.
   ControlTask(task::Loop &loop, const config::ControlSettings &settings,
               std::unique_ptr<storage::Store> store, OnFailure on_failure,
-              dispatch::DispatcherHooks gateway = {});
+              dispatch::DispatcherHooks gateway = {},
+              const std::shared_ptr<task::DescriptorBudget> &descriptors = {});
 
   /// Starts to listen and to tick. Errors: those of RpcServer::listen().
   core::Status start();
--- a/include/almondgate/entry/job_relay.hpp
+++ b/include/almondgate/entry/job_relay.hpp
@@ -10,6 +10,7 @@
 #include "almondgate/watch/control_client.hpp"
 
 #include <functional>
+#include <memory>
 
 namespace almondgate::entry {
 
@@ -19,7 +20,9 @@
 public:
   using OnReply = std::function<void(core::Result<jobs::JobReply>)>;
 
-  JobRelay(task::Loop &loop, const config::EntrySettings &settings);
+  JobRelay(
+      task::Loop &loop, const config::EntrySettings &settings,
+      const std::shared_ptr<task::DescriptorBudget> &descriptors = nullptr);
 
   void start();
 
--- a/include/almondgate/entry/route_task.hpp
+++ b/include/almondgate/entry/route_task.hpp
@@ -28,7 +28,8 @@
   using Post = std::function<bool(ResponseReady)>;
   using OnReady = std::function<void()>;
 
-  RouteTask(task::Loop &loop, const config::EntrySettings &settings, Post post);
+  RouteTask(task::Loop &loop, const config::EntrySettings &settings, Post post,
+            const std::shared_ptr<task::DescriptorBudget> &descriptors = {});
 
   /// Calls `ready` once, when the entry has its first confirmed view.
   core::Status start(OnReady ready);
--- a/include/almondgate/http/connection_table.hpp
+++ b/include/almondgate/http/connection_table.hpp
@@ -38,6 +38,17 @@
   /// Adds a connection and returns its id; std::nullopt if it must be refused.
   std::optional<uint64_t> open();
 
+  /// When the connection that has been idle longest became idle; std::nullopt
+  /// if none has been idle for a while.
+  std::optional<core::TimeMs> longestIdle() const;
+
+  /// Closes the connection of longestIdle().
+  void closeLongestIdle();
+
+  /// Ends the connection whose request has been incomplete longest, or one
+  /// whose answer is not being read. False if there is none of some age.
+  bool endSlowest();
+
   /// Bytes of a request have arrived, and more are expected.
   void receive(uint64_t id);
 
@@ -91,7 +102,9 @@
   bool isUnread(const Connection &connection) const;
   bool fits(const Connection &connection, size_t n) const;
   bool makeRoom(uint64_t id, size_t n);
-  bool endOldest();
+  std::optional<uint64_t> longestIn(Phase phase, core::DurationMs age) const;
+  bool closeLongestIn(Phase phase, core::DurationMs age);
+  bool endUnread();
   bool answerFits(size_t n, size_t overdraft) const;
   void abortUnread(size_t n);
   void abort(uint64_t id, Connection &connection);
--- a/include/almondgate/http/endpoint_client.hpp
+++ b/include/almondgate/http/endpoint_client.hpp
@@ -10,6 +10,7 @@
 #include <memory>
 
 namespace almondgate::task {
+class DescriptorBudget;
 class Loop;
 } // namespace almondgate::task
 
@@ -28,14 +29,16 @@
 };
 
 /// Sends requests to endpoints over HTTP/1.1. Sends each request once
-/// and never retries.
+/// and never retries. A request for which the budget of descriptors has no
+/// connection waits in order of arrival, for at most its timeout.
 class EndpointClient {
 public:
   /// Receives a response that is known to be complete, or an error whose
   /// Outcome is NotRun only if no byte was sent.
   using OnResponse = std::function<void(core::Result<Response>)>;
 
-  EndpointClient(task::Loop &loop, EndpointClientOptions options);
+  EndpointClient(task::Loop &loop, EndpointClientOptions options,
+                 std::shared_ptr<task::DescriptorBudget> descriptors = nullptr);
   ~EndpointClient();
   EndpointClient(const EndpointClient &) = delete;
   EndpointClient &operator=(const EndpointClient &) = delete;
--- a/include/almondgate/placer/placer_task.hpp
+++ b/include/almondgate/placer/placer_task.hpp
@@ -13,7 +13,8 @@
 /// The placer process: owns its connections and timers, and runs a PlacerCore.
 class PlacerTask {
 public:
-  PlacerTask(task::Loop &loop, const config::PlacerSettings &settings);
+  PlacerTask(task::Loop &loop, const config::PlacerSettings &settings,
+             const std::shared_ptr<task::DescriptorBudget> &descriptors = {});
 
   /// Starts listening and watching. Errors: those of RpcServer::listen().
   core::Status start();
--- a/src/almondgate/control/control_task.cpp
+++ b/src/almondgate/control/control_task.cpp
@@ -42,20 +42,20 @@
 
 } // namespace
 
-ControlTask::ControlTask(task::Loop &loop,
-                         const config::ControlSettings &settings,
-                         std::unique_ptr<storage::Store> store,
-                         OnFailure on_failure,
-                         dispatch::DispatcherHooks gateway)
+ControlTask::ControlTask(
+    task::Loop &loop, const config::ControlSettings &settings,
+    std::unique_ptr<storage::Store> store, OnFailure on_failure,
+    dispatch::DispatcherHooks gateway,
+    const std::shared_ptr<task::DescriptorBudget> &descriptors)
     : Settings(settings), Identity(store->identity()),
       Recovered(store->takeRecoveredState()),
       ReportFailure(std::move(on_failure)), Random(std::random_device{}()),
-      Rpc(loop,
-          protocol::rpcOptions(settings.Common.Secret, settings.Common.Memory)),
-      Inner(
-          loop,
-          protocol::rpcOptions(settings.Common.Secret, settings.Common.Memory),
-          serverHooks()),
+      Rpc(loop, protocol::rpcOptions(settings.Common.Secret,
+                                     settings.Common.Memory, descriptors)),
+      Inner(loop,
+            protocol::rpcOptions(settings.Common.Secret, settings.Common.Memory,
+                                 descriptors),
+            serverHooks()),
       WriteResults(
           loop, WriteResultsCapacity,
           [this](const core::Status &status) { onBatchWritten(status); }),
--- a/src/almondgate/entry/job_relay.cpp
+++ b/src/almondgate/entry/job_relay.cpp
@@ -19,10 +19,11 @@
 
 } // namespace
 
-JobRelay::JobRelay(task::Loop &loop, const config::EntrySettings &settings)
+JobRelay::JobRelay(task::Loop &loop, const config::EntrySettings &settings,
+                   const std::shared_ptr<task::DescriptorBudget> &descriptors)
     : MaxReplyAge(settings.FreshFor),
-      Rpc(loop,
-          protocol::rpcOptions(settings.Common.Secret, settings.Common.Memory)),
+      Rpc(loop, protocol::rpcOptions(settings.Common.Secret,
+                                     settings.Common.Memory, descriptors)),
       Members(settings.Common.Control),
       Control(loop, Rpc, Members, settings.Common.Memory.Peers / 2),
       RefreshTimer(loop) {}
--- a/src/almondgate/entry/route_task.cpp
+++ b/src/almondgate/entry/route_task.cpp
@@ -35,18 +35,20 @@
 } // namespace
 
 RouteTask::RouteTask(task::Loop &loop, const config::EntrySettings &settings,
-                     Post post)
+                     Post post,
+                     const std::shared_ptr<task::DescriptorBudget> &descriptors)
     : Settings(settings), Self(makeProcessInfo(settings)),
       Send(std::move(post)),
-      Rpc(loop,
-          protocol::rpcOptions(settings.Common.Secret, settings.Common.Memory)),
-      Inner(
-          loop,
-          protocol::rpcOptions(settings.Common.Secret, settings.Common.Memory),
-          serverHooks()),
+      Rpc(loop, protocol::rpcOptions(settings.Common.Secret,
+                                     settings.Common.Memory, descriptors)),
+      Inner(loop,
+            protocol::rpcOptions(settings.Common.Secret, settings.Common.Memory,
+                                 descriptors),
+            serverHooks()),
       Control(loop, Rpc, settings.Common.Control,
               settings.Common.Memory.Peers / 2),
-      Watch(loop, Control, Self, watcherHooks()), Endpoints(loop, {}),
+      Watch(loop, Control, Self, watcherHooks()),
+      Endpoints(loop, {}, descriptors),
       Core({.Self = Self.Id, .MaxViewAge = settings.FreshFor}, coreHooks()),
       Releases(releaseHooks()), Announcements(announcementHooks()),
       Admin(settings.OperatorKeys, adminHooks()), Jobs(jobHooks()),
--- a/src/almondgate/http/connection_table.cpp
+++ b/src/almondgate/http/connection_table.cpp
@@ -14,6 +14,9 @@
 // An answer of this age is not being read, rather than just on its way.
 constexpr core::DurationMs UnreadAfter{500};
 constexpr core::DurationMs ShortageEndsAfter{2000};
+// The first bytes of a new connection, or the next request after an answer, may
+// be on their way.
+constexpr core::DurationMs MinWait{100};
 // What larger requests and answers leave to small ones.
 constexpr size_t SmallReservePart = 8;
 constexpr size_t SmallRequestBytes = size_t{32} * 1024;
@@ -32,7 +35,9 @@
       Hooks(std::move(hooks)) {}
 
 std::optional<uint64_t> ConnectionTable::open() {
-  if (Connections.size() >= Budget->MaxConnections && !endOldest()) {
+  if (Connections.size() >= Budget->MaxConnections &&
+      !closeLongestIn(Phase::Idle, {}) &&
+      !closeLongestIn(Phase::Receiving, {}) && !endUnread()) {
     refuse("connections");
     return std::nullopt;
   }
@@ -105,18 +110,30 @@
   return fits(connection, n);
 }
 
-bool ConnectionTable::endOldest() {
-  const auto oldest = [this](const auto &may_end) {
-    return std::find_if(Connections.begin(), Connections.end(),
-                        [&](const auto &row) { return may_end(row.second); });
-  };
-  auto it = oldest([](const Connection &c) { return isWaiting(c); });
-  if (it != Connections.end()) {
-    ++shortage("connections").Ended;
-    Hooks.Close(it->first);
-    return true;
-  }
-  it = oldest([this](const Connection &c) { return isUnread(c); });
+std::optional<uint64_t> ConnectionTable::longestIn(Phase phase,
+                                                   core::DurationMs age) const {
+  const auto now = Hooks.Now();
+  std::optional<uint64_t> longest;
+  for (const auto &[id, connection] : Connections)
+    if (connection.At == phase && now - connection.Since >= age &&
+        (!longest || connection.Since < Connections.at(*longest).Since))
+      longest = id;
+  return longest;
+}
+
+bool ConnectionTable::closeLongestIn(Phase phase, core::DurationMs age) {
+  const auto id = longestIn(phase, age);
+  if (!id)
+    return false;
+  ++shortage("connections").Ended;
+  Hooks.Close(*id);
+  return true;
+}
+
+bool ConnectionTable::endUnread() {
+  const auto it =
+      std::find_if(Connections.begin(), Connections.end(),
+                   [&](const auto &row) { return isUnread(row.second); });
   if (it == Connections.end())
     return false;
   ++shortage("connections").Ended;
@@ -124,6 +141,19 @@
   return true;
 }
 
+std::optional<core::TimeMs> ConnectionTable::longestIdle() const {
+  const auto id = longestIn(Phase::Idle, MinWait);
+  return id ? std::optional(Connections.at(*id).Since) : std::nullopt;
+}
+
+void ConnectionTable::closeLongestIdle() {
+  closeLongestIn(Phase::Idle, MinWait);
+}
+
+bool ConnectionTable::endSlowest() {
+  return closeLongestIn(Phase::Receiving, MinWait) || endUnread();
+}
+
 void ConnectionTable::release(uint64_t id, size_t n) {
   const auto it = Connections.find(id);
   if (it == Connections.end())
--- a/src/almondgate/http/endpoint_client.cpp
+++ b/src/almondgate/http/endpoint_client.cpp
@@ -1,5 +1,6 @@
 #include "almondgate/http/endpoint_client.hpp"
 #include "almondgate/core/time_ms.hpp"
+#include "almondgate/task/descriptor_budget.hpp"
 #include "almondgate/task/loop.hpp"
 #include "almondgate/task/tcp_stream.hpp"
 #include "almondgate/task/timer.hpp"
@@ -7,6 +8,7 @@
 #include "response_parser.hpp"
 
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace almondgate::http {
@@ -44,6 +46,19 @@
   bool Sent = false;
   /// 0 while the connection is idle.
   uint64_t CallId = 0;
+  task::DescriptorLease Lease;
+  /// Its place in the order in which connections became idle; 0 if it was
+  /// never idle.
+  uint64_t IdleNumber = 0;
+  core::TimeMs IdleSince;
+};
+
+/// A call that waits for a connection.
+struct WaitingCall {
+  EndpointCall Call;
+  EndpointClient::OnResponse Done;
+  EndpointClient::MaySend MaySend;
+  std::unique_ptr<task::Timer> Timeout;
 };
 
 } // namespace
@@ -51,11 +66,27 @@
 struct EndpointClient::State {
   task::Loop &Loop;
   const EndpointClientOptions Options;
+  /// Null if connections are not limited.
+  const std::shared_ptr<task::DescriptorBudget> Descriptors;
+  std::optional<uint64_t> DescriptorUser;
   std::map<uint64_t, std::unique_ptr<Connection>> Busy;
   std::map<Address, std::vector<std::unique_ptr<Connection>>> Idle;
+  /// The connections in Idle, longest idle first.
+  std::map<uint64_t, Connection *> IdleOrder;
+  uint64_t NextIdleNumber = 1;
+  /// By id, which is the order of arrival.
+  std::map<uint64_t, WaitingCall> Waiting;
   uint64_t NextId = 1;
 
+  void useDescriptors();
+  std::unique_ptr<Connection> openWithinBudget(const Address &to);
   void start(uint64_t id, EndpointCall call, OnResponse done, MaySend may_send);
+  void startOn(std::unique_ptr<Connection> connection, uint64_t id,
+               EndpointCall call, OnResponse done, MaySend may_send);
+  void wait(uint64_t id, EndpointCall call, OnResponse done, MaySend may_send);
+  void failWaiting(uint64_t id);
+  void startWaiting();
+  std::unique_ptr<Connection> removeIdle(const Connection *connection);
   std::unique_ptr<Connection> takeIdle(const Address &to);
   void open(uint64_t id, EndpointCall call);
   void write(uint64_t id, const EndpointCall &call);
@@ -79,22 +110,110 @@
   const auto it = Idle.find(to);
   if (it == Idle.end())
     return nullptr;
-  auto out = std::move(it->second.back());
-  it->second.pop_back();
-  if (it->second.empty())
+  return removeIdle(it->second.back().get());
+}
+
+std::unique_ptr<Connection>
+EndpointClient::State::removeIdle(const Connection *connection) {
+  IdleOrder.erase(connection->IdleNumber);
+  const auto it = Idle.find(connection->To);
+  if (it == Idle.end())
+    return nullptr;
+  std::unique_ptr<Connection> out;
+  auto &held = it->second;
+  for (auto at = held.begin(); at != held.end(); ++at) {
+    if (at->get() != connection)
+      continue;
+    out = std::move(*at);
+    held.erase(at);
+    break;
+  }
+  if (held.empty())
     Idle.erase(it);
   return out;
 }
 
+void EndpointClient::State::useDescriptors() {
+  if (!Descriptors)
+    return;
+  const auto longest_idle = [this]() -> std::optional<core::TimeMs> {
+    if (IdleOrder.empty())
+      return std::nullopt;
+    return IdleOrder.begin()->second->IdleSince;
+  };
+  DescriptorUser = Descriptors->addUser(
+      task::DescriptorKind::Outbound,
+      {longest_idle, [this] { removeIdle(IdleOrder.begin()->second); },
+       [this] { startWaiting(); }});
+}
+
+// Returns null if the budget has no descriptor left.
+std::unique_ptr<Connection>
+EndpointClient::State::openWithinBudget(const Address &to) {
+  auto connection = std::make_unique<Connection>();
+  if (Descriptors) {
+    auto lease = Descriptors->take(task::DescriptorKind::Outbound);
+    if (!lease)
+      return nullptr;
+    connection->Lease = std::move(*lease);
+  }
+  connection->To = to;
+  connection->Timeout = std::make_unique<task::Timer>(Loop);
+  return connection;
+}
+
 void EndpointClient::State::start(uint64_t id, EndpointCall call,
                                   OnResponse done, MaySend may_send) {
   auto connection = call.FreshConnection ? nullptr : takeIdle(call.To);
-  const bool reused = connection != nullptr;
-  if (!reused) {
-    connection = std::make_unique<Connection>();
-    connection->To = call.To;
-    connection->Timeout = std::make_unique<task::Timer>(Loop);
+  if (!connection && Waiting.empty())
+    connection = openWithinBudget(call.To);
+  if (connection)
+    startOn(std::move(connection), id, std::move(call), std::move(done),
+            std::move(may_send));
+  else
+    wait(id, std::move(call), std::move(done), std::move(may_send));
+}
+
+void EndpointClient::State::wait(uint64_t id, EndpointCall call,
+                                 OnResponse done, MaySend may_send) {
+  auto timeout = std::make_unique<task::Timer>(Loop);
+  timeout->once(call.Timeout, [this, id] { failWaiting(id); });
+  Waiting.emplace(id, WaitingCall{std::move(call), std::move(done),
+                                  std::move(may_send), std::move(timeout)});
+}
+
+void EndpointClient::State::failWaiting(uint64_t id) {
+  const auto it = Waiting.find(id);
+  const auto done = std::move(it->second.Done);
+  const Error error{ErrorCode::DeadlineExceeded,
+                    "not sent to " + core::toString(it->second.Call.To) +
+                        ": no connection became free in time",
+                    RunOutcome::NotRun};
+  Waiting.erase(it);
+  done(error);
+}
+
+void EndpointClient::State::startWaiting() {
+  while (!Waiting.empty()) {
+    const auto it = Waiting.begin();
+    const auto &call = it->second.Call;
+    auto connection = call.FreshConnection ? nullptr : takeIdle(call.To);
+    if (!connection)
+      connection = openWithinBudget(call.To);
+    if (!connection)
+      return;
+    const uint64_t id = it->first;
+    WaitingCall next = std::move(it->second);
+    Waiting.erase(it);
+    startOn(std::move(connection), id, std::move(next.Call),
+            std::move(next.Done), std::move(next.MaySend));
   }
+}
+
+void EndpointClient::State::startOn(std::unique_ptr<Connection> connection,
+                                    uint64_t id, EndpointCall call,
+                                    OnResponse done, MaySend may_send) {
+  const bool reused = connection->Socket != nullptr;
   connection->Done = std::move(done);
   connection->MaySend = std::move(may_send);
   connection->Sent = false;
@@ -194,26 +313,19 @@
     discard(std::move(connection));
     return;
   }
-  const Connection *raw = connection.get();
-  connection->Timeout->once(Options.IdleTimeout,
-                            [this, raw] { dropIdle(raw); });
+  Connection *raw = connection.get();
+  raw->Timeout->once(Options.IdleTimeout, [this, raw] { dropIdle(raw); });
+  raw->IdleSince = core::monotonicNow();
+  raw->IdleNumber = NextIdleNumber++;
+  IdleOrder.emplace(raw->IdleNumber, raw);
   idle.push_back(std::move(connection));
+  if (Descriptors)
+    Descriptors->onIdle();
 }
 
 void EndpointClient::State::dropIdle(const Connection *connection) {
-  const auto it = Idle.find(connection->To);
-  if (it == Idle.end())
-    return;
-  auto &held = it->second;
-  for (auto at = held.begin(); at != held.end(); ++at) {
-    if (at->get() != connection)
-      continue;
-    discard(std::move(*at));
-    held.erase(at);
-    break;
-  }
-  if (held.empty())
-    Idle.erase(it);
+  if (auto held = removeIdle(connection))
+    discard(std::move(held));
 }
 
 void EndpointClient::State::fail(uint64_t id, const Error &error) {
@@ -233,10 +345,17 @@
   done(reported);
 }
 
-EndpointClient::EndpointClient(task::Loop &loop, EndpointClientOptions options)
-    : S(new State{loop, options, {}, {}, 1}) {}
+EndpointClient::EndpointClient(
+    task::Loop &loop, EndpointClientOptions options,
+    std::shared_ptr<task::DescriptorBudget> descriptors)
+    : S(new State{loop, options, std::move(descriptors)}) {
+  S->useDescriptors();
+}
 
-EndpointClient::~EndpointClient() = default;
+EndpointClient::~EndpointClient() {
+  if (S->DescriptorUser)
+    S->Descriptors->removeUser(*S->DescriptorUser);
+}
 
 uint64_t EndpointClient::send(EndpointCall call, OnResponse done,
                               MaySend may_send) {
@@ -249,12 +368,16 @@
   const auto it = S->Idle.find(to);
   if (it == S->Idle.end())
     return;
-  for (auto &connection : it->second)
-    S->discard(std::move(connection));
+  auto held = std::move(it->second);
   S->Idle.erase(it);
+  for (auto &connection : held) {
+    S->IdleOrder.erase(connection->IdleNumber);
+    S->discard(std::move(connection));
+  }
 }
 
 void EndpointClient::abort(uint64_t call) {
+  S->Waiting.erase(call);
   const auto it = S->Busy.find(call);
   if (it == S->Busy.end())
     return;
--- a/src/almondgate/http/server.cpp
+++ b/src/almondgate/http/server.cpp
@@ -5,6 +5,7 @@
 #include "almondgate/http/connection_table.hpp"
 #include "almondgate/http/request_head.hpp"
 #include "almondgate/observe/log.hpp"
+#include "almondgate/task/descriptor_budget.hpp"
 #include "almondgate/task/loop.hpp"
 #include "almondgate/task/tcp_listener.hpp"
 #include "almondgate/task/timer.hpp"
@@ -17,6 +18,7 @@
 #include <cerrno>
 #include <exception>
 #include <map>
+#include <optional>
 #include <sys/socket.h>
 #include <utility>
 #include <vector>
@@ -44,6 +46,7 @@
   uv_stream_t *Stream;
   /// Counted capacity of the input buffer.
   size_t InputBytes = 0;
+  task::DescriptorLease Lease = {};
 };
 
 constexpr core::DurationMs DisconnectCheckInterval{250};
@@ -169,6 +172,9 @@
   h2o_context_t Context{};
   h2o_accept_ctx_t Accept{};
   std::unique_ptr<task::TcpListener> Listener;
+  /// The lease of the connection that is accepted next.
+  task::DescriptorLease NextLease;
+  std::optional<uint64_t> DescriptorUser;
   std::map<uint64_t, OpenRequest> Requests;
   /// Connections that have not sent a whole request, and when they were
   /// accepted.
@@ -194,6 +200,8 @@
   void check();
   void onDispose(uint64_t id);
   void respond(uint64_t id, const Response &response);
+  void useDescriptors();
+  bool mayAccept();
   void accept(uv_stream_t *listener);
   bool isIdle() const;
 
@@ -408,6 +416,8 @@
   const size_t answer = it->second.AnswerBytes;
   Requests.erase(it);
   Table.finish(connection, copied, answer);
+  if (Options.Budget->Descriptors)
+    Options.Budget->Descriptors->onIdle();
   if (Tags.contains(connection))
     watchLater(connection);
   if (disconnected && !answered)
@@ -447,7 +457,33 @@
   h2o_send_inline(raw, response.Body.data(), response.Body.size());
 }
 
+void Server::State::useDescriptors() {
+  if (const auto &budget = Options.Budget->Descriptors)
+    DescriptorUser = budget->addUser(task::DescriptorKind::Inbound,
+                                     {[this] { return Table.longestIdle(); },
+                                      [this] { Table.closeLongestIdle(); },
+                                      [this] { Listener->resume(); }});
+}
+
+bool Server::State::mayAccept() {
+  const auto &budget = Options.Budget->Descriptors;
+  if (!budget)
+    return true;
+  auto lease = budget->take(task::DescriptorKind::Inbound);
+  if (!lease && Table.endSlowest())
+    lease = budget->take(task::DescriptorKind::Inbound);
+  if (Table.needsChecks())
+    startChecks();
+  if (!lease) {
+    budget->countPause();
+    return false;
+  }
+  NextLease = std::move(*lease);
+  return true;
+}
+
 void Server::State::accept(uv_stream_t *listener) {
+  task::DescriptorLease lease = std::move(NextLease);
   auto *conn = static_cast<uv_tcp_t *>(h2o_mem_alloc(sizeof(uv_tcp_t)));
   uv_tcp_init(listener->loop, conn);
   if (uv_accept(listener, reinterpret_cast<uv_stream_t *>(conn)) != 0) {
@@ -477,8 +513,8 @@
       h2o_uv_socket_create(stream, [](uv_handle_t *h) { std::free(h); });
   NewConnections.emplace(socket, core::monotonicNow());
   auto &tag = Tags[*id];
-  tag =
-      std::make_unique<ConnectionTag>(ConnectionTag{this, *id, socket, stream});
+  tag = std::make_unique<ConnectionTag>(
+      ConnectionTag{this, *id, socket, stream, 0, std::move(lease)});
   socket->on_close.data = tag.get();
   socket->on_close.cb = [](void *p) {
     const auto *closed = static_cast<ConnectionTag *>(p);
@@ -528,13 +564,24 @@
   S->Accept.ctx = &S->Context;
   S->Accept.hosts = S->Config.hosts;
   S->Listener = std::make_unique<task::TcpListener>(
-      loop, [state = S.get()](uv_stream_t *l) { state->accept(l); });
+      loop, task::TcpListenerHooks{
+                .OnConnection =
+                    [state = S.get()](uv_stream_t *l) { state->accept(l); },
+                .MayAccept = [state = S.get()] { return state->mayAccept(); },
+                .OnPause =
+                    [state = S.get()] {
+                      if (state->Options.Budget->Descriptors)
+                        state->Options.Budget->Descriptors->countPause();
+                    }});
+  S->useDescriptors();
 }
 
 // Open connections still refer to the state, so it is deliberately leaked until
 // the process ends.
 Server::~Server() {
   S->Listener->close();
+  if (S->DescriptorUser)
+    S->Options.Budget->Descriptors->removeUser(*S->DescriptorUser);
   S->Handler = [](const Exchange &) {};
   S->CheckTimer.stop();
   for (auto &[id, open] : S->Requests)
--- a/src/almondgate/http/server_budget.cpp
+++ b/src/almondgate/http/server_budget.cpp
@@ -1,7 +1,8 @@
 #include "almondgate/http/server_budget.hpp"
 
+#include "almondgate/task/descriptor_limits.hpp"
+
 #include <algorithm>
-#include <sys/resource.h>
 
 namespace almondgate::http {
 
@@ -11,22 +12,24 @@
 constexpr size_t StatusRequestBytes = 2048 * KiB;
 constexpr size_t StatusResponseBytes = 4096 * KiB;
 constexpr size_t StatusConnections = 64;
-constexpr size_t MinReservedFiles = 256;
-// A quarter of the open files is left to outgoing connections.
-constexpr size_t ReservedPart = 4;
-constexpr size_t MinConnections = 64;
+// Probes take their descriptors from the reserve.
+constexpr size_t StatusPartOfReserve = 4;
 constexpr size_t MaxConnections = 16384;
 
 } // namespace
 
-ServerBudget ServerBudget::ofPlan(const core::MemoryPlan &plan) {
+ServerBudget
+ServerBudget::ofPlan(const core::MemoryPlan &plan,
+                     std::shared_ptr<task::DescriptorBudget> descriptors) {
   return {core::ByteBudget(plan.Requests), core::ByteBudget(plan.Responses),
-          connectionLimit()};
+          connectionLimit(), std::move(descriptors)};
 }
 
 ServerBudget ServerBudget::forStatus() {
   return {core::ByteBudget(StatusRequestBytes),
-          core::ByteBudget(StatusResponseBytes), StatusConnections};
+          core::ByteBudget(StatusResponseBytes),
+          std::min(StatusConnections, task::processDescriptorLimits().Reserved /
+                                          StatusPartOfReserve)};
 }
 
 std::vector<core::BudgetReading> ServerBudget::read() const {
@@ -35,12 +38,7 @@
 }
 
 size_t connectionLimit() {
-  rlimit files{};
-  if (::getrlimit(RLIMIT_NOFILE, &files) != 0)
-    return MinConnections;
-  const auto n = size_t(std::min<rlim_t>(files.rlim_cur, SIZE_MAX));
-  const size_t reserved = std::max(MinReservedFiles, n / ReservedPart);
-  return std::clamp(n - std::min(n, reserved), MinConnections, MaxConnections);
+  return std::min(MaxConnections, task::processDescriptorLimits().Inbound);
 }
 
 } // namespace almondgate::http
--- a/src/almondgate/placer/placer_task.cpp
+++ b/src/almondgate/placer/placer_task.cpp
@@ -35,14 +35,16 @@
 
 } // namespace
 
-PlacerTask::PlacerTask(task::Loop &loop, const config::PlacerSettings &settings)
+PlacerTask::PlacerTask(
+    task::Loop &loop, const config::PlacerSettings &settings,
+    const std::shared_ptr<task::DescriptorBudget> &descriptors)
     : Settings(settings), Self(selfOf(settings)),
-      Rpc(loop,
-          protocol::rpcOptions(settings.Common.Secret, settings.Common.Memory)),
-      Inner(
-          loop,
-          protocol::rpcOptions(settings.Common.Secret, settings.Common.Memory),
-          serverHooks()),
+      Rpc(loop, protocol::rpcOptions(settings.Common.Secret,
+                                     settings.Common.Memory, descriptors)),
+      Inner(loop,
+            protocol::rpcOptions(settings.Common.Secret, settings.Common.Memory,
+                                 descriptors),
+            serverHooks()),
       Control(loop, Rpc, settings.Common.Control,
               settings.Common.Memory.Peers / 2),
       Watch(loop, Control, Self, watcherHooks()),
--- a/src/almondgate/protocol/rpc_client.cpp
+++ b/src/almondgate/protocol/rpc_client.cpp
@@ -2,6 +2,7 @@
 #include "almondgate/core/time_ms.hpp"
 #include "almondgate/encoding/codec.hpp"
 #include "almondgate/observe/log.hpp"
+#include "almondgate/task/descriptor_budget.hpp"
 #include "almondgate/task/loop.hpp"
 #include "almondgate/task/tcp_stream.hpp"
 #include "almondgate/task/timer.hpp"
@@ -85,6 +86,7 @@
   const RpcOptions &Options;
   const std::shared_ptr<PeerShare> Share;
   std::shared_ptr<task::TcpStream> Socket;
+  task::DescriptorLease Lease;
   std::shared_ptr<Http2Session> Session;
   bool Connected = false;
   bool Receiving = false;
@@ -162,6 +164,8 @@
     if (Session)
       Session->flush();
   };
+  if (Options.Descriptors)
+    Lease = Options.Descriptors->takeReserved();
   Socket = std::make_shared<task::TcpStream>(Loop, std::move(hooks));
   Socket->connect(PeerAddress,
                   [this](const core::Status &status) { onConnected(status); });
@@ -277,6 +281,7 @@
   // socket or the session.
   Loop.defer([socket = std::move(Socket), session = std::move(Session)] {});
   Socket = nullptr;
+  Lease.release();
   Session = nullptr;
   const auto queue = std::exchange(Queue, {});
   const auto pending = std::exchange(Pending, {});
--- a/src/almondgate/protocol/server_connection.cpp
+++ b/src/almondgate/protocol/server_connection.cpp
@@ -38,8 +38,10 @@
       AcceptedAt(core::monotonicNow()), ProgressAt(AcceptedAt) {}
 
 core::Status ServerConnection::start(uv_stream_s *listener,
-                                     std::function<void()> on_close) {
+                                     std::function<void()> on_close,
+                                     std::function<void()> on_authenticated) {
   OnClose = std::move(on_close);
+  OnAuthenticated = std::move(on_authenticated);
   task::TcpStreamHooks hooks;
   hooks.OnData = [this](std::string_view data) { onData(data); };
   hooks.OnClose = [this](const Error &) { OnClose(); };
@@ -106,6 +108,7 @@
   if (core::equalConstantTime(message.header(SecretHeader), Options.Secret)) {
     Authenticated = true;
     Session->widenWindows();
+    OnAuthenticated();
     return true;
   }
   Rejected = true;
--- a/src/almondgate/protocol/server_connection.hpp
+++ b/src/almondgate/protocol/server_connection.hpp
@@ -20,8 +20,10 @@
                    const RpcServerHooks &hooks,
                    std::shared_ptr<PeerBudget> budget);
 
-  /// `on_close` is called when the connection is to be dropped.
-  core::Status start(uv_stream_s *listener, std::function<void()> on_close);
+  /// `on_close` is called when the connection is to be dropped,
+  /// `on_authenticated` once it has shown the secret.
+  core::Status start(uv_stream_s *listener, std::function<void()> on_close,
+                     std::function<void()> on_authenticated);
 
   bool authenticated() const { return Authenticated; }
 
@@ -50,6 +52,7 @@
   task::Loop &Loop;
   const std::shared_ptr<PeerShare> Share;
   std::function<void()> OnClose;
+  std::function<void()> OnAuthenticated;
   std::unique_ptr<task::TcpStream> Socket;
   std::unique_ptr<Http2Session> Session;
   std::map<int32_t, OpenCall> OpenCalls;
