Renew endpoints without runs by short calls where connections are short

Cause: each renewal stays open for a second and holds a connection; with more endpoints than connections the others lost their leases. With more endpoints than that, only those with runs wait; the others are renewed once a second by calls that are answered at once. Fleets below that are renewed as before.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -237,6 +237,9 @@
   // dispatcher_renewals.cpp
   void renew(EndpointView &endpoint);
   core::DurationMs renewWait(const EndpointView &endpoint) const;
+  /// A renewal of the endpoint may stay open until a run ends.
+  bool mayWaitForEnds(const EndpointView &endpoint) const;
+  void renewAgain(EndpointView &endpoint);
   bool hasUnansweredStarts(const EndpointView &endpoint) const;
   void onRenewed(const jobs::EndpointId &id, int64_t born_ms, core::TimeMs sent,
                  const RenewRequest &request, const RenewReply &reply);
@@ -376,6 +379,8 @@
   /// The endpoints in Endpoints by the VM that they run on.
   std::map<core::VmId, std::map<jobs::EndpointId, EndpointView *>>
       EndpointsByVm;
+  /// Renewals that are open and wait for a run to end.
+  size_t WaitingRenewals = 0;
   std::map<core::TeamId, core::Size> TeamUsage;
   /// Result of unreadUsageByTeam() in the last pass.
   std::map<core::TeamId, core::Size> TeamUnreadUsage;
--- a/include/almondgate/dispatch/dispatcher_hooks.hpp
+++ b/include/almondgate/dispatch/dispatcher_hooks.hpp
@@ -11,6 +11,7 @@
 #include "almondgate/jobs/event.hpp"
 #include "almondgate/observe/log.hpp"
 
+#include <cstdint>
 #include <functional>
 #include <vector>
 
@@ -59,6 +60,9 @@
   /// take up memory; optional.
   std::function<bool(size_t)> HasRoomForStarts = [](size_t) { return true; };
   std::function<bool()> HasRoomForStop = [] { return true; };
+  /// How many renewals may be open at the same time that wait for a run to end,
+  /// each of which holds a connection; optional.
+  std::function<size_t()> RoomForWaitingRenewals = [] { return SIZE_MAX; };
   DispatchPolicies Policies;
   /// Increments a counter that has one label; optional.
   std::function<void(const char *name, const char *label, const char *value)>
--- a/include/almondgate/dispatch/endpoint_view.hpp
+++ b/include/almondgate/dispatch/endpoint_view.hpp
@@ -57,6 +57,9 @@
   /// A renewal is outstanding.
   bool Renewing = false;
   core::TimeMs RenewDue{INT64_MIN / 2};
+  /// The next renewal is sent at RenewDue because there is no room for one that
+  /// waits.
+  bool Polled = false;
   /// No starts are sent to the endpoint before this time.
   core::TimeMs BackOffUntil{INT64_MIN / 2};
   /// Number of the last end report that is durable.
@@ -96,6 +99,8 @@
   /// known here.
   bool isUnread() const { return !InventoryRead && !Facts.Idle; }
 
+  bool hasRuns() const { return !Runs.empty() || !OrphanedRuns.empty(); }
+
   /// The endpoint counts towards the capacity of its pool.
   bool isServing() const {
     return InventoryRead && !Suspect && !Facts.Draining && !Facts.Idle &&
--- a/src/almondgate/dispatch/dispatcher.cpp
+++ b/src/almondgate/dispatch/dispatcher.cpp
@@ -83,6 +83,7 @@
   OpenJobs.clear();
   Endpoints.clear();
   EndpointsByVm.clear();
+  WaitingRenewals = 0;
   TeamUsage.clear();
   OrphanCounts.clear();
   TeamUnreadUsage.clear();
--- a/src/almondgate/dispatch/dispatcher_orders.cpp
+++ b/src/almondgate/dispatch/dispatcher_orders.cpp
@@ -176,6 +176,8 @@
     state->Phase = TaskPhase::Running;
     state->Since = now;
     state->Confirmed = reply.ClockMs.has_value();
+    if (endpoint.Polled)
+      endpoint.RenewDue = now;
     return;
   case OrderResult::NoAnswer:
     endpoint.Suspect = true;
--- a/src/almondgate/dispatch/dispatcher_renewals.cpp
+++ b/src/almondgate/dispatch/dispatcher_renewals.cpp
@@ -14,6 +14,8 @@
 constexpr DurationMs QuickFailure{50};
 // How long a renewal waits for the ends of the one before to become durable.
 constexpr DurationMs MaxRenewalDelay{500};
+// How soon the end of a run is seen at an endpoint whose renewals may not wait.
+constexpr DurationMs PollInterval{250};
 // A new leader reads nearly all endpoints within 100 ms. An unreachable
 // endpoint must not delay the maintenance and moves of the other VMs for longer
 // than this.
@@ -48,17 +50,43 @@
   }
   // The first renewal, and one that decides about an unanswered start, must be
   // answered at once; the others may wait for a run to end.
-  if (endpoint.InventoryRead && !endpoint.Suspect && !unanswered_starts)
+  if (endpoint.InventoryRead && !endpoint.Suspect && !unanswered_starts &&
+      mayWaitForEnds(endpoint))
     request.WaitMs = renewWait(endpoint).Count;
+  WaitingRenewals += request.WaitMs > 0 ? 1 : 0;
   endpoint.Renewing = true;
+  endpoint.Polled = false;
   Hooks.Renew(facts, request,
               [this, id = facts.Id, born_ms = facts.BornMs, sent = now, request,
                generation = Generation](const RenewReply &reply) {
-                if (generation == Generation)
-                  onRenewed(id, born_ms, sent, request, reply);
+                if (generation != Generation)
+                  return;
+                WaitingRenewals -= request.WaitMs > 0 ? 1 : 0;
+                onRenewed(id, born_ms, sent, request, reply);
               });
 }
 
+// Where there is no room for all endpoints, those with runs come first: an
+// endpoint without runs has no end to wait for.
+bool Dispatcher::mayWaitForEnds(const EndpointView &endpoint) const {
+  const size_t room = Hooks.RoomForWaitingRenewals();
+  return Endpoints.size() <= room ||
+         (endpoint.hasRuns() && WaitingRenewals < room);
+}
+
+// Acknowledges durable ends at once. Otherwise the next renewal follows at once
+// only if it may wait.
+void Dispatcher::renewAgain(EndpointView &endpoint) {
+  if (endpoint.LastDurableEnd > endpoint.AcknowledgedEnd ||
+      mayWaitForEnds(endpoint)) {
+    renew(endpoint);
+    return;
+  }
+  endpoint.Polled = true;
+  endpoint.RenewDue =
+      Hooks.Now() + (endpoint.hasRuns() ? PollInterval : Options.RenewWait);
+}
+
 // The earlier leader's stops must be known before budgets can be spent.
 DurationMs Dispatcher::renewWait(const EndpointView &endpoint) const {
   const DurationMs left = remainingInheritedStopTime(endpoint);
@@ -167,7 +195,7 @@
       return;
     at->second.LastDurableEnd = std::max(at->second.LastDurableEnd, reported);
     if (!at->second.Renewing)
-      renew(at->second);
+      renewAgain(at->second);
   });
   schedulePass();
 }
--- a/src/almondgate/dispatch/test_fleet.hpp
+++ b/src/almondgate/dispatch/test_fleet.hpp
@@ -126,6 +126,11 @@
   int64_t StopRoom = INT64_MAX;
   int64_t MostWaitingStarts = 0;
   int64_t MostWaitingStops = 0;
+  /// How many renewals may wait for a run to end, and the most that did.
+  size_t RenewalRoom = SIZE_MAX;
+  size_t MostWaitingRenewals = 0;
+  /// All renewals that were sent.
+  int64_t RenewalCount = 0;
   /// How long a run goes on, and is listed, after its stop was acknowledged.
   int64_t StopMs = 0;
   /// How long a member of a gang waits for the others; the tasks of a gang run
--- a/src/almondgate/dispatch/test_fleet_test.cpp
+++ b/src/almondgate/dispatch/test_fleet_test.cpp
@@ -446,7 +446,9 @@
       });
     });
   };
+  hooks.RoomForWaitingRenewals = [this] { return RenewalRoom; };
   hooks.Renew = [this, guard](const auto &to, const auto &request, auto done) {
+    ++RenewalCount;
     onRenew(to.Id, request, [guard, done](const RenewReply &reply) {
       guard([done, reply] { done(reply); })();
     });
@@ -669,6 +671,12 @@
   };
   it->second.Renewals.push_back({request, Now + request.WaitMs, answer});
   answerRenewals(it->second);
+  size_t waiting = 0;
+  for (const auto &[other, endpoint] : Endpoints)
+    waiting += size_t(std::count_if(
+        endpoint.Renewals.begin(), endpoint.Renewals.end(),
+        [](const auto &renewal) { return renewal.Request.WaitMs > 0; }));
+  MostWaitingRenewals = std::max(MostWaitingRenewals, waiting);
 }
 
 bool TestFleet::hasValidTicket(const TestEndpoint &endpoint,
