Spread heartbeats over the control members and forward them in batches

Cause: all endpoints sent their heartbeats to the leader, which needed a connection for each. Change: the answer names the member that rendezvous hashing of the endpoint's id chooses among the members that the leader has heard within 1 s. A leader of an earlier version gets single heartbeats.

--- a/fuzz/inner_messages_fuzz.cpp
+++ b/fuzz/inner_messages_fuzz.cpp
@@ -4,6 +4,7 @@
 #include "almondgate/encoding/codec.hpp"
 #include "almondgate/endpoint/run_codec.hpp"
 #include "almondgate/jobs/endpoint_heartbeat.hpp"
+#include "almondgate/jobs/heartbeat_batch.hpp"
 #include "almondgate/jobs/job_call.hpp"
 #include "almondgate/jobs/job_reply.hpp"
 #include "almondgate/model/grant_request.hpp"
--- a/include/almondgate/control/control_task.hpp
+++ b/include/almondgate/control/control_task.hpp
@@ -3,6 +3,7 @@
 
 #include "almondgate/config/settings.hpp"
 #include "almondgate/control/control_core.hpp"
+#include "almondgate/control/heartbeat_relay.hpp"
 #include "almondgate/control/storage_task.hpp"
 #include "almondgate/core/budget_reading.hpp"
 #include "almondgate/dispatch/dispatcher.hpp"
@@ -46,6 +47,10 @@
   void callLeader(protocol::Method method, std::string body,
                   const protocol::Responder &done);
 
+  /// Passes an endpoint's heartbeat to the leader, which may be this member.
+  void handleHeartbeat(const jobs::EndpointHeartbeat &heartbeat,
+                       const HeartbeatRelay::OnAnswer &done);
+
   /// The leader's inner address; nothing if no leader is known.
   std::optional<core::Address> leaderAddress() const;
 
@@ -64,7 +69,21 @@
   std::vector<core::BudgetReading> budgets() const;
 
 private:
+  using OnHeartbeatReply = HeartbeatRelayHooks::OnReply;
+
   ControlHooks coreHooks();
+  HeartbeatRelayHooks heartbeatHooks();
+  /// Passes each heartbeat of a batch to `serve`, and their results to `done`.
+  void serveHeartbeats(
+      const jobs::HeartbeatBatch &batch,
+      const std::function<void(const jobs::EndpointHeartbeat &,
+                               dispatch::Dispatcher::OnStatus)> &serve,
+      const OnHeartbeatReply &done);
+  void sendHeartbeats(const jobs::HeartbeatBatch &batch,
+                      const OnHeartbeatReply &done);
+  /// Inner addresses of the members that take heartbeats, as the leader sees
+  /// them.
+  std::vector<core::Address> reachableMembers() const;
   protocol::RpcServerHooks serverHooks();
   void onCall(protocol::Method method, const std::string &body,
               const protocol::Responder &respond);
@@ -91,6 +110,8 @@
   /// Sender addresses of received messages. Used to reach members that this
   /// member's membership does not contain yet.
   std::map<consensus::MemberId, core::Address> PeerAddresses;
+  /// When each member last sent a message to this one.
+  std::map<consensus::MemberId, core::TimeMs> HeardAt;
   task::Mailbox<core::Status> WriteResults;
   /// The error of the writes that are being retried.
   std::optional<core::Error> DiskError;
@@ -99,6 +120,7 @@
   observe::Metrics Metrics;
   ControlCore Core;
   dispatch::Dispatcher Jobs;
+  HeartbeatRelay Heartbeats;
   task::Timer Ticker;
   core::TimeMs JobsDue;
   core::TimeMs JoinDue;
--- a/include/almondgate/protocol/method.hpp
+++ b/include/almondgate/protocol/method.hpp
@@ -63,6 +63,8 @@
   RenewRuns,
   /// Member to nothing; joining process to any control member.
   Join,
+  /// HeartbeatBatch to HeartbeatReply; control member to the leader.
+  HeartbeatBatch,
 };
 
 /// The method's name in request paths, such as "watch".
--- a/src/almondgate/control/control_task.cpp
+++ b/src/almondgate/control/control_task.cpp
@@ -1,4 +1,5 @@
 #include "almondgate/control/control_task.hpp"
+#include "almondgate/control/heartbeat_member.hpp"
 #include "almondgate/core/invariant.hpp"
 #include "almondgate/encoding/codec.hpp"
 #include "almondgate/jobs/endpoint_heartbeat.hpp"
@@ -32,6 +33,9 @@
 constexpr DurationMs MessageTimeout{2000};
 constexpr DurationMs IdentityTimeout{2000};
 constexpr size_t WriteResultsCapacity = 16;
+// Members that have not answered the leader for this long take no heartbeats. A
+// member that runs answers every 100 ms.
+constexpr DurationMs SilentAfter{1000};
 
 ControlOptions coreOptions(const config::ControlSettings &settings) {
   ControlOptions options;
@@ -75,7 +79,7 @@
             .RunStopTimeout = settings.RunStopTimeout,
             .JobsLimitBytes = settings.Common.Memory.Jobs},
            dispatcherHooks(std::move(gateway)), Core.state().Jobs),
-      Ticker(loop) {}
+      Heartbeats(heartbeatHooks()), Ticker(loop) {}
 
 core::Status ControlTask::start() {
   if (auto listening = Inner.listen(Settings.Common.Inner); !listening)
@@ -267,6 +271,92 @@
   Rpc.call(*leader, method, std::move(body), ForwardTimeout, done);
 }
 
+std::vector<core::Address> ControlTask::reachableMembers() const {
+  const auto now = core::monotonicNow();
+  std::vector<core::Address> out;
+  for (const auto &member : Core.node().membership().Members) {
+    const auto heard = HeardAt.find(member.Id);
+    if (member.Id == Identity ||
+        (heard != HeardAt.end() && now - heard->second < SilentAfter))
+      out.push_back(member.Inner);
+  }
+  return out;
+}
+
+HeartbeatRelayHooks ControlTask::heartbeatHooks() {
+  HeartbeatRelayHooks hooks;
+  hooks.Send = [this](const auto &batch, const auto &done) {
+    sendHeartbeats(batch, done);
+  };
+  hooks.Defer = [this](DurationMs delay, std::function<void()> fn) {
+    Loop.defer(std::move(fn), delay);
+  };
+  return hooks;
+}
+
+void ControlTask::handleHeartbeat(const jobs::EndpointHeartbeat &heartbeat,
+                                  const HeartbeatRelay::OnAnswer &done) {
+  if (!Core.isLeader()) {
+    Heartbeats.add(heartbeat, done);
+    return;
+  }
+  Jobs.handleHeartbeat(
+      heartbeat.Facts, heartbeat.Sequence,
+      [this, id = heartbeat.Facts.Id, done](const core::Status &status) {
+        if (status)
+          done(chooseHeartbeatMember(id, reachableMembers()));
+        else
+          done(status.error());
+      });
+}
+
+void ControlTask::serveHeartbeats(
+    const jobs::HeartbeatBatch &batch,
+    const std::function<void(const jobs::EndpointHeartbeat &,
+                             dispatch::Dispatcher::OnStatus)> &serve,
+    const OnHeartbeatReply &done) {
+  struct Collected {
+    jobs::HeartbeatReply Reply;
+    size_t Open = 0;
+  };
+  const auto collected = std::make_shared<Collected>();
+  collected->Open = batch.Heartbeats.size();
+  collected->Reply.Results.resize(batch.Heartbeats.size());
+  if (batch.Heartbeats.empty())
+    done(collected->Reply);
+  for (size_t i = 0; i < batch.Heartbeats.size(); ++i)
+    serve(batch.Heartbeats[i],
+          [this, collected, i, done](const core::Status &status) {
+            collected->Reply.Results[i] = {
+                bool(status), status ? core::Error{} : status.error()};
+            if (--collected->Open > 0)
+              return;
+            collected->Reply.Members = reachableMembers();
+            done(collected->Reply);
+          });
+}
+
+// A leader of an earlier version knows no batches.
+void ControlTask::sendHeartbeats(const jobs::HeartbeatBatch &batch,
+                                 const OnHeartbeatReply &done) {
+  const auto send_one = [this](const jobs::EndpointHeartbeat &heartbeat,
+                               const auto &answered) {
+    callLeader(Method::Heartbeat, encoding::encode(heartbeat),
+               [answered](const Result<std::string> &reply) {
+                 answered(reply ? core::ok() : core::Status(reply.error()));
+               });
+  };
+  callLeader(Method::HeartbeatBatch, encoding::encode(batch),
+             [this, batch, send_one, done](const Result<std::string> &reply) {
+               if (reply)
+                 done(encoding::decode<jobs::HeartbeatReply>(reply.value()));
+               else if (reply.error().Code == ErrorCode::NotFound)
+                 serveHeartbeats(batch, send_one, done);
+               else
+                 done(reply.error());
+             });
+}
+
 void ControlTask::send(Message message) {
   const auto *member =
       consensus::findMember(Core.node().membership(), message.To);
@@ -357,6 +447,20 @@
       Jobs.handleHeartbeat(beat.Facts, beat.Sequence, respond_status);
     });
     return true;
+  case Method::HeartbeatBatch:
+    if (!Jobs.isActive()) {
+      respond(notLeader());
+      return true;
+    }
+    withDecoded<jobs::HeartbeatBatch>(body, respond, [&](const auto &batch) {
+      serveHeartbeats(
+          batch,
+          [this](const auto &beat, const auto &done) {
+            Jobs.handleHeartbeat(beat.Facts, beat.Sequence, done);
+          },
+          respondEncoded<jobs::HeartbeatReply>(respond));
+    });
+    return true;
   case Method::Leave:
     withDecoded<jobs::EndpointGone>(body, respond, [&](const auto &gone) {
       Jobs.handleLeave(gone.Id, gone.BornMs, respond_status);
@@ -401,6 +505,7 @@
   // the process at this address had another member id.
   if (message.value().To == Identity) {
     PeerAddresses.insert_or_assign(message.value().From, message.value().Inner);
+    HeardAt.insert_or_assign(message.value().From, core::monotonicNow());
     Core.receive(message.value());
   }
   respond(std::string());
--- a/src/almondgate/encoding/jobs_json.hpp
+++ b/src/almondgate/encoding/jobs_json.hpp
@@ -2,6 +2,7 @@
 #define ALMONDGATE_SRC_ENCODING_JOBS_JSON_HPP
 
 #include "almondgate/jobs/endpoint_heartbeat.hpp"
+#include "almondgate/jobs/heartbeat_batch.hpp"
 #include "almondgate/jobs/job_call.hpp"
 #include "almondgate/jobs/job_reply.hpp"
 #include "almondgate/jobs/ledger.hpp"
@@ -95,6 +96,11 @@
                                                 Pending, RetryAfterMs, Text)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(EndpointHeartbeat, Facts,
                                                 Sequence)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(HeartbeatBatch, Heartbeats)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(HeartbeatResult, Accepted,
+                                                Error)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(HeartbeatReply, Results,
+                                                Members)
 
 } // namespace almondgate::jobs
 
--- a/src/almondgate/protocol/method.cpp
+++ b/src/almondgate/protocol/method.cpp
@@ -29,8 +29,9 @@
                                            "stop-run",
                                            "pace-run",
                                            "renew-runs",
-                                           "join"};
-static_assert(MethodNames.size() == size_t(Method::Join) + 1,
+                                           "join",
+                                           "heartbeat-batch"};
+static_assert(MethodNames.size() == size_t(Method::HeartbeatBatch) + 1,
               "each method has a name");
 
 const char *methodName(Method method) {
