Test servers, clients and the inner protocol at their limit of connections

Change: unit tests of idle connections that are closed for new ones, silent callers, running requests that keep their connections, calls that wait in order and fail as not sent, and a peer that is accepted while strangers hold all inbound connections. The fuzzer of inner messages reads batches of heartbeats.

--- a/fuzz/inner_messages_fuzz.cpp
+++ b/fuzz/inner_messages_fuzz.cpp
@@ -37,7 +37,7 @@
 
 extern "C" int LLVMFuzzerTestOneInput(const uint8_t *data, size_t n) {
   const auto input = fuzz::inputOf(data, n);
-  switch (input.Selector % 16) {
+  switch (input.Selector % 18) {
   case 0:
     roundTrip<model::Announcement>(input.Bytes);
     break;
@@ -83,6 +83,12 @@
   case 14:
     (void)endpoint::decodeRun<dispatch::RunInventory>(input.Bytes);
     break;
+  case 15:
+    roundTrip<jobs::HeartbeatBatch>(input.Bytes);
+    break;
+  case 16:
+    roundTrip<jobs::HeartbeatReply>(input.Bytes);
+    break;
   default:
     (void)encoding::fromJson<model::RecordList>(input.Bytes);
   }
--- a/src/almondgate/http/connection_table_test.cpp
+++ b/src/almondgate/http/connection_table_test.cpp
@@ -204,3 +204,37 @@
   t.Table.closed(id);
   CHECK(t.requestBytes() == 0);
 }
+
+TEST_CASE("the connection that has been idle longest is closed first") {
+  TestTable t(1000 * KiB);
+  const auto first = t.open();
+  const auto second = t.open();
+  CHECK_FALSE(t.Table.longestIdle());
+  t.Now = t.Now + core::DurationMs{200};
+  // The first connection was used again, so the second has been idle longer.
+  REQUIRE(t.Table.begin(first, 0));
+  REQUIRE(t.Table.answer(first, 1));
+  t.Table.finish(first, 0, 1);
+  CHECK(t.Table.longestIdle() == core::TimeMs{1000});
+  t.Table.closeLongestIdle();
+  CHECK(t.Closed == Ids{second});
+  CHECK_FALSE(t.Table.longestIdle());
+  t.Now = t.Now + core::DurationMs{200};
+  t.Table.closeLongestIdle();
+  CHECK(t.Closed == Ids{second, first});
+}
+
+// Guards against a server that closes connections whose requests are running,
+// or whose first bytes are on their way.
+TEST_CASE("only what waits for a while ends for further connections") {
+  TestTable t(1000 * KiB);
+  const auto running = t.open();
+  REQUIRE(t.Table.begin(running, 0));
+  const auto slow = t.openWith(1);
+  CHECK_FALSE(t.Table.endSlowest());
+  t.Now = t.Now + core::DurationMs{200};
+  t.open();
+  CHECK(t.Table.endSlowest());
+  CHECK(t.Closed == Ids{slow});
+  CHECK_FALSE(t.Table.endSlowest());
+}
--- a/src/almondgate/http/endpoint_client_test.cpp
+++ b/src/almondgate/http/endpoint_client_test.cpp
@@ -1,4 +1,5 @@
 #include "almondgate/http/endpoint_client.hpp"
+#include "almondgate/task/descriptor_budget.hpp"
 #include "almondgate/task/loop.hpp"
 #include "almondgate/task/tcp_listener.hpp"
 #include "almondgate/task/tcp_stream.hpp"
@@ -10,6 +11,8 @@
 
 #include <list>
 #include <optional>
+#include <string>
+#include <vector>
 
 using namespace almondgate;
 using namespace almondgate::http;
@@ -204,3 +207,109 @@
   REQUIRE(answers.size() == 2);
   CHECK(bool(answers[1]));
 }
+
+namespace {
+
+/// A client with two connections, and endpoints that answer on request.
+struct BudgetedClient {
+  static constexpr task::DescriptorLimits Few{3, 2, 2, 4};
+
+  task::Loop Loop;
+  std::shared_ptr<task::DescriptorBudget> Budget =
+      std::make_shared<task::DescriptorBudget>(
+          Few, [this](auto fn) { Loop.defer(std::move(fn)); });
+  EndpointClient Client{Loop, {}, Budget};
+  /// The answers received, as "NAME ok" or "NAME OUTCOME CODE".
+  std::vector<std::string> Log;
+
+  uint64_t send(const Address &to, const std::string &name,
+                int64_t timeout_ms = 2000) {
+    EndpointCall call;
+    call.To = to;
+    call.Request = {"POST", "/x", {}, "body"};
+    call.Timeout = {timeout_ms};
+    return Client.send(call, [this, name](const Result<Response> &answer) {
+      Log.push_back(name +
+                    (answer ? " ok"
+                            : std::string(" ") +
+                                  core::outcomeName(answer.error().Outcome) +
+                                  " " + core::errorName(answer.error().Code)));
+    });
+  }
+  void run(int64_t ms) {
+    task::Timer end(Loop);
+    end.once({ms}, [this] { Loop.stop(); });
+    Loop.run();
+  }
+};
+
+const Scripted::Script AnswerAtOnce = [](task::TcpStream &s, int,
+                                         const auto &) { s.write(Complete); };
+const Scripted::Script NoAnswer = [](auto &, int, const auto &) {};
+
+} // namespace
+
+TEST_CASE("calls beyond the budget close the longest idle connection") {
+  BudgetedClient t;
+  std::list<Scripted> endpoints;
+  for (int i = 0; i < 4; ++i)
+    endpoints.emplace_back(t.Loop, AnswerAtOnce);
+  for (auto &endpoint : endpoints) {
+    t.send(endpoint.address(), "call");
+    t.run(20);
+  }
+  CHECK(t.Log == std::vector<std::string>(4, "call ok"));
+  CHECK(t.Budget->used(task::DescriptorKind::Outbound) == 2);
+  // The last two connections were kept, the first one was closed.
+  t.send(endpoints.back().address(), "again");
+  t.run(20);
+  CHECK(endpoints.back().connections() == 1);
+  t.send(endpoints.front().address(), "again");
+  t.run(20);
+  CHECK(endpoints.front().connections() == 2);
+}
+
+TEST_CASE("calls without a connection wait in order of arrival") {
+  BudgetedClient t;
+  Scripted busy(t.Loop, NoAnswer);
+  Scripted other(t.Loop, AnswerAtOnce);
+  t.send(busy.address(), "a", 200);
+  t.send(busy.address(), "b", 2000);
+  for (const char *name : {"c", "d", "e"})
+    t.send(other.address(), name);
+  t.run(100);
+  CHECK(t.Log.empty());
+  CHECK(other.connections() == 0);
+  t.run(300);
+  CHECK(t.Log == std::vector<std::string>{"a unknown deadline-exceeded", "c ok",
+                                          "d ok", "e ok"});
+  // They shared the connection that became free.
+  CHECK(other.connections() == 1);
+}
+
+// Guards against a start that is taken for one that may have run.
+TEST_CASE("a call that waits too long fails as not sent") {
+  BudgetedClient t;
+  Scripted busy(t.Loop, NoAnswer);
+  t.send(busy.address(), "a", 1000);
+  t.send(busy.address(), "b", 1000);
+  t.send(busy.address(), "late", 50);
+  const uint64_t aborted = t.send(busy.address(), "aborted", 50);
+  t.Client.abort(aborted);
+  t.run(200);
+  CHECK(t.Log == std::vector<std::string>{"late not-run deadline-exceeded"});
+  CHECK(busy.requests() == 2);
+}
+
+TEST_CASE("a call to an endpoint with an idle connection does not wait") {
+  BudgetedClient t;
+  Scripted busy(t.Loop, NoAnswer);
+  Scripted idle(t.Loop, AnswerAtOnce);
+  t.send(idle.address(), "first");
+  t.run(20);
+  t.send(busy.address(), "busy");
+  t.send(idle.address(), "second");
+  t.run(20);
+  CHECK(t.Log == std::vector<std::string>{"first ok", "second ok"});
+  CHECK(idle.connections() == 1);
+}
--- a/src/almondgate/http/server_test.cpp
+++ b/src/almondgate/http/server_test.cpp
@@ -2,6 +2,7 @@
 
 #include "almondgate/http/connection_table.hpp"
 #include "almondgate/http/endpoint_client.hpp"
+#include "almondgate/task/descriptor_budget.hpp"
 #include "almondgate/task/loop.hpp"
 #include "almondgate/task/tcp_stream.hpp"
 #include "almondgate/task/timer.hpp"
@@ -12,6 +13,7 @@
 
 #include <csignal>
 #include <memory>
+#include <optional>
 #include <stdexcept>
 
 using namespace almondgate;
@@ -149,10 +151,17 @@
 
 /// A server with a small budget that answers with `Answer`, and its callers.
 struct BudgetedServer {
-  BudgetedServer()
-      : Http(Loop, options(), [this](const Exchange &exchange) {
+  explicit BudgetedServer(
+      const std::optional<task::DescriptorLimits> &limits = std::nullopt)
+      : Descriptors(limits ? std::make_shared<task::DescriptorBudget>(
+                                 *limits,
+                                 [this](auto fn) { Loop.defer(std::move(fn)); })
+                           : nullptr),
+        Http(Loop, options(), [this](const Exchange &exchange) {
           if (!Answer.empty())
             exchange.Respond(jsonResponse(200, Answer));
+          else
+            Unanswered.push_back(exchange.Respond);
         }) {
     // As the programs do.
     std::signal(SIGPIPE, SIG_IGN);
@@ -179,10 +188,14 @@
 
   task::Loop Loop;
   const core::Address At = testing::freeAddress();
+  /// Requests wait in Unanswered if it is empty.
   std::string Answer = "{}";
-  std::shared_ptr<ServerBudget> Budget =
-      std::make_shared<ServerBudget>(ServerBudget{
-          core::ByteBudget(2000 * KiB), core::ByteBudget(2000 * KiB), 100});
+  std::vector<std::function<void(const Response &)>> Unanswered;
+  /// Null without limits.
+  std::shared_ptr<task::DescriptorBudget> Descriptors;
+  std::shared_ptr<ServerBudget> Budget = std::make_shared<ServerBudget>(
+      ServerBudget{core::ByteBudget(2000 * KiB), core::ByteBudget(2000 * KiB),
+                   100, Descriptors});
   Server Http;
   std::vector<std::unique_ptr<TestCaller>> Callers;
 };
@@ -317,3 +330,58 @@
   runFor(loop, core::DurationMs{600});
   CHECK(disconnects == 0);
 }
+
+namespace {
+
+/// A server that may hold three connections.
+struct CrowdedServer : BudgetedServer {
+  CrowdedServer() : BudgetedServer(task::DescriptorLimits{4, 3, 3, 4}) {}
+
+  size_t open() const {
+    return Descriptors->used(task::DescriptorKind::Inbound);
+  }
+};
+
+} // namespace
+
+TEST_CASE("a server at its limit closes idle connections for new ones") {
+  CrowdedServer server;
+  for (int i = 0; i < 10; ++i) {
+    CHECK(server.send(Post).isAnswered());
+    CHECK(server.open() <= 3);
+    runFor(server.Loop, ShortTime);
+  }
+  server.Callers.clear();
+  runFor(server.Loop, ShortTime);
+  CHECK(server.open() == 0);
+}
+
+// Guards against silent callers that keep others out.
+TEST_CASE("a request is served while silent callers hold all connections") {
+  constexpr core::DurationMs Time{1500};
+  CrowdedServer server;
+  for (int i = 0; i < 20; ++i)
+    server.send(i % 2 == 0 ? "" : "GET / HTTP/1.1\r\nHost:");
+  auto &caller = server.send(Post);
+  runFor(server.Loop, Time);
+  CHECK(caller.isAnswered());
+  CHECK(server.open() <= 3);
+}
+
+// Guards against requests that are cut for want of a connection, and against a
+// listener that never accepts again.
+TEST_CASE("a server full of running requests accepts again once one ends") {
+  CrowdedServer server;
+  server.Answer.clear();
+  for (int i = 0; i < 3; ++i)
+    server.send(Post);
+  server.Answer = "{}";
+  auto &late = server.send(Post);
+  runFor(server.Loop, {300});
+  CHECK_FALSE(late.isAnswered());
+  CHECK(server.open() == 3);
+  server.Unanswered.front()(jsonResponse(200, "{}"));
+  runFor(server.Loop, {300});
+  CHECK(late.isAnswered());
+  CHECK(server.Callers.front()->isAnswered());
+}
--- a/src/almondgate/protocol/rpc_test.cpp
+++ b/src/almondgate/protocol/rpc_test.cpp
@@ -1,5 +1,6 @@
 #include "almondgate/protocol/rpc_client.hpp"
 #include "almondgate/protocol/rpc_server.hpp"
+#include "almondgate/task/descriptor_budget.hpp"
 #include "almondgate/task/loop.hpp"
 #include "almondgate/task/tcp_listener.hpp"
 #include "almondgate/task/tcp_stream.hpp"
@@ -346,3 +347,45 @@
   REQUIRE(failures.size() == 1);
   CHECK(failures[0].find("a fault of the handler") != std::string::npos);
 }
+
+// Guards against a member that its peers can't reach, since strangers or
+// callers hold all inbound connections.
+TEST_CASE(
+    "a peer's connection is accepted while the inbound ones are used up") {
+  constexpr task::DescriptorLimits Few{4, 3, 3, 4};
+  task::Loop loop;
+  const auto budget = std::make_shared<task::DescriptorBudget>(
+      Few, [&loop](auto fn) { loop.defer(std::move(fn)); });
+  const Address at = testing::freeAddress();
+  RpcOptions options{Secret};
+  options.Descriptors = budget;
+  RpcServer server(loop, options,
+                   {[](Method, const std::string &, const Responder &respond) {
+                      respond(std::string("fine"));
+                    },
+                    [](const std::string &) {}});
+  REQUIRE(bool(server.listen(at)));
+  const auto run = [&loop](core::DurationMs time) {
+    task::Timer end(loop);
+    end.once(time, [&loop] { loop.stop(); });
+    loop.run();
+  };
+  std::vector<std::unique_ptr<task::TcpStream>> strangers;
+  for (int i = 0; i < 10; ++i) {
+    strangers.push_back(
+        std::make_unique<task::TcpStream>(loop, task::TcpStreamHooks{}));
+    strangers.back()->connect(at, [](const core::Status &) {});
+  }
+  run({50});
+  CHECK(budget->used(task::DescriptorKind::Inbound) == 3);
+  RpcClient client(loop, {Secret});
+  std::string answer;
+  client.call(at, Method::Grant, "", {2000}, [&](const auto &reply) {
+    answer = reply ? reply.value() : reply.error().Text;
+    loop.stop();
+  });
+  loop.run();
+  CHECK(answer == "fine");
+  CHECK(budget->used(task::DescriptorKind::Internal) == 1);
+  CHECK(budget->used(task::DescriptorKind::Inbound) <= 3);
+}
