Stand-in endpoints forget the ends that were acknowledged

Cause: a stand-in of endpoint_crowd.py listed all its ends again to each call that acknowledged none, and so answered waiting renewals at once. Change: it forgets acknowledged ends, as endpoints do.

--- a/tests/endpoint_crowd.py
+++ b/tests/endpoint_crowd.py
@@ -33,7 +33,7 @@
         self.run_seconds = run_seconds
         self.born = int(time.time() * 1000)
         self.sequence = 0
-        self.runs, self.ends = {}, []
+        self.runs, self.ends, self.end_count = {}, [], 0
         self.ended = asyncio.Event()
         self.target = None
 
@@ -52,7 +52,8 @@
 
     def end(self, task):
         run = self.runs.pop(task)
-        self.ends.append([len(self.ends) + 1, task, run, "done", ""])
+        self.end_count += 1
+        self.ends.append([self.end_count, task, run, "done", ""])
         self.ended.set()
 
     async def answer(self, path, call):
@@ -62,10 +63,9 @@
                 self.run_seconds, self.end, call["task"])
         if path != "/hold":
             return {"clock-ms": self.clock()}
-
-        def unseen():
-            return [e for e in self.ends if e[0] > call["last-seen"]]
-        if call.get("wait-ms") and not unseen():
+        # What was acknowledged is forgotten.
+        self.ends = [e for e in self.ends if e[0] > call["last-seen"]]
+        if call.get("wait-ms") and not self.ends:
             self.ended.clear()
             try:
                 await asyncio.wait_for(self.ended.wait(),
@@ -75,7 +75,7 @@
         return {"clock-ms": self.clock(), "born": self.born,
                 "running": [[t, run, "", 50, 0]
                             for t, run in self.runs.items()],
-                "ended": unseen()}
+                "ended": self.ends}
 
 
 class EndpointCrowd:
