--- a/include/almondgate/protocol/method.hpp
+++ b/include/almondgate/protocol/method.hpp
@@ -67,6 +67,8 @@
   SetEvacuation,
   /// Nothing to EvacuationList; entry or control member to the leader.
   ListEvacuations,
+  /// HeartbeatBatch to HeartbeatReply; control member to the leader.
+  HeartbeatBatch,
 };
 
 /// The method's name in request paths, such as "watch".
--- a/src/almondgate/control/control_task.cpp
+++ b/src/almondgate/control/control_task.cpp
@@ -1,4 +1,5 @@
 #include "almondgate/control/control_task.hpp"
+#include "almondgate/control/heartbeat_member.hpp"
 #include "almondgate/core/invariant.hpp"
 #include "almondgate/encoding/codec.hpp"
 #include "almondgate/jobs/endpoint_heartbeat.hpp"
@@ -34,6 +35,9 @@
 constexpr DurationMs MessageTimeout{2000};
 constexpr DurationMs IdentityTimeout{2000};
 constexpr size_t WriteResultsCapacity = 16;
+// Members that have not answered the leader for this long take no heartbeats. A
+// member that runs answers every 100 ms.
+constexpr DurationMs SilentAfter{1000};
 
 ControlOptions coreOptions(const config::ControlSettings &settings) {
   ControlOptions options;
@@ -44,20 +48,20 @@
 
 } // namespace
 
-ControlTask::ControlTask(task::Loop &loop,
-                         const config::ControlSettings &settings,
-                         std::unique_ptr<storage::Store> store,
-                         OnFailure on_failure,
-                         dispatch::DispatcherHooks gateway)
+ControlTask::ControlTask(
+    task::Loop &loop, const config::ControlSettings &settings,
+    std::unique_ptr<storage::Store> store, OnFailure on_failure,
+    dispatch::DispatcherHooks gateway,
+    const std::shared_ptr<task::DescriptorBudget> &descriptors)
     : Settings(settings), Identity(store->identity()),
       Recovered(store->takeRecoveredState()),
       ReportFailure(std::move(on_failure)), Random(std::random_device{}()),
-      Rpc(loop,
-          protocol::rpcOptions(settings.Common.Secret, settings.Common.Memory)),
-      Inner(
-          loop,
-          protocol::rpcOptions(settings.Common.Secret, settings.Common.Memory),
-          serverHooks()),
+      Rpc(loop, protocol::rpcOptions(settings.Common.Secret,
+                                     settings.Common.Memory, descriptors)),
+      Inner(loop,
+            protocol::rpcOptions(settings.Common.Secret, settings.Common.Memory,
+                                 descriptors),
+            serverHooks()),
       WriteResults(
           loop, WriteResultsCapacity,
           [this](const core::Status &status) { onBatchWritten(status); }),
@@ -78,7 +82,7 @@
             .RemoteFactor = settings.RemoteFactor,
             .JobsLimitBytes = settings.Common.Memory.Jobs},
            dispatcherHooks(std::move(gateway)), Core.state().Jobs),
-      Ticker(loop) {}
+      Heartbeats(heartbeatHooks()), Ticker(loop) {}
 
 core::Status ControlTask::start() {
   if (auto listening = Inner.listen(Settings.Common.Inner); !listening)
@@ -271,6 +275,97 @@
   Rpc.call(*leader, method, std::move(body), ForwardTimeout, done);
 }
 
+std::vector<core::Address> ControlTask::reachableMembers() const {
+  const auto now = core::monotonicNow();
+  std::vector<core::Address> out;
+  for (const auto &member : Core.node().membership().Members) {
+    const auto heard = HeardAt.find(member.Id);
+    if (member.Id == Identity ||
+        (heard != HeardAt.end() && now - heard->second < SilentAfter))
+      out.push_back(member.Inner);
+  }
+  return out;
+}
+
+HeartbeatRelayHooks ControlTask::heartbeatHooks() {
+  HeartbeatRelayHooks hooks;
+  hooks.Send = [this](const auto &batch, const auto &done) {
+    sendHeartbeats(batch, done);
+  };
+  hooks.Defer = [this](DurationMs delay, std::function<void()> fn) {
+    Loop.defer(std::move(fn), delay);
+  };
+  return hooks;
+}
+
+void ControlTask::handleHeartbeat(const jobs::EndpointHeartbeat &heartbeat,
+                                  const HeartbeatRelay::OnAnswer &done) {
+  if (!Core.isLeader()) {
+    Heartbeats.add(heartbeat, done);
+    return;
+  }
+  serveHeartbeat(heartbeat, [this, id = heartbeat.Facts.Id,
+                             done](const core::Status &status) {
+    if (status)
+      done(chooseHeartbeatMember(id, reachableMembers()));
+    else
+      done(status.error());
+  });
+}
+
+void ControlTask::serveHeartbeat(const jobs::EndpointHeartbeat &heartbeat,
+                                 const dispatch::Dispatcher::OnStatus &done) {
+  Jobs.reportColdTime(heartbeat.Facts, heartbeat.ColdRemainingMs);
+  Jobs.handleHeartbeat(heartbeat.Facts, heartbeat.Sequence, done);
+}
+
+void ControlTask::serveHeartbeats(
+    const jobs::HeartbeatBatch &batch,
+    const std::function<void(const jobs::EndpointHeartbeat &,
+                             dispatch::Dispatcher::OnStatus)> &serve,
+    const OnHeartbeatReply &done) {
+  struct Collected {
+    jobs::HeartbeatReply Reply;
+    size_t Open = 0;
+  };
+  const auto collected = std::make_shared<Collected>();
+  collected->Open = batch.Heartbeats.size();
+  collected->Reply.Results.resize(batch.Heartbeats.size());
+  if (batch.Heartbeats.empty())
+    done(collected->Reply);
+  for (size_t i = 0; i < batch.Heartbeats.size(); ++i)
+    serve(batch.Heartbeats[i],
+          [this, collected, i, done](const core::Status &status) {
+            collected->Reply.Results[i] = {
+                bool(status), status ? core::Error{} : status.error()};
+            if (--collected->Open > 0)
+              return;
+            collected->Reply.Members = reachableMembers();
+            done(collected->Reply);
+          });
+}
+
+// A leader of an earlier version knows no batches.
+void ControlTask::sendHeartbeats(const jobs::HeartbeatBatch &batch,
+                                 const OnHeartbeatReply &done) {
+  const auto send_one = [this](const jobs::EndpointHeartbeat &heartbeat,
+                               const auto &answered) {
+    callLeader(Method::Heartbeat, encoding::encode(heartbeat),
+               [answered](const Result<std::string> &reply) {
+                 answered(reply ? core::ok() : core::Status(reply.error()));
+               });
+  };
+  callLeader(Method::HeartbeatBatch, encoding::encode(batch),
+             [this, batch, send_one, done](const Result<std::string> &reply) {
+               if (reply)
+                 done(encoding::decode<jobs::HeartbeatReply>(reply.value()));
+               else if (reply.error().Code == ErrorCode::NotFound)
+                 serveHeartbeats(batch, send_one, done);
+               else
+                 done(reply.error());
+             });
+}
+
 void ControlTask::send(Message message) {
   const auto *member =
       consensus::findMember(Core.node().membership(), message.To);
@@ -358,8 +453,21 @@
     return true;
   case Method::Heartbeat:
     withDecoded<jobs::EndpointHeartbeat>(body, respond, [&](const auto &beat) {
-      Jobs.reportColdTime(beat.Facts, beat.ColdRemainingMs);
-      Jobs.handleHeartbeat(beat.Facts, beat.Sequence, respond_status);
+      serveHeartbeat(beat, respond_status);
+    });
+    return true;
+  case Method::HeartbeatBatch:
+    if (!Jobs.isActive()) {
+      respond(notLeader());
+      return true;
+    }
+    withDecoded<jobs::HeartbeatBatch>(body, respond, [&](const auto &batch) {
+      serveHeartbeats(
+          batch,
+          [this](const auto &beat, const auto &done) {
+            serveHeartbeat(beat, done);
+          },
+          respondEncoded<jobs::HeartbeatReply>(respond));
     });
     return true;
   case Method::Leave:
@@ -414,6 +522,7 @@
   // the process at this address had another member id.
   if (message.value().To == Identity) {
     PeerAddresses.insert_or_assign(message.value().From, message.value().Inner);
+    HeardAt.insert_or_assign(message.value().From, core::monotonicNow());
     Core.receive(message.value());
   }
   respond(std::string());
--- a/src/almondgate/dispatch/dispatcher.cpp
+++ b/src/almondgate/dispatch/dispatcher.cpp
@@ -95,6 +95,7 @@
   ColdStarts.clear();
   Endpoints.clear();
   EndpointsByVm.clear();
+  WaitingRenewals = 0;
   TeamUsage.clear();
   OrphanCounts.clear();
   TeamUnreadUsage.clear();
--- a/src/almondgate/dispatch/dispatcher_orders.cpp
+++ b/src/almondgate/dispatch/dispatcher_orders.cpp
@@ -200,6 +200,8 @@
     setPhase(task_key, TaskPhase::Running);
     state->Since = now;
     state->Confirmed = reply.ClockMs.has_value();
+    if (endpoint.Polled)
+      endpoint.RenewDue = now;
     return;
   case OrderResult::NoAnswer:
     endpoint.Suspect = true;
--- a/src/almondgate/protocol/method.cpp
+++ b/src/almondgate/protocol/method.cpp
@@ -31,8 +31,9 @@
                                            "renew-runs",
                                            "join",
                                            "set-evacuation",
-                                           "list-evacuations"};
-static_assert(MethodNames.size() == size_t(Method::ListEvacuations) + 1,
+                                           "list-evacuations",
+                                           "heartbeat-batch"};
+static_assert(MethodNames.size() == size_t(Method::HeartbeatBatch) + 1,
               "each method has a name");
 
 const char *methodName(Method method) {
