Bound the items and values of JSON bodies while they are parsed

Cause: a JSON tree takes up to 80 times its text. One body of 4 MiB, which the operators' port and the product's job path take, made a process hold 330 MB ("[" repeated), 173 MB ({}) or 147 MB ({"":0}) with a limit of 128 MB.

parseJson() skips members that the interface doesn't name without holding them, so that no body of a valid size is refused for these, and refuses lists and values beyond bounds that follow from the documented limits. A job with too many steps is refused before its steps are converted. Error texts quote at most 300 bytes of a body.

Left out: bounds by the memory of the tree, because the allocator of the library can't be told which request it serves.

--- a/include/almondgate/encoding/codec.hpp
+++ b/include/almondgate/encoding/codec.hpp
@@ -2,6 +2,7 @@
 #define ALMONDGATE_ENCODING_CODEC_HPP
 
 #include "almondgate/core/result.hpp"
+#include "almondgate/encoding/json_bounds.hpp"
 
 #include <string>
 #include <string_view>
@@ -25,9 +26,15 @@
 /// Encodes a value as indented JSON, for display to people.
 template <class T> std::string toJson(const T &value);
 
+/// Bounds that a configuration with the most queues, pools, teams and keys
+/// (jobs/name_limits.hpp) does not reach.
+inline constexpr JsonBounds ConfigBounds{{}, 50000, 500000};
+
 /// Decodes JSON written by people: an unknown or misspelt member is an error.
-/// Errors: InvalidArgument, naming the member.
-template <class T> core::Result<T> fromJson(std::string_view text);
+/// Errors: InvalidArgument, naming the member, also beyond `bounds`.
+template <class T>
+core::Result<T> fromJson(std::string_view text,
+                         const JsonBounds &bounds = ConfigBounds);
 
 } // namespace almondgate::encoding
 
--- a/include/almondgate/jobs/job_limits.hpp
+++ b/include/almondgate/jobs/job_limits.hpp
@@ -16,6 +16,10 @@
 inline constexpr size_t MaxSteps = 1000;
 inline constexpr size_t MaxDependencies = 10000;
 
+/// Bound of the values of an encoded job: each of its steps, fields and
+/// dependencies is one. A job with the most of each has about 40,000.
+inline constexpr size_t MaxEncodedValues = 65536;
+
 /// Maximum number of tasks of a job, over all its occurrences.
 inline constexpr int64_t MaxTasksPerJob = 200000;
 
--- a/src/almondgate/encoding/codec.cpp
+++ b/src/almondgate/encoding/codec.cpp
@@ -1,5 +1,6 @@
 #include "almondgate/encoding/codec.hpp"
 #include "almondgate/encoding/cbor.hpp"
+#include "almondgate/encoding/json_text.hpp"
 
 #include "json_types.hpp"
 
@@ -39,9 +40,10 @@
   return json(value).dump(Indent, ' ', false, json::error_handler_t::replace);
 }
 
-template <class T> core::Result<T> fromJson(std::string_view text) {
+template <class T>
+core::Result<T> fromJson(std::string_view text, const JsonBounds &bounds) {
   try {
-    const json given = json::parse(text);
+    const json given = parseJson(text, bounds);
     T value = given.get<T>();
     const std::string unknown = unknownMember(given, json(value), "");
     if (!unknown.empty())
@@ -49,7 +51,7 @@
                          "unknown member '" + unknown + "'"};
     return value;
   } catch (const json::exception &e) {
-    return core::Error{core::ErrorCode::InvalidArgument, e.what()};
+    return core::Error{core::ErrorCode::InvalidArgument, errorText(e)};
   }
 }
 
@@ -67,7 +69,7 @@
   template std::string encode<T>(const T &);                                   \
   template core::Result<T> decode<T>(std::string_view);                        \
   template std::string toJson<T>(const T &);                                   \
-  template core::Result<T> fromJson<T>(std::string_view);
+  template core::Result<T> fromJson<T>(std::string_view, const JsonBounds &);
 
 ALMONDGATE_ENCODABLE(model::Announcement)
 ALMONDGATE_ENCODABLE(model::CancelRequest)
--- a/src/almondgate/entry/job_api.cpp
+++ b/src/almondgate/entry/job_api.cpp
@@ -36,8 +36,11 @@
   return problem(ErrorCode::InvalidArgument, "unknown job outcome");
 }
 
+constexpr encoding::JsonBounds JobBounds{
+    {}, jobs::MaxDependencies, jobs::MaxEncodedValues};
+
 Result<jobs::JobSpec> readJob(const std::string &body) {
-  auto spec = encoding::fromJson<jobs::JobSpec>(body);
+  auto spec = encoding::fromJson<jobs::JobSpec>(body, JobBounds);
   if (!spec)
     return spec;
   if (auto good = jobs::checkJob(spec.value()); !good)
