Count what HTTP/2 streams make the product's entry hold

Cause: bodies of HTTP/2 streams, streams that wait and answers to pings counted against no budget. With a limit of 128 MB the entry held 314 to 471 MB for incomplete bodies, 152 MB for 100 open streams on each connection and 288 MB for unread ping acknowledgements.

Http2Usage reads the frame headers of what arrives and estimates these; the server reserves them in the connection's share of `requests` before h2o gets the bytes, and ends a connection that finds no room. An HTTP/2 connection with a write in flight closes only later, so a new one is refused while as many sockets are open as are allowed; before, 365 and 414 descriptors were open of 256 connections.

Left out: h2o's internal header, because it includes one that is not packaged.

--- a/include/almondgate/http/connection_table.hpp
+++ b/include/almondgate/http/connection_table.hpp
@@ -41,6 +41,9 @@
   /// Bytes of a request have arrived, and more are expected.
   void receive(uint64_t id);
 
+  /// The sender has given up the request that receive() announced.
+  void cancelReceive(uint64_t id);
+
   /// Reserves bytes for a connection's request; false if they must not be
   /// allocated.
   [[nodiscard]] bool reserve(uint64_t id, size_t n);
--- a/include/almondgate/http/server.hpp
+++ b/include/almondgate/http/server.hpp
@@ -31,8 +31,7 @@
   /// What callers may make the server hold. By default, the plan for
   /// DefaultMemoryLimitMb.
   std::shared_ptr<ServerBudget> Budget = nullptr;
-  /// Serves h2c as well. The budget does not count the incomplete bodies of its
-  /// streams, because h2o gives them windows that no setting limits.
+  /// Serves h2c as well. What its streams hold is estimated.
   bool Http2 = false;
 };
 
--- a/src/almondgate/http/connection_table.cpp
+++ b/src/almondgate/http/connection_table.cpp
@@ -57,6 +57,12 @@
     enter(connection, Phase::Receiving);
 }
 
+void ConnectionTable::cancelReceive(uint64_t id) {
+  auto &connection = Connections.at(id);
+  if (connection.At == Phase::Receiving)
+    enter(connection, Phase::Idle);
+}
+
 bool ConnectionTable::isWaiting(const Connection &connection) {
   return connection.At == Phase::Idle || connection.At == Phase::Receiving;
 }
--- a/src/almondgate/http/connection_table_test.cpp
+++ b/src/almondgate/http/connection_table_test.cpp
@@ -204,3 +204,18 @@
   t.Table.closed(id);
   CHECK(t.requestBytes() == 0);
 }
+
+// Guards against the end of an idle HTTP/2 connection that has reset a stream.
+TEST_CASE("a connection whose request was given up is idle again") {
+  TestTable t(1000 * KiB);
+  const auto id = t.openWith(100 * KiB);
+  t.Table.cancelReceive(id);
+  t.Now = t.Now + core::DurationMs{60000};
+  t.Table.check();
+  CHECK(t.Closed.empty());
+  REQUIRE(t.Table.begin(id, KiB));
+  t.Table.cancelReceive(id);
+  CHECK(t.Table.answer(id, KiB));
+  t.Table.finish(id, KiB, KiB);
+  CHECK(t.Closed.empty());
+}
--- a/src/almondgate/http/server.cpp
+++ b/src/almondgate/http/server.cpp
@@ -9,14 +9,18 @@
 #include "almondgate/task/tcp_listener.hpp"
 #include "almondgate/task/timer.hpp"
 
+#include "http2_usage.hpp"
+
 extern "C" {
 #include <h2o.h>
 }
 
 #include <algorithm>
 #include <cerrno>
+#include <charconv>
 #include <exception>
 #include <map>
+#include <optional>
 #include <sys/socket.h>
 #include <utility>
 #include <vector>
@@ -44,6 +48,10 @@
   uv_stream_t *Stream;
   /// Counted capacity of the input buffer.
   size_t InputBytes = 0;
+  /// For connections that may use HTTP/2.
+  std::optional<Http2Usage> Http2 = std::nullopt;
+  /// Counted bytes of HTTP/2 streams.
+  size_t Http2Bytes = 0;
 };
 
 constexpr core::DurationMs DisconnectCheckInterval{250};
@@ -52,7 +60,7 @@
 constexpr core::DurationMs FirstRequestGrace{1000};
 constexpr int Http2Version = 0x200;
 constexpr size_t MaxBodyPart = 4;
-// Incomplete bodies of HTTP/2 streams are not counted.
+// HTTP/2 streams of a connection that are handled at once; others wait.
 constexpr size_t MaxHttp2Streams = 8;
 // Bounds what the kernel holds for a connection.
 constexpr int SocketBufferBytes = 64 * 1024;
@@ -99,6 +107,15 @@
   return capacity - input->capacity;
 }
 
+uint32_t streamOf(h2o_req_t *raw) {
+  if (raw->version < Http2Version)
+    return 0;
+  const auto id = raw->conn->callbacks->log_.http2.stream_id(raw);
+  uint32_t n = 0;
+  std::from_chars(id.base, id.base + id.len, n);
+  return n;
+}
+
 size_t encodedBytes(const Response &response) {
   size_t n = response.Body.size();
   for (const auto &header : response.Headers)
@@ -158,6 +175,8 @@
     /// Bytes that its connection has reserved for it.
     size_t CopiedBytes = 0;
     size_t AnswerBytes = 0;
+    /// Its HTTP/2 stream.
+    uint32_t Stream = 0;
   };
 
   State(task::Loop &loop, ServerOptions options, Server::Handler handler);
@@ -179,6 +198,7 @@
   std::vector<uint64_t> Unwatched;
   uv_prepare_t *BeforePoll = nullptr;
   uv_alloc_cb AllocInput = nullptr;
+  uv_read_cb ReadInput = nullptr;
   bool BuffersAreLimited = false;
   uint64_t NextId = 0;
   // Shared with the Respond callbacks, which may be called after the server is
@@ -201,6 +221,9 @@
   void watchReads(ConnectionTag &tag);
   void watchUnwatched();
   void allocInput(uv_handle_t *handle, size_t hint, uv_buf_t *buf);
+  void readInput(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf);
+  bool countHttp2(ConnectionTag &tag);
+  void releaseHttp2(ConnectionTag &tag);
   void closeIncomplete(uint64_t connection);
   void abort(uint64_t connection);
   void onClose(uint64_t connection);
@@ -236,7 +259,7 @@
 }
 
 // Puts allocInput() before the function by which h2o allocates the buffer of a
-// read.
+// read, and readInput() before the one that takes what was read.
 void Server::State::watchReads(ConnectionTag &tag) {
   h2o_socket_t *socket = tag.Socket;
   // h2o frees the buffer once all of it has been processed.
@@ -246,10 +269,69 @@
     auto *owner = tagOf(handle).Owner;
     static_cast<State *>(owner)->allocInput(handle, hint, buf);
   };
+  // h2o stops reading from an HTTP/2 connection whose answers are not read, and
+  // starts again when they are.
+  if (tag.Http2 && tag.Http2->isHttp2() &&
+      (!h2o_socket_is_reading(socket) ||
+       uv_stream_get_write_queue_size(tag.Stream) > 0))
+    watchLater(tag.Id);
   if (!h2o_socket_is_reading(socket) || tag.Stream->alloc_cb == watched)
     return;
   AllocInput = tag.Stream->alloc_cb;
   tag.Stream->alloc_cb = watched;
+  if (!tag.Http2)
+    return;
+  ReadInput = tag.Stream->read_cb;
+  tag.Stream->read_cb = [](uv_stream_t *stream, ssize_t n,
+                           const uv_buf_t *buf) {
+    auto *owner = tagOf(reinterpret_cast<uv_handle_t *>(stream)).Owner;
+    static_cast<State *>(owner)->readInput(stream, n, buf);
+  };
+}
+
+void Server::State::readInput(uv_stream_t *stream, ssize_t n,
+                              const uv_buf_t *buf) {
+  auto &tag = tagOf(reinterpret_cast<uv_handle_t *>(stream));
+  if (n > 0) {
+    tag.Http2->receive({buf->base, size_t(n)},
+                       uv_stream_get_write_queue_size(stream) > 0);
+    if (tag.Http2->isHttp2())
+      watchLater(tag.Id);
+    if (!countHttp2(tag)) {
+      // A write that is in flight would keep the connection.
+      abort(tag.Id);
+      const uv_buf_t none = uv_buf_init(nullptr, 0);
+      ReadInput(stream, UV_ECANCELED, &none);
+      return;
+    }
+  }
+  ReadInput(stream, n, buf);
+}
+
+// False if the connection must end, because it holds too much.
+bool Server::State::countHttp2(ConnectionTag &tag) {
+  const size_t held = tag.Http2->heldBytes();
+  if (tag.Http2->hasStreams())
+    Table.receive(tag.Id);
+  if (held > tag.Http2Bytes) {
+    const size_t growth = held - tag.Http2Bytes;
+    const bool fits = Table.reserve(tag.Id, growth);
+    if (Table.needsChecks())
+      startChecks();
+    if (!fits)
+      return false;
+    tag.Http2Bytes = held;
+  }
+  releaseHttp2(tag);
+  return true;
+}
+
+void Server::State::releaseHttp2(ConnectionTag &tag) {
+  const size_t held = tag.Http2->heldBytes();
+  if (held < tag.Http2Bytes)
+    Table.release(tag.Id, std::exchange(tag.Http2Bytes, held) - held);
+  if (!tag.Http2->hasStreams())
+    Table.cancelReceive(tag.Id);
 }
 
 // An empty buffer makes libuv report an error to h2o, which then closes the
@@ -265,7 +347,8 @@
   if (Table.needsChecks())
     startChecks();
   if (!fits) {
-    sendRefusal(h2o_socket_get_fd(tag.Socket));
+    if (!tag.Http2 || !tag.Http2->isHttp2())
+      sendRefusal(h2o_socket_get_fd(tag.Socket));
     *buf = uv_buf_init(nullptr, 0);
     return;
   }
@@ -275,8 +358,12 @@
 
 void Server::State::closeIncomplete(uint64_t connection) {
   const auto &tag = *Tags.at(connection);
-  if (tag.Socket->input->size > 0)
+  const bool http2 = tag.Http2 && tag.Http2->isHttp2();
+  if (!http2 && tag.Socket->input->size > 0)
     sendRefusal(h2o_socket_get_fd(tag.Socket));
+  // A write that is in flight would keep the connection.
+  if (http2)
+    abort(connection);
   if (!h2o_socket_is_reading(tag.Socket)) {
     abort(connection);
     return;
@@ -304,6 +391,7 @@
   NewConnections.erase(socket);
   Requests.emplace(
       id, OpenRequest{raw, connection, core::monotonicNow(), {}, false});
+  Requests.at(id).Stream = streamOf(raw);
   auto *tag = static_cast<RequestTag *>(
       h2o_mem_alloc_shared(&raw->pool, sizeof(RequestTag), [](void *p) {
         const auto *m = static_cast<RequestTag *>(p);
@@ -406,10 +494,16 @@
   const uint64_t connection = it->second.Connection;
   const size_t copied = it->second.CopiedBytes;
   const size_t answer = it->second.AnswerBytes;
+  const uint32_t stream = it->second.Stream;
   Requests.erase(it);
   Table.finish(connection, copied, answer);
-  if (Tags.contains(connection))
+  if (const auto tag = Tags.find(connection); tag != Tags.end()) {
+    if (tag->second->Http2 && tag->second->Http2->isHttp2()) {
+      tag->second->Http2->close(stream);
+      releaseHttp2(*tag->second);
+    }
     watchLater(connection);
+  }
   if (disconnected && !answered)
     disconnected();
 }
@@ -464,7 +558,12 @@
   const auto id = Table.open();
   if (Table.needsChecks())
     startChecks();
-  if (!id) {
+  // A connection that ends to make room may close only later, once its write
+  // fails; until then it has its descriptor.
+  const bool full = Tags.size() >= Options.Budget->MaxConnections;
+  if (id && full)
+    Table.closed(*id);
+  if (!id || full) {
     int fd = -1;
     if (uv_fileno(reinterpret_cast<uv_handle_t *>(conn), &fd) == 0)
       sendRefusal(fd);
@@ -479,6 +578,8 @@
   auto &tag = Tags[*id];
   tag =
       std::make_unique<ConnectionTag>(ConnectionTag{this, *id, socket, stream});
+  if (Options.Http2)
+    tag->Http2.emplace(Config.max_request_entity_size);
   socket->on_close.data = tag.get();
   socket->on_close.cb = [](void *p) {
     const auto *closed = static_cast<ConnectionTag *>(p);
--- a/src/almondgate/http/server_test.cpp
+++ b/src/almondgate/http/server_test.cpp
@@ -317,3 +317,60 @@
   runFor(loop, core::DurationMs{600});
   CHECK(disconnects == 0);
 }
+
+namespace {
+
+std::string http2Frame(uint8_t type, uint8_t flags, const std::string &payload,
+                       char stream) {
+  std::string out;
+  for (const int shift : {16, 8, 0})
+    out += char(payload.size() >> shift);
+  out += char(type);
+  out += char(flags);
+  return out + std::string(3, '\0') + stream + payload;
+}
+
+} // namespace
+
+// Guards against bodies in HTTP/2 streams that no budget counts.
+TEST_CASE("incomplete bodies of HTTP/2 streams are counted until a reset") {
+  constexpr size_t BodyBytes = 96 * 1024;
+  constexpr size_t FrameBytes = 16 * 1024;
+  constexpr core::DurationMs Wait{50};
+  // :method POST, :scheme http, :path /, :authority h (RFC 7541, appendix A)
+  const std::string post("\x83\x86\x84\x01\x01h", 6);
+  task::Loop loop;
+  ServerOptions options;
+  options.Http2 = true;
+  options.Budget =
+      std::make_shared<ServerBudget>(ServerBudget::ofPlan(core::planMemory(0)));
+  const auto &used = options.Budget->Requests;
+  int requests = 0;
+  Server server(loop, options, [&](const Exchange &exchange) {
+    ++requests;
+    exchange.Respond(jsonResponse(200, "{}"));
+  });
+  const auto at = testing::freeAddress();
+  REQUIRE(bool(server.listen(at)));
+  auto client = std::make_unique<TestCaller>(loop);
+  auto &caller = *client;
+  caller.Stream.connect(at, [](const core::Status &) {});
+  runFor(loop, Wait);
+  caller.Stream.write("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" +
+                      http2Frame(4, 0, "", 0) + http2Frame(1, 4, post, 1));
+  for (size_t n = 0; n < BodyBytes; n += FrameBytes)
+    caller.Stream.write(http2Frame(0, 0, std::string(FrameBytes, 'x'), 1));
+  runFor(loop, Wait);
+  CHECK(used.used() > BodyBytes);
+  caller.Stream.write(http2Frame(3, 0, std::string(4, '\0'), 1));
+  runFor(loop, Wait);
+  CHECK(used.used() < 2 * ConnectionTable::BaseBytes);
+  CHECK(requests == 0);
+  caller.Stream.write(http2Frame(1, 5, post, 3));
+  runFor(loop, Wait);
+  CHECK(requests == 1);
+  CHECK(used.used() < 2 * ConnectionTable::BaseBytes);
+  client.reset();
+  runFor(loop, Wait);
+  CHECK(used.used() == 0);
+}
