Refuse new jobs first while the leader's loop is behind

policy/loop_delay takes the smallest lateness of placement passes over 0.5 s; above 100 ms, a quarter of the leader's own lease, new jobs are refused with a Retry-After of 4 times the delay. Leases, heartbeats, accepted work and calls about it are served as before. A single long iteration or a suspension does not count.

--- a/include/almondgate/dispatch/dispatch_policies.hpp
+++ b/include/almondgate/dispatch/dispatch_policies.hpp
@@ -2,6 +2,7 @@
 #define ALMONDGATE_DISPATCH_DISPATCH_POLICIES_HPP
 
 #include "almondgate/policy/job_admission.hpp"
+#include "almondgate/policy/loop_delay.hpp"
 #include "almondgate/policy/task_placement.hpp"
 #include "almondgate/policy/vm_balance.hpp"
 
@@ -17,6 +18,9 @@
   /// Accepts or refuses a submitted job.
   std::function<policy::JobAdmissionDecision(const policy::JobAdmissionInput &)>
       Admission = policy::decideJobAdmission;
+  /// Refuses new jobs while the event loop is behind by this much.
+  std::function<policy::JobAdmissionDecision(core::DurationMs)> Overload =
+      policy::decideOverload;
   /// Chooses the VM moves between pools.
   std::function<std::vector<policy::PlannedMove>(
       std::vector<policy::PoolBalance>, const policy::MoveOptions &)>
--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -20,6 +20,7 @@
 #include "almondgate/policy/duration_model.hpp"
 #include "almondgate/policy/job_admission.hpp"
 #include "almondgate/policy/job_timing.hpp"
+#include "almondgate/policy/loop_delay.hpp"
 #include "almondgate/policy/refusal_history.hpp"
 
 #include <deque>
@@ -436,6 +437,8 @@
   std::function<void()> OnHandOver;
   core::TimeMs HandOverDue;
   core::TimeMs LastPass{INT64_MIN / 2};
+  /// By how much passes are late.
+  policy::LoopDelay PassDelay;
   /// Increases with each start and end of leadership; replies to requests of
   /// an earlier leadership are recognized by it.
   uint64_t Generation = 0;
--- a/src/almondgate/dispatch/dispatcher.cpp
+++ b/src/almondgate/dispatch/dispatcher.cpp
@@ -96,6 +96,7 @@
   Outbox.clear();
   Recording = false;
   PassScheduled = false;
+  PassDelay.clear();
   HandingOver = false;
   OnHandOver = {};
   LateTasks.clear();
@@ -201,13 +202,14 @@
   const auto now = Hooks.Now();
   const auto wait =
       std::max(DurationMs{0}, LastPass + Options.PassInterval - now);
-  Hooks.Defer(wait, [this, generation = Generation] {
+  Hooks.Defer(wait, [this, due = now + wait, generation = Generation] {
     if (generation != Generation)
       return;
     PassScheduled = false;
     if (!isActive())
       return;
     LastPass = Hooks.Now();
+    PassDelay.record(due, LastPass);
     placeReadySteps();
     flush();
   });
--- a/src/almondgate/dispatch/dispatcher_calls.cpp
+++ b/src/almondgate/dispatch/dispatcher_calls.cpp
@@ -142,6 +142,11 @@
                   .Text = "this call has been refused before"});
     return;
   }
+  if (const auto overload = Hooks.Policies.Overload(PassDelay.standing(now));
+      !overload.Accept) {
+    refuseJob(call, id, queue, overload, done);
+    return;
+  }
   if (const auto room = JobBytes.admit(); !room.Accept) {
     refuseJob(call, id, queue, room, done);
     return;
--- a/src/almondgate/dispatch/test_fleet.hpp
+++ b/src/almondgate/dispatch/test_fleet.hpp
@@ -109,6 +109,8 @@
   int64_t BadTickets = 0;
   /// How long it takes to make events durable.
   int64_t CommitMs = 5;
+  /// How late the dispatcher's event loop runs what is due.
+  int64_t LoopDelayMs = 0;
   /// The VM service does not answer.
   bool VmServiceUnresponsive = false;
   /// How long it takes to reach the VM service.
--- a/src/almondgate/dispatch/test_fleet_test.cpp
+++ b/src/almondgate/dispatch/test_fleet_test.cpp
@@ -394,7 +394,7 @@
     };
   };
   hooks.Defer = [this, guard](core::DurationMs delay, auto fn) {
-    scheduleAt(Now + delay.Count, guard(std::move(fn)));
+    scheduleAt(Now + delay.Count + LoopDelayMs, guard(std::move(fn)));
   };
   hooks.Record = [this, guard](std::vector<jobs::Event> events, auto done) {
     scheduleAt(Now + CommitMs, guard([this, events = std::move(events), done] {
