--- a/include/almondgate/dispatch/dispatch_policies.hpp
+++ b/include/almondgate/dispatch/dispatch_policies.hpp
@@ -3,6 +3,7 @@
 
 #include "almondgate/policy/cold_start.hpp"
 #include "almondgate/policy/job_admission.hpp"
+#include "almondgate/policy/loop_delay.hpp"
 #include "almondgate/policy/near_wait.hpp"
 #include "almondgate/policy/task_placement.hpp"
 #include "almondgate/policy/vm_balance.hpp"
@@ -19,6 +20,9 @@
   /// Accepts or refuses a submitted job.
   std::function<policy::JobAdmissionDecision(const policy::JobAdmissionInput &)>
       Admission = policy::decideJobAdmission;
+  /// Refuses new jobs while the event loop is behind by this much.
+  std::function<policy::JobAdmissionDecision(core::DurationMs)> Overload =
+      policy::decideOverload;
   /// Chooses the VM moves between pools.
   std::function<std::vector<policy::PlannedMove>(
       std::vector<policy::PoolBalance>, const policy::MoveOptions &)>
