Count the limit of tasks on a VM for waits near, and keep gangs together

Tasks beyond their limit on the near VMs would have waited for capacity that is free but not for them, until the bound.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -312,7 +312,7 @@
   // dispatcher_near_wait.cpp
   NearWaits::Hooks nearWaitHooks();
   void beginNearWaitPass();
-  /// The tasks of the step run faster on some endpoints, and end.
+  /// The tasks of the step run better on some endpoints than on others.
   static bool prefersPlace(const jobs::StepSpec &step);
   /// The task or gang runs slower on these endpoints than near.
   static bool isRemote(const jobs::StepSpec &step,
@@ -325,6 +325,8 @@
                          const std::vector<EndpointView *> &pool);
   static NearWait &nearWaitOf(const ReadyStep &ready);
   NearWaits::Request nearWaitRequest(const ReadyStep &ready) const;
+  /// Counts the step's tasks that run near.
+  int64_t countOnNear(const ReadyStep &ready) const;
   /// The endpoints with the label and the tickets that the step requires.
   std::vector<EndpointView *>
   eligibleFor(const ReadyStep &ready,
--- a/include/almondgate/dispatch/near_waits.hpp
+++ b/include/almondgate/dispatch/near_waits.hpp
@@ -34,6 +34,8 @@
     RackForecast::Request Task;
     /// How many such tasks or gangs there are.
     int64_t Count = 0;
+    /// The most of them that may run near at a time.
+    int64_t MaxWaiting = INT64_MAX;
     /// Groups of endpoints; a task is near on any one group.
     std::vector<const std::vector<EndpointView *> *> Groups;
     /// As in NearWaitInput.
--- a/src/almondgate/dispatch/dispatcher_near_wait.cpp
+++ b/src/almondgate/dispatch/dispatcher_near_wait.cpp
@@ -165,6 +165,9 @@
   request.PoolIdle = group.IdleElsewhere;
   const auto eligible = constrained ? eligibleFor(ready, group.Near)
                                     : std::vector<EndpointView *>();
+  if (step.AntiAffinity > 0)
+    request.MaxWaiting =
+        step.AntiAffinity * int64_t(group.Near.size()) - countOnNear(ready);
   request.Groups = {constrained ? &eligible : &group.Near};
   const size_t end = tasks.size() - size_t(NearPlaces.decide(wait, request));
   if (next == end)
@@ -179,6 +182,16 @@
   return true;
 }
 
+int64_t Dispatcher::countOnNear(const ReadyStep &ready) const {
+  int64_t count = 0;
+  for (size_t i = ready.First; i < ready.First + size_t(ready.Spec->Count);
+       ++i) {
+    const TaskState &state = ready.Job->Tasks[i];
+    count += state.isPlaced() && !state.Remote ? 1 : 0;
+  }
+  return count;
+}
+
 std::vector<EndpointView *>
 Dispatcher::eligibleFor(const ReadyStep &ready,
                         const std::vector<EndpointView *> &endpoints) const {
@@ -193,8 +206,7 @@
 }
 
 bool Dispatcher::prefersPlace(const jobs::StepSpec &step) {
-  return !step.LongRunning &&
-         (!step.Affinity.empty() || (step.Gang && step.SameRack));
+  return !step.Affinity.empty() || (step.Gang && step.SameRack);
 }
 
 bool Dispatcher::isRemote(const jobs::StepSpec &step,
@@ -250,6 +262,7 @@
   }
   // Once it waits, other places are looked at only when the wait has ended.
   const bool waits = wait.Waiting > 0;
+  const bool may_wait = !waits && !ready.Spec->LongRunning;
   if (waits && waitsForNearPlace(ready, pool, near))
     return {};
   auto elsewhere = same_rack && !ready.Spec->Affinity.empty()
@@ -257,7 +270,7 @@
                        : std::vector<EndpointList>();
   elsewhere.push_back(pool);
   chosen = choose(elsewhere);
-  if (!waits && !chosen.empty() && waitsForNearPlace(ready, pool, near))
+  if (may_wait && !chosen.empty() && waitsForNearPlace(ready, pool, near))
     return {};
   return chosen;
 }
--- a/src/almondgate/dispatch/dispatcher_placing.cpp
+++ b/src/almondgate/dispatch/dispatcher_placing.cpp
@@ -233,7 +233,7 @@
       placeTask(ready, i, candidates);
     }
   }
-  if (prefersPlace(*ready.Spec))
+  if (prefersPlace(*ready.Spec) && !ready.Spec->LongRunning)
     return placeNearData(ready, pool, free);
   auto candidates = candidatesFor(ready, pool);
   for (const size_t i : free) {
--- a/src/almondgate/dispatch/near_wait_fleet_test.cpp
+++ b/src/almondgate/dispatch/near_wait_fleet_test.cpp
@@ -261,6 +261,40 @@
   CHECK(fleet.running() == 16 + 6);
 }
 
+// Guards against a wait for endpoints that have capacity but no more of it for
+// tasks of the same step.
+TEST_CASE("near wait: tasks beyond their limit on the near VMs go elsewhere") {
+  NearFleet fleet;
+  JobSpec spec = nearJob(7, 4, 1000);
+  spec.Steps[0].AntiAffinity = 1;
+  fleet.submit(jobId(1), spec);
+  fleet.advance(100);
+  CHECK(fleet.waits("started") == 0);
+  CHECK(fleet.startsOnRack(0) == 4);
+  CHECK(fleet.running() == 7);
+}
+
+TEST_CASE("near wait: a long-running gang prefers one rack and never waits") {
+  NearFleet fleet;
+  JobSpec gang = rackGang(4, 32, 0);
+  gang.Steps[0].LongRunning = true;
+  std::vector<int64_t> on_racks;
+  SUBCASE("one rack has capacity") {
+    fleet.occupy(1, 4, 1000, 16);
+    on_racks = {3, 0, 0, 4};
+  }
+  SUBCASE("two racks have") {
+    fleet.occupy(1, 8, 1000, 16);
+    fleet.occupy(9, 16, 1000, 16);
+    on_racks = {3 + 2, 4, 3 + 2, 4};
+  }
+  fleet.submit(jobId(1), gang);
+  fleet.advance(100);
+  for (int rack = 0; rack < 4; ++rack)
+    CHECK(fleet.startsOnRack(rack) == on_racks[size_t(rack)]);
+  CHECK(fleet.waits("started") == 0);
+}
+
 namespace {
 
 struct LoadResult {
--- a/src/almondgate/dispatch/near_waits.cpp
+++ b/src/almondgate/dispatch/near_waits.cpp
@@ -62,7 +62,9 @@
   const bool began = wait.Waiting > 0;
   const bool over = !began && wait.Left > 0;
   const int64_t candidates =
-      over ? 0 : std::min(request.Count, began ? wait.Waiting : request.Count);
+      over ? 0
+           : std::min({request.Count, began ? wait.Waiting : request.Count,
+                       std::max<int64_t>(request.MaxWaiting, 0)});
   policy::NearWaitInput input;
   input.NearRunMs = request.Task.RunMs;
   input.RemoteFactor = RemoteFactor;
