--- a/src/almondgate/dispatch/near_wait_fleet_test.cpp
+++ b/src/almondgate/dispatch/near_wait_fleet_test.cpp
@@ -366,7 +366,9 @@
   };
   const auto never = [](const NearWaitInput &) { return decision(false); };
   const auto always = [](const NearWaitInput &) { return decision(true); };
-  for (const auto &[name, load] : loads) {
+  for (const auto &row : loads) {
+    const std::string name = row.first;
+    const Load &load = row.second;
     CAPTURE(name);
     const auto decided = play(load, {});
     const auto by_share = play(load, withDecision(waitByShare));
@@ -377,10 +379,10 @@
              std::to_string(result.P99Ms) + " / " +
              std::to_string(int64_t(result.OnTimePercent)) + " %";
     };
-    MESSAGE(std::string(name)
-            << ": mean / p99 in ms / on time of all: decision " << show(decided)
-            << ", fixed share " << show(by_share) << ", never " << show(at_once)
-            << ", always " << show(forever));
+    MESSAGE(name << ": mean / p99 in ms / on time of all: decision "
+                 << show(decided) << ", fixed share " << show(by_share)
+                 << ", never " << show(at_once) << ", always "
+                 << show(forever));
     CHECK(decided.MeanMs <= by_share.MeanMs);
     // A rack that is in demand beyond what it can do leaves nothing to gain;
     // waits in vain must not cost much then.
