Test a job that runs at most endpoints of a crowd

Cause: with more running endpoints than connections not all renewals may wait, which no process test covered. Change: connection_budget_test.py runs a job of 450 tasks, one per endpoint.

--- a/tests/connection_budget_test.py
+++ b/tests/connection_budget_test.py
@@ -17,6 +17,10 @@
 # inner protocol and probes, which use a few dozen here.
 MAX_OPEN = 300
 JOBS = 5
+# One task fills an endpoint, so this many endpoints run a task at a time.
+WIDE_JOB = "00000000000000f1"
+WIDE_JOB_TASKS = 450
+ENDPOINT_MILLICORES = 4000
 CPU_WINDOW_SECONDS = 5
 # A member whose loop runs without a pause uses a whole core.
 MAX_CPU_SHARE = 0.7
@@ -39,7 +43,8 @@
         return 200, json.dumps({"machines": [
             {"machine-id": e.vm, "pool": "s-one", "state": "up",
              "zone": "z0", "labels": ["a", "r1"], "id": e.id,
-             "capacity": {"cpu": 4000, "memory-request-mb": 64000, "gpu": 0}}
+             "capacity": {"cpu": ENDPOINT_MILLICORES,
+                          "memory-request-mb": 64000, "gpu": 0}}
             for e in self.crowd.endpoints.values()],
             "eligible-workers": [], "next-page-token": ""}).encode()
 
@@ -79,6 +84,15 @@
         for n in range(first, first + JOBS):
             self.serves(f"{n:016x}", 30)
 
+    def runs_a_job_at_most_endpoints(self):
+        spec = {"task-spec": "x", "steps": [
+            {"count": WIDE_JOB_TASKS, "cpu": ENDPOINT_MILLICORES,
+             "memory-request-mb": 1, "estimated-ms": 500}]}
+        wait_until(lambda: self.job_call("POST", WIDE_JOB, spec)[0] == 200,
+                   30, "the wide job is accepted")
+        wait_until(lambda: b"completed" in self.job_call("GET", WIDE_JOB)[1],
+                   60, "the wide job is completed")
+
 
 @pytest.fixture(scope="module")
 def deployment():
@@ -94,6 +108,7 @@
         deployment.metric(n, "almondgate_control_endpoints") == ENDPOINTS
         for n in deployment.of("control")), 60, "all endpoints are registered")
     deployment.runs_jobs(1)
+    deployment.runs_a_job_at_most_endpoints()
     deployment.configure(30)
     before = wait_until(deployment.leader, 30, "a member leads")
     deployment.restart = False
