Test the single heartbeats for a leader that knows no batches

Cause: the fallback was in ControlTask, which no unit test covers, and told endpoints a follower's view of the reachable members. Change: HeartbeatRelay sends single heartbeats after not-found; endpoints then stay with the member that they call.

--- a/include/almondgate/control/control_task.hpp
+++ b/include/almondgate/control/control_task.hpp
@@ -73,14 +73,10 @@
 
   ControlHooks coreHooks();
   HeartbeatRelayHooks heartbeatHooks();
-  /// Passes each heartbeat of a batch to `serve`, and their results to `done`.
-  void serveHeartbeats(
-      const jobs::HeartbeatBatch &batch,
-      const std::function<void(const jobs::EndpointHeartbeat &,
-                               dispatch::Dispatcher::OnStatus)> &serve,
-      const OnHeartbeatReply &done);
-  void sendHeartbeats(const jobs::HeartbeatBatch &batch,
-                      const OnHeartbeatReply &done);
+  /// Serves a batch as the leader; `done` receives the results once all
+  /// heartbeats are served.
+  void serveHeartbeats(const jobs::HeartbeatBatch &batch,
+                       const OnHeartbeatReply &done);
   /// Inner addresses of the members that take heartbeats, as the leader sees
   /// them.
   std::vector<core::Address> reachableMembers() const;
--- a/include/almondgate/control/heartbeat_relay.hpp
+++ b/include/almondgate/control/heartbeat_relay.hpp
@@ -15,8 +15,13 @@
 struct HeartbeatRelayHooks {
   using OnReply = std::function<void(core::Result<jobs::HeartbeatReply>)>;
 
-  /// Sends a batch to the leader; answered exactly once.
+  /// Sends a batch to the leader; answered exactly once, with NotFound by a
+  /// leader of a version without batches.
   std::function<void(const jobs::HeartbeatBatch &, OnReply)> Send;
+  /// Sends a single heartbeat to the leader; answered exactly once.
+  std::function<void(const jobs::EndpointHeartbeat &,
+                     std::function<void(core::Status)>)>
+      SendOne;
   /// Runs a function once, after the delay.
   std::function<void(core::DurationMs, std::function<void()>)> Defer;
   core::Clock Now = core::monotonicNow;
@@ -47,6 +52,7 @@
 
   void sendNext();
   void send();
+  void sendEach();
   void onReply(const core::Result<jobs::HeartbeatReply> &reply);
 
   const HeartbeatRelayHooks Hooks;
--- a/src/almondgate/control/control_task.cpp
+++ b/src/almondgate/control/control_task.cpp
@@ -286,7 +286,19 @@
 HeartbeatRelayHooks ControlTask::heartbeatHooks() {
   HeartbeatRelayHooks hooks;
   hooks.Send = [this](const auto &batch, const auto &done) {
-    sendHeartbeats(batch, done);
+    callLeader(Method::HeartbeatBatch, encoding::encode(batch),
+               [done](const Result<std::string> &reply) {
+                 if (reply)
+                   done(encoding::decode<jobs::HeartbeatReply>(reply.value()));
+                 else
+                   done(reply.error());
+               });
+  };
+  hooks.SendOne = [this](const auto &heartbeat, const auto &done) {
+    callLeader(Method::Heartbeat, encoding::encode(heartbeat),
+               [done](const Result<std::string> &reply) {
+                 done(reply ? core::ok() : core::Status(reply.error()));
+               });
   };
   hooks.Defer = [this](DurationMs delay, std::function<void()> fn) {
     Loop.defer(std::move(fn), delay);
@@ -310,11 +322,8 @@
       });
 }
 
-void ControlTask::serveHeartbeats(
-    const jobs::HeartbeatBatch &batch,
-    const std::function<void(const jobs::EndpointHeartbeat &,
-                             dispatch::Dispatcher::OnStatus)> &serve,
-    const OnHeartbeatReply &done) {
+void ControlTask::serveHeartbeats(const jobs::HeartbeatBatch &batch,
+                                  const OnHeartbeatReply &done) {
   struct Collected {
     jobs::HeartbeatReply Reply;
     size_t Open = 0;
@@ -325,36 +334,16 @@
   if (batch.Heartbeats.empty())
     done(collected->Reply);
   for (size_t i = 0; i < batch.Heartbeats.size(); ++i)
-    serve(batch.Heartbeats[i],
-          [this, collected, i, done](const core::Status &status) {
-            collected->Reply.Results[i] = {
-                bool(status), status ? core::Error{} : status.error()};
-            if (--collected->Open > 0)
-              return;
-            collected->Reply.Members = reachableMembers();
-            done(collected->Reply);
-          });
-}
-
-// A leader of an earlier version knows no batches.
-void ControlTask::sendHeartbeats(const jobs::HeartbeatBatch &batch,
-                                 const OnHeartbeatReply &done) {
-  const auto send_one = [this](const jobs::EndpointHeartbeat &heartbeat,
-                               const auto &answered) {
-    callLeader(Method::Heartbeat, encoding::encode(heartbeat),
-               [answered](const Result<std::string> &reply) {
-                 answered(reply ? core::ok() : core::Status(reply.error()));
-               });
-  };
-  callLeader(Method::HeartbeatBatch, encoding::encode(batch),
-             [this, batch, send_one, done](const Result<std::string> &reply) {
-               if (reply)
-                 done(encoding::decode<jobs::HeartbeatReply>(reply.value()));
-               else if (reply.error().Code == ErrorCode::NotFound)
-                 serveHeartbeats(batch, send_one, done);
-               else
-                 done(reply.error());
-             });
+    Jobs.handleHeartbeat(
+        batch.Heartbeats[i].Facts, batch.Heartbeats[i].Sequence,
+        [this, collected, i, done](const core::Status &status) {
+          collected->Reply.Results[i] = {bool(status), status ? core::Error{}
+                                                              : status.error()};
+          if (--collected->Open > 0)
+            return;
+          collected->Reply.Members = reachableMembers();
+          done(collected->Reply);
+        });
 }
 
 void ControlTask::send(Message message) {
@@ -453,12 +442,7 @@
       return true;
     }
     withDecoded<jobs::HeartbeatBatch>(body, respond, [&](const auto &batch) {
-      serveHeartbeats(
-          batch,
-          [this](const auto &beat, const auto &done) {
-            Jobs.handleHeartbeat(beat.Facts, beat.Sequence, done);
-          },
-          respondEncoded<jobs::HeartbeatReply>(respond));
+      serveHeartbeats(batch, respondEncoded<jobs::HeartbeatReply>(respond));
     });
     return true;
   case Method::Leave:
--- a/src/almondgate/control/heartbeat_relay.cpp
+++ b/src/almondgate/control/heartbeat_relay.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <memory>
 #include <utility>
 
 namespace almondgate::control {
@@ -43,7 +44,35 @@
   jobs::HeartbeatBatch batch;
   for (const auto &pending : InFlight)
     batch.Heartbeats.push_back(pending.Heartbeat);
-  Hooks.Send(batch, [this](const auto &reply) { onReply(reply); });
+  Hooks.Send(batch, [this](const auto &reply) {
+    if (!reply && reply.error().Code == ErrorCode::NotFound)
+      sendEach();
+    else
+      onReply(reply);
+  });
+}
+
+// The endpoints stay with the member that they call: only a leader that knows
+// batches tells which members are reachable.
+void HeartbeatRelay::sendEach() {
+  struct Collected {
+    jobs::HeartbeatReply Reply;
+    size_t Open = 0;
+  };
+  const auto collected = std::make_shared<Collected>();
+  collected->Open = InFlight.size();
+  collected->Reply.Results.resize(InFlight.size());
+  std::vector<jobs::EndpointHeartbeat> heartbeats;
+  for (const auto &pending : InFlight)
+    heartbeats.push_back(pending.Heartbeat);
+  for (size_t i = 0; i < heartbeats.size(); ++i)
+    Hooks.SendOne(heartbeats[i],
+                  [this, collected, i](const core::Status &status) {
+                    collected->Reply.Results[i] = {
+                        bool(status), status ? core::Error{} : status.error()};
+                    if (--collected->Open == 0)
+                      onReply(collected->Reply);
+                  });
 }
 
 void HeartbeatRelay::onReply(const core::Result<jobs::HeartbeatReply> &reply) {
--- a/src/almondgate/control/heartbeat_relay_test.cpp
+++ b/src/almondgate/control/heartbeat_relay_test.cpp
@@ -30,6 +30,8 @@
 struct RelayFixture {
   std::vector<jobs::HeartbeatBatch> Sent;
   control::HeartbeatRelayHooks::OnReply Answer;
+  std::vector<jobs::EndpointHeartbeat> SentAlone;
+  std::vector<std::function<void(core::Status)>> AloneAnswers;
   std::vector<std::function<void()>> Deferred;
   core::TimeMs Now{1000};
   std::map<int, std::string> Answers;
@@ -39,6 +41,11 @@
              Sent.push_back(batch);
              Answer = std::move(done);
            },
+       .SendOne =
+           [this](const auto &heartbeat, auto done) {
+             SentAlone.push_back(heartbeat);
+             AloneAnswers.push_back(std::move(done));
+           },
        .Defer = [this](auto, auto fn) { Deferred.push_back(std::move(fn)); },
        .Now = [this] { return Now; }}};
 
@@ -137,6 +144,23 @@
   CHECK(t.Answers[1] == "ok");
 }
 
+// Guards against heartbeats that are lost while members are upgraded.
+TEST_CASE("a leader that knows no batches gets single heartbeats") {
+  RelayFixture t;
+  t.add(0);
+  t.add(1);
+  t.add(2);
+  t.acceptAll();
+  t.answer(Error{ErrorCode::NotFound, "unknown method"});
+  REQUIRE(t.SentAlone ==
+          std::vector<jobs::EndpointHeartbeat>{heartbeatOf(1), heartbeatOf(2)});
+  t.AloneAnswers[1](core::ok());
+  CHECK(t.Answers.size() == 1);
+  t.AloneAnswers[0](Error{ErrorCode::Unavailable, "no"});
+  CHECK(t.Answers[1] == "no");
+  CHECK(t.Answers[2] == "ok");
+}
+
 TEST_CASE("heartbeats are spread evenly over the members") {
   constexpr int Endpoints = 3000;
   std::map<Address, int> counts;
