--- a/include/almondgate/control/control_task.hpp
+++ b/include/almondgate/control/control_task.hpp
@@ -76,14 +76,10 @@
   /// Serves a heartbeat as the leader.
   void serveHeartbeat(const jobs::EndpointHeartbeat &heartbeat,
                       const dispatch::Dispatcher::OnStatus &done);
-  /// Passes each heartbeat of a batch to `serve`, and their results to `done`.
-  void serveHeartbeats(
-      const jobs::HeartbeatBatch &batch,
-      const std::function<void(const jobs::EndpointHeartbeat &,
-                               dispatch::Dispatcher::OnStatus)> &serve,
-      const OnHeartbeatReply &done);
-  void sendHeartbeats(const jobs::HeartbeatBatch &batch,
-                      const OnHeartbeatReply &done);
+  /// Serves a batch as the leader; `done` receives the results once all
+  /// heartbeats are served.
+  void serveHeartbeats(const jobs::HeartbeatBatch &batch,
+                       const OnHeartbeatReply &done);
   /// Inner addresses of the members that take heartbeats, as the leader sees
   /// them.
   std::vector<core::Address> reachableMembers() const;
