--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -463,6 +463,7 @@
   core::TimeMs ExpiryDue;
   core::TimeMs DemandLogDue;
   core::TimeMs EvacuationLogDue;
+  core::TimeMs MoveOutDue;
   /// A change of an evacuation is being made durable.
   bool EvacuationPending = false;
   /// As EvacuationBasis::Confirmations.
--- a/src/almondgate/dispatch/dispatcher.cpp
+++ b/src/almondgate/dispatch/dispatcher.cpp
@@ -45,7 +45,7 @@
   LeadingSince = Hooks.Now();
   ExpiryDue = LeadingSince + ExpiryInterval;
   DemandLogDue = LeadingSince;
-  EvacuationLogDue = LeadingSince;
+  EvacuationLogDue = MoveOutDue = LeadingSince;
   EvacuationConfirmations = 0;
   // After a restore, the ledger may hold the indexed version at another
   // address.
--- a/src/almondgate/dispatch/dispatcher_evacuations.cpp
+++ b/src/almondgate/dispatch/dispatcher_evacuations.cpp
@@ -7,6 +7,7 @@
 #include "step_candidates.hpp"
 
 #include <algorithm>
+#include <optional>
 
 namespace almondgate::dispatch {
 
@@ -18,6 +19,11 @@
 namespace {
 
 constexpr DurationMs RemainingLogInterval{5000};
+// A task that was moved takes longer to become ready.
+constexpr DurationMs MoveOutInterval{200};
+// A new leader reads the list of the VMs within this time, or the VM service
+// does not answer.
+constexpr DurationMs VmListGrace{3000};
 
 Error outdatedBasis() {
   return {ErrorCode::Conflict,
@@ -161,6 +167,11 @@
   if (Ledger.Evacuations.empty() || Mover.spare() > 0 ||
       Mover.incoming(pool) > 0)
     return false;
+  // Until then, it is not known whether there are spare VMs.
+  const bool listed =
+      Vms.isLoaded() || Hooks.Now() >= LeadingSince + VmListGrace;
+  if (!isFleetRead() || !listed)
+    return false;
   bool known = false;
   for (const auto &[id, endpoint] : Endpoints) {
     if (endpoint.Facts.Pool != pool)
@@ -259,6 +270,10 @@
 // allow and usable endpoints have capacity that no other task on its way needs.
 // The stopped tasks start elsewhere; later calls stop the next ones.
 void Dispatcher::moveOutOfEvacuatedZones() {
+  const auto now = Hooks.Now();
+  if (Ledger.Evacuations.empty() || now < MoveOutDue)
+    return;
+  MoveOutDue = now + MoveOutInterval;
   const bool any =
       std::any_of(Endpoints.begin(), Endpoints.end(), [this](const auto &row) {
         return row.second.LongRunningCount > 0 && isEvacuated(row.second);
@@ -269,37 +284,40 @@
   const auto steps = longRunningSteps();
   // Capacity counts as used during this call once it is meant for a task.
   std::vector<std::pair<EndpointView *, core::Size>> claims;
-  const auto claim = [&](StepCandidates &candidates, const ReadyStep &step) {
-    EndpointView *at = candidates.allocate(Hooks.Policies.ChooseEndpoint);
-    if (at)
-      claims.emplace_back(at, requiredCapacity(*step.Spec));
-    return at != nullptr;
-  };
   const auto for_each_step = [&](const auto &visit) {
     for (const auto &step : steps) {
       const auto pool = pools.find(step.Job->pool());
       if (pool == pools.end())
         continue;
-      auto candidates = candidatesFor(step, pool->second.Endpoints);
+      // Few steps have a task that needs candidates.
+      std::optional<StepCandidates> candidates;
+      const auto claim = [&] {
+        if (!candidates)
+          candidates = candidatesFor(step, pool->second.Endpoints);
+        EndpointView *at = candidates->allocate(Hooks.Policies.ChooseEndpoint);
+        if (at)
+          claims.emplace_back(at, requiredCapacity(*step.Spec));
+        return at != nullptr;
+      };
       const size_t claimed = claims.size();
       for (size_t i = step.First; i < step.First + size_t(step.Spec->Count);
            ++i)
-        visit(step, i, candidates);
+        visit(step, i, claim);
       for (size_t i = claimed; i < claims.size(); ++i)
         claims[i].first->Used = claims[i].first->Used + claims[i].second;
     }
   };
-  for_each_step([&](const ReadyStep &step, size_t i, auto &candidates) {
+  for_each_step([&](const ReadyStep &step, size_t i, const auto &claim) {
     const TaskState &state = step.Job->Tasks[i];
     const bool on_its_way =
         state.Phase == TaskPhase::Waiting ||
         (state.Phase == TaskPhase::Stopping && isInEvacuatedZone(state));
     if (on_its_way)
-      claim(candidates, step);
+      claim();
   });
-  for_each_step([&](const ReadyStep &step, size_t i, auto &candidates) {
+  for_each_step([&](const ReadyStep &step, size_t i, const auto &claim) {
     const TaskKey task_key{step.Record->Id, i};
-    if (mayMoveOut(task_key) && claim(candidates, step))
+    if (mayMoveOut(task_key) && claim())
       stopTask(task_key, "evacuation");
   });
   for (const auto &[at, need] : claims)
--- a/src/almondgate/dispatch/dispatcher_moves.cpp
+++ b/src/almondgate/dispatch/dispatcher_moves.cpp
@@ -117,10 +117,16 @@
   std::map<PoolId, std::vector<std::pair<size_t, core::VmId>>> movable;
   for (const auto &[id, endpoint] : Endpoints) {
     const auto it = pools.find(endpoint.Facts.Pool);
-    if (it == pools.end() || !isAvailable(endpoint))
+    if (it == pools.end())
       continue;
-    const bool pinned = endpoint.LongRunningCount > 0;
     auto &balance = it->second.Balance;
+    // Tells how many VMs a pool needs that has none outside evacuated zones.
+    if (isEvacuated(endpoint))
+      balance.PerVm =
+          std::max(balance.PerVm, endpoint.Facts.Capacity.MilliCpus);
+    if (!isAvailable(endpoint))
+      continue;
+    const bool pinned = endpoint.LongRunningCount > 0;
     ++balance.Vms;
     balance.Usable +=
         endpoint.Facts.Capacity.MilliCpus - endpoint.LongRunningMilliCpus;
--- a/src/almondgate/dispatch/evacuation_test.cpp
+++ b/src/almondgate/dispatch/evacuation_test.cpp
@@ -4,6 +4,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 using namespace almondgate;
 using namespace almondgate::dispatch;
 
@@ -14,13 +16,25 @@
 struct ZonedFleet : Fleet {
   std::vector<core::VmId> InA;
   std::vector<core::VmId> InB;
+  std::vector<core::VmId> Spare;
 
-  explicit ZonedFleet(int per_zone) : Fleet(0) {
+  explicit ZonedFleet(int per_zone, int spare = 0,
+                      const std::string &spare_zone = "a")
+      : Fleet(0) {
     for (int i = 0; i < per_zone; ++i) {
       InA.push_back(addVm("p", "ra", "a"));
       InB.push_back(addVm("p", "rb", "b"));
     }
-    advance(2000);
+    for (int i = 0; i < spare; ++i)
+      Spare.push_back(addVm("spare", "r" + spare_zone, spare_zone));
+    // The next leader reads the list of the VMs anew.
+    changeLeader(0);
+    advance(4000);
+  }
+
+  bool isAnySpareUp() const {
+    return std::any_of(Spare.begin(), Spare.end(),
+                       [this](const auto &vm) { return isUp(vm); });
   }
 
   using Outcome = std::shared_ptr<std::optional<core::Status>>;
@@ -227,35 +241,42 @@
 
 // Guards against VMs that are brought in and may not be used.
 TEST_CASE("spare VMs of the zone are brought into no pool") {
-  ZonedFleet fleet(2);
-  for (int i = 0; i < 4; ++i)
-    fleet.addVm("spare", "ra", "a");
+  ZonedFleet fleet(2, 4);
   REQUIRE(fleet.setEvacuation("a", true));
   for (int i = 1; i <= 6; ++i)
     fleet.submit(jobId(i), wholeVms(4, 500));
-  fleet.advance(5000);
-  CHECK(fleet.Moves == 0);
+  fleet.advance(4000);
+  CHECK_FALSE(fleet.isAnySpareUp());
   REQUIRE(fleet.setEvacuation("a", false));
-  for (int i = 7; i <= 12; ++i)
+  for (int i = 7; i <= 14; ++i)
     fleet.submit(jobId(i), wholeVms(4, 500));
+  fleet.advance(4000);
+  CHECK(fleet.isAnySpareUp());
+  fleet.checkViolations();
+}
+
+TEST_CASE("a pool without a zone is served by spare VMs of another one") {
+  ZonedFleet fleet(2, 4, "c");
+  REQUIRE(fleet.setEvacuation("a", true));
+  REQUIRE(fleet.setEvacuation("b", true));
+  CHECK(fleet.submit(jobId(1), wholeVms(2, 500)).Outcome ==
+        jobs::JobOutcome::Done);
   fleet.advance(5000);
-  CHECK(fleet.Moves > 0);
+  CHECK(fleet.isAnySpareUp());
+  CHECK(fleet.stateOf(jobId(1)) == jobs::JobState::Completed);
   fleet.checkViolations();
 }
 
 // Guards against a move that was decided before the evacuation.
 TEST_CASE("a move whose order waits to be sent is withheld") {
-  ZonedFleet fleet(2);
-  for (int i = 0; i < 4; ++i)
-    fleet.addVm("spare", "ra", "a");
-  fleet.advance(2000);
+  ZonedFleet fleet(2, 4);
   fleet.VmConnectMs = 500;
   for (int i = 1; i <= 6; ++i)
     fleet.submit(jobId(i), wholeVms(4, 500));
   fleet.advance(100);
   REQUIRE(fleet.setEvacuation("a", true));
-  fleet.advance(6000);
-  CHECK(fleet.Moves == 0);
+  fleet.advance(4000);
+  CHECK_FALSE(fleet.isAnySpareUp());
   fleet.checkViolations();
 }
 
--- a/src/almondgate/dispatch/random_days_test.cpp
+++ b/src/almondgate/dispatch/random_days_test.cpp
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 
+#include <iterator>
 #include <random>
 #include <sstream>
 
@@ -14,7 +15,7 @@
 constexpr int64_t Vms = 6;
 constexpr int64_t Actions = 40;
 constexpr int64_t LongestPauseMs = 300;
-constexpr int64_t Evacuations = 8;
+constexpr int64_t Evacuations = 12;
 constexpr int64_t Zones = 2;
 // Longer than two waves take that may have one VM down at a time.
 constexpr int64_t RecoveryMs = 60000;
@@ -50,6 +51,8 @@
   /// Only on days with evacuations.
   Evacuate,
   WithdrawEvacuation,
+  SlowOrders,
+  QuickOrders,
 };
 
 const char *const ActionNames[] = {"submit",
@@ -76,7 +79,9 @@
                                    "quick commits",
                                    "fail runs",
                                    "evacuate",
-                                   "withdraw evacuation"};
+                                   "withdraw evacuation",
+                                   "slow orders",
+                                   "quick orders"};
 
 /// One event of a day. The meaning of the numbers depends on the kind.
 struct Action {
@@ -110,8 +115,11 @@
   const auto below = [&](int64_t n) { return int64_t(random() % uint64_t(n)); };
   Day day = drawDay(seed);
   for (int64_t i = 0; i < Evacuations; ++i) {
-    const auto kind =
-        below(3) == 0 ? ActionKind::WithdrawEvacuation : ActionKind::Evacuate;
+    constexpr ActionKind Kinds[] = {ActionKind::Evacuate, ActionKind::Evacuate,
+                                    ActionKind::WithdrawEvacuation,
+                                    ActionKind::SlowOrders,
+                                    ActionKind::QuickOrders};
+    const auto kind = Kinds[below(std::size(Kinds))];
     const auto at = day.begin() + below(int64_t(day.size()));
     day.insert(at, {kind, below(LongestPauseMs), 0, below(1000)});
   }
@@ -179,6 +187,7 @@
     setQueues({Queue});
     Fl.VmServiceUnresponsive = false;
     Fl.CommitMs = QuickCommitMs;
+    Fl.OrderQueueMs = 0;
     for (const auto &vm : VmIds)
       if (Fl.isUp(vm))
         Fl.endpointOf(vm).Unreachable = false;
@@ -316,6 +325,12 @@
   case ActionKind::WithdrawEvacuation:
     Fl.setEvacuation(zoneName(n), false);
     return;
+  case ActionKind::SlowOrders:
+    Fl.OrderQueueMs = 20 + n / 10;
+    return;
+  case ActionKind::QuickOrders:
+    Fl.OrderQueueMs = 0;
+    return;
   }
 }
 
--- a/tests/evacuation_test.py
+++ b/tests/evacuation_test.py
@@ -4,6 +4,7 @@
 import json
 import os
 import re
+import shutil
 import signal
 import socket
 import subprocess
@@ -209,6 +210,24 @@
     d.assert_no_start_since(since)
 
 
+def test_an_evacuation_survives_a_lost_disk(deployment):
+    """Guards against a change that the only disk with it takes along."""
+    d = deployment
+    node = d.leader()
+    d.change("POST", ZONE)
+    node.end(signal.SIGKILL)
+    data = node.settings["data-directory"]
+    shutil.rmtree(data)
+    os.mkdir(data)
+    node.settings["first-start"] = "false"
+    node.start()
+    d.wait_evacuations(1, seconds=30)
+    assert d.change("POST", ZONE) < ACK_TIMEOUT_SECONDS
+    since = time.monotonic()
+    d.run_jobs(1)
+    d.assert_no_start_since(since)
+
+
 def test_an_evacuation_survives_a_change_of_leader(deployment):
     d = deployment
     load = threading.Thread(target=d.run_jobs, args=(9,))
