--- a/tests/evacuation_test.py
+++ b/tests/evacuation_test.py
@@ -174,6 +174,8 @@
     d = deployment
     d.change("POST", ZONE)
     d.change("POST", OTHER, first=1)
+    # A leader that has just found its fleet first looks for spare VMs.
+    wait_until(lambda: d.submit()[1] == 503, 10, "a job is refused")
     status, body = d.submit()[1:]
     assert status == 503 and b"under evacuation" in body
     d.change("DELETE", OTHER, first=2)
