--- a/src/almondgate/dispatch/evacuation_test.cpp
+++ b/src/almondgate/dispatch/evacuation_test.cpp
@@ -313,7 +313,7 @@
 
 TEST_CASE("an evacuation is withdrawn and requested again in series") {
   ZonedFleet fleet(2);
-  for (int i = 1; i <= 30; ++i) {
+  for (int64_t i = 1; i <= 30; ++i) {
     REQUIRE(fleet.setEvacuation("a", i % 2 == 1));
     fleet.submit(jobId(i), wholeVms(2, 100));
     fleet.advance(10 * (i % 7));
