--- a/src/almondgate/dispatch/dispatcher_moves.cpp
+++ b/src/almondgate/dispatch/dispatcher_moves.cpp
@@ -72,6 +72,10 @@
     return movable;
   balance.Usable = Pools.servingMilliCpus(pool);
   for (const auto &[id, endpoint] : *members) {
+    // Tells how many VMs a pool needs that has none outside evacuated zones.
+    if (isEvacuated(*endpoint))
+      balance.PerVm =
+          std::max(balance.PerVm, endpoint->Facts.Capacity.MilliCpus);
     if (!endpoint->Share.Serving)
       continue;
     ++balance.Vms;
