--- a/src/almondgate/http/http2_usage_test.cpp
+++ b/src/almondgate/http/http2_usage_test.cpp
@@ -32,7 +32,8 @@
   const std::string bytes = Preface + frame(Fields, 1, 100) +
                             frame(Data, 1, 5000) + frame(Fields, 3, 100) +
                             frame(Data, 3, 7000);
-  const size_t all = 2 * Http2Usage::StreamBytes + 2 * (5100 + 7100);
+  const size_t content = size_t{5100} + 7100;
+  const size_t all = 2 * Http2Usage::StreamBytes + 2 * content;
   for (const size_t size : {size_t{1}, size_t{7}, size_t{1000}, bytes.size()}) {
     Http2Usage usage(MaxBody);
     for (size_t i = 0; i < bytes.size(); i += size)
@@ -40,7 +41,7 @@
     CHECK(usage.isHttp2());
     CHECK(usage.heldBytes() == all);
     usage.close(1);
-    CHECK(usage.heldBytes() == Http2Usage::StreamBytes + 2 * 7100);
+    CHECK(usage.heldBytes() == Http2Usage::StreamBytes + size_t{2} * 7100);
     usage.receive(frame(Reset, 3, 4), false);
     CHECK(usage.heldBytes() == 0);
     usage.receive(frame(Data, 3, 100), false);
--- a/src/almondgate/http/server_test.cpp
+++ b/src/almondgate/http/server_test.cpp
@@ -334,8 +334,8 @@
 
 // Guards against bodies in HTTP/2 streams that no budget counts.
 TEST_CASE("incomplete bodies of HTTP/2 streams are counted until a reset") {
-  constexpr size_t BodyBytes = 96 * 1024;
-  constexpr size_t FrameBytes = 16 * 1024;
+  constexpr size_t BodyBytes = size_t{96} * 1024;
+  constexpr size_t FrameBytes = size_t{16} * 1024;
   constexpr core::DurationMs Wait{50};
   // :method POST, :scheme http, :path /, :authority h (RFC 7541, appendix A)
   const std::string post("\x83\x86\x84\x01\x01h", 6);
