almondgate-ctl explain: where a job would run now, and why

Operators could only submit a job and read the log to learn where it goes. The leader answers from the decisions of a submission and of a placement pass, for a job that is not submitted or an open one, and changes nothing.

--- a/include/almondgate/ctl/command_line.hpp
+++ b/include/almondgate/ctl/command_line.hpp
@@ -21,6 +21,7 @@
   std::string Rack;
   std::string Zone;
   std::string Kind;
+  std::string Team;
   std::string From;
   std::string To;
   uint64_t Number = 0;
--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -19,6 +19,8 @@
 #include "almondgate/jobs/config_index.hpp"
 #include "almondgate/jobs/evacuation_change.hpp"
 #include "almondgate/jobs/evacuation_list.hpp"
+#include "almondgate/jobs/explain_request.hpp"
+#include "almondgate/jobs/explanation.hpp"
 #include "almondgate/jobs/job_call.hpp"
 #include "almondgate/jobs/job_reply.hpp"
 #include "almondgate/jobs/ledger.hpp"
@@ -134,6 +136,12 @@
   /// Returns the open evacuations. Errors: NotLeader.
   core::Result<jobs::EvacuationList> evacuations() const;
 
+  /// Tells where a job would run now and why, by the decisions that a
+  /// submission and a placement pass take. Changes nothing. Errors: NotLeader;
+  /// NotFound for a job that is not open, a queue or a team; InvalidArgument
+  /// for a job that would be refused as invalid.
+  core::Result<jobs::Explanation> explain(const jobs::ExplainRequest &request);
+
   /// True while the member leads and no other member may lead.
   bool isActive() const { return Active && Hooks.MayAct(); }
 
@@ -417,6 +425,13 @@
                   const std::vector<EndpointView *> &pool,
                   const std::vector<EndpointView *> &bound);
 
+  // dispatcher_explain.cpp
+  void explainSteps(OpenJob &job, jobs::Explanation &out);
+  jobs::StepExplanation explainStep(const ReadyStep &ready);
+  /// Why no task of the step may start at the endpoint now; null if one may.
+  const char *reasonToPassOver(const EndpointView &endpoint,
+                               const jobs::StepSpec &step) const;
+
   // dispatcher_tickets.cpp
   bool ensureTickets(const ReadyStep &ready,
                      const std::vector<EndpointView *> &pool);
--- a/include/almondgate/entry/job_api.hpp
+++ b/include/almondgate/entry/job_api.hpp
@@ -4,6 +4,8 @@
 #include "almondgate/core/result.hpp"
 #include "almondgate/http/request.hpp"
 #include "almondgate/http/response.hpp"
+#include "almondgate/jobs/explain_request.hpp"
+#include "almondgate/jobs/explanation.hpp"
 #include "almondgate/jobs/fleet_config.hpp"
 #include "almondgate/jobs/job_call.hpp"
 #include "almondgate/jobs/job_reply.hpp"
@@ -15,6 +17,7 @@
 
 inline constexpr const char *JobsPrefix = "/jobs/";
 inline constexpr const char *FleetPath = "/admin/v1/fleet";
+inline constexpr const char *ExplainPath = "/admin/v1/explain";
 
 /// Operations that JobApi needs from its host.
 struct JobApiHooks {
@@ -24,6 +27,8 @@
   std::function<bool(const http::Request &)> IsOperator;
   std::function<void(const jobs::FleetConfig &, On<void>)> Configure;
   std::function<void(On<jobs::FleetConfig>)> ReadConfig;
+  std::function<void(const jobs::ExplainRequest &, On<jobs::Explanation>)>
+      Explain;
 };
 
 /// The native HTTP API for jobs and the fleet configuration; see docs/API.md.
@@ -40,6 +45,7 @@
 
 private:
   void fleet(const http::Request &request, const Respond &respond) const;
+  void explain(const http::Request &request, const Respond &respond) const;
   void job(const http::Request &request, const Respond &respond) const;
 
   const JobApiHooks Hooks;
--- a/include/almondgate/protocol/method.hpp
+++ b/include/almondgate/protocol/method.hpp
@@ -69,6 +69,8 @@
   ListEvacuations,
   /// HeartbeatBatch to HeartbeatReply; control member to the leader.
   HeartbeatBatch,
+  /// ExplainRequest to Explanation; entry to the leader.
+  Explain,
 };
 
 /// The method's name in request paths, such as "watch".
--- a/src/almondgate/control/control_task.cpp
+++ b/src/almondgate/control/control_task.cpp
@@ -474,6 +474,11 @@
       Jobs.startWave(wave, respond_status);
     });
     return true;
+  case Method::Explain:
+    withDecoded<jobs::ExplainRequest>(body, respond, [&](const auto &request) {
+      respondEncoded<jobs::Explanation>(respond)(Jobs.explain(request));
+    });
+    return true;
   case Method::ReadWave:
     withDecoded<int64_t>(body, respond, [&](int64_t number) {
       respondEncoded<bool>(respond)(Jobs.isWaveCompleted(number));
--- a/src/almondgate/ctl/command_line.cpp
+++ b/src/almondgate/ctl/command_line.cpp
@@ -23,6 +23,7 @@
     "  fleet [--file=F]\n"
     "  evacuate ZONE --reason=R | withdraw-evacuation ZONE --reason=R\n"
     "  evacuations\n"
+    "  explain QUEUE --file=JOB [--team=T] | explain-job JOB\n"
     "  audit | members | replace-member OLD IP:PORT";
 
 std::string environmentOr(const char *name, const std::string &other) {
@@ -69,6 +70,8 @@
   Text zone("", "zone", "Only VMs of this zone", false, "", "zone", line);
   Text kind("", "kind", "drain, reboot, replace or evacuate", false, "drain",
             "kind", line);
+  Text team("", "team", "The team of a job to explain", false, "", "team",
+            line);
   Text from("", "from", "The pool that a VM leaves", false, "", "pool", line);
   Text to("", "to", "The pool that a VM joins", false, "", "pool", line);
   Number number("", "number", "Change number, to resend a change", false, 0,
@@ -105,6 +108,7 @@
   out.Rack = rack.getValue();
   out.Zone = zone.getValue();
   out.Kind = kind.getValue();
+  out.Team = team.getValue();
   out.From = from.getValue();
   out.To = to.getValue();
   out.Number = number.getValue();
--- a/src/almondgate/ctl/run.cpp
+++ b/src/almondgate/ctl/run.cpp
@@ -74,6 +74,9 @@
   void printWave(const json &wave) const;
   ExitCode changeEvacuation(const char *method) const;
   ExitCode listEvacuations() const;
+  ExitCode explainSubmission() const;
+  ExitCode explain(const json &request) const;
+  void printExplanation(const json &found) const;
 
   const CommandLine &Line;
   const RunHooks &Hooks;
@@ -364,6 +367,70 @@
   return Success;
 }
 
+ExitCode Runner::explainSubmission() const {
+  if (word(1).empty() || Line.File.empty())
+    return usage("explain QUEUE --file=JOB [--team=T]");
+  const auto text = Hooks.ReadFile(Line.File);
+  if (!text) {
+    Hooks.PrintError(text.error().Text);
+    return BadUsage;
+  }
+  const json spec = json::parse(text.value(), nullptr, false);
+  if (!spec.is_object()) {
+    Hooks.PrintError(Line.File + " is not a JSON object");
+    return BadUsage;
+  }
+  return explain({{"Queue", word(1)}, {"Team", Line.Team}, {"Spec", spec}});
+}
+
+ExitCode Runner::explain(const json &request) const {
+  const auto answer =
+      Hooks.Call("POST", "/admin/v1/explain", http::encodeJson(request));
+  if (!answer) {
+    Hooks.PrintError("no entry responds: " + answer.error().Text);
+    return Unreachable;
+  }
+  if (answer.value().Status >= FirstErrorStatus)
+    return failed(answer.value());
+  const json found = json::parse(answer.value().Body, nullptr, false);
+  if (Line.Json)
+    Hooks.Print(found.dump(Indent) + "\n");
+  else
+    printExplanation(found);
+  return Success;
+}
+
+// Prints the answer to a submission, and for each step a line with the
+// endpoints where tasks would start, one with what waits, and one with the
+// endpoints that are passed over.
+void Runner::printExplanation(const json &found) const {
+  const auto counts = [](const json &rows) {
+    std::string out;
+    for (const auto &[name, n] : rows.items())
+      out += (out.empty() ? "" : ", ") + n.dump() + " " + name;
+    return out;
+  };
+  std::string line = "pool " + found["Pool"].get<std::string>() + ": ";
+  line += found["Accepted"].get<bool>()
+              ? "accepted"
+              : "refused, retry after " + found["RetryAfterMs"].dump() + " ms";
+  Hooks.Print(line + " (" + found["Reason"].get<std::string>() + ")\n");
+  for (const auto &step : found["Steps"]) {
+    const std::string name = "step " + step["Step"].dump() + ": ";
+    if (!step["Starts"].empty())
+      Hooks.Print(name + "starts at " + counts(step["Starts"]) + "\n");
+    if (step["Remote"] != 0)
+      Hooks.Print(name + step["Remote"].dump() +
+                  " of them away from the rack of their data, unless a wait "
+                  "for it pays\n");
+    if (step["Waiting"] != 0)
+      Hooks.Print(name + step["Waiting"].dump() + " tasks wait: " +
+                  step["WaitReason"].get<std::string>() + "\n");
+    if (!step["PassedOver"].empty())
+      Hooks.Print(name + "passed over: " + counts(step["PassedOver"]) + "\n");
+  }
+}
+
 ExitCode Runner::sendRequest(const char *method, const std::string &path,
                              const std::string &body) const {
   const auto answer = Hooks.Call(method, path, body);
@@ -416,6 +483,11 @@
     return changeEvacuation("DELETE");
   if (verb == "evacuations")
     return listEvacuations();
+  if (verb == "explain")
+    return explainSubmission();
+  if (verb == "explain-job")
+    return word(1).empty() ? usage("explain-job JOB")
+                           : explain({{"Job", word(1)}});
   return usage("unknown command '" + verb + "'");
 }
 
--- a/src/almondgate/encoding/jobs_json.hpp
+++ b/src/almondgate/encoding/jobs_json.hpp
@@ -4,6 +4,8 @@
 #include "almondgate/jobs/endpoint_heartbeat.hpp"
 #include "almondgate/jobs/evacuation_change.hpp"
 #include "almondgate/jobs/evacuation_list.hpp"
+#include "almondgate/jobs/explain_request.hpp"
+#include "almondgate/jobs/explanation.hpp"
 #include "almondgate/jobs/heartbeat_batch.hpp"
 #include "almondgate/jobs/job_call.hpp"
 #include "almondgate/jobs/job_reply.hpp"
@@ -106,6 +108,13 @@
                                                 ShortRuns, LongRuns)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(EvacuationList, Basis, Zones,
                                                 Remaining)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ExplainRequest, Job, Queue,
+                                                Team, Spec)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(StepExplanation, Step, Starts,
+                                                Remote, Waiting, WaitReason,
+                                                PassedOver)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Explanation, Pool, Accepted,
+                                                RetryAfterMs, Reason, Steps)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(JobCall, Verb, Host, Path, Key,
                                                 Call, Spec, SpecError)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(JobReply, Outcome, State,
--- a/src/almondgate/entry/job_api.cpp
+++ b/src/almondgate/entry/job_api.cpp
@@ -53,13 +53,16 @@
 JobApi::JobApi(JobApiHooks hooks) : Hooks(std::move(hooks)) {}
 
 bool JobApi::serves(const std::string &target) {
-  return target.starts_with(JobsPrefix) || target == FleetPath;
+  return target.starts_with(JobsPrefix) || target == FleetPath ||
+         target == ExplainPath;
 }
 
 void JobApi::handle(const http::Request &request,
                     const Respond &respond) const {
   if (request.Target == FleetPath)
     fleet(request, respond);
+  else if (request.Target == ExplainPath)
+    explain(request, respond);
   else
     job(request, respond);
 }
@@ -115,4 +118,30 @@
   });
 }
 
+void JobApi::explain(const http::Request &request,
+                     const Respond &respond) const {
+  if (!Hooks.IsOperator(request)) {
+    respond(problem(ErrorCode::Unauthenticated,
+                    "an operator's API key is required"));
+    return;
+  }
+  if (request.Method != "POST") {
+    respond(
+        problem(ErrorCode::InvalidArgument,
+                "method " + request.Method + " is not supported; use POST"));
+    return;
+  }
+  const auto asked =
+      encoding::fromJson<jobs::ExplainRequest>(request.Body, JobBounds);
+  if (!asked) {
+    respond(http::problemResponse(asked.error()));
+    return;
+  }
+  Hooks.Explain(
+      asked.value(), [respond](const Result<jobs::Explanation> &found) {
+        respond(found ? http::jsonResponse(200, encoding::toJson(found.value()))
+                      : http::problemResponse(found.error()));
+      });
+}
+
 } // namespace almondgate::entry
--- a/src/almondgate/entry/route_hooks.cpp
+++ b/src/almondgate/entry/route_hooks.cpp
@@ -160,6 +160,12 @@
                    done(protocol::decodeReply<jobs::FleetConfig>(reply));
                  });
   };
+  hooks.Explain = [this](const jobs::ExplainRequest &request, auto done) {
+    Control.call(Method::Explain, encoding::encode(request), ReadTimeout,
+                 [done](const auto &reply) {
+                   done(protocol::decodeReply<jobs::Explanation>(reply));
+                 });
+  };
   return hooks;
 }
 
--- a/src/almondgate/protocol/method.cpp
+++ b/src/almondgate/protocol/method.cpp
@@ -32,8 +32,9 @@
                                            "join",
                                            "set-evacuation",
                                            "list-evacuations",
-                                           "heartbeat-batch"};
-static_assert(MethodNames.size() == size_t(Method::HeartbeatBatch) + 1,
+                                           "heartbeat-batch",
+                                           "explain"};
+static_assert(MethodNames.size() == size_t(Method::Explain) + 1,
               "each method has a name");
 
 const char *methodName(Method method) {
--- a/tests/jobs_test.py
+++ b/tests/jobs_test.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from fleet import BUILD, Fleet, http_call, wait_until
+from fleet import BUILD, OPERATOR_KEYS, Fleet, http_call, wait_until
 from job_fleet import JobFleet, config, job_id, two_step_job
 
 
@@ -193,3 +193,27 @@
     wait_until(lambda: state() == "completed", 60, "the job is completed")
     assert not any(event == "start" for event, _, _, _ in jobs.rows(0))
     assert_ran_once(jobs, 12)
+
+
+# Guards against an answer of the command that nobody can act on, and against an
+# explained job that is carried out.
+def test_operators_ask_where_a_job_would_go(jobs, tmp_path):
+    spec = tmp_path / "job.json"
+    spec.write_text(json.dumps(two_step_job(4, 200)))
+    entry = f"127.0.0.1:{jobs.fleet.public_ports['entry0']}"
+
+    def ctl(*args):
+        return subprocess.run(
+            [os.path.join(BUILD, "almondgate-ctl"), f"--entries={entry}",
+             f"--key={OPERATOR_KEYS['alice']}", *args],
+            capture_output=True, text=True, timeout=60)
+    asked = ("explain", "q", f"--file={spec}", "--team=t")
+    wait_until(lambda: "step 0: starts at" in ctl(*asked).stdout, 20,
+               "the fleet has room for the job")
+    shown = ctl(*asked).stdout
+    assert "pool p: accepted" in shown
+    assert "step 1: 4 tasks wait: steps that it depends on" in shown
+    assert json.loads(ctl(*asked, "--json").stdout)["Accepted"]
+    assert ctl("explain", "nowhere", f"--file={spec}").returncode == 1
+    assert ctl("explain-job", job_id(1)).returncode == 1
+    assert jobs.runs() == []
