path_test: wait for the placer's log line

Cause: since lines at level info are written in batches, within 50 ms, and the test read the log right after the answer. It now waits until the line is there and checks the same text. The other tests that read a log at once read lines at level warning, which are written at once, or lines of processes that have ended.

--- a/tests/path_test.py
+++ b/tests/path_test.py
@@ -55,9 +55,14 @@
 
 def test_each_placement_is_explained(fleet):
     fleet.call("q", "key-t", headers={"almondgate-request-id": "explained-1"})
-    logs = "".join(p.log_text() for n, p in fleet.processes.items()
-                   if n.startswith("placer"))
-    line = next(l for l in logs.splitlines() if "explained-1" in l)
+
+    def lines():
+        logs = "".join(p.log_text() for n, p in fleet.processes.items()
+                       if n.startswith("placer"))
+        return [row for row in logs.splitlines() if "explained-1" in row]
+    # Lines at level info are written in batches.
+    wait_until(lines, 5, "the placer's line is written")
+    line = lines()[0]
     assert " place: request " in line and "least loaded" in line
 
 
