--- a/src/almondgate/control/control_task.cpp
+++ b/src/almondgate/control/control_task.cpp
@@ -9,6 +9,7 @@
 
 #include "control_errors.hpp"
 #include "read_message.hpp"
+#include "serve_each.hpp"
 
 #include <algorithm>
 #include <set>
@@ -333,25 +334,15 @@
 
 void ControlTask::serveHeartbeats(const jobs::HeartbeatBatch &batch,
                                   const OnHeartbeatReply &done) {
-  struct Collected {
-    jobs::HeartbeatReply Reply;
-    size_t Open = 0;
-  };
-  const auto collected = std::make_shared<Collected>();
-  collected->Open = batch.Heartbeats.size();
-  collected->Reply.Results.resize(batch.Heartbeats.size());
-  if (batch.Heartbeats.empty())
-    done(collected->Reply);
-  for (size_t i = 0; i < batch.Heartbeats.size(); ++i)
-    serveHeartbeat(batch.Heartbeats[i],
-                   [this, collected, i, done](const core::Status &status) {
-                     collected->Reply.Results[i] = {
-                         bool(status), status ? core::Error{} : status.error()};
-                     if (--collected->Open > 0)
-                       return;
-                     collected->Reply.Members = reachableMembers();
-                     done(collected->Reply);
-                   });
+  serveEach(
+      batch.Heartbeats,
+      [this](const auto &heartbeat, const auto &served) {
+        serveHeartbeat(heartbeat, served);
+      },
+      [this, done](jobs::HeartbeatReply reply) {
+        reply.Members = reachableMembers();
+        done(std::move(reply));
+      });
 }
 
 void ControlTask::send(Message message) {
--- a/src/almondgate/control/heartbeat_relay.cpp
+++ b/src/almondgate/control/heartbeat_relay.cpp
@@ -1,9 +1,10 @@
 #include "almondgate/control/heartbeat_relay.hpp"
 #include "almondgate/control/heartbeat_member.hpp"
 
+#include "serve_each.hpp"
+
 #include <algorithm>
 #include <iterator>
-#include <memory>
 #include <utility>
 
 namespace almondgate::control {
@@ -55,24 +56,11 @@
 // The endpoints stay with the member that they call: only a leader that knows
 // batches tells which members are reachable.
 void HeartbeatRelay::sendEach() {
-  struct Collected {
-    jobs::HeartbeatReply Reply;
-    size_t Open = 0;
-  };
-  const auto collected = std::make_shared<Collected>();
-  collected->Open = InFlight.size();
-  collected->Reply.Results.resize(InFlight.size());
   std::vector<jobs::EndpointHeartbeat> heartbeats;
   for (const auto &pending : InFlight)
     heartbeats.push_back(pending.Heartbeat);
-  for (size_t i = 0; i < heartbeats.size(); ++i)
-    Hooks.SendOne(heartbeats[i],
-                  [this, collected, i](const core::Status &status) {
-                    collected->Reply.Results[i] = {
-                        bool(status), status ? core::Error{} : status.error()};
-                    if (--collected->Open == 0)
-                      onReply(collected->Reply);
-                  });
+  serveEach(heartbeats, Hooks.SendOne,
+            [this](const jobs::HeartbeatReply &reply) { onReply(reply); });
 }
 
 void HeartbeatRelay::onReply(const core::Result<jobs::HeartbeatReply> &reply) {
--- a/src/almondgate/dispatch/dispatcher_evacuations.cpp
+++ b/src/almondgate/dispatch/dispatcher_evacuations.cpp
@@ -173,15 +173,11 @@
       Vms.isLoaded() || Hooks.Now() >= LeadingSince + VmListGrace;
   if (!isFleetRead() || !listed)
     return false;
-  bool known = false;
-  for (const auto &[id, endpoint] : Endpoints) {
-    if (endpoint.Facts.Pool != pool)
-      continue;
-    if (!isEvacuated(endpoint))
-      return false;
-    known = true;
-  }
-  return known;
+  const auto *members = Pools.members(pool);
+  return members &&
+         std::all_of(members->begin(), members->end(), [this](const auto &row) {
+           return isEvacuated(*row.second);
+         });
 }
 
 bool Dispatcher::bringsVmIntoService(const VmOrder &order) const {
