Tests: claim a deployment's network before its processes listen

Cause: two deployments of parallel tests could find the same loopback network free, since the check ended before the processes listened.

Change: Deployment holds a socket of the network until it ends, as the soak of restarted endpoints did already.

--- a/tests/platform_deployment.py
+++ b/tests/platform_deployment.py
@@ -157,15 +157,22 @@
         self.restart = True
         self.threads = []
 
-    @staticmethod
-    def free_net():
+    def free_net(self):
+        """Returns a network that no other deployment takes before the end.
+
+        The claim is held from before the processes listen, since deployments
+        of tests in parallel look for a network at the same time.
+        """
         for second in range(20 + os.getpid() % 200, 250):
-            with socket.socket() as s:
-                try:
+            claim = socket.socket()
+            try:
+                claim.bind((f"127.{second}.251.1", INNER_PORT))
+                with socket.socket() as s:
                     s.bind((f"127.{second}.1.1", INNER_PORT))
-                    return f"127.{second}"
-                except OSError:
-                    continue
+                self.net_claim = claim
+                return f"127.{second}"
+            except OSError:
+                claim.close()
         raise AssertionError("no free loopback network")
 
     def settings(self, name, role, ip, zone, data, memory_mb):
@@ -210,6 +217,7 @@
             thread.join(10)
         for node in self.nodes.values():
             node.end()
+        self.net_claim.close()
 
     def of(self, role):
         return [n for n in self.nodes.values() if n.role is self.roles[role]]
