Inherited jobs wait only for endpoints that the earlier leader may have used

Cause: EndpointView::isUnread() held for each incarnation that had not been read, also for those that are new in this leader's term or follow one that was read in it. Such an incarnation can't hold a run of the earlier leader.

Callers saw: jobs that were open at a change of leader stood still, all those of a pool at once, whenever an endpoint restarted and could not be read.

Change: an endpoint counts as unread if it was in the ledger when this leader began and none of its incarnations has been read since, and at most until one longest lease after the leader began, unless it has answered and still has ends to list. A VM order still needs the inventory of its endpoint's incarnation.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -304,6 +304,11 @@
   /// All endpoints have been read that an earlier leader may have started tasks
   /// of the job on.
   bool areEndpointsRead(const OpenJob &job) const;
+  /// No run of an earlier leader is in progress at the endpoint unseen.
+  void clearEarlierRuns(EndpointView &endpoint);
+  /// Does so for all endpoints that have not answered, once the leases of
+  /// before have expired.
+  void expireEarlierRuns();
   /// Tasks of the job may be in progress at endpoints of the pool.
   static bool mayRunIn(const OpenJob &job, const core::PoolId &pool);
   /// All endpoints have been read, or the time limit for reading them passed.
@@ -505,6 +510,9 @@
   uint64_t Epoch = 0;
   FenceCounter Fences;
   core::TimeMs LeadingSince;
+  /// The endpoints that were known when the member became the leader and have
+  /// not been read since; empty once all leases of before have expired.
+  std::set<jobs::EndpointId> EarlierEndpoints;
   /// No endpoint was known when the member became the leader.
   bool FleetWasEmpty = false;
   std::map<jobs::JobId, OpenJob> OpenJobs;
--- a/include/almondgate/dispatch/endpoint_view.hpp
+++ b/include/almondgate/dispatch/endpoint_view.hpp
@@ -45,6 +45,10 @@
   /// The inventory of the endpoint has been read in this epoch, with all its
   /// ends.
   bool InventoryRead = false;
+  /// Runs that an earlier leader started may be in progress there: the endpoint
+  /// was known when this leader began, and none of its incarnations has been
+  /// read since.
+  bool MayHoldEarlierRuns = false;
   /// The endpoint's clock in the first inventory read in this epoch, complete
   /// or not, and in the newest one.
   std::optional<int64_t> FirstReadClockMs;
@@ -110,7 +114,9 @@
 
   /// The endpoint may have runs that an earlier leader started and that are not
   /// known here.
-  bool isUnread() const { return !InventoryRead && !Facts.Idle; }
+  bool isUnread() const {
+    return MayHoldEarlierRuns && !InventoryRead && !Facts.Idle;
+  }
 
   bool hasRuns() const { return !Runs.empty() || !OrphanedRuns.empty(); }
 
--- a/src/almondgate/dispatch/dispatcher.cpp
+++ b/src/almondgate/dispatch/dispatcher.cpp
@@ -57,6 +57,8 @@
   JobBytes.recount();
   VmOrders.begin();
   Fences.begin(epoch);
+  for (const auto &[id, facts] : Ledger.Endpoints)
+    EarlierEndpoints.insert(id);
   for (const auto &[id, facts] : Ledger.Endpoints)
     onEndpointRegistered(facts);
   for (auto &[id, endpoint] : Endpoints)
@@ -94,6 +96,7 @@
   Agenda.clear();
   ColdStarts.clear();
   Endpoints.clear();
+  EarlierEndpoints.clear();
   EndpointsByVm.clear();
   WaitingRenewals = 0;
   TeamUsage.clear();
@@ -130,6 +133,7 @@
   const auto suspects = Pools.suspects();
   for (const auto &[id, endpoint] : suspects)
     declareLostIfExpired(*endpoint);
+  expireEarlierRuns();
   retryStops();
   releaseInheritedMoves();
   if (isFleetRead()) {
--- a/src/almondgate/dispatch/dispatcher_endpoints.cpp
+++ b/src/almondgate/dispatch/dispatcher_endpoints.cpp
@@ -59,6 +59,7 @@
   view.Facts = facts;
   view.Fence = Fences.next();
   view.DeclaredLost = facts.Idle;
+  view.MayHoldEarlierRuns = EarlierEndpoints.contains(facts.Id);
   // A pending order for the VM may end this incarnation as well.
   view.Reserved = view.TerminationPending = hasUnresolvedVmOrder(facts);
   for (const auto &task_key : open) {
--- a/src/almondgate/dispatch/dispatcher_maintenance.cpp
+++ b/src/almondgate/dispatch/dispatcher_maintenance.cpp
@@ -152,10 +152,11 @@
 // may be ended.
 bool Dispatcher::mayEndAllRuns(const VmOrder &order) const {
   const auto endpoints = endpointsOf(order.Vm);
-  return std::all_of(endpoints.begin(), endpoints.end(),
-                     [this](const EndpointView *endpoint) {
-                       return !endpoint->isUnread() && keepsBudgets(*endpoint);
-                     });
+  return std::all_of(
+      endpoints.begin(), endpoints.end(), [this](const EndpointView *endpoint) {
+        const bool known = endpoint->InventoryRead || endpoint->Facts.Idle;
+        return known && keepsBudgets(*endpoint);
+      });
 }
 
 DispatcherHooks::MaySend Dispatcher::makeSendCheck(const VmOrder &order) {
--- a/src/almondgate/dispatch/dispatcher_renewals.cpp
+++ b/src/almondgate/dispatch/dispatcher_renewals.cpp
@@ -187,6 +187,8 @@
   endpoint.LastRead = std::max(endpoint.LastRead, sent);
   applyInventory(endpoint, sent, reply.Inventory);
   endpoint.InventoryRead = endpoint.InventoryRead || !reply.Inventory.MoreEnds;
+  if (endpoint.InventoryRead && endpoint.MayHoldEarlierRuns)
+    clearEarlierRuns(endpoint);
   if (endpoint.Facts.Idle && endpoint.DeclaredLost)
     readmit(endpoint);
   const int64_t reported = endpoint.LastReadEnd;
@@ -280,6 +282,34 @@
                                         : !Pools.hasUnread(job.pool());
 }
 
+void Dispatcher::clearEarlierRuns(EndpointView &endpoint) {
+  endpoint.MayHoldEarlierRuns = false;
+  EarlierEndpoints.erase(endpoint.Facts.Id);
+  Pools.update(endpoint);
+}
+
+// An endpoint that has answered, but still has ends to list, has a new lease.
+void Dispatcher::expireEarlierRuns() {
+  if (EarlierEndpoints.empty() ||
+      Hooks.Now() < LeaseClock::latestExpiry(LeadingSince, Options.MaxLease))
+    return;
+  size_t expired = 0;
+  const auto ids = EarlierEndpoints;
+  for (const auto &id : ids) {
+    const auto it = Endpoints.find(id);
+    if (it == Endpoints.end()) {
+      EarlierEndpoints.erase(id);
+    } else if (!it->second.FirstReadClockMs) {
+      clearEarlierRuns(it->second);
+      ++expired;
+    }
+  }
+  if (expired > 0)
+    Hooks.Log(std::to_string(expired) +
+              " endpoints not read since the change of leader; the leases of "
+              "before have expired");
+}
+
 bool Dispatcher::mayRunIn(const OpenJob &job, const core::PoolId &pool) {
   return job.pool() == pool || job.Record->Terms.PoolReplaced;
 }
