--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -166,6 +166,12 @@
     std::vector<OnReply> Callbacks;
   };
 
+  /// What became of submissions to a pool since the last log line about it.
+  struct AdmissionCounts {
+    int64_t Accepted = 0;
+    int64_t Refused = 0;
+  };
+
   // dispatcher.cpp
   /// The index of the ledger's current configuration. Brought up to date on
   /// access: the ledger applies all events of a batch before the first of them
@@ -494,6 +500,8 @@
   std::vector<const EndpointView *> countServing(const core::PoolId &pool,
                                                  policy::PoolBalance &balance);
   std::vector<PoolDemand> poolDemands();
+  std::string describeDemand(const PoolDemand &demand) const;
+  core::DurationMs longestWait(const core::PoolId &pool) const;
   void logDemands(const std::vector<PoolDemand> &demands);
   void balancePools();
 
@@ -568,6 +576,7 @@
   uint64_t Generation = 0;
   core::TimeMs ExpiryDue;
   core::TimeMs DemandLogDue;
+  std::map<core::PoolId, AdmissionCounts> Admissions;
   core::TimeMs EvacuationLogDue;
   core::TimeMs MoveOutDue;
   /// A change of an evacuation is being made durable.
--- a/src/almondgate/dispatch/dispatcher.cpp
+++ b/src/almondgate/dispatch/dispatcher.cpp
@@ -86,6 +86,7 @@
   Vms.clear();
   Arrivals.clear();
   DemandHistory.clear();
+  Admissions.clear();
   Loads.clear();
   OpenJobs.clear();
   OpenJobsById.clear();
--- a/src/almondgate/dispatch/dispatcher_calls.cpp
+++ b/src/almondgate/dispatch/dispatcher_calls.cpp
@@ -165,6 +165,7 @@
             (team ? team->Id.str() : "-") + " accepted: " + verdict.Reason +
             "; " + describeSteps(call.Spec));
   Hooks.IncrementCounter("jobs", "door", "accepted");
+  ++Admissions[queue.Pool].Accepted;
   Submissions[id] = {call.Call, {done}};
   JobBytes.add(id, call.Spec);
   recordEvent(jobs::JobAccepted{id, queue.Id, team ? team->Id : core::TeamId(),
@@ -179,6 +180,7 @@
                            const policy::JobAdmissionDecision &verdict,
                            const OnReply &done) {
   Hooks.IncrementCounter("jobs", "door", "refused");
+  ++Admissions[queue.Pool].Refused;
   if (Hooks.Policies.TrackResubmissions)
     Resubmissions.recordRefusal(id, call.Call, Hooks.Now());
   recordArrival(queue.Pool,
--- a/src/almondgate/dispatch/dispatcher_moves.cpp
+++ b/src/almondgate/dispatch/dispatcher_moves.cpp
@@ -113,21 +113,52 @@
   return out;
 }
 
+// How long the oldest job waits of which no task has been started.
+DurationMs Dispatcher::longestWait(const PoolId &pool) const {
+  DurationMs longest;
+  const auto *load = Loads.find(pool);
+  if (!load)
+    return longest;
+  for (const auto &[id, job] : load->Waiting)
+    if (!job->Started && job->Record->Spec->Repetitions == 0)
+      longest = std::max(longest, Hooks.Now() - job->SentAt);
+  return longest;
+}
+
+std::string Dispatcher::describeDemand(const PoolDemand &demand) const {
+  const auto &balance = demand.Balance;
+  int64_t pinned = 0;
+  int64_t reserved = 0;
+  if (const auto *members = Pools.members(balance.Pool))
+    for (const auto &[id, endpoint] : *members) {
+      pinned += endpoint->LongRunningCount > 0 ? 1 : 0;
+      reserved += endpoint->Reserved ? 1 : 0;
+    }
+  const auto found = Admissions.find(balance.Pool);
+  const AdmissionCounts counts =
+      found == Admissions.end() ? AdmissionCounts() : found->second;
+  return balance.Pool.str() + " " +
+         std::to_string(balance.Usable / MilliCpusPerCore) + "/" +
+         std::to_string(balance.Wanted / MilliCpusPerCore) + " on " +
+         std::to_string(balance.Vms) + "+" +
+         std::to_string(Mover.incoming(balance.Pool)) + ", " +
+         std::to_string(pinned) + " with long-running tasks, " +
+         std::to_string(reserved) + " reserved, jobs " +
+         std::to_string(counts.Accepted) + " accepted " +
+         std::to_string(counts.Refused) + " refused, longest wait " +
+         std::to_string(longestWait(balance.Pool).Count) + " ms;";
+}
+
 void Dispatcher::logDemands(const std::vector<PoolDemand> &demands) {
   const auto now = Hooks.Now();
   if (now < DemandLogDue)
     return;
   DemandLogDue = now + DemandLogInterval;
   std::string line = "pools, usable/wanted cores on present+incoming VMs:";
-  for (const auto &demand : demands) {
-    const auto &balance = demand.Balance;
-    line += " " + balance.Pool.str() + " " +
-            std::to_string(balance.Usable / MilliCpusPerCore) + "/" +
-            std::to_string(balance.Wanted / MilliCpusPerCore) + " on " +
-            std::to_string(balance.Vms) + "+" +
-            std::to_string(Mover.incoming(balance.Pool)) + ",";
-  }
-  Hooks.Log(line);
+  for (const auto &demand : demands)
+    line += " " + describeDemand(demand);
+  Hooks.Log(line + " spare VMs: " + std::to_string(Mover.spare()));
+  Admissions.clear();
 }
 
 void Dispatcher::balancePools() {
