--- /dev/null
+++ b/src/almondgate/dispatch/served_in_time_test.cpp
@@ -0,0 +1,69 @@
+#include "test_jobs.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace almondgate;
+using namespace almondgate::dispatch;
+
+// After a change of leader, jobs that waited for it arrive within the time of
+// one commit. A leader that counts durable jobs only accepts all of them.
+TEST_CASE("jobs that arrive within one commit are not all accepted") {
+  constexpr int64_t RunMs = 500;
+  // By the stretch of 2 and the target latency of the fleet's queue.
+  constexpr int64_t DueMs = 2 * RunMs + 600;
+  // 256 cores run 16 jobs of 16 cores at a time, three times by then.
+  constexpr size_t MostInTime = 48;
+  Fleet fleet(4);
+  fleet.CommitMs = 200;
+  for (int64_t n = 0; n < 200; ++n)
+    fleet.submitAsync(jobId(n), oneStep(4, 4, RunMs));
+  fleet.advance(DueMs + fleet.CommitMs);
+  const auto &accepted = fleet.ledger().Jobs;
+  CHECK(accepted.size() > MostInTime / 2);
+  CHECK(accepted.size() <= MostInTime);
+  fleet.advance(30000);
+  CHECK(fleet.running() == 0);
+  fleet.checkViolations();
+}
+
+// Jobs that take far longer than expected are late for certain; their backlog
+// kept all VMs while the jobs of another queue were refused.
+TEST_CASE("a backlog of late jobs does not keep VMs from a short pool") {
+  constexpr int64_t SlowEstimateMs = 500;
+  constexpr int64_t SlowRunMs = 6000;
+  constexpr int64_t IntervalMs = 100;
+  Fleet fleet(8);
+  fleet.configure([](jobs::FleetConfig &config) {
+    jobs::QueueSpec queue = config.Queues[0];
+    queue.Id = core::QueueId("q2");
+    queue.PathPrefix = "/q2/";
+    queue.Pool = core::PoolId("p2");
+    config.Queues.push_back(queue);
+    jobs::PoolSpec pool = config.Pools[0];
+    pool.Id = queue.Pool;
+    config.Pools.push_back(pool);
+  });
+  for (int i = 0; i < 2; ++i)
+    fleet.addVm("p2");
+  fleet.advance(1000);
+  fleet.RunMs = [](const jobs::StepSpec &step) {
+    return step.EstimateMs == SlowEstimateMs ? SlowRunMs : step.EstimateMs;
+  };
+  int64_t id = 0;
+  for (int i = 0; i < 30; ++i)
+    fleet.submitAsync(jobId(++id), oneStep(8, 8, SlowEstimateMs));
+  fleet.advance(3000);
+  // 256 cores of the 640 that the fleet has.
+  int64_t refused = 0;
+  for (int64_t passed = 0; passed < 12000; passed += IntervalMs) {
+    const int64_t before = fleet.Refused;
+    fleet.submit(jobId(++id), oneStep(8, 8, 400), "q2");
+    // The first runs end after 6 s; then VMs can be moved.
+    refused += passed >= 7000 ? fleet.Refused - before : 0;
+    fleet.advance(IntervalMs - fleet.CommitMs);
+  }
+  CHECK(refused == 0);
+  fleet.advance(30000);
+  CHECK(fleet.running() == 0);
+  fleet.checkViolations();
+}
