Count jobs that are accepted and not durable yet in admission

Cause: admission looked at the open jobs of the ledger. A job that was accepted and whose record was still being replicated was in none of its sums, so any number of jobs that arrived within one commit was accepted. Usually that is a job or two; after a time without a leader it is all that waited at the entries.

Submission now keeps what its job will add to the load, and admission adds it until the job is open.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -164,6 +164,10 @@
     /// Identifies the call; empty where the caller sent no identity.
     std::string Call;
     std::vector<OnReply> Callbacks;
+    /// What it adds to the load of its pool once it is durable.
+    core::PoolId Pool;
+    core::TimeMs Due;
+    policy::JobDemand Demand;
   };
 
   /// What became of submissions to a pool since the last log line about it.
@@ -214,9 +218,12 @@
   void expireJobs();
 
   // dispatcher_calls.cpp
-  policy::JobAdmissionDecision decideAdmission(const jobs::JobSpec &spec,
-                                               const jobs::QueueSpec &queue,
-                                               core::TimeMs sent) const;
+  policy::JobAdmissionInput admissionInput(const jobs::JobSpec &spec,
+                                           const jobs::QueueSpec &queue,
+                                           core::TimeMs sent) const;
+  policy::JobAdmissionDecision
+  decideAdmission(const jobs::QueueSpec &queue,
+                  const policy::JobAdmissionInput &input) const;
   policy::JobDemand remainingLoadOf(const OpenJob &job) const;
   void refuseJob(const jobs::JobCall &call, const jobs::JobId &id,
                  const jobs::QueueSpec &queue,
--- a/src/almondgate/dispatch/dispatcher_calls.cpp
+++ b/src/almondgate/dispatch/dispatcher_calls.cpp
@@ -155,7 +155,8 @@
   }
   const auto sent = Resubmissions.firstSentAt(id, now);
   updateLoads();
-  const auto verdict = decideAdmission(call.Spec, queue, sent);
+  const auto input = admissionInput(call.Spec, queue, sent);
+  const auto verdict = decideAdmission(queue, input);
   if (!verdict.Accept) {
     refuseJob(call, id, queue, verdict, done);
     return;
@@ -166,7 +167,12 @@
             "; " + describeSteps(call.Spec));
   Hooks.IncrementCounter("jobs", "door", "accepted");
   ++Admissions[queue.Pool].Accepted;
-  Submissions[id] = {call.Call, {done}};
+  Submissions[id] = {call.Call,
+                     {done},
+                     queue.Pool,
+                     now + core::DurationMs{input.DueInMs},
+                     {.ReadyWork = input.FirstStepWork,
+                      .LaterWork = input.Work - input.FirstStepWork}};
   JobBytes.add(id, call.Spec);
   recordEvent(jobs::JobAccepted{id, queue.Id, team ? team->Id : core::TeamId(),
                                 call.Spec,
@@ -212,18 +218,22 @@
   return load;
 }
 
-policy::JobAdmissionDecision
-Dispatcher::decideAdmission(const jobs::JobSpec &spec,
-                            const jobs::QueueSpec &queue,
-                            core::TimeMs sent) const {
-  if (isPoolEvacuated(queue.Pool))
-    return {false, EvacuatedRetryAfterMs,
-            "all VMs of the pool are in zones under evacuation"};
+policy::JobAdmissionInput
+Dispatcher::admissionInput(const jobs::JobSpec &spec,
+                           const jobs::QueueSpec &queue,
+                           core::TimeMs sent) const {
   policy::JobAdmissionInput input;
   input.CapacityMilliCpus = Pools.servingMilliCpus(queue.Pool);
   if (const auto *load = Loads.find(queue.Pool))
     for (const auto &[id, job] : load->Open)
       input.OpenJobs.push_back(remainingLoadOf(*job));
+  // Right after a change of leader, many jobs arrive within one commit.
+  for (const auto &[id, submission] : Submissions) {
+    if (submission.Pool != queue.Pool)
+      continue;
+    input.OpenJobs.push_back(submission.Demand);
+    input.OpenJobs.back().DueInMs = (submission.Due - Hooks.Now()).Count;
+  }
   // VMs that are moving to the pool, and spare VMs that could be moved to it,
   // are available within the duration of a move.
   input.IncomingMilliCpus =
@@ -244,6 +254,15 @@
   input.LongRunning =
       std::any_of(spec.Steps.begin(), spec.Steps.end(),
                   [](const jobs::StepSpec &step) { return step.LongRunning; });
+  return input;
+}
+
+policy::JobAdmissionDecision
+Dispatcher::decideAdmission(const jobs::QueueSpec &queue,
+                            const policy::JobAdmissionInput &input) const {
+  if (isPoolEvacuated(queue.Pool))
+    return {false, EvacuatedRetryAfterMs,
+            "all VMs of the pool are in zones under evacuation"};
   return Hooks.Policies.Admission(input);
 }
 
--- a/src/almondgate/dispatch/dispatcher_explain.cpp
+++ b/src/almondgate/dispatch/dispatcher_explain.cpp
@@ -37,7 +37,8 @@
   if (auto valid = jobs::checkJob(request.Spec); !valid)
     return valid.error();
   updateLoads();
-  const auto verdict = decideAdmission(request.Spec, *queue, Hooks.Now());
+  const auto verdict = decideAdmission(
+      *queue, admissionInput(request.Spec, *queue, Hooks.Now()));
   out.Accepted = verdict.Accept;
   out.RetryAfterMs = verdict.RetryAfterMs;
   out.Reason = verdict.Reason;
