Late work no longer keeps VMs from pools that can be in time

From 14 s on the pool of lot-check had 30 VMs for 63,000 cores wanted, while the pool of assay-check, whose turn was over, kept 423 of 540 for a backlog of jobs that had missed their due time; it gave them away over 12 s as that backlog was worked off. Of 250 to 360 jobs asked each 2 s most were refused.

Cause: a pool gave VMs away from a surplus over its whole demand, and demand counted late work like any other. Admission and placement let late work give way within a pool; the balance between pools did not.

The balance now knows the part of a pool's demand that is late. Once spare VMs and surpluses are used up, a pool that lacks VMs for work that can be in time gets them from pools that only have late work for them. Late work still gets spare VMs and surpluses, and keeps the VMs that nobody else needs.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -509,6 +509,7 @@
   std::vector<PoolDemand> poolDemands();
   std::string describeDemand(const PoolDemand &demand) const;
   core::DurationMs longestWait(const core::PoolId &pool) const;
+  int64_t lateDemand(const core::PoolId &pool) const;
   void logDemands(const std::vector<PoolDemand> &demands);
   void balancePools();
 
--- a/include/almondgate/dispatch/job_loads.hpp
+++ b/include/almondgate/dispatch/job_loads.hpp
@@ -10,6 +10,9 @@
 
 namespace almondgate::dispatch {
 
+/// What a job adds to PoolLoad::DemandMilliCpus.
+int64_t demandOf(const OpenJob &job);
+
 /// Changes the phases of tasks and keeps the counts of each job and the load of
 /// each pool up to date, so that neither a placement pass nor a submission has
 /// to look at all tasks. Holds pointers to the jobs.
--- a/include/almondgate/policy/vm_balance.hpp
+++ b/include/almondgate/policy/vm_balance.hpp
@@ -19,8 +19,10 @@
   int64_t Usable = 0;
   /// Capacity of VMs that are moving to the pool.
   int64_t Incoming = 0;
-  /// Demand for capacity.
+  /// Demand for capacity, and the part of it that comes from jobs that have
+  /// missed their due time.
   int64_t Wanted = 0;
+  int64_t Late = 0;
   /// Number of VMs that may be moved away: they run no long-running tasks.
   int64_t Movable = 0;
   /// Capacity of one VM.
@@ -60,10 +62,11 @@
   bool operator==(const PlannedMove &) const = default;
 };
 
-/// Plans moves of VMs to pools with a shortage, first from the spare pool and
-/// then from pools with a surplus, and moves VMs that no pool needs to the
-/// spare pool. This handles demand that shifts between queues faster than pools
-/// of fixed size could follow.
+/// Plans moves of VMs to pools with a shortage, first from the spare pool, then
+/// from pools with a surplus, and last, for work that can still be in time,
+/// from pools that only have late work for them. Moves VMs that no pool needs
+/// to the spare pool. This handles demand that shifts between queues faster
+/// than pools of fixed size could follow.
 std::vector<PlannedMove> planMoves(std::vector<PoolBalance> pools,
                                    const MoveOptions &options);
 
--- a/src/almondgate/dispatch/dispatcher_moves.cpp
+++ b/src/almondgate/dispatch/dispatcher_moves.cpp
@@ -99,6 +99,7 @@
     const auto *load = Loads.find(id);
     demand.Balance.Wanted =
         forecastDemand(id, load ? load->DemandMilliCpus : 0);
+    demand.Balance.Late = std::min(lateDemand(id), demand.Balance.Wanted);
     demand.Balance.MinVms = std::max(MinVmsPerPool, load ? load->minVms() : 0);
     demand.Balance.DemandKnown = Arrivals.contains(id);
     std::sort(vms.begin(), vms.end(), [](const auto *a, const auto *b) {
@@ -113,6 +114,17 @@
   return out;
 }
 
+// The part of a pool's demand that comes from jobs past their due time.
+int64_t Dispatcher::lateDemand(const PoolId &pool) const {
+  const auto *load = Loads.find(pool);
+  if (!load)
+    return 0;
+  int64_t late = 0;
+  for (const auto &[id, job] : load->Open)
+    late += job->Due < Hooks.Now() ? demandOf(*job) : 0;
+  return late;
+}
+
 // How long the oldest job waits of which no task has been started.
 DurationMs Dispatcher::longestWait(const PoolId &pool) const {
   DurationMs longest;
@@ -139,7 +151,8 @@
       found == Admissions.end() ? AdmissionCounts() : found->second;
   return balance.Pool.str() + " " +
          std::to_string(balance.Usable / MilliCpusPerCore) + "/" +
-         std::to_string(balance.Wanted / MilliCpusPerCore) + " on " +
+         std::to_string(balance.Wanted / MilliCpusPerCore) + " (" +
+         std::to_string(balance.Late / MilliCpusPerCore) + " late) on " +
          std::to_string(balance.Vms) + "+" +
          std::to_string(Mover.incoming(balance.Pool)) + ", " +
          std::to_string(pinned) + " with long-running tasks, " +
--- a/src/almondgate/dispatch/job_loads.cpp
+++ b/src/almondgate/dispatch/job_loads.cpp
@@ -25,6 +25,8 @@
   return (tasks.Waiting + placed) * spec.Need.MilliCpus;
 }
 
+} // namespace
+
 int64_t demandOf(const OpenJob &job) {
   int64_t demand = 0;
   for (size_t step = 0; step < job.Steps.size(); ++step)
@@ -32,6 +34,8 @@
   return demand;
 }
 
+namespace {
+
 // 0 for a job without long-running steps.
 int64_t minVmsOf(const OpenJob &job) {
   int64_t out = 0;
--- a/src/almondgate/policy/job_policy_test.cpp
+++ b/src/almondgate/policy/job_policy_test.cpp
@@ -214,6 +214,22 @@
   CHECK(planMoves({pool("a", 4, 600000), pool("b", 4, 600000)}, {}).empty());
 }
 
+TEST_CASE("late work holds no VMs that another pool needs to be in time") {
+  auto late = pool("a", 6, 800000);
+  late.Late = 800000;
+  const auto behind = pool("b", 2, 256000);
+  CHECK(movesTo(planMoves({late, behind}, {}), "b") == 3);
+  auto partly = late;
+  partly.Late = 600000;
+  CHECK(movesTo(planMoves({partly, behind}, {}), "b") == 2);
+  // Late work gets no VMs from other late work.
+  auto also_late = behind;
+  also_late.Late = behind.Wanted;
+  CHECK(planMoves({late, also_late}, {}).empty());
+  // It still gets those of pools with a surplus.
+  CHECK(movesTo(planMoves({late, pool("b", 6, 0)}, {}), "a") == 5);
+}
+
 TEST_CASE("any job is accepted while there is room, and none beyond it") {
   CHECK(decideJobRoom(0, 1).Accept);
   CHECK(decideJobRoom(99, 100).Accept);
--- a/src/almondgate/policy/vm_balance.cpp
+++ b/src/almondgate/policy/vm_balance.cpp
@@ -78,11 +78,8 @@
   --donor.Vms;
 }
 
-} // namespace
-
-std::vector<PlannedMove> planMoves(std::vector<PoolBalance> pools,
-                                   const MoveOptions &options) {
-  std::vector<PlannedMove> out;
+void fillShortages(std::vector<PoolBalance> &pools, const MoveOptions &options,
+                   std::vector<PlannedMove> &out) {
   while (auto *recipient = chooseRecipient(pools, options)) {
     auto *donor = chooseDonor(pools, options);
     if (!donor)
@@ -91,6 +88,22 @@
     recipient->Incoming += donor->PerVm;
     removeVm(*donor);
   }
+}
+
+} // namespace
+
+std::vector<PlannedMove> planMoves(std::vector<PoolBalance> pools,
+                                   const MoveOptions &options) {
+  std::vector<PlannedMove> out;
+  fillShortages(pools, options, out);
+  std::vector<PoolBalance> in_time = pools;
+  for (auto &pool : in_time)
+    pool.Wanted -= pool.Late;
+  fillShortages(in_time, options, out);
+  for (size_t i = 0; i < pools.size(); ++i) {
+    in_time[i].Wanted = pools[i].Wanted;
+    pools[i] = in_time[i];
+  }
   const auto spare =
       std::find_if(pools.begin(), pools.end(),
                    [](const PoolBalance &pool) { return pool.Spare; });
