--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -164,6 +164,16 @@
     /// Identifies the call; empty where the caller sent no identity.
     std::string Call;
     std::vector<OnReply> Callbacks;
+    /// What it adds to the load of its pool once it is durable.
+    core::PoolId Pool;
+    core::TimeMs Due;
+    policy::JobDemand Demand;
+  };
+
+  /// What became of submissions to a pool since the last log line about it.
+  struct AdmissionCounts {
+    int64_t Accepted = 0;
+    int64_t Refused = 0;
   };
 
   // dispatcher.cpp
@@ -208,9 +218,12 @@
   void expireJobs();
 
   // dispatcher_calls.cpp
-  policy::JobAdmissionDecision decideAdmission(const jobs::JobSpec &spec,
-                                               const jobs::QueueSpec &queue,
-                                               core::TimeMs sent) const;
+  policy::JobAdmissionInput admissionInput(const jobs::JobSpec &spec,
+                                           const jobs::QueueSpec &queue,
+                                           core::TimeMs sent) const;
+  policy::JobAdmissionDecision
+  decideAdmission(const jobs::QueueSpec &queue,
+                  const policy::JobAdmissionInput &input) const;
   policy::JobDemand remainingLoadOf(const OpenJob &job) const;
   void refuseJob(const jobs::JobCall &call, const jobs::JobId &id,
                  const jobs::QueueSpec &queue,
@@ -499,6 +512,9 @@
   std::vector<const EndpointView *> countServing(const core::PoolId &pool,
                                                  policy::PoolBalance &balance);
   std::vector<PoolDemand> poolDemands();
+  std::string describeDemand(const PoolDemand &demand) const;
+  core::DurationMs longestWait(const core::PoolId &pool) const;
+  int64_t lateDemand(const core::PoolId &pool) const;
   void logDemands(const std::vector<PoolDemand> &demands);
   void balancePools();
 
@@ -576,6 +592,7 @@
   uint64_t Generation = 0;
   core::TimeMs ExpiryDue;
   core::TimeMs DemandLogDue;
+  std::map<core::PoolId, AdmissionCounts> Admissions;
   core::TimeMs EvacuationLogDue;
   core::TimeMs MoveOutDue;
   /// A change of an evacuation is being made durable.
