Name the configuration's version in logs and in answers to GET /config

Cause: the first line of a leader showed the revision of the product's own pools only, which is always 0 on the platform; no line told which configuration a leader or a restarted member held, what was in force when a change was acknowledged, or who had answered a read. A case of an old or missing configuration could not be traced.

Members read it with the new inner call read-config-answer; read-config-source stays for earlier versions.

--- a/include/almondgate/control/control_task.hpp
+++ b/include/almondgate/control/control_task.hpp
@@ -72,6 +72,7 @@
   using OnHeartbeatReply = HeartbeatRelayHooks::OnReply;
 
   ControlHooks coreHooks();
+  void readConfigAnswer(const protocol::Responder &respond);
   HeartbeatRelayHooks heartbeatHooks();
   /// Serves a heartbeat as the leader.
   void serveHeartbeat(const jobs::EndpointHeartbeat &heartbeat,
--- a/include/almondgate/protocol/method.hpp
+++ b/include/almondgate/protocol/method.hpp
@@ -47,7 +47,8 @@
   Configure,
   /// Nothing to FleetConfig; control member to the leader.
   ReadConfig,
-  /// Nothing to the configuration's source text; control member to the leader.
+  /// Nothing to the configuration's source text; control member of an earlier
+  /// version to the leader.
   ReadConfigSource,
   /// WaveRecord to nothing; control member to the leader.
   StartWave,
@@ -71,6 +72,8 @@
   HeartbeatBatch,
   /// ExplainRequest to Explanation; entry to the leader.
   Explain,
+  /// Nothing to ConfigAnswer; control member to the leader.
+  ReadConfigAnswer,
 };
 
 /// The method's name in request paths, such as "watch".
--- a/src/almondgate/control/control_core.cpp
+++ b/src/almondgate/control/control_core.cpp
@@ -119,6 +119,10 @@
   CompactedIndex = snapshot.Index;
   Updates.clear();
   DeltaBaseRevision = State.View.Revision;
+  Hooks.Log("snapshot at index " + std::to_string(snapshot.Index) +
+            " of term " + std::to_string(snapshot.Term) +
+            " restored, configuration " +
+            std::to_string(State.Jobs.Config.Version));
 }
 
 void ControlCore::apply(const LogEntry &entry) {
@@ -200,7 +204,8 @@
   TransferringLeadership = false;
   Hooks.Log("became leader in term " + std::to_string(Node.term()) +
             " at commit index " + std::to_string(Node.commitIndex()) +
-            ", revision " + std::to_string(State.View.Revision));
+            ", revision " + std::to_string(State.View.Revision) +
+            ", configuration " + std::to_string(State.Jobs.Config.Version));
   if (Hooks.OnLeadershipChange)
     Hooks.OnLeadershipChange(true);
 }
--- a/src/almondgate/control/control_core_test.cpp
+++ b/src/almondgate/control/control_core_test.cpp
@@ -422,3 +422,28 @@
   CHECK(fixture.JobsReplaced.size() == 1);
   CHECK(fixture.Cores.at(behind)->state().View.Pools.size() == 120);
 }
+
+// Guards against an old configuration whose log doesn't tell which one the next
+// leader began with, or a restarted member restored.
+TEST_CASE("the log of a new leader and of a restore names the configuration") {
+  ControlOptions options;
+  options.EntriesPerSnapshot = 5;
+  ControlFixture fixture(3, options, {.EntriesKeptBehindSnapshot = 2});
+  CHECK(fixture.countLogLines("revision 0, configuration 0") == 1);
+  const MemberId behind(fixture.Cores.at(MemberId("m0"))->isLeader() ? "m1"
+                                                                     : "m0");
+  fixture.isolate(behind);
+  for (uint64_t version = 41; version <= 60; ++version) {
+    jobs::FleetConfig config;
+    config.Version = version;
+    (void)fixture.propose(state::RecordJobs{{jobs::ConfigReplaced{config}}});
+  }
+  fixture.isolate(MemberId());
+  fixture.run(5000);
+  CHECK(fixture.countLogLines("restored, configuration ") > 0);
+  fixture.leader()->stepDown();
+  fixture.run(3000);
+  CHECK(fixture.countLogLines("configuration 60") > 0);
+  CHECK(fixture.countLogLines("became leader in term") ==
+        fixture.countLogLines("revision 0, configuration "));
+}
--- a/src/almondgate/control/control_task.cpp
+++ b/src/almondgate/control/control_task.cpp
@@ -2,6 +2,7 @@
 #include "almondgate/control/heartbeat_member.hpp"
 #include "almondgate/core/invariant.hpp"
 #include "almondgate/encoding/codec.hpp"
+#include "almondgate/jobs/config_answer.hpp"
 #include "almondgate/jobs/endpoint_heartbeat.hpp"
 #include "almondgate/jobs/evacuation_change.hpp"
 #include "almondgate/jobs/evacuation_list.hpp"
@@ -416,6 +417,20 @@
 
 } // namespace
 
+void ControlTask::readConfigAnswer(const Responder &respond) {
+  const auto source = Jobs.configSource();
+  if (!source) {
+    respond(source.error());
+    return;
+  }
+  jobs::ConfigAnswer answer;
+  answer.Version = Core.state().Jobs.Config.Version;
+  answer.Source = source.value();
+  answer.Leader = Identity.str();
+  answer.Term = Core.node().term();
+  respond(encoding::encode(answer));
+}
+
 bool ControlTask::onJobCall(Method method, const std::string &body,
                             const Responder &respond) {
   const auto respond_status = [respond](const core::Status &status) {
@@ -460,6 +475,9 @@
   case Method::ReadConfigSource:
     respond(Jobs.configSource());
     return true;
+  case Method::ReadConfigAnswer:
+    readConfigAnswer(respond);
+    return true;
   case Method::StartWave:
     withDecoded<jobs::WaveRecord>(body, respond, [&](const auto &wave) {
       Jobs.startWave(wave, respond_status);
--- a/src/almondgate/dispatch/dispatcher_endpoints.cpp
+++ b/src/almondgate/dispatch/dispatcher_endpoints.cpp
@@ -287,20 +287,31 @@
     done(notLeading());
     return;
   }
+  const std::string name = "configuration " + std::to_string(config.Version);
   if (config.Version <= Ledger.Config.Version) {
+    const bool differs = config.Version == Ledger.Config.Version &&
+                         config.Source != Ledger.Config.Source;
+    Hooks.Log(name + " acknowledged without a change: version " +
+              std::to_string(Ledger.Config.Version) + " is in force" +
+              (differs ? " with other content" : ""));
     done(core::ok());
     return;
   }
-  Hooks.Log("configuration " + std::to_string(config.Version) +
-            " received: " + std::to_string(config.Queues.size()) +
-            " queues and " + std::to_string(config.Teams.size()) + " teams");
-  recordEvent(makeConfigEvent(config),
-              [this, version = config.Version, generation = Generation,
-               done](bool durable) {
-                const bool applied = durable && generation == Generation &&
-                                     Ledger.Config.Version >= version;
-                done(applied ? core::ok() : core::Status(outcomeUnknown()));
-              });
+  Hooks.Log(name + " received: " + std::to_string(config.Queues.size()) +
+            " queues and " + std::to_string(config.Teams.size()) +
+            " teams; version " + std::to_string(Ledger.Config.Version) +
+            " is in force");
+  recordEvent(makeConfigEvent(config), [this, name, version = config.Version,
+                                        generation = Generation,
+                                        done](bool durable) {
+    const bool applied =
+        durable && generation == Generation && Ledger.Config.Version >= version;
+    Hooks.Log(name +
+              (applied ? " acknowledged: version "
+                       : " has no known outcome: version ") +
+              std::to_string(Ledger.Config.Version) + " is in force");
+    done(applied ? core::ok() : core::Status(outcomeUnknown()));
+  });
 }
 
 // A revision applies only to the version that it was computed from. While
--- a/src/almondgate/encoding/jobs_json.hpp
+++ b/src/almondgate/encoding/jobs_json.hpp
@@ -1,6 +1,7 @@
 #ifndef ALMONDGATE_SRC_ENCODING_JOBS_JSON_HPP
 #define ALMONDGATE_SRC_ENCODING_JOBS_JSON_HPP
 
+#include "almondgate/jobs/config_answer.hpp"
 #include "almondgate/jobs/endpoint_heartbeat.hpp"
 #include "almondgate/jobs/evacuation_change.hpp"
 #include "almondgate/jobs/evacuation_list.hpp"
@@ -55,6 +56,8 @@
                                                 Limit)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(FleetConfig, Version, Queues,
                                                 Pools, Teams, Source)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ConfigAnswer, Version, Source,
+                                                Leader, Term)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(EndpointFacts, Id, BornMs, Vm,
                                                 Pool, At, Zone, Rack, Labels,
                                                 Capacity, Draining, Idle)
--- a/src/almondgate/protocol/method.cpp
+++ b/src/almondgate/protocol/method.cpp
@@ -33,8 +33,9 @@
                                            "set-evacuation",
                                            "list-evacuations",
                                            "heartbeat-batch",
-                                           "explain"};
-static_assert(MethodNames.size() == size_t(Method::Explain) + 1,
+                                           "explain",
+                                           "read-config-answer"};
+static_assert(MethodNames.size() == size_t(Method::ReadConfigAnswer) + 1,
               "each method has a name");
 
 const char *methodName(Method method) {
