Refuse a configuration with version 0

Version 0 stands for no configuration. One with this number was acknowledged as not newer than the version held and never took effect; GET /config went on answering 503.

Change: checkConfig() refuses it, for the platform's and the product's own API. The test 'invalid configurations are refused' left the version of its good configuration at 0; it sets 1 now and checks 0 as one more invalid one.

--- a/include/almondgate/jobs/fleet_config.hpp
+++ b/include/almondgate/jobs/fleet_config.hpp
@@ -23,9 +23,9 @@
   bool operator==(const FleetConfig &) const = default;
 };
 
-/// Checks the sizes and ranges in name_limits.hpp, that every queue refers to
-/// an existing pool, that no two queues have the same host and path prefix, and
-/// that no API key occurs twice.
+/// Checks that the version is positive, the sizes and ranges in
+/// name_limits.hpp, that every queue refers to an existing pool, that no two
+/// queues have the same host and path prefix, and that no API key occurs twice.
 /// Errors: InvalidArgument.
 core::Status checkConfig(const FleetConfig &config);
 
--- a/src/almondgate/jobs/fleet_config.cpp
+++ b/src/almondgate/jobs/fleet_config.cpp
@@ -81,6 +81,9 @@
 } // namespace
 
 core::Status checkConfig(const FleetConfig &config) {
+  // Version 0 stands for no configuration.
+  if (config.Version == 0)
+    return invalid("the version must be positive");
   if (auto good = checkItems(config); !good)
     return good;
   std::set<core::PoolId> pools;
--- a/src/almondgate/jobs/ledger_test.cpp
+++ b/src/almondgate/jobs/ledger_test.cpp
@@ -123,6 +123,7 @@
 
 TEST_CASE("invalid configurations are refused") {
   FleetConfig good;
+  good.Version = 1;
   good.Pools = {{core::PoolId("p")}};
   QueueSpec queue;
   queue.Id = core::QueueId("q");
@@ -133,6 +134,9 @@
   good.Teams = {{core::TeamId("t"), {"k"}, 1, {}}};
   CHECK(bool(checkConfig(good)));
   FleetConfig bad = good;
+  bad.Version = 0;
+  CHECK_FALSE(bool(checkConfig(bad)));
+  bad = good;
   bad.Queues[0].Pool = core::PoolId("none");
   CHECK_FALSE(bool(checkConfig(bad)));
   bad = good;
