config_faults_test: planned work cuts no call on a kept connection

16 callers with kept connections while two entries and two members are stopped in turn, with SIGHUP and a change of the configuration before each.

--- a/tests/config_faults_test.py
+++ b/tests/config_faults_test.py
@@ -10,7 +10,9 @@
 
 from config_play import Play
 from fleet import wait_until
-from platform_deployment import OPERATORS_PORT, STATUS_PORT, Deployment
+from platform_deployment import (CALLERS_PORT, OPERATORS_PORT, STATUS_PORT,
+                                 Deployment)
+from platform_fleet import HOST, KEY
 
 PLAY_SECONDS = 20
 LARGE_ROUTES = 1930
@@ -77,3 +79,77 @@
         finally:
             leader.popen.send_signal(signal.SIGCONT)
         assert outcome[0] in (200, 503), outcome
+
+
+class KeptConnections:
+    """Threads that send calls one after the other over kept connections."""
+
+    # A request that was sent at the moment of the end may not have been read.
+    SLACK_SECONDS = 0.2
+
+    def __init__(self, deployment, threads):
+        self.deployment = deployment
+        self.stop = threading.Event()
+        self.cut, self.answered, self.unread = [], 0, 0
+        self.lock = threading.Lock()
+        self.threads = [threading.Thread(target=self.run, args=(i,))
+                        for i in range(threads)]
+        for thread in self.threads:
+            thread.start()
+
+    def run(self, number):
+        nodes = self.deployment.of("entry")
+        conn = None
+        while not self.stop.wait(0.01 * (number % 5)):
+            if conn is None:
+                conn = http.client.HTTPConnection(
+                    nodes[number % len(nodes)].ip, CALLERS_PORT, timeout=5)
+                try:
+                    conn.connect()
+                except OSError:
+                    conn = None
+                    time.sleep(0.02)
+                    continue
+            sent = time.monotonic()
+            try:
+                conn.request("GET", "/one/", headers={"Host": HOST, "Key": KEY})
+                answer = conn.getresponse()
+                answer.read()
+            except (OSError, http.client.HTTPException) as error:
+                seconds = time.monotonic() - sent
+                with self.lock:
+                    if seconds > self.SLACK_SECONDS:
+                        self.cut.append((seconds, repr(error)))
+                    else:
+                        self.unread += 1
+                conn = None
+                continue
+            with self.lock:
+                self.answered += 1
+            if answer.getheader("connection") == "close":
+                conn.close()
+                conn = None
+
+    def end(self):
+        self.stop.set()
+        for thread in self.threads:
+            thread.join()
+
+
+# Guards against calls that end without an answer around planned work: stops of
+# entries and members, SIGHUP and changes of the configuration.
+def test_planned_work_cuts_no_call_on_a_kept_connection():
+    with Deployment(entries=2) as deployment:
+        deployment.configure()
+        calls = KeptConnections(deployment, 16)
+        for name in ["entry-0", "control-0", "entry-1", "control-1"]:
+            for node in deployment.nodes.values():
+                node.popen.send_signal(signal.SIGHUP)
+            deployment.configure()
+            assert deployment.nodes[name].end(signal.SIGTERM) == 0
+            deployment.nodes[name].start()
+            time.sleep(0.5)
+        calls.end()
+        print(calls.answered, "answered,", calls.unread, "not read")
+        assert calls.answered > 1000
+        assert not calls.cut, calls.cut[:10]
