--- a/tests/incarnation_fleet.py
+++ b/tests/incarnation_fleet.py
@@ -7,13 +7,14 @@
 
 import asyncio
 import json
+import math
 import os
 import random
 import socket
 import time
 
 from platform_deployment import (KEY, HOST, OPERATORS_PORT, STATUS_PORT,
-                                 CALLERS_PORT, Deployment)
+                                 CALLERS_PORT, ZONES, Deployment)
 
 ENDPOINT_PORT = 8350
 ENDPOINTS = 8
@@ -77,7 +78,8 @@
     def text(self, began):
         def at(time_):
             return "-" if time_ is None else f"{time_ - began:.3f}"
-        late = "late order" if self.call.late else "order not late"
+        late = ("late order" if self.call.late else "order held by a cut"
+                if self.call.held else "order not late")
         answered = "answered" if self.call.answered else "no answer"
         return (f"run {self.run} (epoch {self.epoch()}, token {self.token}) on "
                 f"{self.incarnation.name()}, {late}, {answered}: sent "
@@ -94,6 +96,7 @@
         self.path, self.headers, self.order = path, headers, order
         self.sent = time.monotonic()
         self.late = False
+        self.held = False
         self.answered = False
 
 
@@ -191,12 +194,15 @@
             return self.answer(200)
         if there or run <= self.highest.get(task, 0):
             return self.rejected(call, "old")
+        # A task without a duration runs until it is stopped.
+        seconds = int(order["task-spec"]) / 1000 or math.inf
         begun = Run(task, run, order.get("fencing-token", 0), self, call,
-                    time.monotonic(), int(order["task-spec"]) / 1000)
+                    time.monotonic(), seconds)
         self.runs[task] = begun
         self.endpoint.fleet.runs.append(begun)
         self.log(f"starts {task} run {run} token {begun.token}"
-                 f"{' LATE' if call.late else ''}")
+                 f"{' LATE' if call.late else ''}"
+                 f"{' HELD' if call.held else ''}")
         return self.answer(200)
 
     def stop(self, order):
@@ -237,6 +243,8 @@
         self.calls = asyncio.Queue()
         self.silent = False
         self.closed = False
+        self.held_in, self.held_out = [], []
+        self.releasing = False
 
     def connection_made(self, transport):
         self.transport = transport
@@ -247,9 +255,15 @@
         self.closed = True
         self.endpoint.connections.discard(self)
         self.calls.put_nowait(None)
+        if self.held_in and error is None:
+            # Closing a socket doesn't take back what it has sent.
+            self.endpoint.closed_in_cut.append(self)
 
     def data_received(self, data):
         if self.endpoint.cut in ("in", "both"):
+            if self.endpoint.cut_keeps:
+                self.held_in.append(data)
+                return
             self.silent = True
         if self.silent:
             return
@@ -264,7 +278,27 @@
                 return
             self.buffer = rest[length:]
             order = json.loads(rest[:length]) if length else {}
-            self.calls.put_nowait(Call(lines[0].split(" ")[1], headers, order))
+            call = Call(lines[0].split(" ")[1], headers, order)
+            call.held = self.releasing
+            self.calls.put_nowait(call)
+
+    def release(self):
+        """Delivers what a cut has held up, in both directions."""
+        held_in, self.held_in = self.held_in, []
+        held_out, self.held_out = self.held_out, []
+        if not self.closed:
+            self.transport.writelines(held_out)
+        self.releasing = True
+        for data in held_in:
+            self.data_received(data)
+        self.releasing = False
+
+    def calls_of_closed(self):
+        """Returns the calls that arrived after their sender had closed."""
+        calls = []
+        while not self.calls.empty():
+            calls.append(self.calls.get_nowait())
+        return [c for c in calls if c]
 
     async def serve(self):
         while not self.closed:
@@ -274,28 +308,38 @@
             await self.endpoint.handle(call, self)
 
     def reply(self, call, status, answer):
-        if self.endpoint.cut in ("out", "both"):
+        keeps = self.endpoint.cut_keeps
+        cut = self.endpoint.cut in ("out", "both")
+        if cut and not keeps:
             self.silent = True
         if self.closed or self.silent:
             return
         data = json.dumps(answer).encode()
-        self.transport.write(
-            f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
-            f"Content-Length: {len(data)}\r\n\r\n".encode() + data)
+        data = (f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
+                f"Content-Length: {len(data)}\r\n\r\n").encode() + data
+        if cut:
+            self.held_out.append(data)
+            return
+        self.transport.write(data)
         call.answered = True
 
 
 class Endpoint:
     """An address and an id with one incarnation after another."""
 
-    def __init__(self, fleet, number, ip, seed):
+    def __init__(self, fleet, number, ip, seed, service=SERVICE,
+                 zone=ZONES[0], rack=1, cpu=CPU):
         self.fleet, self.ip = fleet, ip
+        self.service, self.zone, self.rack, self.cpu = service, zone, rack, cpu
         self.id = f"i-w{number}"
         self.random = random.Random(seed * 1000 + number)
         self.connections = set()
         self.incarnation = None
         self.up = asyncio.Event()
         self.cut = None
+        # A cut that keeps delivers at its end what was sent into it.
+        self.cut_keeps = False
+        self.closed_in_cut = []
         self.server = None
         self.incarnations = 0
         # Clocks that all begin alike don't tell incarnations apart.
@@ -342,19 +386,31 @@
             self.server.close()
             self.server = None
             self.reset()
+            self.closed_in_cut.clear()
 
     def reset(self):
         for connection in list(self.connections):
             connection.transport.abort()
 
-    def cut_off(self, direction):
-        self.cut = direction
-        self.log(f"{self.id} cut off: {direction}")
+    def cut_off(self, direction, keeps=False):
+        self.cut, self.cut_keeps = direction, keeps
+        self.log(f"{self.id} cut off: {direction}"
+                 f"{', bytes are kept' if keeps else ''}")
 
-    def heal(self):
+    def heal(self, resets=True):
         self.cut = None
-        self.reset()
         self.log(f"{self.id} no longer cut off")
+        if resets:
+            self.reset()
+            return
+        for connection in list(self.connections):
+            connection.release()
+        closed, self.closed_in_cut = self.closed_in_cut, []
+        for connection in closed:
+            connection.release()
+            for call in connection.calls_of_closed():
+                if self.up.is_set():
+                    self.incarnation.carry_out(call)
 
     async def handle(self, call, connection):
         draw = self.random
@@ -395,20 +451,24 @@
                 return None
             if at_work.ends or time.monotonic() >= until:
                 return at_work.lists()
-            await asyncio.sleep(TICK_SECONDS)
+            await asyncio.sleep(self.fleet.tick_seconds)
 
     async def carry_out_later(self, call, seconds):
+        received_by = self.incarnation
         await asyncio.sleep(seconds)
+        if (self.fleet.late_orders_end_with_incarnation
+                and self.incarnation is not received_by):
+            return
         if self.up.is_set() and self.cut not in ("in", "both"):
             self.incarnation.carry_out(call)
 
     def facts(self, incarnation):
         incarnation.sequence += 1
-        return {"service": SERVICE, "address": f"{self.ip}:{ENDPOINT_PORT}",
-                "zone": "brussel-a", "version": "v1", "slots": 8,
+        return {"service": self.service, "address": f"{self.ip}:{ENDPOINT_PORT}",
+                "zone": self.zone, "version": "v1", "slots": 8,
                 "state": "ready", "cold-remaining-ms": 0,
-                "capacity": {"cpu": CPU, "memory-request-mb": 262144, "gpu": 0},
-                "labels": ["a", "r1-1"], "clock-ms": incarnation.clock(),
+                "capacity": {"cpu": self.cpu, "memory-request-mb": 262144, "gpu": 0},
+                "labels": ["a", f"r1-{self.rack}"], "clock-ms": incarnation.clock(),
                 "sequence": incarnation.sequence, "born": incarnation.born}
 
     async def send_heartbeats(self, incarnation, seconds):
@@ -429,7 +489,7 @@
                     address, member = None, (member + 1) % len(ips)
                     if self.incarnation is not incarnation:
                         return
-            await asyncio.sleep(HEARTBEAT_SECONDS)
+            await asyncio.sleep(self.fleet.heartbeat_seconds)
 
     @staticmethod
     def heartbeat_address(content):
@@ -469,6 +529,10 @@
 class IncarnationFleet:
     """Endpoints and processes of one play. Used inside one asyncio loop."""
 
+    tick_seconds = TICK_SECONDS
+    heartbeat_seconds = HEARTBEAT_SECONDS
+    late_orders_end_with_incarnation = False
+
     def __init__(self, seed, late_share, delayed_share, deployment):
         self.deployment = deployment
         self.controls = deployment.of("control")
@@ -479,9 +543,12 @@
         self.tasks = set()
         self.began = time.monotonic()
         self.record = open(os.path.join(deployment.folder, "record.txt"), "w")
-        net = self.control_ips[0].rsplit(".", 2)[0]
-        self.endpoints = [Endpoint(self, i, f"{net}.9.{i + 1}", seed)
-                          for i in range(ENDPOINTS)]
+        self.endpoints = self.make_endpoints(
+            self.control_ips[0].rsplit(".", 2)[0], seed)
+
+    def make_endpoints(self, net, seed):
+        return [Endpoint(self, i, f"{net}.9.{i + 1}", seed)
+                for i in range(ENDPOINTS)]
 
     def log(self, text):
         now = time.time()
@@ -510,7 +577,7 @@
             for endpoint in self.endpoints:
                 if endpoint.up.is_set():
                     endpoint.incarnation.expire()
-            await asyncio.sleep(TICK_SECONDS)
+            await asyncio.sleep(self.tick_seconds)
 
     def end(self):
         for task in list(self.tasks):
--- a/tests/platform_deployment.py
+++ b/tests/platform_deployment.py
@@ -124,10 +124,13 @@
 
 
 class Deployment:
-    """The deploy file's roles on one control VM a zone and some entry VMs."""
+    """The deploy file's roles on control VMs of all zones and entry VMs."""
+
+    watch_seconds = WATCH_SECONDS
 
     def __init__(self, tree=ROOT, target=None, entries=2, changes=None,
-                 run_seconds=0.5, memory_mb=MEMORY_MB):
+                 run_seconds=0.5, memory_mb=MEMORY_MB, zones=ZONES,
+                 members=len(ZONES)):
         tree = os.path.abspath(tree)
         target = target or os.environ.get("ALMONDGATE_BUILD",
                                           os.path.join(tree, "build"))
@@ -138,17 +141,18 @@
         self.services = Stub(self.answer_services)
         self.version = 0
         net = self.free_net()
-        ips = [f"{net}.{i + 1}.1" for i in range(len(ZONES))]
-        self.seeds = ",".join(f"{ip}:{OPERATORS_PORT}" for ip in ips)
+        ips = [f"{net}.{i % len(zones) + 1}.{i // len(zones) + 1}"
+               for i in range(members)]
+        self.seeds = ",".join(f"{ip}:{OPERATORS_PORT}" for ip in ips[:3])
         self.nodes = {}
-        rows = [("control", i, ips[i]) for i in range(len(ZONES))]
-        rows += [("entry", i, f"{net}.{i % len(ZONES) + 1}.{10 + i}")
+        rows = [("control", i, ips[i]) for i in range(members)]
+        rows += [("entry", i, f"{net}.{i % len(zones) + 1}.{10 + i}")
                  for i in range(entries)]
         for role, i, ip in rows:
             name = f"{role}-{i}"
             data = os.path.join(self.folder, name + ".data")
             os.mkdir(data)
-            settings = self.settings(name, role, ip, ZONES[i % len(ZONES)],
+            settings = self.settings(name, role, ip, zones[i % len(zones)],
                                      data, memory_mb)
             settings.update(changes or {})
             self.nodes[name] = Node(name, self.roles[role], settings,
@@ -216,7 +220,7 @@
 
     def watch(self):
         """Enforces memory limits, counts own ends and restarts processes."""
-        while not self.stopping.wait(WATCH_SECONDS):
+        while not self.stopping.wait(self.watch_seconds):
             for node in list(self.nodes.values()):
                 with node.lock:
                     if node.has_ended_by_itself() and self.restart:
