Grown rig: silent crashes, cuts of several lengths, held calls in the record

Change: a crash may leave its connections silent; a third of the cuts take 2 to 6 s; each held call is recorded.

--- a/tests/grown_fleet.py
+++ b/tests/grown_fleet.py
@@ -17,11 +17,11 @@
 from platform_deployment import HOST, KEY, READY_PORT
 
 Form = namedtuple("Form", "members entries services zones control_mb tolerated "
-                          "jobs_a_second lasting_jobs")
+                          "jobs_a_second lasting_jobs groups")
 FORMS = {
-    "grown": Form(5, 12, (61, 69, 78, 85, 57), 4, 384, 2, 12, 10),
-    "small": Form(3, 7, (9, 10, 11, 12, 7), 3, 384, 1, 6, 3),
-    "short": Form(5, 4, (6, 6, 6, 6, 6), 3, 384, 2, 4, 2),
+    "grown": Form(5, 12, (61, 69, 78, 85, 57), 4, 384, 2, 25, 10, 2),
+    "small": Form(3, 7, (9, 10, 11, 12, 7), 3, 384, 1, 7, 3, 2),
+    "short": Form(5, 4, (6, 6, 6, 6, 6), 3, 384, 2, 4, 2, 1),
 }
 ENTRY_MB = 160
 CPU = 64000
@@ -163,13 +163,15 @@
         self.fleet = fleet
         self.random = random.Random(seed)
         self.counts = {}
+        self.cut = set()
 
     def count(self, what):
         self.counts[what] = self.counts.get(what, 0) + 1
 
     async def run(self, until):
-        await asyncio.gather(self.cut_groups(until), self.stop_entries(until),
-                             self.disturb_leaders(until))
+        await asyncio.gather(
+            self.stop_entries(until), self.disturb_leaders(until),
+            *[self.cut_groups(until) for _ in range(self.fleet.form.groups)])
 
     async def cut_groups(self, until):
         """The pattern of deploy/days/recut.toml and recut-kill.toml."""
@@ -177,15 +179,21 @@
         while time.monotonic() < until:
             service = f"s-{draw.randrange(len(self.fleet.form.services))}"
             zone = f"z{draw.randrange(self.fleet.form.zones) + 1}"
+            if (service, zone) in self.cut:
+                await asyncio.sleep(0.5)
+                continue
+            self.cut.add((service, zone))
             group = [e for e in self.fleet.endpoints
                      if e.service == service and e.zone == zone]
             keeps, kills = draw.random() < 0.5, draw.random() < 0.4
-            resets = draw.random() < 0.5
+            crash = draw.choice(["reset", "kept", "silent", "silent"])
+            cut_seconds = draw.choice([9, 9, draw.uniform(2, 6)])
             what = f"cut of {service} {zone}"
             self.count("cut kept" if keeps else "cut dropped")
-            over = self.fleet.disturb("endpoint", f"crash and {what}")
+            over = self.fleet.disturb(
+                "endpoint", f"crash ({crash}) and {what}")
             for endpoint in group:
-                endpoint.crash(resets)
+                endpoint.crash(crash == "reset", crash == "silent")
             await asyncio.sleep(0.6)
             for endpoint in group:
                 await endpoint.begin()
@@ -195,10 +203,11 @@
             await asyncio.sleep(0.6)
             for endpoint in group:
                 endpoint.cut_off("both", keeps)
-            await asyncio.sleep(9)
+            await asyncio.sleep(cut_seconds)
             for endpoint in group:
                 endpoint.heal(resets=False)
             over()
+            self.cut.discard((service, zone))
             # The longer gap leaves a calm span for the rules that ask for it.
             await asyncio.sleep(draw.choice([2.4, 9]))
 
--- a/tests/grown_soak.py
+++ b/tests/grown_soak.py
@@ -275,6 +275,8 @@
             "versions": len(operators.versions), **operators.counts,
             **faults.counts,
             "late": sum(r.call.late for r in fleet.runs),
+            "of a former life": sum(r.call.sent < r.incarnation.began
+                                    for r in fleet.runs),
             "held": sum(r.call.held for r in fleet.runs),
             "cut calls": sum(c[3] == "cut" for c in callers.calls),
             "cut beside a configuration": beside,
--- a/tests/incarnation_fleet.py
+++ b/tests/incarnation_fleet.py
@@ -280,6 +280,11 @@
             order = json.loads(rest[:length]) if length else {}
             call = Call(lines[0].split(" ")[1], headers, order)
             call.held = self.releasing
+            if call.held:
+                self.endpoint.log(f"{self.endpoint.id} held {call.path} "
+                                  f"{order.get('task', '')} token "
+                                  f"{order.get('fencing-token')}"
+                                  f"{' (closed)' if self.closed else ''}")
             self.calls.put_nowait(call)
 
     def release(self):
@@ -370,8 +375,9 @@
     def spawn(self, work):
         self.fleet.spawn(work)
 
-    def crash(self, resets):
-        """Ends the incarnation. Without resets the connections stay."""
+    def crash(self, resets, silent=False):
+        """Ends the incarnation. Without resets the connections stay, and the
+        next incarnation takes their calls unless they fall silent."""
         if not self.up.is_set():
             return
         self.up.clear()
@@ -387,6 +393,8 @@
             self.server = None
             self.reset()
             self.closed_in_cut.clear()
+        for connection in self.connections if silent else ():
+            connection.silent = True
 
     def reset(self):
         for connection in list(self.connections):
