--- a/src/almondgate/dispatch/served_in_time_test.cpp
+++ b/src/almondgate/dispatch/served_in_time_test.cpp
@@ -67,3 +67,23 @@
   CHECK(fleet.running() == 0);
   fleet.checkViolations();
 }
+
+// Runs that have begun keep their capacity, however late their job is.
+TEST_CASE("jobs are not accepted behind late runs that fill the pool") {
+  constexpr int64_t SlowEstimateMs = 500;
+  Fleet fleet(4);
+  fleet.RunMs = [](const jobs::StepSpec &step) {
+    constexpr int64_t SlowRunMs = 6000;
+    return step.EstimateMs == SlowEstimateMs ? SlowRunMs : step.EstimateMs;
+  };
+  for (int64_t id = 1; id <= 4; ++id)
+    fleet.submit(jobId(id), oneStep(8, 8, SlowEstimateMs));
+  fleet.advance(2500);
+  CHECK(fleet.running() == 32);
+  // It would be due 1.4 s from now, and no run ends before 3 s from now.
+  const auto reply = fleet.submit(jobId(9), oneStep(1, 8, 400));
+  CHECK(reply.Outcome == jobs::JobOutcome::Refused);
+  fleet.advance(30000);
+  CHECK(fleet.running() == 0);
+  fleet.checkViolations();
+}
