Settle starts without an answer by the endpoint's next read

Cause: a start without an answer bound its task to the endpoint for 12.5 s (18.8 s if it came and went, 6.3 s for long-running tasks), also when the endpoint had answered since, and each new incarnation that could not be read extended the wait for its runs. The virtual fleet let any later incarnation carry such an order out.

Callers saw: jobs with nothing running for seconds although their endpoint answered and others were free (rule LOST).

Change: such a start is settled by the next renewal that was sent after it was given up, had a higher token and was answered with a complete inventory. Until then it binds its task until the longest lease has expired, counted from when the order and the last call that extended the lease were given up; the same for all tasks, and new incarnations don't extend it. A second unanswered start in a row leaves the endpoint alone for 1 s. Each is logged once, with what ended it.

The cases across a restart with delays of seconds no longer exercise the next incarnation; 'a start in transit may reach the next incarnation' and 'a start that was given up reaches no later incarnation' do. Random restarts draw both kinds.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -268,20 +268,27 @@
   struct StartLimit;
   /// Notes that the start order of the task's run at the endpoint, which has no
   /// answer, may be carried out late.
-  void addLateStart(const TaskKey &task_key, const jobs::EndpointId &at);
+  /// `given_up` tells that its connection was reset.
+  void addLateStart(const TaskKey &task_key, const jobs::EndpointId &at,
+                    bool given_up = false);
+  void logLateStartOver(const TaskKey &task_key, const LateStart &late);
   /// The endpoint has the run: an order that was sent once was carried out.
   static void removeLateStart(TaskState &state, const jobs::EndpointId &at,
                               int64_t run);
   void expireLateStarts();
+  /// The endpoint was read, with a higher fencing token, after the order was
+  /// given up: it is carried out no more, and the inventory shows the run if it
+  /// was.
+  bool isSettled(const LateStart &late) const;
+  /// Until when a run of the order may be in progress at an endpoint that does
+  /// not answer.
+  core::TimeMs latestEnd(const LateStart &late) const;
   void recordReplaced(const jobs::EndpointId &id, int64_t born_ms);
   /// An order for the run may be carried out late at the endpoint.
   static bool isLateStart(const TaskState &state, const jobs::EndpointId &at,
                           int64_t run);
-  /// The endpoint may be given the run, which it left unanswered, once more.
-  bool mayRepeatStart(const TaskKey &task_key, const TaskState &state) const;
-  core::TimeMs latestLateStart(const TaskKey &task_key,
-                               core::TimeMs since) const;
-  bool isOver(const TaskKey &task_key, const LateStart &late) const;
+  /// No run of the order can be in progress unseen, or begin.
+  bool isOver(const LateStart &late) const;
   /// Takes over the starts of earlier leaders that may be carried out late.
   void inheritLateStarts(const jobs::JobRecord &record, OpenJob &job);
   void handOverIfReady();
--- a/include/almondgate/dispatch/dispatcher_options.hpp
+++ b/include/almondgate/dispatch/dispatcher_options.hpp
@@ -18,8 +18,6 @@
   core::DurationMs Lease{3000};
   /// Longest lease that an endpoint accepts, whatever is requested.
   core::DurationMs MaxLease{6000};
-  /// How long after it was sent an order without an answer may be carried out.
-  core::DurationMs LateOrderLimit{12500};
   /// How long an endpoint may delay its reply to a renewal while it has no
   /// ended run to report.
   core::DurationMs RenewWait{1000};
--- a/include/almondgate/dispatch/endpoint_view.hpp
+++ b/include/almondgate/dispatch/endpoint_view.hpp
@@ -33,6 +33,9 @@
   /// A task and the number of its run.
   using RunKey = std::pair<jobs::TaskRef, int64_t>;
 
+  /// Longer than a renewal or a start waits for its answer.
+  static constexpr core::DurationMs MaxLeaseCallTime{1600};
+
   jobs::EndpointFacts Facts;
   /// Fencing token of the orders to this incarnation; see FenceCounter.
   uint64_t Fence = 0;
@@ -55,8 +58,15 @@
   int64_t LastReadClockMs = 0;
   /// When the newest renewal that the incarnation has answered was sent.
   core::TimeMs LastRead{INT64_MIN / 2};
+  /// When the newest renewal that was answered with a complete inventory was
+  /// sent, and its fencing token.
+  core::TimeMs LastCompleteRead{INT64_MIN / 2};
+  uint64_t CompleteReadFence = 0;
   /// When a call that extends the lease was last given, answered or given up.
   core::TimeMs LastLeaseCall{INT64_MIN / 2};
+  /// When the last call that extends the lease, to this incarnation or a former
+  /// one, has been given up at the latest.
+  core::TimeMs LeaseCallsEnd{INT64_MIN / 2};
   /// When it last left a start unanswered.
   core::TimeMs LastUnanswered{INT64_MIN / 2};
   /// The last request to the endpoint failed.
@@ -118,6 +128,12 @@
     return MayHoldEarlierRuns && !InventoryRead && !Facts.Idle;
   }
 
+  /// A call that extends the lease is given now.
+  void recordLeaseCall(core::TimeMs now) {
+    LastLeaseCall = now;
+    LeaseCallsEnd = now + MaxLeaseCallTime;
+  }
+
   bool hasRuns() const { return !Runs.empty() || !OrphanedRuns.empty(); }
 
   /// The endpoint counts towards the capacity of its pool.
--- a/include/almondgate/dispatch/late_start.hpp
+++ b/include/almondgate/dispatch/late_start.hpp
@@ -8,16 +8,16 @@
 
 namespace almondgate::dispatch {
 
-/// Start orders for a task that got no answer. The endpoint may still carry one
-/// out, whichever of its incarnations is there by then, unless that one has
-/// seen a higher fencing token.
+/// A start order for a task that got no answer. The incarnation that received
+/// it may carry it out until it has seen a higher fencing token or its lease
+/// expires; no incarnation receives it once its connection was reset.
 struct LateStart {
   jobs::EndpointId Endpoint;
-  /// The highest run that was ordered; 0 if an earlier leader ordered it.
+  /// The run that was ordered; 0 if an earlier leader ordered it.
   int64_t Run = 0;
-  /// How many orders got no answer.
-  int64_t Tries = 0;
-  /// When the last of them was given up.
+  /// Fencing token of the order; 0 if an earlier leader gave it.
+  uint64_t Fence = 0;
+  /// When the order was given up and its connection reset, at the latest.
   core::TimeMs Since;
 
   bool operator==(const LateStart &) const = default;
--- a/include/almondgate/dispatch/task_state.hpp
+++ b/include/almondgate/dispatch/task_state.hpp
@@ -36,6 +36,8 @@
   /// Percent and Usage are as in RunReport.
   int64_t Percent = 0;
   int64_t Usage = 0;
+  /// Fencing token of the last start order.
+  uint64_t Fence = 0;
   /// When the phase began or, within it, an order was last sent or
   /// acknowledged.
   core::TimeMs Since;
@@ -57,7 +59,8 @@
   /// Number of the last inventory that listed the current run; see
   /// Dispatcher::Inventories.
   uint64_t ListedIn = 0;
-  /// The start got no answer and was sent a second time.
+  /// The start got no answer and was sent a second time, after a read of the
+  /// endpoint had ruled the first one out.
   bool StartResent = false;
   /// Starts of this run and of earlier ones that may still be carried out.
   std::vector<LateStart> LateStarts;
@@ -75,11 +78,8 @@
   }
 
   /// The run may be in progress in the endpoint's next incarnation, or start
-  /// there: orders name the endpoint only by its id, and one without an answer
-  /// may be carried out late.
-  bool mayRunInNextIncarnation() const {
-    return isPlaced() && (!Listed || StartResent);
-  }
+  /// there: orders name the endpoint only by its id.
+  bool mayRunInNextIncarnation() const { return isPlaced() && !Listed; }
 
   /// The task occupies capacity of an endpoint.
   bool isPlaced() const {
--- a/src/almondgate/dispatch/dispatcher_endpoints.cpp
+++ b/src/almondgate/dispatch/dispatcher_endpoints.cpp
@@ -46,9 +46,10 @@
               std::to_string(it->second.Facts.BornMs) + " (" +
               it->second.Lease.describe(Hooks.Now()) + "); " +
               std::to_string(open.size()) + " runs may be in progress there");
-    // Calls for the old incarnation, of earlier leaders as well, may have given
-    // the new one runs and a lease until now.
-    view.LastLeaseCall = Hooks.Now();
+    // Calls for former incarnations, of earlier leaders as well, may have given
+    // the new one runs and a lease until they were given up.
+    view.LeaseCallsEnd = std::max(it->second.LeaseCallsEnd, LeadingSince);
+    view.LastLeaseCall = std::min(Hooks.Now(), view.LeaseCallsEnd);
     view.LastUnanswered = it->second.LastUnanswered;
     view.Lease.assumeValidUntil(
         LeaseClock::latestExpiry(view.LastLeaseCall, Options.MaxLease));
--- a/src/almondgate/dispatch/dispatcher_inventory.cpp
+++ b/src/almondgate/dispatch/dispatcher_inventory.cpp
@@ -13,6 +13,7 @@
 
 constexpr DurationMs MaxRestartDelay{1000};
 constexpr int64_t RestartDelayStepMs = 100;
+constexpr DurationMs UnansweredBackOff{1000};
 
 } // namespace
 
@@ -193,15 +194,17 @@
 }
 
 // The incarnation that answered does not have the run, and its fencing token
-// keeps it from carrying the order out late. The start is sent again with the
-// same run number, so that a next incarnation which carries out several of
-// these orders runs the task once, and as the members of a gang need it.
+// keeps it from carrying the order out late. The start is sent again once, with
+// the same run number, as the members of a gang need it.
 void Dispatcher::resolveUnansweredStart(const TaskKey &task_key,
                                         TaskState &state) {
   if (HandingOver)
     return;
-  if (isInEvacuatedZone(state) || (std::exchange(state.StartResent, true) &&
-                                   !mayRepeatStart(task_key, state))) {
+  const bool again = std::exchange(state.StartResent, true);
+  // It answers renewals, but no start: other endpoints come first.
+  if (again)
+    Endpoints.at(state.Endpoint).BackOffUntil = Hooks.Now() + UnansweredBackOff;
+  if (again || isInEvacuatedZone(state)) {
     releaseTask(task_key, TaskPhase::Waiting);
     return;
   }
@@ -247,8 +250,7 @@
   for (const auto &task_key : task_keys) {
     const TaskState &state = *findTaskState(task_key);
     const bool ended =
-        !state.mayRunInNextIncarnation() ||
-        (state.Confirmed && !state.StartResent && expired_behind);
+        !state.mayRunInNextIncarnation() || (state.Confirmed && expired_behind);
     if (!ended)
       continue;
     releaseTask(task_key, TaskPhase::Waiting);
--- a/src/almondgate/dispatch/dispatcher_late_starts.cpp
+++ b/src/almondgate/dispatch/dispatcher_late_starts.cpp
@@ -11,10 +11,8 @@
 
 namespace {
 
-// Starts of a task that one endpoint leaves unanswered before it gets no more.
-constexpr int64_t MaxUnansweredTries = 4;
 // Longer than an order waits for its answer.
-constexpr core::DurationMs MaxHandOverWait{600};
+constexpr core::DurationMs MaxOrderTime{600};
 
 auto findLateStart(auto &all, const EndpointId &at) {
   return std::find_if(all.begin(), all.end(), [&](const LateStart &late) {
@@ -24,27 +22,24 @@
 
 } // namespace
 
-// When an order that has not been answered by `since` is carried out at the
-// latest. Work that must not be missing for long waits for the longest lease
-// only.
-TimeMs Dispatcher::latestLateStart(const TaskKey &task_key,
-                                   TimeMs since) const {
-  return findStep(task_key)->LongRunning
-             ? LeaseClock::latestExpiry(since, Options.MaxLease)
-             : since + Options.LateOrderLimit;
+bool Dispatcher::isSettled(const LateStart &late) const {
+  const auto it = Endpoints.find(late.Endpoint);
+  return it != Endpoints.end() && it->second.LastCompleteRead > late.Since &&
+         it->second.CompleteReadFence > late.Fence;
 }
 
-// None of the orders is carried out any more, and none that was carried out is
-// in progress unseen.
-bool Dispatcher::isOver(const TaskKey &task_key, const LateStart &late) const {
-  const auto now = Hooks.Now();
-  const TimeMs until = latestLateStart(task_key, late.Since);
-  if (now < until)
-    return false;
+// An incarnation that is not known here may have received the order until it
+// was given up, and a lease until the last call that could extend one ended.
+TimeMs Dispatcher::latestEnd(const LateStart &late) const {
   const auto it = Endpoints.find(late.Endpoint);
-  const bool seen = it != Endpoints.end() && it->second.LastRead > late.Since;
-  return !seen || it->second.LastRead >= until ||
-         now >= LeaseClock::latestExpiry(until, Options.MaxLease);
+  const TimeMs leased = it == Endpoints.end()
+                            ? late.Since
+                            : std::max(late.Since, it->second.LastLeaseCall);
+  return LeaseClock::latestExpiry(leased, Options.MaxLease);
+}
+
+bool Dispatcher::isOver(const LateStart &late) const {
+  return isSettled(late) || Hooks.Now() >= latestEnd(late);
 }
 
 // When they were sent is not known, as clocks of members may differ.
@@ -52,7 +47,7 @@
                                    OpenJob &job) {
   for (const auto &[index, endpoints] : record.UnansweredStarts) {
     for (const auto &id : endpoints)
-      job.Tasks[index].LateStarts.push_back({id, 0, 1, Hooks.Now()});
+      job.Tasks[index].LateStarts.push_back({id, 0, 0, Hooks.Now()});
     LateTasks.emplace(record.Id, index);
   }
 }
@@ -65,7 +60,7 @@
     return;
   }
   OnHandOver = std::move(done);
-  HandOverDue = Hooks.Now() + MaxHandOverWait;
+  HandOverDue = Hooks.Now() + MaxOrderTime;
   handOverIfReady();
 }
 
@@ -84,7 +79,8 @@
   afterRecorded([done = std::exchange(OnHandOver, {})](bool) { done(); });
 }
 
-void Dispatcher::addLateStart(const TaskKey &task_key, const EndpointId &at) {
+void Dispatcher::addLateStart(const TaskKey &task_key, const EndpointId &at,
+                              bool given_up) {
   TaskState &state = *findTaskState(task_key);
   if (findStep(task_key)->AllowDuplicates)
     return;
@@ -98,22 +94,27 @@
   if (it == state.LateStarts.end())
     it = state.LateStarts.insert(it, {at, 0, 0, {}});
   it->Run = state.Run;
-  ++it->Tries;
-  it->Since = Hooks.Now();
+  it->Fence = state.Fence;
+  // An order that is still outstanding is given up later.
+  it->Since = Hooks.Now() + (state.Phase == TaskPhase::Ordered && !given_up
+                                 ? MaxOrderTime
+                                 : core::DurationMs{0});
   LateTasks.insert(task_key);
   const auto endpoint = Endpoints.find(at);
-  if (endpoint != Endpoints.end())
-    endpoint->second.LastUnanswered = it->Since;
+  if (endpoint == Endpoints.end())
+    return;
+  endpoint->second.LastUnanswered = it->Since;
+  // The next renewal raises the token.
+  endpoint->second.Suspect = true;
+  endpoint->second.RenewDue = Hooks.Now();
+  Pools.update(endpoint->second);
 }
 
+// The endpoint has the run, so the order was carried out.
 void Dispatcher::removeLateStart(TaskState &state, const EndpointId &at,
                                  int64_t run) {
-  if (state.LateStarts.empty())
-    return;
-  const bool sent_once = state.Run == run && !state.StartResent;
   const auto it = findLateStart(state.LateStarts, at);
-  if (it != state.LateStarts.end() && it->Run == run && it->Tries == 1 &&
-      sent_once)
+  if (it != state.LateStarts.end() && it->Run == run)
     state.LateStarts.erase(it);
 }
 
@@ -124,7 +125,10 @@
     if (!state)
       return true;
     std::erase_if(state->LateStarts, [&](const LateStart &late) {
-      return isOver(task_key, late);
+      if (!isOver(late))
+        return false;
+      logLateStartOver(task_key, late);
+      return true;
     });
     const auto &recorded =
         jobs::findJob(Ledger, task_key.first)->UnansweredStarts;
@@ -138,10 +142,32 @@
     return state->LateStarts.empty();
   });
   std::erase_if(Replaced, [this](const auto &row) {
-    return row.second + Options.LateOrderLimit <= Hooks.Now();
+    return LeaseClock::latestExpiry(row.second, Options.MaxLease) <=
+           Hooks.Now();
   });
 }
 
+void Dispatcher::logLateStartOver(const TaskKey &task_key,
+                                  const LateStart &late) {
+  const bool settled = isSettled(late);
+  Hooks.IncrementCounter("unanswered_starts", "over",
+                         settled ? "read" : "expired");
+  std::string line = "unanswered start of task " + task_key.first.str() + "#" +
+                     std::to_string(task_key.second) + " run " +
+                     std::to_string(late.Run) + " at " + late.Endpoint.str() +
+                     " token " + std::to_string(late.Fence) +
+                     " is over after " +
+                     std::to_string((Hooks.Now() - late.Since).Count) + " ms: ";
+  const auto it = Endpoints.find(late.Endpoint);
+  if (settled)
+    line += "incarnation " + std::to_string(it->second.Facts.BornMs) +
+            " was read with token " +
+            std::to_string(it->second.CompleteReadFence);
+  else
+    line += "not read since, and the longest lease has expired";
+  Hooks.Log(line);
+}
+
 // Another endpoint has its VM or its address, and rejects what is meant for it.
 void Dispatcher::recordReplaced(const EndpointId &id, int64_t born_ms) {
   Replaced.insert_or_assign(id, Hooks.Now());
@@ -154,21 +180,7 @@
   return it != state.LateStarts.end() && it->Run == run;
 }
 
-bool Dispatcher::mayRepeatStart(const TaskKey &task_key,
-                                const TaskState &state) const {
-  const auto at = Endpoints.find(state.Endpoint);
-  return !findStep(task_key)->LongRunning && at != Endpoints.end() &&
-         isUsable(at->second) &&
-         isLateStart(state, state.Endpoint, state.Run) &&
-         findLateStart(state.LateStarts, state.Endpoint)->Tries <
-             MaxUnansweredTries;
-}
-
-// An endpoint that has left a start unanswered is given the task again rather
-// than another one: whichever of its incarnations carries the old order out,
-// the task then runs nowhere else. If it goes on like that, the task waits.
-// Work that must not be missing for long goes elsewhere once the incarnation
-// that is there carries nothing out any more.
+// A task that may be in progress somewhere unseen starts nowhere.
 Dispatcher::StartLimit Dispatcher::startLimit(const TaskKey &task_key,
                                               const TaskState &state) {
   if (state.LateStarts.empty() && OrphanCounts.empty())
@@ -176,36 +188,16 @@
   const auto *record = jobs::findJob(Ledger, task_key.first);
   const auto task =
       jobs::taskAt(task_key.first, *record->Spec, task_key.second);
-  const auto &step = record->Spec->Steps[task.Step];
   // A run of it is being stopped.
-  if (!step.AllowDuplicates && OrphanCounts.contains(task))
-    return {false, nullptr};
-  std::set<EndpointView *> at;
-  int64_t tries = 0;
-  bool away = false;
-  for (const LateStart &late : state.LateStarts) {
-    if (isOver(task_key, late))
-      continue;
-    const auto it = Endpoints.find(late.Endpoint);
-    if (it != Endpoints.end())
-      at.insert(&it->second);
-    else
-      away = away || !Replaced.contains(late.Endpoint);
-    tries += late.Tries;
-  }
-  if (away)
+  if (!record->Spec->Steps[task.Step].AllowDuplicates &&
+      OrphanCounts.contains(task))
     return {false, nullptr};
-  if (at.empty())
-    return {};
-  if (step.LongRunning) {
-    const bool read = std::all_of(at.begin(), at.end(), [](const auto *row) {
-      return row->InventoryRead && !row->Suspect;
-    });
-    return {read, nullptr};
-  }
-  const bool again =
-      at.size() == 1 && tries < MaxUnansweredTries && isUsable(**at.begin());
-  return {false, again ? *at.begin() : nullptr};
+  const bool wait =
+      std::any_of(state.LateStarts.begin(), state.LateStarts.end(),
+                  [this](const LateStart &late) {
+                    return !isOver(late) && !Replaced.contains(late.Endpoint);
+                  });
+  return {!wait, nullptr};
 }
 
 } // namespace almondgate::dispatch
--- a/src/almondgate/dispatch/dispatcher_orders.cpp
+++ b/src/almondgate/dispatch/dispatcher_orders.cpp
@@ -113,8 +113,8 @@
 }
 
 void Dispatcher::sendStart(const TaskKey &task_key) {
-  const OpenJob &job = *findOpenJob(task_key.first);
-  const TaskState &state = job.Tasks[task_key.second];
+  OpenJob &job = *findOpenJob(task_key.first);
+  TaskState &state = job.Tasks[task_key.second];
   EndpointView &at = Endpoints.at(state.Endpoint);
   const auto *record = job.Record;
   StartOrder order;
@@ -123,9 +123,9 @@
   order.Content = job.Content;
   order.DeadlineMs = at.Suspect ? at.Lease.granted()
                                 : at.Lease.grant(Hooks.Now(), Options.Lease);
-  order.Epoch = at.Fence;
+  order.Epoch = state.Fence = at.Fence;
   at.FenceUsed = true;
-  at.LastLeaseCall = Hooks.Now();
+  at.recordLeaseCall(Hooks.Now());
   order.Checkpoint = state.Checkpoint;
   const auto tickets =
       job.Tickets.find({order.Task.Occurrence, order.Task.Step});
@@ -170,10 +170,9 @@
               " at " + at.str() + " incarnation " + std::to_string(born_ms) +
               ": " + orderResultName(reply.Result) + " after " +
               std::to_string((now - given).Count) + " ms");
-  const bool carried_out =
-      state->Phase == TaskPhase::Running && !state->StartResent;
+  const bool carried_out = state->Phase == TaskPhase::Running;
   if (reply.Result == OrderResult::NoAnswer && !carried_out)
-    addLateStart(task_key, at);
+    addLateStart(task_key, at, true);
   if (state->Phase == TaskPhase::Stopping)
     return;
   // An inventory has listed the run since, so only the answer was lost.
@@ -187,11 +186,6 @@
     state->Since = now;
   };
   const auto release_for_retry = [&](DurationMs delay) {
-    // The first order may still be carried out.
-    if (state->StartResent) {
-      await_inventory();
-      return;
-    }
     state->NotBefore = now + delay;
     releaseTask(task_key, TaskPhase::Waiting);
   };
--- a/src/almondgate/dispatch/dispatcher_renewals.cpp
+++ b/src/almondgate/dispatch/dispatcher_renewals.cpp
@@ -48,7 +48,7 @@
   if (endpoint.Lease.isClockKnown() && !facts.Idle && !endpoint.DeclaredLost &&
       !endpoint.Suspect) {
     request.DeadlineMs = endpoint.Lease.grant(now, Options.Lease);
-    endpoint.LastLeaseCall = now;
+    endpoint.recordLeaseCall(now);
   }
   // The first renewal, and one that decides about an unanswered start, must be
   // answered at once; the others may wait for a run to end.
@@ -152,7 +152,7 @@
     // The endpoint's process is gone. Its next incarnation is to be called
     // before it carries out a late start.
     if (now - sent < QuickFailure &&
-        now - endpoint.LastUnanswered < Options.LateOrderLimit)
+        now - endpoint.LastUnanswered < Options.MaxLease)
       endpoint.RenewDue = now;
     // Until the new incarnation registers, the next renewal keeps it from
     // carrying out late orders that were given before.
@@ -185,6 +185,11 @@
   }
   endpoint.LastReadClockMs = reply.Inventory.ClockMs;
   endpoint.LastRead = std::max(endpoint.LastRead, sent);
+  if (!reply.Inventory.MoreEnds) {
+    endpoint.LastCompleteRead = std::max(endpoint.LastCompleteRead, sent);
+    endpoint.CompleteReadFence =
+        std::max(endpoint.CompleteReadFence, request.Epoch);
+  }
   applyInventory(endpoint, sent, reply.Inventory);
   endpoint.InventoryRead = endpoint.InventoryRead || !reply.Inventory.MoreEnds;
   if (endpoint.InventoryRead && endpoint.MayHoldEarlierRuns)
--- a/src/almondgate/dispatch/late_start_test.cpp
+++ b/src/almondgate/dispatch/late_start_test.cpp
@@ -413,3 +413,152 @@
     fleet.finishJob();
   }
 }
+
+namespace {
+
+// The rule allows a task whose turn has come to stand still for this long.
+constexpr int64_t MaxIdleMs = 3 * Second;
+
+/// The longest time without a run of any job within `ms`.
+int64_t longestIdle(Fleet &fleet, int64_t ms) {
+  int64_t longest = 0;
+  int64_t idle = 0;
+  for (int64_t i = 0; i < ms; ++i) {
+    fleet.advance(1);
+    idle = fleet.running() > 0 ? 0 : idle + 1;
+    longest = std::max(longest, idle);
+  }
+  return longest;
+}
+
+/// The start of a job of one task is in transit to its endpoint; see
+/// CallFault::InTransitMs.
+struct TransitFleet : Fleet {
+  TransitFleet(int64_t transit_ms, const jobs::JobSpec &spec) : Fleet(2) {
+    for (const auto &vm : VmIds) {
+      CallFault fault;
+      fault.InTransitMs = transit_ms;
+      addFault(vm, CallKind::Start, fault);
+    }
+    submit(jobId(1), spec);
+    advance(20);
+    for (const auto &vm : VmIds)
+      if (!dispatcher().endpoints().at(endpointOf(vm).Facts.Id).Runs.empty())
+        Chosen = vm;
+    // The other VM takes starts as usual.
+    for (const auto &vm : VmIds)
+      if (vm != Chosen)
+        clearFaults(vm);
+  }
+
+  /// Where the task was ordered.
+  core::VmId Chosen;
+};
+
+} // namespace
+
+// Guards against tasks that run twice: an order was still in transit when its
+// endpoint restarted under its id, and reached the next incarnation, which was
+// cut off, or was read only later. Both for work that may wait and for
+// long-running tasks, and when the first incarnation was never heard of again.
+TEST_CASE("a start in transit may reach the next incarnation") {
+  for (const bool lasts : {false, true})
+    for (const int64_t transit_ms : {60, 200, 350, 490})
+      for (const int64_t before_ms : {5, 30})
+        for (const int64_t cut_ms : {int64_t{0}, Second, 8 * Second}) {
+          CAPTURE(lasts);
+          CAPTURE(transit_ms);
+          CAPTURE(before_ms);
+          CAPTURE(cut_ms);
+          TransitFleet fleet(transit_ms, lasts ? longRunning(1, 1)
+                                               : oneStep(1, Cores, LongMs));
+          fleet.advance(transit_ms - 20 - before_ms);
+          fleet.restartWithSameId(fleet.Chosen);
+          fleet.advance(before_ms + 5);
+          CHECK(fleet.endpointOf(fleet.Chosen).Runs.size() == 1);
+          fleet.endpointOf(fleet.Chosen).Unreachable = cut_ms > 0;
+          fleet.advance(cut_ms);
+          fleet.endpointOf(fleet.Chosen).Unreachable = false;
+          fleet.advance(3 * LongMs);
+          fleet.checkViolations();
+          CHECK((lasts || fleet.stateOf(jobId(1)) == JobState::Completed));
+        }
+}
+
+// Guards against starts after an end: an order in transit reached the next
+// incarnation after its task had run to its end elsewhere.
+TEST_CASE("a start that was given up reaches no later incarnation") {
+  for (const int64_t transit_ms : {300, 490, 700, 3000}) {
+    CAPTURE(transit_ms);
+    TransitFleet fleet(transit_ms, oneStep(1, Cores, 100));
+    fleet.endpointOf(fleet.Chosen).Unreachable = true;
+    fleet.advance(transit_ms - 40);
+    fleet.restartWithSameId(fleet.Chosen);
+    fleet.advance(2 * LongMs);
+    fleet.checkViolations();
+    CHECK(fleet.stateOf(jobId(1)) == JobState::Completed);
+  }
+}
+
+// Guards against work that stood still (rule LOST): a task without an answer to
+// its start waited for seconds although its endpoint, or the next incarnation
+// of it, had answered since.
+TEST_CASE("a task starts soon after its endpoint has answered again") {
+  for (const bool lasts : {false, true})
+    for (const bool restarts : {false, true})
+      for (const int64_t cut_ms : {100, 1000, 3000, 5000}) {
+        CAPTURE(lasts);
+        CAPTURE(restarts);
+        CAPTURE(cut_ms);
+        // The endpoint answers no start for a while, but all renewals.
+        LateFleet fleet(2, 4, LongestDelayMs,
+                        lasts ? longRunning(1, 1) : oneStep(1, Cores, LongMs));
+        fleet.endpointOf(fleet.Chosen).Unreachable = true;
+        fleet.advance(cut_ms);
+        if (restarts)
+          fleet.restartWithSameId(fleet.Chosen);
+        fleet.endpointOf(fleet.Chosen).Unreachable = false;
+        CHECK(longestIdle(fleet, LongMs / 2) < MaxIdleMs);
+        fleet.checkViolations();
+      }
+}
+
+// As above, with an endpoint that stays away: the task starts elsewhere once
+// the longest lease has expired, however often the endpoint comes back without
+// being read.
+TEST_CASE("a task leaves an endpoint that stays away") {
+  constexpr int64_t LongestLeaseMs = 6300;
+  // The last renewal that extended the lease is given up after this time.
+  constexpr int64_t LongestCallMs = 1600;
+  for (const bool lasts : {false, true})
+    for (const int64_t restart_ms : {int64_t{0}, 2 * Second}) {
+      CAPTURE(lasts);
+      CAPTURE(restart_ms);
+      LateFleet fleet(2, 1, LongestDelayMs,
+                      lasts ? longRunning(1, 1) : oneStep(1, Cores, LongMs));
+      fleet.endpointOf(fleet.Chosen).Unreachable = true;
+      if (restart_ms > 0)
+        for (int64_t ms = restart_ms; ms < LongMs; ms += restart_ms)
+          fleet.schedule(ms, [&fleet] {
+            fleet.restartWithSameId(fleet.Chosen);
+            fleet.endpointOf(fleet.Chosen).Unreachable = true;
+            fleet.sendHeartbeat(fleet.Chosen);
+          });
+      CHECK(longestIdle(fleet, LongMs) < LongestCallMs + LongestLeaseMs + 100);
+      fleet.checkViolations();
+    }
+}
+
+// Guards against waits that add up: two endpoints that left starts of one task
+// unanswered; one has been read since, the other one can't be.
+TEST_CASE("unanswered starts at two endpoints are settled one by one") {
+  LateFleet fleet(3, 1, LongestDelayMs, oneStep(1, Cores, LongMs));
+  fleet.advance(490);
+  // The next leader knows of the first try only.
+  fleet.endpointOf(fleet.Chosen).Unreachable = true;
+  fleet.advance(100);
+  fleet.changeLeader();
+  fleet.endpointOf(fleet.Chosen).Unreachable = false;
+  CHECK(longestIdle(fleet, LongMs / 2) < MaxIdleMs);
+  fleet.checkViolations();
+}
--- a/src/almondgate/dispatch/random_restarts_test.cpp
+++ b/src/almondgate/dispatch/random_restarts_test.cpp
@@ -244,16 +244,19 @@
     if (draw.oneIn(2))
       fault.FailsAfterMs = 1 + draw.below(20);
     const int64_t choice = draw.below(4);
-    if (choice < 2)
+    if (choice == 0)
       fault.LateMs = 300 + draw.below(11700);
+    else if (choice == 1)
+      fault.InTransitMs = 1 + draw.below(600);
     else if (choice == 2)
       fault.LosesAnswer = true;
     else
       fault.AnswerDelayMs = draw.below(600);
     note() << "next " << names[size_t(kind)] << " at " << vm.str() << ": late "
-           << fault.LateMs << " ms, answer lost " << fault.LosesAnswer
-           << ", answer delayed " << fault.AnswerDelayMs << " ms, fails after "
-           << fault.FailsAfterMs << " ms\n";
+           << fault.LateMs << " ms, in transit " << fault.InTransitMs
+           << " ms, answer lost " << fault.LosesAnswer << ", answer delayed "
+           << fault.AnswerDelayMs << " ms, fails after " << fault.FailsAfterMs
+           << " ms\n";
     Fl.addFault(vm, kind, fault);
   }
 }
--- a/src/almondgate/dispatch/test_call_fault.hpp
+++ b/src/almondgate/dispatch/test_call_fault.hpp
@@ -10,9 +10,13 @@
 
 /// What happens to one call to an endpoint.
 struct CallFault {
-  /// Above 0, the call gets no answer and is carried out this much later by
-  /// whichever incarnation is there.
+  /// Above 0, the call gets no answer and is carried out this much later by the
+  /// incarnation that received it, if it is still there.
   int64_t LateMs = 0;
+  /// Above 0, the call is this long on its way, gets no answer, and is carried
+  /// out by whichever incarnation is there, unless the caller has given it up
+  /// before.
+  int64_t InTransitMs = 0;
   /// The call is carried out at once, but its answer is lost.
   bool LosesAnswer = false;
   /// How long the answer takes in addition; it counts as lost if that is too
--- a/src/almondgate/dispatch/test_fleet.hpp
+++ b/src/almondgate/dispatch/test_fleet.hpp
@@ -49,6 +49,8 @@
   /// Disturbs the next call of the kind to the VM's endpoint that has no fault
   /// yet, whichever incarnation is there.
   void addFault(const core::VmId &vm, CallKind kind, const CallFault &fault);
+  /// Withdraws the faults that no call has met yet.
+  void clearFaults(const core::VmId &vm);
   /// Runs a function after a time.
   void schedule(int64_t ms, std::function<void()> fn) {
     scheduleAt(Now + ms, std::move(fn));
--- a/src/almondgate/dispatch/test_fleet_test.cpp
+++ b/src/almondgate/dispatch/test_fleet_test.cpp
@@ -260,6 +260,11 @@
   Faults[{Vms.at(vm).Endpoint, kind}].push_back(fault);
 }
 
+void TestFleet::clearFaults(const core::VmId &vm) {
+  for (const auto kind : {CallKind::Start, CallKind::Stop, CallKind::Renew})
+    Faults.erase({Vms.at(vm).Endpoint, kind});
+}
+
 CallFault TestFleet::takeFault(const EndpointId &id, CallKind kind) {
   const auto it = Faults.find({id, kind});
   if (it == Faults.end() || it->second.empty())
@@ -598,11 +603,12 @@
   };
   const int64_t fails_after =
       fault.FailsAfterMs > 0 ? fault.FailsAfterMs : timeout_ms;
-  if (fault.LateMs > 0) {
-    const int64_t born = it == Endpoints.end() ? 0 : it->second.Facts.BornMs;
-    scheduleAt(Now + fault.LateMs, [this, id, born, execute] {
+  const int64_t born = it == Endpoints.end() ? 0 : it->second.Facts.BornMs;
+  const auto execute_at = [&](int64_t after_ms, bool by_any) {
+    scheduleAt(Now + after_ms, [this, id, born, execute, by_any] {
       const auto late = Endpoints.find(id);
-      if (late == Endpoints.end())
+      if (late == Endpoints.end() || (by_any && late->second.Unreachable) ||
+          (!by_any && late->second.Facts.BornMs != born))
         return;
       if (std::getenv("ALMONDGATE_TEST_LOG"))
         std::cerr << sinceStart() << " a call of " << born - StartMs
@@ -612,6 +618,10 @@
       CallsOfFormerIncarnations += late->second.Facts.BornMs != born ? 1 : 0;
       execute(late->second);
     });
+  };
+  if (fault.InTransitMs > 0) {
+    if (fault.InTransitMs < fails_after)
+      execute_at(fault.InTransitMs, true);
     fail(fails_after);
     return;
   }
@@ -619,6 +629,11 @@
     fail(timeout_ms);
     return;
   }
+  if (fault.LateMs > 0) {
+    execute_at(fault.LateMs, false);
+    fail(fails_after);
+    return;
+  }
   const Reply reply = execute(it->second);
   if (fault.LosesAnswer || fault.AnswerDelayMs >= TimeoutMs) {
     fail(fails_after);
@@ -702,7 +717,8 @@
   const CallFault fault = takeFault(id, CallKind::Renew);
   const auto it = Endpoints.find(id);
   const bool arrives = it != Endpoints.end() && !it->second.Unreachable;
-  const bool answered = arrives && fault.LateMs == 0 && !fault.LosesAnswer &&
+  const bool answered = arrives && fault.LateMs == 0 &&
+                        fault.InTransitMs == 0 && !fault.LosesAnswer &&
                         fault.AnswerDelayMs < TimeoutMs;
   if (!answered || request.Epoch < it->second.Epoch) {
     deliver<RenewReply>(
