Reset the connection of a call to an endpoint that failed or was aborted

Cause: EndpointClient closed the socket of a failed call, so the kernel went on to deliver what it held, also when a partition ended seconds later.

Change: TcpStream::reset(), which discards what is not delivered (uv_tcp_close_reset), for calls that time out, fail or are aborted. A process that dies still leaves the delivery of its open calls to the kernel.

--- a/include/almondgate/task/tcp_stream.hpp
+++ b/include/almondgate/task/tcp_stream.hpp
@@ -49,6 +49,10 @@
   /// Queues bytes; they are written in order.
   void write(std::string data);
 
+  /// Closes the connection so that the peer receives nothing that is still on
+  /// its way; no hook is called after that.
+  void reset();
+
   /// Returns the number of queued bytes that the kernel has not accepted yet.
   size_t pendingBytes() const;
 
--- a/src/almondgate/http/endpoint_client.cpp
+++ b/src/almondgate/http/endpoint_client.cpp
@@ -97,6 +97,7 @@
   void dropIdle(const Connection *connection);
   void fail(uint64_t id, const Error &error);
   void discard(std::unique_ptr<Connection> connection);
+  void reset(std::unique_ptr<Connection> connection);
 };
 
 // Frees a connection in a later loop iteration, because its own callback may
@@ -106,6 +107,14 @@
   Loop.defer([held] {});
 }
 
+// The connection of a failed call is reset, so that a partition that ends later
+// doesn't deliver the call after it has been given up.
+void EndpointClient::State::reset(std::unique_ptr<Connection> connection) {
+  if (connection->Socket)
+    connection->Socket->reset();
+  discard(std::move(connection));
+}
+
 std::unique_ptr<Connection> EndpointClient::State::takeIdle(const Address &to) {
   const auto it = Idle.find(to);
   if (it == Idle.end())
@@ -341,7 +350,7 @@
   if (reported.Code == ErrorCode::Io)
     reported.Code = ErrorCode::EndpointFailed;
   const auto done = std::move(connection->Done);
-  discard(std::move(connection));
+  reset(std::move(connection));
   done(reported);
 }
 
@@ -382,7 +391,7 @@
   if (it == S->Busy.end())
     return;
   it->second->Timeout->stop();
-  S->discard(std::move(it->second));
+  S->reset(std::move(it->second));
   S->Busy.erase(it);
 }
 
--- a/src/almondgate/http/endpoint_client_test.cpp
+++ b/src/almondgate/http/endpoint_client_test.cpp
@@ -9,9 +9,14 @@
 
 #include <doctest/doctest.h>
 
+#include <array>
+#include <cerrno>
 #include <list>
+#include <netinet/in.h>
 #include <optional>
 #include <string>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <vector>
 
 using namespace almondgate;
@@ -313,3 +318,52 @@
   CHECK(t.Log == std::vector<std::string>{"first ok", "second ok"});
   CHECK(idle.connections() == 1);
 }
+
+// Guards against calls that take effect after they were given up: closing the
+// socket left their bytes to the kernel, which delivers them when a partition
+// ends, and only a reset discards them.
+TEST_CASE("a call that was given up is not delivered later") {
+  for (const bool aborted : {false, true}) {
+    CAPTURE(aborted);
+    const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(::bind(listener, reinterpret_cast<sockaddr *>(&at), sizeof at) ==
+            0);
+    REQUIRE(::listen(listener, 1) == 0);
+    socklen_t size = sizeof at;
+    ::getsockname(listener, reinterpret_cast<sockaddr *>(&at), &size);
+    Harness harness;
+    const Address to{"127.0.0.1", ntohs(at.sin_port)};
+    if (aborted) {
+      EndpointCall call;
+      call.To = to;
+      call.Request = {"POST", "/x", {}, "body"};
+      call.Timeout = {2000};
+      const auto id =
+          harness.Client.send(call, [](const Result<Response> &) {});
+      task::Timer timer(harness.Loop);
+      timer.once({50}, [&] {
+        harness.Client.abort(id);
+        harness.Loop.defer([&] { harness.Loop.stop(); });
+      });
+      harness.Loop.run();
+    } else {
+      REQUIRE_FALSE(bool(harness.send(to, false, 50)));
+    }
+    const int accepted = ::accept(listener, nullptr, nullptr);
+    REQUIRE(accepted >= 0);
+    // What had arrived before can still be read.
+    std::array<char, 4096> buf{};
+    ssize_t read = 0;
+    do
+      read = ::recv(accepted, buf.data(), buf.size(), 0);
+    while (read > 0);
+    const int error = errno;
+    CHECK(read == -1);
+    CHECK(error == ECONNRESET);
+    ::close(accepted);
+    ::close(listener);
+  }
+}
--- a/src/almondgate/task/tcp.cpp
+++ b/src/almondgate/task/tcp.cpp
@@ -209,6 +209,12 @@
     S->writeQueued(std::move(data));
 }
 
+void TcpStream::reset() {
+  S->Connected = nullptr;
+  S->Hooks = {};
+  resetHandle(S->Handle);
+}
+
 size_t TcpStream::pendingBytes() const {
   if (!S->open())
     return 0;
