--- a/tests/grown_fleet.py
+++ b/tests/grown_fleet.py
@@ -25,7 +25,8 @@
 }
 ENTRY_MB = 160
 CPU = 64000
-DOWN_SECONDS = 0.6
+# As long as a group is down in the pattern of the recorded days.
+BURST_SECONDS = 0.6
 BURST_JOBS = 6
 RACK = 12
 TICK_SECONDS = 0.05
@@ -197,10 +198,8 @@
                 "endpoint", f"crash ({crash}) and {what}")
             for endpoint in group:
                 endpoint.crash(crash == "reset", crash == "silent")
-            # Jobs whose starts are under way while the group is down.
-            for _ in range(BURST_JOBS):
-                self.fleet.submit(int(service[2:]))
-                await asyncio.sleep(DOWN_SECONDS / BURST_JOBS)
+            # Starts are under way while the group is down, and in the cut.
+            await self.burst(service)
             for endpoint in group:
                 await endpoint.begin()
             await asyncio.sleep(gap * 0.7)
@@ -209,7 +208,8 @@
             await asyncio.sleep(gap * 0.3)
             for endpoint in group:
                 endpoint.cut_off("both", keeps)
-            await asyncio.sleep(cut_seconds)
+            await self.burst(service)
+            await asyncio.sleep(cut_seconds - BURST_SECONDS)
             for endpoint in group:
                 endpoint.heal(resets=False)
             over()
@@ -217,6 +217,11 @@
             # The longer gap leaves a calm span for the rules that ask for it.
             await asyncio.sleep(draw.choice([2.4, 9]))
 
+    async def burst(self, service):
+        for _ in range(BURST_JOBS):
+            self.fleet.submit(int(service[2:]))
+            await asyncio.sleep(BURST_SECONDS / BURST_JOBS)
+
     async def stop_entries(self, until):
         draw = self.random
         while time.monotonic() < until:
--- a/tests/incarnation_fleet.py
+++ b/tests/incarnation_fleet.py
@@ -559,6 +559,8 @@
                 for i in range(ENDPOINTS)]
 
     def log(self, text):
+        if self.record.closed:
+            return  # A task that is cancelled at the end of the play.
         now = time.time()
         stamp = time.strftime("%H:%M:%S", time.gmtime(now))
         self.record.write(f"{time.monotonic() - self.began:8.3f} "
