Late starts: orders still in flight, lease calls still open, and what is recorded

Cause, by the review of (by reading): an order that was in flight when its endpoint restarted could be taken for resolved by the next incarnation's first inventory, sent again under the same run number, and its entry erased when that run was listed; the entry of an earlier order was overwritten by a later one. The bound on leases counted calls from when they were given (1.6 s; a renewal may take 1.9 s) and left out those that were still open when the next incarnation registered or the endpoint left. Whether a start had to be recorded as unanswered was asked of the applied ledger, so that a start was not recorded while the record of the end of an earlier one was not durable yet.

Change: the entry keeps the latest time, run and token; a listing erases it only if no other order for the run was given; an order in flight is resolved after its time-out. Open calls count, also beyond a registration and a leave. The dispatcher keeps what it has recorded. A settled start stays settled for the next incarnation.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -286,8 +286,10 @@
                     bool given_up = false);
   void logLateStartOver(const TaskKey &task_key, const LateStart &late);
   /// The endpoint has the run: an order that was sent once was carried out.
-  static void removeLateStart(TaskState &state, const jobs::EndpointId &at,
-                              int64_t run);
+  void removeLateStart(TaskState &state, const jobs::EndpointId &at,
+                       int64_t run);
+  core::TimeMs lastLeaseCallEnd(const EndpointView &endpoint) const;
+  void keepLeaseCalls(const EndpointView &removed);
   void expireLateStarts();
   /// The endpoint was read, with a higher fencing token, after the order was
   /// given up: it is carried out no more, and the inventory shows the run if it
@@ -314,6 +316,7 @@
   bool mayWaitForEnds(const EndpointView &endpoint) const;
   void renewAgain(EndpointView &endpoint);
   bool hasUnansweredStarts(const EndpointView &endpoint) const;
+  core::DurationMs outstandingStartTime(const EndpointView &endpoint) const;
   void onRenewed(const jobs::EndpointId &id, int64_t born_ms, core::TimeMs sent,
                  const RenewRequest &request, const RenewReply &reply);
   /// Re-registers an endpoint that was declared lost, once all its unresolved
@@ -584,6 +587,8 @@
   std::map<jobs::TaskRef, int64_t> OrphanCounts;
   /// Tasks with LateStarts, here or in the ledger.
   std::set<TaskKey> LateTasks;
+  /// The unanswered starts that the ledger holds once all events are durable.
+  std::map<TaskKey, std::set<jobs::EndpointId>> RecordedStarts;
   /// Endpoints that another one has replaced, and when that was seen.
   std::map<jobs::EndpointId, core::TimeMs> Replaced;
   /// A planned change of leader is being prepared; no starts are given.
--- a/include/almondgate/dispatch/endpoint_view.hpp
+++ b/include/almondgate/dispatch/endpoint_view.hpp
@@ -33,8 +33,11 @@
   /// A task and the number of its run.
   using RunKey = std::pair<jobs::TaskRef, int64_t>;
 
-  /// Longer than a renewal or a start waits for its answer.
-  static constexpr core::DurationMs MaxLeaseCallTime{1600};
+  /// Longer than an order waits for its answer once it has been sent.
+  static constexpr core::DurationMs MaxOrderTime{600};
+  /// Longer than a renewal or a start takes to connect and waits for its
+  /// answer.
+  static constexpr core::DurationMs MaxLeaseCallTime{2000};
 
   jobs::EndpointFacts Facts;
   /// Fencing token of the orders to this incarnation; see FenceCounter.
@@ -71,8 +74,9 @@
   core::TimeMs LastUnanswered{INT64_MIN / 2};
   /// The last request to the endpoint failed.
   bool Suspect = false;
-  /// A renewal is outstanding.
+  /// A renewal is outstanding, and one that extends the lease.
   bool Renewing = false;
+  bool RenewingLease = false;
   core::TimeMs RenewDue{INT64_MIN / 2};
   /// The next renewal is sent at RenewDue because there is no room for one that
   /// waits.
--- a/src/almondgate/dispatch/dispatcher.cpp
+++ b/src/almondgate/dispatch/dispatcher.cpp
@@ -112,6 +112,7 @@
   EvacuationPending = false;
   OnHandOver = {};
   LateTasks.clear();
+  RecordedStarts.clear();
   Replaced.clear();
   for (const auto &done : std::exchange(RecordingCallbacks, {}))
     done(false);
--- a/src/almondgate/dispatch/dispatcher_endpoints.cpp
+++ b/src/almondgate/dispatch/dispatcher_endpoints.cpp
@@ -40,6 +40,8 @@
   std::set<TaskKey> open;
   EndpointView view;
   if (it != Endpoints.end()) {
+    const auto last_lease_call =
+        std::max(lastLeaseCallEnd(it->second), LeadingSince);
     open = takeUnresolvedStarts(it->second);
     Hooks.Log("endpoint " + facts.Id.str() + " incarnation " +
               std::to_string(facts.BornMs) + " follows incarnation " +
@@ -49,7 +51,9 @@
     // Calls for former incarnations, of earlier leaders as well, may have given
     // the new one runs and a lease until they were given up.
     view.LeaseCallsEnd = std::max(it->second.LeaseCallsEnd, LeadingSince);
-    view.LastLeaseCall = std::min(Hooks.Now(), view.LeaseCallsEnd);
+    view.LastLeaseCall = last_lease_call;
+    view.LastCompleteRead = it->second.LastCompleteRead;
+    view.CompleteReadFence = it->second.CompleteReadFence;
     view.LastUnanswered = it->second.LastUnanswered;
     view.Lease.assumeValidUntil(
         LeaseClock::latestExpiry(view.LastLeaseCall, Options.MaxLease));
@@ -119,14 +123,16 @@
     TaskState &state = *findTaskState(task_key);
     if (!state.mayRunInNextIncarnation())
       continue;
-    if (state.Phase == TaskPhase::Ordered)
+    const bool outstanding = state.Phase == TaskPhase::Ordered;
+    if (outstanding)
       addLateStart(task_key, old_incarnation.Facts.Id);
     if (state.Phase != TaskPhase::Stopping)
       setPhase(task_key, TaskPhase::Unanswered);
     state.StopAcknowledged = false;
     state.Confirmed = false;
     state.Listed = false;
-    state.Since = Hooks.Now();
+    state.Since = Hooks.Now() + (outstanding ? EndpointView::MaxOrderTime
+                                             : core::DurationMs{0});
     open.insert(task_key);
   }
   for (const auto &task_key : open)
@@ -149,6 +155,7 @@
   const auto it = Endpoints.find(id);
   if (it == Endpoints.end() || it->second.Facts.BornMs > born_ms)
     return;
+  keepLeaseCalls(it->second);
   releaseLostRuns(it->second);
   unlink(it->second);
   Endpoints.erase(it);
--- a/src/almondgate/dispatch/dispatcher_late_starts.cpp
+++ b/src/almondgate/dispatch/dispatcher_late_starts.cpp
@@ -11,9 +11,6 @@
 
 namespace {
 
-// Longer than an order waits for its answer.
-constexpr core::DurationMs MaxOrderTime{600};
-
 auto findLateStart(auto &all, const EndpointId &at) {
   return std::find_if(all.begin(), all.end(), [&](const LateStart &late) {
     return late.Endpoint == at;
@@ -28,6 +25,35 @@
          it->second.CompleteReadFence > late.Fence;
 }
 
+// When the last call that extends the lease was given up at the latest.
+TimeMs Dispatcher::lastLeaseCallEnd(const EndpointView &endpoint) const {
+  const auto now = Hooks.Now();
+  const bool ordered =
+      std::any_of(endpoint.Runs.begin(), endpoint.Runs.end(),
+                  [this](const TaskKey &task_key) {
+                    return findTaskState(task_key)->Phase == TaskPhase::Ordered;
+                  });
+  TimeMs end = endpoint.LastLeaseCall;
+  if (ordered)
+    end = std::max(end, now + EndpointView::MaxOrderTime);
+  if (endpoint.RenewingLease)
+    end = std::max(end, endpoint.LeaseCallsEnd);
+  return end;
+}
+
+// A view that is removed takes with it what the leases of its calls were.
+void Dispatcher::keepLeaseCalls(const EndpointView &removed) {
+  const TimeMs until = lastLeaseCallEnd(removed);
+  for (const auto &task_key : LateTasks) {
+    TaskState *state = findTaskState(task_key);
+    if (!state)
+      continue;
+    const auto it = findLateStart(state->LateStarts, removed.Facts.Id);
+    if (it != state->LateStarts.end() && !isSettled(*it))
+      it->Since = std::max(it->Since, until);
+  }
+}
+
 // An incarnation that is not known here may have received the order until it
 // was given up, and a lease until the last call that could extend one ended.
 TimeMs Dispatcher::latestEnd(const LateStart &late) const {
@@ -48,6 +74,7 @@
   for (const auto &[index, endpoints] : record.UnansweredStarts) {
     for (const auto &id : endpoints)
       job.Tasks[index].LateStarts.push_back({id, 0, 0, Hooks.Now()});
+    RecordedStarts[{record.Id, index}] = endpoints;
     LateTasks.emplace(record.Id, index);
   }
 }
@@ -60,7 +87,7 @@
     return;
   }
   OnHandOver = std::move(done);
-  HandOverDue = Hooks.Now() + MaxOrderTime;
+  HandOverDue = Hooks.Now() + EndpointView::MaxOrderTime;
   handOverIfReady();
 }
 
@@ -85,20 +112,18 @@
   if (findStep(task_key)->AllowDuplicates)
     return;
   // A later leader has to wait as well.
-  const auto &recorded =
-      jobs::findJob(Ledger, task_key.first)->UnansweredStarts;
-  const auto row = recorded.find(task_key.second);
-  if (row == recorded.end() || !row->second.contains(at))
+  if (RecordedStarts[task_key].insert(at).second)
     recordEvent(jobs::StartUnanswered{task_key.first, task_key.second, at});
   auto it = findLateStart(state.LateStarts, at);
   if (it == state.LateStarts.end())
-    it = state.LateStarts.insert(it, {at, 0, 0, {}});
-  it->Run = state.Run;
-  it->Fence = state.Fence;
-  // An order that is still outstanding is given up later.
-  it->Since = Hooks.Now() + (state.Phase == TaskPhase::Ordered && !given_up
-                                 ? MaxOrderTime
-                                 : core::DurationMs{0});
+    it = state.LateStarts.insert(it, {at, 0, 0, Hooks.Now()});
+  // An earlier order for the task may be outstanding longer than this one.
+  it->Run = std::max(it->Run, state.Run);
+  it->Fence = std::max(it->Fence, state.Fence);
+  const bool outstanding = state.Phase == TaskPhase::Ordered && !given_up;
+  it->Since = std::max(it->Since,
+                       Hooks.Now() + (outstanding ? EndpointView::MaxOrderTime
+                                                  : core::DurationMs{0}));
   LateTasks.insert(task_key);
   const auto endpoint = Endpoints.find(at);
   if (endpoint == Endpoints.end())
@@ -110,11 +135,13 @@
   Pools.update(endpoint->second);
 }
 
-// The endpoint has the run, so the order was carried out.
+// The endpoint has the run. That shows that the order was carried out unless
+// another one for the run was sent, or it is still outstanding.
 void Dispatcher::removeLateStart(TaskState &state, const EndpointId &at,
                                  int64_t run) {
   const auto it = findLateStart(state.LateStarts, at);
-  if (it != state.LateStarts.end() && it->Run == run)
+  if (it != state.LateStarts.end() && it->Run == run &&
+      it->Fence == state.Fence && it->Since <= Hooks.Now())
     state.LateStarts.erase(it);
 }
 
@@ -122,24 +149,29 @@
 void Dispatcher::expireLateStarts() {
   std::erase_if(LateTasks, [this](const TaskKey &task_key) {
     TaskState *state = findTaskState(task_key);
-    if (!state)
+    if (!state) {
+      RecordedStarts.erase(task_key);
       return true;
+    }
     std::erase_if(state->LateStarts, [&](const LateStart &late) {
       if (!isOver(late))
         return false;
       logLateStartOver(task_key, late);
       return true;
     });
-    const auto &recorded =
-        jobs::findJob(Ledger, task_key.first)->UnansweredStarts;
-    const auto row = recorded.find(task_key.second);
-    if (row == recorded.end())
-      return state->LateStarts.empty();
-    for (const auto &id : row->second)
-      if (findLateStart(state->LateStarts, id) == state->LateStarts.end())
+    const auto row = RecordedStarts.find(task_key);
+    if (row != RecordedStarts.end())
+      std::erase_if(row->second, [&](const EndpointId &id) {
+        if (findLateStart(state->LateStarts, id) != state->LateStarts.end())
+          return false;
         recordEvent(
             jobs::StartUnanswered{task_key.first, task_key.second, id, true});
-    return state->LateStarts.empty();
+        return true;
+      });
+    if (!state->LateStarts.empty())
+      return false;
+    RecordedStarts.erase(task_key);
+    return true;
   });
   std::erase_if(Replaced, [this](const auto &row) {
     return LeaseClock::latestExpiry(row.second, Options.MaxLease) <=
--- a/src/almondgate/dispatch/dispatcher_renewals.cpp
+++ b/src/almondgate/dispatch/dispatcher_renewals.cpp
@@ -57,6 +57,7 @@
     request.WaitMs = renewWait(endpoint).Count;
   WaitingRenewals += request.WaitMs > 0 ? 1 : 0;
   Agenda.setRenewing(endpoint, true);
+  endpoint.RenewingLease = request.DeadlineMs > 0;
   endpoint.Polled = false;
   Hooks.Renew(facts, request,
               [this, id = facts.Id, born_ms = facts.BornMs, sent = now, request,
@@ -91,22 +92,38 @@
 
 // The earlier leader's stops must be known before budgets can be spent.
 DurationMs Dispatcher::renewWait(const EndpointView &endpoint) const {
+  DurationMs wait = Options.RenewWait;
   const DurationMs left = remainingInheritedStopTime(endpoint);
-  return endpoint.LongRunningCount > 0 && left.Count > 0
-             ? std::min(Options.RenewWait, left)
-             : Options.RenewWait;
+  if (endpoint.LongRunningCount > 0 && left.Count > 0)
+    wait = std::min(wait, left);
+  const DurationMs outstanding = outstandingStartTime(endpoint);
+  return outstanding.Count > 0 ? std::min(wait, outstanding) : wait;
 }
 
 bool Dispatcher::hasUnansweredStarts(const EndpointView &endpoint) const {
   return Loads.unanswered() > 0 &&
          std::any_of(endpoint.Runs.begin(), endpoint.Runs.end(),
                      [this](const auto &task_key) {
-                       const OpenJob &job = *findOpenJob(task_key.first);
-                       return job.Tasks[task_key.second].Phase ==
-                              TaskPhase::Unanswered;
+                       const TaskState &state = *findTaskState(task_key);
+                       return state.Phase == TaskPhase::Unanswered &&
+                              state.Since <= Hooks.Now();
                      });
 }
 
+// How long the last of the orders to a former incarnation stays outstanding.
+DurationMs
+Dispatcher::outstandingStartTime(const EndpointView &endpoint) const {
+  DurationMs out;
+  if (Loads.unanswered() == 0)
+    return out;
+  for (const auto &task_key : endpoint.Runs) {
+    const TaskState &state = *findTaskState(task_key);
+    if (state.Phase == TaskPhase::Unanswered)
+      out = std::max(out, state.Since - Hooks.Now());
+  }
+  return out;
+}
+
 void Dispatcher::onRenewed(const EndpointId &id, int64_t born_ms, TimeMs sent,
                            const RenewRequest &request,
                            const RenewReply &reply) {
@@ -115,6 +132,7 @@
     return;
   EndpointView &endpoint = it->second;
   Agenda.setRenewing(endpoint, false);
+  endpoint.RenewingLease = false;
   const PoolUpdate update(Pools, endpoint);
   const auto now = Hooks.Now();
   if (request.DeadlineMs > 0)
--- a/src/almondgate/dispatch/late_start_test.cpp
+++ b/src/almondgate/dispatch/late_start_test.cpp
@@ -484,6 +484,97 @@
         }
 }
 
+// As above: the incarnation that took over ran the task to its end or was
+// stopped, and a copy of the order that was still in transit reached the one
+// after it.
+TEST_CASE("a start in transit may reach the incarnation after the next") {
+  int64_t taken = 0;
+  for (const int64_t run_ms : {100, 20000})
+    for (const int64_t first_ms : {20, 60})
+      for (const int64_t second_ms : {150, 250, 400}) {
+        CAPTURE(run_ms);
+        CAPTURE(first_ms);
+        CAPTURE(second_ms);
+        constexpr int64_t TransitMs = 490;
+        TransitFleet fleet(TransitMs, oneStep(1, Cores, run_ms));
+        fleet.advance(first_ms);
+        fleet.restartWithSameId(fleet.Chosen);
+        fleet.advance(second_ms - first_ms);
+        // The next one is first heard of after the order has arrived.
+        TestFleet::Return as;
+        as.DownMs = 1;
+        as.HeartbeatDelayMs = TransitMs;
+        fleet.restartWithSameId(fleet.Chosen, as);
+        fleet.advance(3 * LongMs);
+        fleet.checkViolations();
+        CHECK(fleet.stateOf(jobId(1)) == JobState::Completed);
+        taken += fleet.CallsOfFormerIncarnations;
+      }
+  CHECK(taken > 0);
+}
+
+// As above, with a change of leader while the order is in transit.
+TEST_CASE("a new leader waits for a start in transit") {
+  int64_t taken = 0;
+  for (const bool planned : {false, true})
+    for (const int64_t transit_ms : {200, 490}) {
+      CAPTURE(planned);
+      CAPTURE(transit_ms);
+      TransitFleet fleet(transit_ms, oneStep(1, Cores, LongMs));
+      fleet.advance(50);
+      if (planned)
+        fleet.dispatcher().prepareHandOver([] {});
+      fleet.restartWithSameId(fleet.Chosen);
+      fleet.changeLeader();
+      fleet.advance(3 * LongMs);
+      fleet.checkViolations();
+      CHECK(fleet.stateOf(jobId(1)) == JobState::Completed);
+      taken += fleet.CallsOfFormerIncarnations;
+    }
+  CHECK(taken > 0);
+}
+
+// As above: the endpoint leaves in an orderly way and comes back under its id
+// while the order is in transit.
+TEST_CASE("a start in transit may reach an endpoint that has left") {
+  int64_t taken = 0;
+  for (const int64_t transit_ms : {200, 490})
+    for (const int64_t back_ms : {60, 150}) {
+      CAPTURE(transit_ms);
+      CAPTURE(back_ms);
+      TransitFleet fleet(transit_ms, oneStep(1, Cores, LongMs));
+      TestEndpoint &endpoint = fleet.endpointOf(fleet.Chosen);
+      fleet.dispatcher().handleLeave(endpoint.Facts.Id, endpoint.Facts.BornMs,
+                                     [](const core::Status &) {});
+      fleet.advance(back_ms);
+      TestFleet::Return as;
+      as.DownMs = 1;
+      as.HeartbeatDelayMs = 600;
+      fleet.restartWithSameId(fleet.Chosen, as);
+      fleet.advance(3 * LongMs);
+      fleet.checkViolations();
+      CHECK(fleet.stateOf(jobId(1)) == JobState::Completed);
+      taken += fleet.CallsOfFormerIncarnations;
+    }
+  CHECK(taken > 0);
+}
+
+// Guards against a next leader that does not know of an unanswered start: the
+// one before it at the same endpoint had been settled, and the record of that
+// was not durable yet.
+TEST_CASE("an unanswered start is recorded while the end of another is not") {
+  LateFleet fleet(2, 2, LongestDelayMs, oneStep(1, Cores, LongMs));
+  fleet.CommitMs = 300;
+  fleet.advance(900);
+  // The second try is not answered either, and is not settled.
+  fleet.endpointOf(fleet.Chosen).Unreachable = true;
+  fleet.advance(1600);
+  const auto &record = fleet.ledger().Jobs.begin()->second;
+  CHECK(record.UnansweredStarts.size() == 1);
+  fleet.advance(3 * LongMs);
+  fleet.checkViolations();
+}
+
 // Guards against starts after an end: an order in transit reached the next
 // incarnation after its task had run to its end elsewhere.
 TEST_CASE("a start that was given up reaches no later incarnation") {
