Starts: one predicate in place of a limit that names no endpoint any more

Cause: since starts without an answer are settled by a read, startLimit() names no endpoint where a task alone may start, and the branches of placing for it, gangs included, were dead.

Change: mayBeInProgress() takes the place of StartLimit; the rest is removed or calls what exists. No behaviour changes; no test is touched.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -277,8 +277,6 @@
   const jobs::StepSpec *findStep(const TaskKey &task_key) const;
 
   // dispatcher_late_starts.cpp
-  /// Where a task may start now.
-  struct StartLimit;
   /// Notes that the start order of the task's run at the endpoint, which has no
   /// answer, may be carried out late.
   /// `given_up` tells that its connection was reset.
@@ -307,7 +305,9 @@
   /// Takes over the starts of earlier leaders that may be carried out late.
   void inheritLateStarts(const jobs::JobRecord &record, OpenJob &job);
   void handOverIfReady();
-  StartLimit startLimit(const TaskKey &task_key, const TaskState &state);
+  /// A run of the task may be in progress unseen, or is being stopped: it
+  /// starts nowhere.
+  bool mayBeInProgress(const TaskKey &task_key, const TaskState &state) const;
 
   // dispatcher_renewals.cpp
   void renew(EndpointView &endpoint);
@@ -395,8 +395,7 @@
                  StepCandidates &candidates);
   std::vector<EndpointView *>
   chooseForGang(const ReadyStep &ready,
-                const std::vector<EndpointView *> &members,
-                const std::vector<EndpointView *> &bound) const;
+                const std::vector<EndpointView *> &members) const;
   void placeGang(const ReadyStep &ready,
                  const std::vector<EndpointView *> &pool);
   StepCandidates candidatesFor(const ReadyStep &ready,
@@ -406,7 +405,6 @@
   bool acceptsStarts(const EndpointView &endpoint) const;
   /// One more task of the step may start, as far as limits and orders go.
   bool mayStartTask(const ReadyStep &ready) const;
-  static bool isInPool(const EndpointView *endpoint, const OpenJob &job);
   /// Whether `n` further start orders may be given together.
   bool mayOrderStarts(size_t n) const;
   bool isWithinLimit(const core::TeamId &team, const core::Size &need) const;
@@ -450,8 +448,7 @@
   /// none if it has to wait.
   std::vector<EndpointView *>
   choosePreferred(const ReadyStep &ready,
-                  const std::vector<EndpointView *> &pool,
-                  const std::vector<EndpointView *> &bound);
+                  const std::vector<EndpointView *> &pool);
 
   // dispatcher_explain.cpp
   void explainSteps(OpenJob &job, jobs::Explanation &out);
@@ -585,9 +582,8 @@
   uint64_t Inventories = 0;
   /// How many orphaned runs of each task there are.
   std::map<jobs::TaskRef, int64_t> OrphanCounts;
-  /// Tasks with LateStarts, here or in the ledger.
-  std::set<TaskKey> LateTasks;
-  /// The unanswered starts that the ledger holds once all events are durable.
+  /// The unanswered starts that the ledger holds once all events are durable;
+  /// each task with LateStarts has a row.
   std::map<TaskKey, std::set<jobs::EndpointId>> RecordedStarts;
   /// Endpoints that another one has replaced, and when that was seen.
   std::map<jobs::EndpointId, core::TimeMs> Replaced;
--- a/include/almondgate/dispatch/endpoint_view.hpp
+++ b/include/almondgate/dispatch/endpoint_view.hpp
@@ -59,16 +59,13 @@
   /// or not, and in the newest one.
   std::optional<int64_t> FirstReadClockMs;
   int64_t LastReadClockMs = 0;
-  /// When the newest renewal that the incarnation has answered was sent.
-  core::TimeMs LastRead{INT64_MIN / 2};
   /// When the newest renewal that was answered with a complete inventory was
   /// sent, and its fencing token.
   core::TimeMs LastCompleteRead{INT64_MIN / 2};
   uint64_t CompleteReadFence = 0;
   /// When a call that extends the lease was last given, answered or given up.
   core::TimeMs LastLeaseCall{INT64_MIN / 2};
-  /// When the last call that extends the lease, to this incarnation or a former
-  /// one, has been given up at the latest.
+  /// When the last call that extends the lease has been given up at the latest.
   core::TimeMs LeaseCallsEnd{INT64_MIN / 2};
   /// When it last left a start unanswered.
   core::TimeMs LastUnanswered{INT64_MIN / 2};
--- a/src/almondgate/dispatch/dispatcher.cpp
+++ b/src/almondgate/dispatch/dispatcher.cpp
@@ -111,7 +111,6 @@
   HandingOver = false;
   EvacuationPending = false;
   OnHandOver = {};
-  LateTasks.clear();
   RecordedStarts.clear();
   Replaced.clear();
   for (const auto &done : std::exchange(RecordingCallbacks, {}))
--- a/src/almondgate/dispatch/dispatcher_endpoints.cpp
+++ b/src/almondgate/dispatch/dispatcher_endpoints.cpp
@@ -50,7 +50,6 @@
               std::to_string(open.size()) + " runs may be in progress there");
     // Calls for former incarnations, of earlier leaders as well, may have given
     // the new one runs and a lease until they were given up.
-    view.LeaseCallsEnd = std::max(it->second.LeaseCallsEnd, LeadingSince);
     view.LastLeaseCall = last_lease_call;
     view.LastCompleteRead = it->second.LastCompleteRead;
     view.CompleteReadFence = it->second.CompleteReadFence;
--- a/src/almondgate/dispatch/dispatcher_late_starts.cpp
+++ b/src/almondgate/dispatch/dispatcher_late_starts.cpp
@@ -1,7 +1,5 @@
 #include "almondgate/dispatch/dispatcher.hpp"
 
-#include "start_limit.hpp"
-
 #include <algorithm>
 
 namespace almondgate::dispatch {
@@ -44,8 +42,8 @@
 // A view that is removed takes with it what the leases of its calls were.
 void Dispatcher::keepLeaseCalls(const EndpointView &removed) {
   const TimeMs until = lastLeaseCallEnd(removed);
-  for (const auto &task_key : LateTasks) {
-    TaskState *state = findTaskState(task_key);
+  for (const auto &row : RecordedStarts) {
+    TaskState *state = findTaskState(row.first);
     if (!state)
       continue;
     const auto it = findLateStart(state->LateStarts, removed.Facts.Id);
@@ -75,7 +73,6 @@
     for (const auto &id : endpoints)
       job.Tasks[index].LateStarts.push_back({id, 0, 0, Hooks.Now()});
     RecordedStarts[{record.Id, index}] = endpoints;
-    LateTasks.emplace(record.Id, index);
   }
 }
 
@@ -124,7 +121,6 @@
   it->Since = std::max(it->Since,
                        Hooks.Now() + (outstanding ? EndpointView::MaxOrderTime
                                                   : core::DurationMs{0}));
-  LateTasks.insert(task_key);
   const auto endpoint = Endpoints.find(at);
   if (endpoint == Endpoints.end())
     return;
@@ -147,31 +143,27 @@
 
 // Forgets the orders that are over, here and in the ledger.
 void Dispatcher::expireLateStarts() {
-  std::erase_if(LateTasks, [this](const TaskKey &task_key) {
+  for (auto &row : RecordedStarts) {
+    const TaskKey &task_key = row.first;
     TaskState *state = findTaskState(task_key);
-    if (!state) {
-      RecordedStarts.erase(task_key);
-      return true;
-    }
+    if (!state)
+      continue;
     std::erase_if(state->LateStarts, [&](const LateStart &late) {
       if (!isOver(late))
         return false;
       logLateStartOver(task_key, late);
       return true;
     });
-    const auto row = RecordedStarts.find(task_key);
-    if (row != RecordedStarts.end())
-      std::erase_if(row->second, [&](const EndpointId &id) {
-        if (findLateStart(state->LateStarts, id) != state->LateStarts.end())
-          return false;
-        recordEvent(
-            jobs::StartUnanswered{task_key.first, task_key.second, id, true});
-        return true;
-      });
-    if (!state->LateStarts.empty())
-      return false;
-    RecordedStarts.erase(task_key);
-    return true;
+    std::erase_if(row.second, [&](const EndpointId &id) {
+      if (findLateStart(state->LateStarts, id) != state->LateStarts.end())
+        return false;
+      recordEvent(
+          jobs::StartUnanswered{task_key.first, task_key.second, id, true});
+      return true;
+    });
+  }
+  std::erase_if(RecordedStarts, [this](const auto &row) {
+    return row.second.empty() || !findTaskState(row.first);
   });
   std::erase_if(Replaced, [this](const auto &row) {
     return LeaseClock::latestExpiry(row.second, Options.MaxLease) <=
@@ -212,24 +204,22 @@
   return it != state.LateStarts.end() && it->Run == run;
 }
 
-// A task that may be in progress somewhere unseen starts nowhere.
-Dispatcher::StartLimit Dispatcher::startLimit(const TaskKey &task_key,
-                                              const TaskState &state) {
+bool Dispatcher::mayBeInProgress(const TaskKey &task_key,
+                                 const TaskState &state) const {
   if (state.LateStarts.empty() && OrphanCounts.empty())
-    return {};
+    return false;
   const auto *record = jobs::findJob(Ledger, task_key.first);
   const auto task =
       jobs::taskAt(task_key.first, *record->Spec, task_key.second);
   // A run of it is being stopped.
   if (!record->Spec->Steps[task.Step].AllowDuplicates &&
       OrphanCounts.contains(task))
-    return {false, nullptr};
-  const bool wait =
-      std::any_of(state.LateStarts.begin(), state.LateStarts.end(),
-                  [this](const LateStart &late) {
-                    return !isOver(late) && !Replaced.contains(late.Endpoint);
-                  });
-  return {!wait, nullptr};
+    return true;
+  return std::any_of(state.LateStarts.begin(), state.LateStarts.end(),
+                     [this](const LateStart &late) {
+                       return !isOver(late) &&
+                              !Replaced.contains(late.Endpoint);
+                     });
 }
 
 } // namespace almondgate::dispatch
--- a/src/almondgate/dispatch/dispatcher_near_wait.cpp
+++ b/src/almondgate/dispatch/dispatcher_near_wait.cpp
@@ -241,13 +241,11 @@
 
 std::vector<EndpointView *>
 Dispatcher::choosePreferred(const ReadyStep &ready,
-                            const std::vector<EndpointView *> &pool,
-                            const std::vector<EndpointView *> &bound) {
-  const size_t count = bound.size();
+                            const std::vector<EndpointView *> &pool) {
+  const size_t count = size_t(ready.Spec->Count);
   const auto choose = [&](const auto &groups) {
     for (const auto &members : groups)
-      if (auto chosen = chooseForGang(ready, members, bound);
-          chosen.size() == count)
+      if (auto chosen = chooseForGang(ready, members); chosen.size() == count)
         return chosen;
     return EndpointList();
   };
--- a/src/almondgate/dispatch/dispatcher_placing.cpp
+++ b/src/almondgate/dispatch/dispatcher_placing.cpp
@@ -4,7 +4,6 @@
 #include "pool_capacity.hpp"
 #include "ready_step.hpp"
 #include "run_accounting.hpp"
-#include "start_limit.hpp"
 #include "step_candidates.hpp"
 
 #include <algorithm>
@@ -205,11 +204,6 @@
   return room;
 }
 
-// Null stands for no endpoint.
-bool Dispatcher::isInPool(const EndpointView *endpoint, const OpenJob &job) {
-  return endpoint && endpoint->Facts.Pool == job.pool();
-}
-
 bool Dispatcher::placeStep(const ReadyStep &ready,
                            const std::vector<EndpointView *> &pool) {
   const auto now = Hooks.Now();
@@ -219,15 +213,8 @@
     const TaskState &state = ready.Job->Tasks[i];
     if (state.Phase != TaskPhase::Waiting || state.NotBefore > now)
       continue;
-    const StartLimit limit = startLimit({ready.Record->Id, i}, state);
-    if (limit.Anywhere) {
+    if (!mayBeInProgress({ready.Record->Id, i}, state))
       free.push_back(i);
-    } else if (isInPool(limit.Only, *ready.Job)) {
-      if (!mayStartTask(ready))
-        return true;
-      auto candidates = candidatesFor(ready, {limit.Only});
-      placeTask(ready, i, candidates);
-    }
   }
   if (prefersPlace(*ready.Spec) && !ready.Spec->LongRunning)
     return placeNearData(ready, pool, free);
@@ -258,26 +245,12 @@
 }
 
 // Returns an endpoint for each member, or fewer if there is no room for all.
-// `bound` holds the only endpoint where a member may start, or null.
 std::vector<EndpointView *>
 Dispatcher::chooseForGang(const ReadyStep &ready,
-                          const std::vector<EndpointView *> &members,
-                          const std::vector<EndpointView *> &bound) const {
-  std::map<EndpointView *, StepCandidates> at_bound;
-  std::vector<EndpointView *> others;
-  for (auto *endpoint : members) {
-    if (std::find(bound.begin(), bound.end(), endpoint) == bound.end())
-      others.push_back(endpoint);
-    else
-      at_bound.emplace(endpoint, candidatesFor(ready, {endpoint}));
-  }
-  auto anywhere = candidatesFor(ready, others);
+                          const std::vector<EndpointView *> &members) const {
+  auto candidates = candidatesFor(ready, members);
   std::vector<EndpointView *> chosen;
-  for (auto *only : bound) {
-    const auto it = at_bound.find(only);
-    if (only && it == at_bound.end())
-      break;
-    auto &candidates = only ? it->second : anywhere;
+  while (chosen.size() < size_t(ready.Spec->Count)) {
     EndpointView *at = candidates.allocate(Hooks.Policies.ChooseEndpoint);
     if (!at)
       break;
@@ -296,13 +269,9 @@
       from, from + int64_t(count), [now = Hooks.Now()](const TaskState &state) {
         return state.Phase == TaskPhase::Waiting && state.NotBefore <= now;
       });
-  std::vector<EndpointView *> bound(count);
-  for (size_t i = 0; all && i < count; ++i) {
-    const StartLimit limit =
-        startLimit({ready.Record->Id, ready.First + i}, from[int64_t(i)]);
-    bound[i] = limit.Only;
-    all = limit.Anywhere || limit.Only;
-  }
+  for (size_t i = 0; all && i < count; ++i)
+    all =
+        !mayBeInProgress({ready.Record->Id, ready.First + i}, from[int64_t(i)]);
   core::Size total;
   for (size_t i = 0; i < count; ++i)
     total = total + ready.Spec->Need;
@@ -316,9 +285,8 @@
     if (!from[int64_t(i)].Checkpoint.empty())
       checkpoint = from[int64_t(i)].Checkpoint;
   }
-  const auto chosen = prefersPlace(*ready.Spec)
-                          ? choosePreferred(ready, pool, bound)
-                          : chooseForGang(ready, pool, bound);
+  const auto chosen = prefersPlace(*ready.Spec) ? choosePreferred(ready, pool)
+                                                : chooseForGang(ready, pool);
   if (chosen.size() < count)
     return;
   const bool remote = isRemote(*ready.Spec, chosen);
--- a/src/almondgate/dispatch/dispatcher_renewals.cpp
+++ b/src/almondgate/dispatch/dispatcher_renewals.cpp
@@ -202,7 +202,6 @@
         LeaseClock::latestExpiry(now, Options.MaxLease));
   }
   endpoint.LastReadClockMs = reply.Inventory.ClockMs;
-  endpoint.LastRead = std::max(endpoint.LastRead, sent);
   if (!reply.Inventory.MoreEnds) {
     endpoint.LastCompleteRead = std::max(endpoint.LastCompleteRead, sent);
     endpoint.CompleteReadFence =
