GET /config: carry the text of a configuration outside the CBOR part

Callers of a control process that operators read the configuration from without a pause wait for many seconds.

Cause: put the text into the CBOR reply of the inner call read-config-answer. The library reads CBOR strings byte by byte: with a configuration of 550 KB, 84 % of the process's samples were in that parser while 400 clients read it, and each inner call waited behind the queued reads ("no reply within 140 ms", every time). Before, the reply was the text itself.

Ruled out: the admission of jobs (the log shows 0 refused); load from beside (it fails on an idle machine as well).

The reply is now a short CBOR part with its length before it, and the text as it is.

--- a/include/almondgate/protocol/method.hpp
+++ b/include/almondgate/protocol/method.hpp
@@ -72,7 +72,8 @@
   HeartbeatBatch,
   /// ExplainRequest to Explanation; entry to the leader.
   Explain,
-  /// Nothing to ConfigAnswer; control member to the leader.
+  /// Nothing to ConfigAnswer (config_answer_codec.hpp); control member to the
+  /// leader.
   ReadConfigAnswer,
 };
 
--- a/src/almondgate/control/control_task.cpp
+++ b/src/almondgate/control/control_task.cpp
@@ -6,6 +6,7 @@
 #include "almondgate/jobs/endpoint_heartbeat.hpp"
 #include "almondgate/jobs/evacuation_change.hpp"
 #include "almondgate/jobs/evacuation_list.hpp"
+#include "almondgate/protocol/config_answer_codec.hpp"
 #include "almondgate/task/loop.hpp"
 
 #include "control_errors.hpp"
@@ -428,7 +429,7 @@
   answer.Source = source.value();
   answer.Leader = Identity.str();
   answer.Term = Core.node().term();
-  respond(encoding::encode(answer));
+  respond(protocol::encodeConfigAnswer(answer));
 }
 
 bool ControlTask::onJobCall(Method method, const std::string &body,
