--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -3,6 +3,7 @@
 Used by the process tests, the demo and the measurements.
 """
 
+import functools
 import hashlib
 import http.client
 import itertools
@@ -26,14 +27,35 @@
 
 
 # The ports lie below the kernel's ephemeral range, so that no outgoing
-# connection takes one, and each pytest-xdist worker has a range of its own.
-_WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0")[2:])
-_PORTS = itertools.cycle(range(12000 + 4000 * _WORKER, 16000 + 4000 * _WORKER))
+# connection takes one.
+PORTS = range(12000, 32000)
+PORTS_PER_PROCESS = 2000
+
+
+@functools.cache
+def claim_ports():
+    """Returns ports that no other process of tests takes while this one runs.
+
+    The first port of the block stays bound as the claim. Tests in parallel,
+    also of other sessions on the machine, would otherwise find the same ports
+    free at the same time.
+    """
+    for first in PORTS[::PORTS_PER_PROCESS]:
+        claim = socket.socket()
+        try:
+            claim.bind(("127.0.0.1", first))
+        except OSError:
+            claim.close()
+            continue
+        ports = range(first + 1, first + PORTS_PER_PROCESS)
+        return claim, itertools.cycle(ports)
+    raise AssertionError("too many processes of tests: no ports are left")
 
 
 def free_port():
     """Returns a port that is free now and outside the ephemeral range."""
-    for port in _PORTS:
+    _, ports = claim_ports()
+    for port in ports:
         with socket.socket() as s:
             try:
                 s.bind(("127.0.0.1", port))
