Send a renewal only while its leader leads and its incarnation is current

Cause: starts, stops and VM orders are checked again when they leave, renewals were not.

Change: Renew takes a MaySend check like the other orders; a renewal that isn't sent answers NotSent.

Tests, each failed with the check disabled: "a renewal for a former incarnation gives the next one no lease" (3 of 31 phases), "a member that may not lead any more sends no waiting renewals" (2 sent).

--- a/bench/lean_fleet.cpp
+++ b/bench/lean_fleet.cpp
@@ -199,7 +199,7 @@
     std::abort();
   };
   hooks.Renew = [this, index_of](const auto &facts, const RenewRequest &request,
-                                 auto done) {
+                                 const auto &, auto done) {
     const size_t i = index_of(facts);
     StandIn &endpoint = Endpoints[i];
     endpoint.LastSeen = std::max(endpoint.LastSeen, request.LastSeen);
--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -260,6 +260,8 @@
                                          TaskPhase phase);
   /// Returns a function that tells whether the member still leads in this term.
   DispatcherHooks::MaySend makeLeaderCheck();
+  /// As makeLeaderCheck(), and whether the endpoint is still this incarnation.
+  DispatcherHooks::MaySend makeRenewalCheck(const jobs::EndpointFacts &to);
   /// Stops the task's run; `reason` is logged and counted in "stop_orders".
   void stopTask(const TaskKey &task_key, const char *reason);
   void sendStop(const TaskKey &task_key);
--- a/include/almondgate/dispatch/dispatcher_hooks.hpp
+++ b/include/almondgate/dispatch/dispatcher_hooks.hpp
@@ -46,7 +46,8 @@
       Stop;
   std::function<void(const Endpoint &, const PaceOrder &, Done<OrderReply>)>
       Pace;
-  std::function<void(const Endpoint &, const RenewRequest &, Done<RenewReply>)>
+  std::function<void(const Endpoint &, const RenewRequest &, MaySend,
+                     Done<RenewReply>)>
       Renew;
   std::function<void(const AdviceRequest &,
                      Done<core::Result<std::vector<Ticket>>>)>
--- a/src/almondgate/dispatch/dispatcher_endpoints.cpp
+++ b/src/almondgate/dispatch/dispatcher_endpoints.cpp
@@ -271,7 +271,7 @@
   known.FenceUsed = false;
   RenewRequest request;
   request.Epoch = known.Fence;
-  Hooks.Renew(next, request, [](const RenewReply &) {});
+  Hooks.Renew(next, request, makeLeaderCheck(), [](const RenewReply &) {});
 }
 
 void Dispatcher::handleLeave(const jobs::EndpointId &id, int64_t born_ms,
--- a/src/almondgate/dispatch/dispatcher_renewals.cpp
+++ b/src/almondgate/dispatch/dispatcher_renewals.cpp
@@ -59,7 +59,7 @@
   Agenda.setRenewing(endpoint, true);
   endpoint.RenewingLease = request.DeadlineMs > 0;
   endpoint.Polled = false;
-  Hooks.Renew(facts, request,
+  Hooks.Renew(facts, request, makeRenewalCheck(facts),
               [this, id = facts.Id, born_ms = facts.BornMs, sent = now, request,
                generation = Generation](const RenewReply &reply) {
                 if (generation != Generation)
@@ -69,6 +69,18 @@
               });
 }
 
+// A renewal waits for a connection, or with its suspended process. Sent later,
+// it could extend runs whose leases are assumed to have expired.
+DispatcherHooks::MaySend
+Dispatcher::makeRenewalCheck(const jobs::EndpointFacts &to) {
+  return [this, leads = makeLeaderCheck(), id = to.Id, born_ms = to.BornMs] {
+    if (!leads())
+      return false;
+    const auto it = Endpoints.find(id);
+    return it != Endpoints.end() && it->second.Facts.BornMs == born_ms;
+  };
+}
+
 // Where there is no room for all endpoints, those with runs come first: an
 // endpoint without runs has no end to wait for.
 bool Dispatcher::mayWaitForEnds(const EndpointView &endpoint) const {
--- a/src/almondgate/dispatch/incarnation_test.cpp
+++ b/src/almondgate/dispatch/incarnation_test.cpp
@@ -58,6 +58,32 @@
   }
 }
 
+// As above, for renewals, whose deadlines are by the former one's clock as
+// well.
+TEST_CASE("a renewal for a former incarnation gives the next one no lease") {
+  for (int64_t phase_ms = 0; phase_ms <= 1500; phase_ms += 50) {
+    CAPTURE(phase_ms);
+    HalfBusyFleet fleet;
+    fleet.RenewalQueueMs = 300;
+    fleet.advance(2 * Second + phase_ms);
+    fleet.restartWithSameId(fleet.FreeVm);
+    fleet.advance(Second);
+    fleet.checkViolations();
+  }
+}
+
+// Guards against runs that another leader starts again while a suspended
+// leader's renewal, sent once its process goes on, has extended their leases.
+TEST_CASE("a member that may not lead any more sends no waiting renewals") {
+  HalfBusyFleet fleet;
+  fleet.RenewalQueueMs = 300;
+  fleet.advance(Second);
+  fleet.MayAct = false;
+  const int64_t before = fleet.RenewalCount;
+  fleet.advance(Second);
+  CHECK(fleet.RenewalCount == before);
+}
+
 // As above: the order arrived before the next incarnation was known, which then
 // gets work and is cut off while that lease is valid.
 TEST_CASE("a lease that a former incarnation's deadline gave is waited for") {
--- a/src/almondgate/dispatch/test_fleet.hpp
+++ b/src/almondgate/dispatch/test_fleet.hpp
@@ -145,6 +145,8 @@
   int64_t StartupMs = 0;
   /// How long orders to endpoints wait behind others before they are sent.
   int64_t OrderQueueMs = 0;
+  /// The same for renewals.
+  int64_t RenewalQueueMs = 0;
   /// How many starts and stops may wait like this, and the most that did.
   int64_t StartRoom = INT64_MAX;
   int64_t StopRoom = INT64_MAX;
@@ -199,6 +201,8 @@
                      int64_t sent);
   /// Checks that the endpoint may be sent a start order now.
   void checkSentStart(const jobs::EndpointId &id, const StartOrder &order);
+  void checkSentRenewal(const jobs::EndpointFacts &to,
+                        const RenewRequest &request);
   void checkStart(const TestEndpoint &endpoint, const StartOrder &order,
                   const jobs::StepSpec &step, int64_t sent);
   int64_t countMissing(const jobs::TaskRef &task,
--- a/src/almondgate/dispatch/test_fleet_test.cpp
+++ b/src/almondgate/dispatch/test_fleet_test.cpp
@@ -492,11 +492,25 @@
     });
   };
   hooks.RoomForWaitingRenewals = [this] { return RenewalRoom; };
-  hooks.Renew = [this, guard](const auto &to, const auto &request, auto done) {
-    ++RenewalCount;
-    onRenew(to.Id, request, [guard, done](const RenewReply &reply) {
-      guard([done, reply] { done(reply); })();
-    });
+  hooks.Renew = [this, guard](const auto &to, const auto &request,
+                              auto may_send, auto done) {
+    const auto send = [this, guard, to, request, done] {
+      ++RenewalCount;
+      checkSentRenewal(to, request);
+      onRenew(to.Id, request, [guard, done](const RenewReply &reply) {
+        guard([done, reply] { done(reply); })();
+      });
+    };
+    if (RenewalQueueMs == 0) {
+      send();
+      return;
+    }
+    scheduleAt(Now + RenewalQueueMs, guard([may_send, done, send] {
+                 if (may_send())
+                   send();
+                 else
+                   done(RenewReply{OrderResult::NotSent, {}});
+               }));
   };
   hooks.Advise = [this, guard](const auto &request, auto done) {
     ++AdviceRequests;
@@ -686,6 +700,14 @@
             it->second.Facts.Zone.str() + ": " + nameOf(order.Task));
 }
 
+void TestFleet::checkSentRenewal(const jobs::EndpointFacts &to,
+                                 const RenewRequest &request) {
+  const auto known = Core->endpoints().find(to.Id);
+  if (request.DeadlineMs > 0 && known != Core->endpoints().end() &&
+      known->second.Facts.BornMs != to.BornMs)
+    violate("lease renewal sent for a replaced incarnation of " + to.Id.str());
+}
+
 OrderReply TestFleet::execute(TestEndpoint &endpoint, const StopOrder &order) {
   const int64_t clock = endpoint.clock(Now);
   if (order.Epoch < endpoint.Epoch)
--- a/src/almondgate/endpoint/rpc_gateway.cpp
+++ b/src/almondgate/endpoint/rpc_gateway.cpp
@@ -61,16 +61,19 @@
   hooks.Pace = [this](const auto &to, const auto &pace, auto done) {
     sendOrder(to.At, Method::PaceRun, encodeRun(pace), {}, done);
   };
-  hooks.Renew = [this](const auto &to, const auto &request, auto done) {
+  hooks.Renew = [this](const auto &to, const auto &request, auto may_send,
+                       auto done) {
     const DurationMs timeout = DurationMs{request.WaitMs} + RenewMargin;
-    Rpc.call(to.At, Method::RenewRuns, encodeRun(request), timeout,
-             [done](const Result<std::string> &reply) {
-               using dispatch::RunInventory;
-               const auto read = reply ? decodeRun<RunInventory>(reply.value())
-                                       : Result<RunInventory>(reply.error());
-               done(read ? RenewReply{OrderResult::Accepted, read.value()}
-                         : RenewReply{});
-             });
+    Rpc.call(
+        to.At, Method::RenewRuns, encodeRun(request), timeout,
+        [done](const Result<std::string> &reply) {
+          using dispatch::RunInventory;
+          const auto read = reply ? decodeRun<RunInventory>(reply.value())
+                                  : Result<RunInventory>(reply.error());
+          done(read ? RenewReply{OrderResult::Accepted, read.value()}
+                    : RenewReply{});
+        },
+        std::move(may_send));
   };
   return hooks;
 }
