Admission: count no fill work of jobs that are not durable yet

Fill work gives way to all other work, and an open job's is not counted.

What callers saw: not known. Jobs that arrive within the commit of a large fill job would be refused, until it is durable.

Change: initialLoadOf() counts what remainingLoadOf() counts of an open job of which nothing has been started.

Test: 'a fill job refuses no job that arrives within its commit'.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -225,6 +225,8 @@
   decideAdmission(const jobs::QueueSpec &queue,
                   const policy::JobAdmissionInput &input) const;
   policy::JobDemand remainingLoadOf(const OpenJob &job) const;
+  policy::JobDemand initialLoadOf(const jobs::JobSpec &spec,
+                                  const core::QueueId &queue) const;
   void refuseJob(const jobs::JobCall &call, const jobs::JobId &id,
                  const jobs::QueueSpec &queue,
                  const policy::JobAdmissionDecision &verdict,
--- a/src/almondgate/dispatch/dispatcher_calls.cpp
+++ b/src/almondgate/dispatch/dispatcher_calls.cpp
@@ -171,8 +171,7 @@
                      {done},
                      queue.Pool,
                      now + core::DurationMs{input.DueInMs},
-                     {.ReadyWork = input.FirstStepWork,
-                      .LaterWork = input.Work - input.FirstStepWork}};
+                     initialLoadOf(call.Spec, queue.Id)};
   JobBytes.add(id, call.Spec);
   recordEvent(jobs::JobAccepted{id, queue.Id, team ? team->Id : core::TeamId(),
                                 call.Spec,
@@ -218,6 +217,20 @@
   return load;
 }
 
+// The same for a job of which nothing has been started.
+policy::JobDemand Dispatcher::initialLoadOf(const jobs::JobSpec &spec,
+                                            const core::QueueId &queue) const {
+  policy::JobDemand load;
+  const auto expect = runTimeEstimator(queue);
+  for (const auto &step : spec.Steps) {
+    if (step.LongRunning || step.Fills)
+      continue;
+    (step.After.empty() ? load.ReadyWork : load.LaterWork) +=
+        step.Count * step.Need.MilliCpus * expect(step);
+  }
+  return load;
+}
+
 policy::JobAdmissionInput
 Dispatcher::admissionInput(const jobs::JobSpec &spec,
                            const jobs::QueueSpec &queue,
--- a/src/almondgate/dispatch/served_in_time_test.cpp
+++ b/src/almondgate/dispatch/served_in_time_test.cpp
@@ -26,6 +26,26 @@
   fleet.checkViolations();
 }
 
+// Fill work gives way to other work, also while its job is not durable yet.
+TEST_CASE("a fill job refuses no job that arrives within its commit") {
+  Fleet fleet(4);
+  fleet.CommitMs = 200;
+  auto fill = oneStep(100, 8, 60000);
+  fill.Steps[0].Fills = true;
+  fleet.submitAsync(jobId(0), fill);
+  int64_t refused = 0;
+  for (int64_t n = 1; n <= 4; ++n) {
+    auto call = testCall(jobs::JobVerb::Submit, jobId(n));
+    call.Spec = oneStep(4, 4, 500);
+    fleet.dispatcher().handleCall(call, [&](const auto &reply) {
+      refused +=
+          reply && reply.value().Outcome == jobs::JobOutcome::Refused ? 1 : 0;
+    });
+  }
+  // A refusal is answered at once, before anything is durable.
+  CHECK(refused == 0);
+}
+
 // Jobs that take far longer than expected are late for certain; their backlog
 // kept all VMs while the jobs of another queue were refused.
 TEST_CASE("a backlog of late jobs does not keep VMs from a short pool") {
