Balance of pools: long-running work never counts as late

MinVms covers only the VMs that the availability budget requires.

What callers saw: not known.

Change: jobs with long-running steps are left out of the late part of a pool's demand.

--- a/src/almondgate/dispatch/dispatcher_moves.cpp
+++ b/src/almondgate/dispatch/dispatcher_moves.cpp
@@ -23,6 +23,12 @@
 constexpr DurationMs DemandLogInterval{1000};
 constexpr int64_t MilliCpusPerCore = 1000;
 
+bool hasLongRunning(const OpenJob &job) {
+  const auto &steps = job.Record->Spec->Steps;
+  return std::any_of(steps.begin(), steps.end(),
+                     [](const auto &step) { return step.LongRunning; });
+}
+
 } // namespace
 
 void Dispatcher::recordArrival(const PoolId &pool, int64_t work) {
@@ -114,14 +120,16 @@
   return out;
 }
 
-// The part of a pool's demand that comes from jobs past their due time.
+// The part of a pool's demand that comes from jobs past their due time. Not
+// that of long-running work: it gives way to no other, however late it is.
 int64_t Dispatcher::lateDemand(const PoolId &pool) const {
   const auto *load = Loads.find(pool);
   if (!load)
     return 0;
   int64_t late = 0;
   for (const auto &[id, job] : load->Open)
-    late += job->Due < Hooks.Now() ? demandOf(*job) : 0;
+    late +=
+        job->Due < Hooks.Now() && !hasLongRunning(*job) ? demandOf(*job) : 0;
   return late;
 }
 
--- a/src/almondgate/dispatch/served_in_time_test.cpp
+++ b/src/almondgate/dispatch/served_in_time_test.cpp
@@ -46,13 +46,10 @@
   CHECK(refused == 0);
 }
 
-// Jobs that take far longer than expected are late for certain; their backlog
-// kept all VMs while the jobs of another queue were refused.
-TEST_CASE("a backlog of late jobs does not keep VMs from a short pool") {
-  constexpr int64_t SlowEstimateMs = 500;
-  constexpr int64_t SlowRunMs = 6000;
-  constexpr int64_t IntervalMs = 100;
-  Fleet fleet(8);
+namespace {
+
+/// Adds the queue "q2" with the pool "p2" of two VMs.
+void addSecondPool(Fleet &fleet) {
   fleet.configure([](jobs::FleetConfig &config) {
     jobs::QueueSpec queue = config.Queues[0];
     queue.Id = core::QueueId("q2");
@@ -66,6 +63,18 @@
   for (int i = 0; i < 2; ++i)
     fleet.addVm("p2");
   fleet.advance(1000);
+}
+
+} // namespace
+
+// Jobs that take far longer than expected are late for certain; their backlog
+// kept all VMs while the jobs of another queue were refused.
+TEST_CASE("a backlog of late jobs does not keep VMs from a short pool") {
+  constexpr int64_t SlowEstimateMs = 500;
+  constexpr int64_t SlowRunMs = 6000;
+  constexpr int64_t IntervalMs = 100;
+  Fleet fleet(8);
+  addSecondPool(fleet);
   fleet.RunMs = [](const jobs::StepSpec &step) {
     return step.EstimateMs == SlowEstimateMs ? SlowRunMs : step.EstimateMs;
   };
@@ -88,6 +97,33 @@
   fleet.checkViolations();
 }
 
+// Long-running tasks are placed before all others, also after their job's due
+// time has passed; so VMs they wait for must not be moved as if they were late.
+TEST_CASE("long-running tasks that wait past their due time keep their VMs") {
+  constexpr int64_t FirstRunsMs = 5000;
+  constexpr int64_t IntervalMs = 100;
+  Fleet fleet(4);
+  addSecondPool(fleet);
+  int64_t id = 0;
+  for (int i = 0; i < 4; ++i)
+    fleet.submit(jobId(++id), oneStep(1, 64, FirstRunsMs));
+  fleet.advance(100);
+  CHECK(fleet.running() == 4);
+  auto service = longRunning(4, 4);
+  service.Steps[0].Need.MilliCpus = 64000;
+  fleet.submit(jobId(100), service);
+  for (int64_t passed = 0; passed < 12000; passed += IntervalMs) {
+    fleet.submit(jobId(++id + 100), oneStep(8, 8, 400), "q2");
+    fleet.advance(IntervalMs - fleet.CommitMs);
+  }
+  int64_t placed = 0;
+  for (const auto &vm : fleet.VmIds)
+    for (const auto &[task, run] : fleet.endpointOf(vm).Runs)
+      placed += task.Job.str() == jobId(100) ? 1 : 0;
+  CHECK(placed == 4);
+  fleet.checkViolations();
+}
+
 // Runs that have begun keep their capacity, however late their job is.
 TEST_CASE("jobs are not accepted behind late runs that fill the pool") {
   constexpr int64_t SlowEstimateMs = 500;
