Count a pool's surplus from when its demand is known

Cause: VmMover kept the start of a pool's surplus when the pool's demand became known. A pool without a job since the change of leader has a surplus from the first balance on; with its first job the shorter delay of pools with known demand applied (1.5 s instead of 6 s), the surplus was already older than that, and all its VMs above the minimum were parked at once. Callers whose work followed that job found the VMs on their way to the spare pool.

Change: the time starts anew when it changes whether the demand is known.

Ruled out: the policy itself (planMoves compares the time that it is given), and the 6 s for pools of unknown demand, which are unchanged.

--- a/include/almondgate/dispatch/vm_mover.hpp
+++ b/include/almondgate/dispatch/vm_mover.hpp
@@ -70,6 +70,15 @@
     bool OutcomeUnknown = false;
   };
 
+  /// Since when a pool has had more VMs than it needs.
+  struct Surplus {
+    core::TimeMs Since;
+    /// Whether its demand has been known during this time.
+    bool DemandKnown = false;
+  };
+
+  core::DurationMs surplusTime(const policy::PoolBalance &balance,
+                               bool has_surplus);
   void startMove(const core::VmId &vm, const core::PoolId &from,
                  const core::PoolId &to);
   /// Returns true once the move is over, whether or not the VM was moved.
@@ -87,7 +96,7 @@
   uint64_t Generation = 0;
   std::map<core::VmId, Move> Moves;
   int64_t SpareVms = 0;
-  std::map<core::PoolId, core::TimeMs> SurplusSince;
+  std::map<core::PoolId, Surplus> Surpluses;
   /// After a failed order, when the VM may next leave a spare pool.
   std::map<core::VmId, core::TimeMs> NotBefore;
   /// Moves that the VM service refuses: the source and the target pool.
--- a/src/almondgate/dispatch/vm_mover.cpp
+++ b/src/almondgate/dispatch/vm_mover.cpp
@@ -39,7 +39,7 @@
   ++Generation;
   Moves.clear();
   SpareVms = 0;
-  SurplusSince.clear();
+  Surpluses.clear();
   NotBefore.clear();
 }
 
@@ -85,11 +85,7 @@
     per_vm = std::max(per_vm, balance.PerVm);
     const bool has_surplus =
         balance.Usable - balance.Wanted > balance.PerVm && balance.PerVm > 0;
-    if (!has_surplus)
-      SurplusSince.erase(balance.Pool);
-    else
-      balance.Surplus =
-          now - SurplusSince.try_emplace(balance.Pool, now).first->second;
+    balance.Surplus = surplusTime(balance, has_surplus);
     pools.push_back(balance);
   }
   SpareVms = 0;
@@ -121,6 +117,22 @@
   }
 }
 
+// Returns how long the pool has had a surplus. The time starts anew when the
+// demand becomes known: otherwise the first job of a pool would have its VMs
+// parked just before more work arrives.
+DurationMs VmMover::surplusTime(const policy::PoolBalance &balance,
+                                bool has_surplus) {
+  if (!has_surplus) {
+    Surpluses.erase(balance.Pool);
+    return {};
+  }
+  const Surplus begun{Hooks.Now(), balance.DemandKnown};
+  Surplus &surplus = Surpluses.try_emplace(balance.Pool, begun).first->second;
+  if (surplus.DemandKnown != balance.DemandKnown)
+    surplus = begun;
+  return Hooks.Now() - surplus.Since;
+}
+
 void VmMover::startMove(const VmId &vm, const PoolId &from, const PoolId &to) {
   Move move;
   move.From = from;
