--- a/tests/config_play.py
+++ b/tests/config_play.py
@@ -5,16 +5,20 @@
 configuration and callers use its routes and keys at every entry. What was
 allowed is checked afterwards from the times of sending and acknowledgement.
 Played by hand: config_play.py SEED [--seconds N] [--routes N] [--tree FOLDER].
+With --control-share and --entry-share, processes have these shares of a core.
 """
 
 import argparse
 import http.client
 import json
+import os
 import random
+import shutil
 import signal
 import threading
 import time
 
+from cpu_quota import Quota
 from platform_deployment import (CALLERS_PORT, OPERATORS_PORT, ROOT,
                                  Deployment)
 from platform_fleet import HOST
@@ -26,6 +30,8 @@
 # A member that has shown a version shows no older one this long afterwards.
 ROLLBACK_SECONDS = 0.25
 GIVE_UP_SECONDS = 8.0
+# A lost disk counts as lost until its member has had this time to catch up.
+CATCH_UP_SECONDS = 6.0
 CALL_TIMEOUT = 1.0
 KEYS = [f"key-{i}" for i in range(6)]
 PROBED_ROUTES = 12
@@ -73,12 +79,23 @@
 
 
 class Change:
-    """A valid change and what its operator saw of it."""
+    """A valid change and what its operator saw of it.
+
+    `other` is the change of a second operator under the same version, if there
+    is one: both are acknowledged, and one of them takes effect.
+    """
 
     def __init__(self, version, content, text):
         self.version, self.content, self.text = version, content, text
         self.sent = time.monotonic()
         self.acked = None
+        self.other = None
+
+    def contents(self):
+        return [self.content] + ([self.other.content] if self.other else [])
+
+    def texts(self):
+        return [self.text] + ([self.other.text] if self.other else [])
 
 
 def invalid_bodies(body):
@@ -106,15 +123,25 @@
 
 class Play:
     def __init__(self, seed, seconds, fillers=0, tree=ROOT, target=None,
-                 entries=3, pause=0.25):
+                 entries=3, pause=0.25, members=3, shares=None, wipes=False,
+                 races=False):
         self.rng = random.Random(seed)
         self.seconds, self.fillers, self.pause = seconds, fillers, pause
-        self.deployment = Deployment(tree=tree, target=target, entries=entries)
+        self.deployment = Deployment(tree=tree, target=target, entries=entries,
+                                     members=members, changes={
+                                         "fault-tolerance.machines":
+                                         str((members - 1) // 2)})
+        self.wipes, self.races = wipes, races
+        # Shares of a core by role; none means no limit.
+        self.shares = shares or {}
+        self.quota = Quota() if self.shares else None
         self.lock = threading.Lock()
         self.changes = {}
         self.content = Content(set(range(6)), {0, 1}, set(KEYS[:3]))
         self.version = 0
         self.broken = []
+        # The text under which each version was read first.
+        self.shown = {}
         self.reads, self.calls, self.repeats = [], [], 0
         self.counts = {}
         self.stop = threading.Event()
@@ -156,6 +183,25 @@
             self.changes[change.version] = change
         return change
 
+    def race(self, rng):
+        """Two operators send different changes under one version at once."""
+        with self.lock:
+            self.version += rng.randint(1, 5)
+            pair = [Change(self.version, content, json.dumps(
+                content.body(self.version, self.fillers)))
+                for content in (self.content.changed(rng),
+                                self.content.changed(rng))]
+            pair[0].other = pair[1]
+            self.changes[self.version] = pair[0]
+        threads = [threading.Thread(target=self.send_until_acked, args=(
+            random.Random(rng.random()), change)) for change in pair]
+        [t.start() for t in threads]
+        [t.join() for t in threads]
+        # The first acknowledgement of either promises the version.
+        acks = [c.acked for c in pair if c.acked]
+        pair[0].acked = min(acks, default=None)
+        self.count("race" if acks else "race, not acknowledged")
+
     def send_until_acked(self, rng, change, seconds=GIVE_UP_SECONDS):
         deadline = time.monotonic() + seconds
         lose_answer = rng.random() < 0.2
@@ -211,7 +257,9 @@
         rng = random.Random(seed)
         while not self.stop.wait(rng.uniform(0.5, 1.5) * self.pause):
             turn = rng.random()
-            if turn < 0.6:
+            if self.races and turn < 0.15:
+                self.race(rng)
+            elif turn < 0.6:
                 acked = self.send_until_acked(rng, self.next_change(rng))
                 self.count("acknowledged" if acked else "not acknowledged")
             elif turn < 0.75:
@@ -272,14 +320,33 @@
 
     # --- faults
 
+    def limit_processes(self):
+        """Passes each process to the limiter, also those started later."""
+        known = set()
+        while not self.deployment.stopping.wait(0.01):
+            for node in self.deployment.nodes.values():
+                pid = node.popen.pid
+                share = self.shares.get(node.name.split("-")[0])
+                if share and pid not in known:
+                    known.add(pid)
+                    self.quota.limit(pid, share)
+
     def pause_node(self, node, seconds):
         with node.lock:
-            if node.popen.poll() is None:
-                node.popen.send_signal(signal.SIGSTOP)
+            popen = node.popen
+            if popen.poll() is not None:
+                return
+            if self.quota:
+                self.quota.hold(popen.pid)
+                # The limiter polls more often than this.
+                time.sleep(0.02)
+            popen.send_signal(signal.SIGSTOP)
         time.sleep(seconds)
         with node.lock:
-            if node.popen.poll() is None:
-                node.popen.send_signal(signal.SIGCONT)
+            if popen.poll() is None:
+                popen.send_signal(signal.SIGCONT)
+            if self.quota:
+                self.quota.free(popen.pid)
 
     def leader(self):
         for node in self.deployment.of("control"):
@@ -291,7 +358,45 @@
                 pass
         return self.deployment.of("control")[0]
 
+    def wipe(self, nodes):
+        """Takes the disks of members away; they start again without one."""
+        for node in nodes:
+            node.end()
+            shutil.rmtree(node.settings["data-directory"])
+            os.mkdir(node.settings["data-directory"])
+
+    def newest(self):
+        return max((c.version for c in list(self.changes.values())
+                    if c.acked), default=0)
+
+    def fault_with_lost_disks(self):
+        members = self.deployment.of("control")
+        lost = self.rng.randint(1, (len(members) - 1) // 2)
+        how = self.rng.choice(["alone", "others killed", "after ack"])
+        victims = self.rng.sample(members, lost)
+        if how == "after ack":
+            leader = self.leader()
+            victims = [leader] + [n for n in victims if n is not leader]
+            victims = victims[:lost]
+            known, deadline = self.newest(), time.monotonic() + 3
+            while self.newest() == known and time.monotonic() < deadline:
+                time.sleep(0.001)
+        self.count(f"{lost} lost disks, {how}")
+        if how == "others killed":
+            for node in members:
+                if node not in victims:
+                    node.end()
+        self.wipe(victims)
+        time.sleep(self.rng.choice([0, 0.5]))
+        for node in members:
+            if node.popen.poll() is not None:
+                node.start()
+        time.sleep(CATCH_UP_SECONDS)
+
     def fault(self):
+        if self.wipes and self.rng.random() < 0.4:
+            self.fault_with_lost_disks()
+            return
         members = self.deployment.of("control")
         entries = self.deployment.of("entry")
         kind = self.rng.choice([
@@ -345,8 +450,11 @@
     def check_read(self, sent, member, text):
         version = json.loads(text)["version"]
         change = self.changes.get(version)
-        if not change or change.text != text:
+        if not change or text not in change.texts():
             self.break_rule(f"{member} shows {version}, not as it was sent")
+        elif self.shown.setdefault(version, text) != text:
+            self.break_rule(f"{member} shows {version} with the content of "
+                            "the other operator, after it was shown otherwise")
         if version < self.newest_acked(sent - APPLY_SECONDS):
             self.break_rule(
                 f"{member} shows {version} at {sent:.3f}, older than "
@@ -374,8 +482,9 @@
             if status >= 500:
                 continue
             low = self.newest_acked(sent - APPLY_SECONDS)
-            allowed = {c.content.status(route, key) for c in ordered
-                       if c.version >= low and c.sent <= got}
+            allowed = {content.status(route, key) for c in ordered
+                       if c.version >= low and c.sent <= got
+                       for content in c.contents()}
             if status not in allowed:
                 self.break_rule(f"{entry} answered {status} for route {route}, "
                                 f"{key} at {sent:.3f}; allowed {allowed} from "
@@ -405,9 +514,14 @@
 
     def run(self):
         with self.deployment:
+            limits = threading.Thread(target=self.limit_processes, daemon=True)
+            if self.quota:
+                limits.start()
             first = self.next_change(self.rng)
             if not self.send_until_acked(self.rng, first, 20):
                 raise AssertionError("the first change is not acknowledged")
+            for node in self.deployment.nodes.values():
+                node.settings["first-start"] = "false"
             threads = [threading.Thread(target=self.operate,
                                         args=(self.rng.random(),))
                        for _ in range(2)]
@@ -426,6 +540,9 @@
             [t.join() for t in threads]
             self.read_back()
             self.send_again(self.rng, True)
+        if self.quota:
+            limits.join()
+            self.counts["stops by quota"] = sum(self.quota.close().values())
         for name, ends in self.deployment.own_ends().items():
             self.break_rule(f"{name} ended by itself: {ends}")
         self.check_reads()
@@ -446,10 +563,22 @@
     parser.add_argument("--routes", type=int, default=0)
     parser.add_argument("--pause", type=float, default=0.25)
     parser.add_argument("--tree", default=ROOT)
+    parser.add_argument("--members", type=int, default=3)
+    parser.add_argument("--entries", type=int, default=3)
+    parser.add_argument("--wipes", action="store_true",
+                        help="members lose their disks")
+    parser.add_argument("--races", action="store_true",
+                        help="operators send two changes under one version")
+    parser.add_argument("--control-share", type=float)
+    parser.add_argument("--entry-share", type=float)
     options = parser.parse_args()
+    shares = {"control": options.control_share, "entry": options.entry_share}
     play = Play(options.seed, options.seconds, options.routes,
                 tree=options.tree, target=options.tree + "/build",
-                pause=options.pause).run()
+                pause=options.pause, members=options.members,
+                entries=options.entries, wipes=options.wipes,
+                races=options.races,
+                shares={r: s for r, s in shares.items() if s}).run()
     print(f"seed {options.seed} {options.tree}: {play.summary()}")
     print(f"broken {len(play.broken)} {play.deployment.folder}")
     for text in play.broken[:20]:
