Record one configuration at a time, and the newest of those that wait

What callers saw: under a processor quota a burst of large changes (1,640 routes, one each 0.08 s) was acknowledged after seconds, and the leader lost its leadership.

Cause: while a change was on its way, each further one, also the same one sent again, was recorded whole, with all its queues and its text. Followers decode that in full, so the cost rose just when the leader was behind.

Change: PendingConfigs keeps one recording; of what arrives meanwhile the newest is recorded next, as a revision, and the others are acknowledged with it. When the leadership ends, all that wait have an unknown outcome. A change may thus be acknowledged without ever being in force by itself, when a newer one is.

Tests: configure_test.cpp, two new cases ("a burst of configurations is recorded as two", "changes that wait have no known outcome..."); they were not run on the old code. The six cases about configurations pass.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -14,6 +14,7 @@
 #include "almondgate/dispatch/near_group.hpp"
 #include "almondgate/dispatch/near_waits.hpp"
 #include "almondgate/dispatch/open_job.hpp"
+#include "almondgate/dispatch/pending_configs.hpp"
 #include "almondgate/dispatch/vm_mover.hpp"
 #include "almondgate/dispatch/vm_order_sender.hpp"
 #include "almondgate/jobs/config_index.hpp"
@@ -195,6 +196,8 @@
   void onJobAccepted(const jobs::JobAccepted &event);
   void onJobCancelled(const jobs::JobId &id);
   void onTaskEnded(const jobs::TaskEnded &event);
+  /// Records the newest pending configuration unless one is being recorded.
+  void recordNextConfig();
   jobs::Event makeConfigEvent(const jobs::FleetConfig &config);
   /// False for a heartbeat that can't come from an endpoint of the fleet.
   bool isPlausible(const jobs::EndpointFacts &facts) const;
@@ -577,6 +580,7 @@
   /// Callbacks of the batch that is being made durable.
   std::vector<std::function<void(bool)>> RecordingCallbacks;
   bool Recording = false;
+  PendingConfigs Configs;
   /// Version of the newest configuration recorded, durable or not.
   uint64_t RecordedConfigVersion = 0;
   bool PassScheduled = false;
--- a/src/almondgate/dispatch/configure_test.cpp
+++ b/src/almondgate/dispatch/configure_test.cpp
@@ -101,3 +101,43 @@
   operated.Base.stopLeading();
   CHECK(operated.hasLine("configuration 30 has no known outcome: version 20"));
 }
+
+// Guards against a burst of changes that is recorded one by one, and against
+// changes sent again that are recorded again: under a processor quota the
+// leader fell behind and lost its leadership.
+TEST_CASE("a burst of configurations is recorded as two") {
+  Operated operated;
+  std::vector<uint64_t> acknowledged;
+  const auto send = [&](uint64_t version) {
+    operated.Base.dispatcher().configure(
+        operated.next(version, std::to_string(version)),
+        [&acknowledged, version](const core::Status &status) {
+          if (status)
+            acknowledged.push_back(version);
+        });
+  };
+  const auto before = operated.Base.RecordedConfigs;
+  for (const uint64_t version : {20, 21, 20, 23, 22, 23})
+    send(version);
+  operated.Base.advance(200);
+  CHECK(operated.Base.RecordedConfigs - before == 2);
+  CHECK(acknowledged == std::vector<uint64_t>{20, 20, 21, 23, 22, 23});
+  CHECK(operated.Base.dispatcher().configSource().value() == "23");
+}
+
+// Guards against an acknowledgement of a change that waited for another when
+// the leadership ended.
+TEST_CASE("changes that wait have no known outcome when leadership ends") {
+  Operated operated;
+  std::vector<bool> results;
+  const auto done = [&](const core::Status &status) {
+    results.push_back(bool(status));
+  };
+  operated.Base.dispatcher().configure(operated.next(20, "first"), done);
+  operated.Base.dispatcher().configure(operated.next(21, "second"), done);
+  operated.Base.stopLeading();
+  CHECK(results == std::vector{false, false});
+  operated.Base.lead();
+  CHECK(operated.send(operated.next(21, "second")));
+  CHECK(operated.Base.dispatcher().configSource().value() == "second");
+}
--- a/src/almondgate/dispatch/dispatcher.cpp
+++ b/src/almondgate/dispatch/dispatcher.cpp
@@ -117,6 +117,7 @@
     done(false);
   for (const auto &done : std::exchange(OutboxCallbacks, {}))
     done(false);
+  Configs.clear();
   for (const auto &[id, submission] : std::exchange(Submissions, {}))
     for (const auto &done : submission.Callbacks)
       done(outcomeUnknown());
--- a/src/almondgate/dispatch/dispatcher_endpoints.cpp
+++ b/src/almondgate/dispatch/dispatcher_endpoints.cpp
@@ -309,22 +309,32 @@
             " queues and " + std::to_string(config.Teams.size()) +
             " teams; version " + std::to_string(Ledger.Config.Version) +
             " is in force");
-  recordEvent(makeConfigEvent(config), [this, name, version = config.Version,
-                                        generation = Generation,
-                                        done](bool durable) {
-    const bool applied =
-        durable && generation == Generation && Ledger.Config.Version >= version;
+  Configs.add(config, [this, name, done](const core::Status &status) {
     Hooks.Log(name +
-              (applied ? " acknowledged: version "
-                       : " has no known outcome: version ") +
+              (status ? " acknowledged: version "
+                      : " has no known outcome: version ") +
               std::to_string(Ledger.Config.Version) + " is in force");
-    done(applied ? core::ok() : core::Status(outcomeUnknown()));
+    done(status);
   });
+  recordNextConfig();
 }
 
-// A revision applies only to the version that it was computed from. While
-// another configuration is still being made durable, this one is recorded
-// whole.
+void Dispatcher::recordNextConfig() {
+  const auto config = Configs.takeNext();
+  if (!config)
+    return;
+  recordEvent(makeConfigEvent(*config),
+              [this, generation = Generation](bool durable) {
+                if (generation != Generation)
+                  return; // stopLeading() has dropped all changes.
+                Configs.settle(durable, Ledger.Config.Version);
+                recordNextConfig();
+              });
+}
+
+// A revision applies only to the version that it was computed from. After a
+// configuration whose recording failed and may still become durable, the next
+// one is recorded whole.
 jobs::Event Dispatcher::makeConfigEvent(const jobs::FleetConfig &config) {
   const bool up_to_date = RecordedConfigVersion <= Ledger.Config.Version;
   RecordedConfigVersion = std::max(RecordedConfigVersion, config.Version);
--- a/src/almondgate/dispatch/test_fleet.hpp
+++ b/src/almondgate/dispatch/test_fleet.hpp
@@ -105,6 +105,8 @@
   std::vector<std::string> Violations;
   /// How many endpoints were registered or changed durably.
   int64_t Registrations = 0;
+  /// Configurations made durable, whole or as a revision.
+  int64_t RecordedConfigs = 0;
   /// VMs that are down for maintenance now, the most that were at once, and how
   /// often each VM was.
   int64_t Down = 0;
--- a/src/almondgate/dispatch/test_fleet_test.cpp
+++ b/src/almondgate/dispatch/test_fleet_test.cpp
@@ -439,6 +439,9 @@
                    recordDoneTasks(event);
                    Registrations +=
                        std::holds_alternative<jobs::EndpointRegistered>(event);
+                   RecordedConfigs +=
+                       std::holds_alternative<jobs::ConfigRevised>(event) ||
+                       std::holds_alternative<jobs::ConfigReplaced>(event);
                  }
                  for (const auto &event : events)
                    Core->onEventApplied(event);
