--- a/src/almondgate/dispatch/random_restarts_test.cpp
+++ b/src/almondgate/dispatch/random_restarts_test.cpp
@@ -1,3 +1,4 @@
+#include "lost_work_check.hpp"
 #include "random_day.hpp"
 #include "test_jobs.hpp"
 
@@ -15,6 +16,7 @@
 
 constexpr int64_t Vms = 5;
 constexpr int64_t Actions = 60;
+constexpr int64_t ActionsBeforeCalm = 25;
 constexpr int64_t LongestPauseMs = 350;
 constexpr int64_t Second = 1000;
 // Longer than a call may be late, and than a cut after the last action lasts.
@@ -23,7 +25,9 @@
 constexpr size_t EndsPerInventory = 3;
 // More than the runs that fail on a day, so that no job may fail.
 constexpr int64_t ManyAttempts = 1000;
-constexpr int64_t QuickCommitMs = 5;
+constexpr int64_t QuickCommitMs = LostWorkCheck::QuickCommitMs;
+// How often work that stands still is looked for.
+constexpr int64_t SampleMs = 10;
 
 /// What may happen on a day, other than the passing of time.
 enum class ActionKind {
@@ -73,10 +77,10 @@
   std::mt19937_64 Random;
 };
 
-Day drawDay(uint64_t seed) {
+Day drawDay(uint64_t seed, int64_t actions) {
   Draw draw(seed);
   Day day;
-  for (int64_t i = 0; i < Actions; ++i) {
+  for (int64_t i = 0; i < actions; ++i) {
     const auto kind = draw.oneIn(4)
                           ? draw.below(int64_t(ActionKind::SubmitGang) + 1)
                           : draw.below(int64_t(ActionKind::Last) + 1);
@@ -98,15 +102,28 @@
   /// counts only ends that are.
   int64_t LateStartsAfterLostEnds = 0;
   int64_t CallsOfFormerIncarnations = 0;
+  /// How long the day was calm enough to judge work that stands still, and the
+  /// longest time that any did.
+  int64_t CalmMs = 0;
+  int64_t LongestIdleMs = 0;
   /// The actions and their times.
   std::string Trace;
 };
 
+/// How a day is played.
+struct DayOptions {
+  bool LongRunning = false;
+  int64_t ActionCount = Actions;
+  /// All disruptions end with the last action, so that what they leave behind
+  /// is judged as soon as the rule allows.
+  bool CalmAtOnce = false;
+};
+
 /// Plays a day on a fleet of its own.
 class DayPlayer {
 public:
-  explicit DayPlayer(bool long_running)
-      : Fl(int(Vms)), SubmitsLongRunning(long_running) {
+  explicit DayPlayer(const DayOptions &options)
+      : Options(options), Fl(int(Vms)) {
     Fl.configure([](jobs::FleetConfig &config) {
       config.Queues.at(0).MaxAttempts = ManyAttempts;
     });
@@ -122,7 +139,7 @@
   Outcome play(const Day &day) {
     for (const auto &action : day) {
       perform(action);
-      Fl.advance(action.PauseMs);
+      advance(action.PauseMs);
     }
     recover();
     Outcome out;
@@ -134,12 +151,17 @@
       else
         out.Broken.push_back(violation);
     checkJobs(Fl.ledger(), out.Broken);
+    const auto &lost = LostWork.violations();
+    out.Broken.insert(out.Broken.end(), lost.begin(), lost.end());
+    out.CalmMs = LostWork.calmMs();
+    out.LongestIdleMs = LostWork.longestIdleMs();
     out.CallsOfFormerIncarnations = Fl.CallsOfFormerIncarnations;
     out.Trace = Trace.str();
     return out;
   }
 
 private:
+  void advance(int64_t ms);
   void perform(const Action &action);
   void submit(const jobs::JobSpec &spec);
   void cancel(int64_t job);
@@ -150,11 +172,24 @@
   void endTerm(int64_t without_ms);
   std::ostream &note() { return Trace << Fl.sinceStart() << ": "; }
 
+  // Calls that are outstanding keep their faults.
+  void endDisruptions() {
+    IsOver = true;
+    Fl.MayAct = true;
+    for (const auto &vm : Fl.VmIds) {
+      Fl.clearFaults(vm);
+      if (Fl.isUp(vm))
+        Fl.endpointOf(vm).Unreachable = false;
+    }
+  }
+
   // Lets all faults end, and gives the fleet time to finish its work.
   void recover() {
     Fl.OrderQueueMs = 0;
     Fl.CommitMs = QuickCommitMs;
-    Fl.advance(LastFaultMs);
+    if (Options.CalmAtOnce)
+      endDisruptions();
+    advance(LastFaultMs);
     for (const auto &vm : Fl.VmIds)
       if (Fl.isUp(vm))
         Fl.endpointOf(vm).Unreachable = false;
@@ -165,19 +200,31 @@
     for (int64_t ms = 0; ms < RecoveryMs; ms += Second) {
       if (std::none_of(jobs.begin(), jobs.end(), is_open))
         return;
-      Fl.advance(Second);
+      advance(Second);
     }
   }
 
+  DayOptions Options;
   Fleet Fl;
-  bool SubmitsLongRunning;
+  /// No disruption begins any more.
+  bool IsOver = false;
   int64_t NextJob = 1;
   int64_t RunsToFail = 0;
   /// Counts the changes of leader.
   int64_t Term = 0;
+  LostWorkCheck LostWork;
   std::ostringstream Trace;
 };
 
+void DayPlayer::advance(int64_t ms) {
+  while (ms > 0) {
+    const int64_t step = std::min(ms, SampleMs);
+    Fl.advance(step);
+    LostWork.sample(Fl, Fl.VmIds);
+    ms -= step;
+  }
+}
+
 void DayPlayer::submit(const jobs::JobSpec &spec) {
   if (Fl.hasLeader())
     Fl.submitAsync(jobId(NextJob++), spec);
@@ -191,7 +238,7 @@
 
 void DayPlayer::cutOff(const core::VmId &vm, int64_t after_ms, int64_t ms) {
   const auto set = [this, vm](bool unreachable) {
-    if (Fl.isUp(vm))
+    if (Fl.isUp(vm) && !(IsOver && unreachable))
       Fl.endpointOf(vm).Unreachable = unreachable;
   };
   note() << vm.str() << " is cut off in " << after_ms << " ms for " << ms
@@ -201,7 +248,7 @@
 }
 
 void DayPlayer::restart(const core::VmId &vm, Draw &draw) {
-  if (!Fl.isUp(vm))
+  if (!Fl.isUp(vm) || IsOver)
     return;
   const int64_t clock = Fl.endpointOf(vm).clock(Fl.now());
   TestFleet::Return as;
@@ -308,7 +355,7 @@
     return;
   }
   case ActionKind::SubmitLongRunning:
-    if (!SubmitsLongRunning)
+    if (!Options.LongRunning)
       return;
     note() << "long-running tasks\n";
     submit(longRunning(1 + draw.below(3), 1));
@@ -385,32 +432,36 @@
   }
 }
 
-// Plays days with or without long-running tasks.
-// ALMONDGATE_RESTART_SEEDS=FIRST-LAST plays other seeds than those of the test
-// run. Not checked: the clause of the rule with a time bound, which exempts
-// late orders and otherwise asks for less than the clauses without one.
-void playDays(bool long_running) {
+// Plays days. ALMONDGATE_RESTART_SEEDS=FIRST-LAST plays other seeds than those
+// of the test run. Not checked of rule TWICE: the clause with a time bound,
+// which exempts late orders and otherwise asks for less than the clauses
+// without one.
+void playDays(const DayOptions &options) {
   constexpr uint64_t DefaultSeeds = 150;
   int64_t days = 0;
   int64_t late_days = 0;
   int64_t late_starts = 0;
   int64_t after_lost_ends = 0;
   int64_t calls = 0;
-  const auto play = [long_running](const Day &day) {
-    return DayPlayer(long_running).play(day);
+  int64_t calm_ms = 0;
+  int64_t longest_idle_ms = 0;
+  const auto play = [&options](const Day &day) {
+    return DayPlayer(options).play(day);
   };
   const auto is_broken = [&](const Day &day) {
     return !play(day).Broken.empty();
   };
   for (const uint64_t seed :
        seedsToPlay("ALMONDGATE_RESTART_SEEDS", DefaultSeeds)) {
-    const Day day = drawDay(seed);
+    const Day day = drawDay(seed, options.ActionCount);
     const Outcome outcome = play(day);
     ++days;
     late_days += outcome.LateStarts > 0 ? 1 : 0;
     late_starts += outcome.LateStarts;
     after_lost_ends += outcome.LateStartsAfterLostEnds;
     calls += outcome.CallsOfFormerIncarnations;
+    calm_ms += outcome.CalmMs;
+    longest_idle_ms = std::max(longest_idle_ms, outcome.LongestIdleMs);
     if (outcome.Broken.empty())
       continue;
     CAPTURE(seed);
@@ -422,15 +473,25 @@
   MESSAGE(days, " days: ", late_starts,
           " late starts after an acknowledged end in ", late_days, " days, ",
           after_lost_ends, " after ends that were not acknowledged; ", calls,
-          " calls carried out by a later incarnation");
+          " calls carried out by a later incarnation; calm for ",
+          calm_ms / Second, " s, work stood still for ", longest_idle_ms,
+          " ms at most");
 }
 
 } // namespace
 
 TEST_CASE("random days of restarts under the same ids break no promise") {
-  playDays(false);
+  playDays({});
 }
 
 TEST_CASE("random restarts with long-running tasks break no promise") {
-  playDays(true);
+  playDays({.LongRunning = true});
+}
+
+// Guards against work that stands still after disruptions, and against tasks
+// that run twice because it does not.
+TEST_CASE("work goes on soon after random restarts are over") {
+  playDays({.LongRunning = true,
+            .ActionCount = ActionsBeforeCalm,
+            .CalmAtOnce = true});
 }
--- a/src/almondgate/dispatch/test_fleet.hpp
+++ b/src/almondgate/dispatch/test_fleet.hpp
@@ -28,6 +28,8 @@
   TestEndpoint &endpointOf(const core::VmId &vm);
   /// The VM has an endpoint, and nothing was ordered for it.
   bool isUp(const core::VmId &vm) const;
+  /// The VM's endpoint has ended without an order, and is not back yet.
+  bool isRestarting(const core::VmId &vm) const;
   /// Restarts the VM's endpoint under a new id; its runs are lost.
   void restart(const core::VmId &vm);
   /// Restarts the VM's endpoint under a new id; its runs take four times as
@@ -61,6 +63,12 @@
   /// The number of runs whose stop has been ordered and is being carried out.
   int64_t stopping() const;
   int64_t now() const { return Now; }
+  /// All endpoints that are up.
+  const std::map<jobs::EndpointId, TestEndpoint> &testEndpoints() const {
+    return Endpoints;
+  }
+  /// When a call last met a fault; 0 if none has.
+  int64_t lastDisturbedCall() const { return LastDisturbedCall; }
   /// Time since the fleet was created, as in its log lines.
   int64_t sinceStart() const { return Now - StartMs; }
 
@@ -255,6 +263,7 @@
   /// When an end as done of each task was first acknowledged to its endpoint.
   std::map<jobs::TaskRef, int64_t> AcknowledgedDone;
   std::map<std::pair<jobs::EndpointId, CallKind>, std::deque<CallFault>> Faults;
+  int64_t LastDisturbedCall = 0;
   int64_t StartedEndpoints = 0;
   int64_t WaitingStarts = 0;
   int64_t WaitingStops = 0;
--- a/src/almondgate/dispatch/test_fleet_test.cpp
+++ b/src/almondgate/dispatch/test_fleet_test.cpp
@@ -187,6 +187,12 @@
   return listing.State == VmState::Up && Endpoints.contains(listing.Endpoint);
 }
 
+bool TestFleet::isRestarting(const core::VmId &vm) const {
+  const auto &listing = Vms.at(vm);
+  return listing.State == VmState::Up && !listing.Endpoint.empty() &&
+         !Endpoints.contains(listing.Endpoint);
+}
+
 // The connections of the endpoint break.
 void TestFleet::removeEndpoint(const EndpointId &id) {
   const auto it = Endpoints.find(id);
@@ -271,6 +277,7 @@
     return {};
   const CallFault out = it->second.front();
   it->second.pop_front();
+  LastDisturbedCall = Now;
   return out;
 }
 
