--- a/src/almondgate/dispatch/served_in_time_test.cpp
+++ b/src/almondgate/dispatch/served_in_time_test.cpp
@@ -87,3 +87,31 @@
   CHECK(fleet.running() == 0);
   fleet.checkViolations();
 }
+
+// Run times are learned from runs that have ended. Until the first of them
+// ends, what is known comes from the runs in progress.
+TEST_CASE("jobs are refused while runs take 12 times as long as expected") {
+  constexpr int64_t EstimateMs = 500;
+  constexpr int64_t SlowRunMs = 12 * EstimateMs;
+  constexpr int64_t IntervalMs = 50;
+  // 512 cores are full after 16 jobs of 32 cores each. A job that is sent in
+  // this time is due 1.6 s later, and no run ends before 6 s.
+  constexpr int64_t HopelessFromMs = 2500;
+  constexpr int64_t HopelessUntilMs = 4300;
+  Fleet fleet(8);
+  fleet.RunMs = [](const jobs::StepSpec &) { return SlowRunMs; };
+  const int64_t begin = fleet.now();
+  int64_t accepted = 0;
+  for (int64_t id = 1; fleet.now() < begin + HopelessUntilMs; ++id) {
+    const bool hopeless = fleet.now() >= begin + HopelessFromMs;
+    const int64_t before = fleet.Accepted;
+    fleet.submit(jobId(id), oneStep(4, 8, EstimateMs));
+    accepted += hopeless ? fleet.Accepted - before : 0;
+    fleet.advance(IntervalMs - fleet.CommitMs);
+  }
+  CHECK(fleet.Accepted >= 16);
+  CHECK(accepted == 0);
+  fleet.advance(60000);
+  CHECK(fleet.running() == 0);
+  fleet.checkViolations();
+}
