--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -224,9 +224,7 @@
   policy::JobAdmissionDecision
   decideAdmission(const jobs::QueueSpec &queue,
                   const policy::JobAdmissionInput &input) const;
-  policy::JobDemand remainingLoadOf(OpenJob &job) const;
-  /// Brings OpenJob::Runs up to date.
-  void updateRunLoad(OpenJob &job, const policy::PredictStep &expect) const;
+  policy::JobDemand remainingLoadOf(const OpenJob &job) const;
   void refuseJob(const jobs::JobCall &call, const jobs::JobId &id,
                  const jobs::QueueSpec &queue,
                  const policy::JobAdmissionDecision &verdict,
--- a/include/almondgate/dispatch/open_job.hpp
+++ b/include/almondgate/dispatch/open_job.hpp
@@ -34,19 +34,6 @@
   }
 };
 
-/// The runs in progress of a job, as admission counts them; without
-/// long-running and fill work.
-struct RunLoad {
-  /// When it was computed, and OpenJob::Placed at that time.
-  core::TimeMs At{INT64_MIN / 2};
-  int64_t Placed = 0;
-  int64_t MilliCpus = 0;
-  /// Expected work until they end, in millicores times milliseconds.
-  int64_t Work = 0;
-
-  bool operator==(const RunLoad &) const = default;
-};
-
 /// A job with unfinished tasks, or with runs that have yet to end.
 struct OpenJob {
   /// Owned by the ledger, which keeps it at least as long as the job is open.
@@ -68,8 +55,6 @@
   /// Number of tasks that wait, and that occupy capacity; see StepTasks.
   int64_t Waiting = 0;
   int64_t Placed = 0;
-  /// Kept by Dispatcher::updateRunLoad().
-  RunLoad Runs;
   /// The pool whose load it is part of; none once it has ended.
   std::optional<core::PoolId> CountedIn;
   /// By occurrence and step.
--- a/include/almondgate/policy/job_admission.hpp
+++ b/include/almondgate/policy/job_admission.hpp
@@ -12,17 +12,10 @@
 struct JobDemand {
   /// Time until its due time, in milliseconds; negative when overdue.
   int64_t DueInMs = 0;
-  /// Work of waiting tasks that may start now.
+  /// Work of tasks that run or may start now.
   int64_t ReadyWork = 0;
   /// Work of steps that wait for other steps.
   int64_t LaterWork = 0;
-  /// Processor time, in millicores, that its runs in progress occupy, and the
-  /// mean time until they end, in milliseconds.
-  int64_t RunningMilliCpus = 0;
-  int64_t RunningMs = 0;
-
-  /// Work of the runs in progress until they end.
-  int64_t runningWork() const { return RunningMilliCpus * RunningMs; }
 
   bool operator==(const JobDemand &) const = default;
 };
@@ -66,11 +59,10 @@
 
 /// Decides on a submitted job. Refuses a job that would miss its due time
 /// behind the open jobs that are due before it, or that would make an open job
-/// miss its due time. Waiting tasks of overdue jobs get only the capacity that
-/// is left over, and do not count; their runs in progress keep the capacity
-/// that they occupy. A job that is submitted too late to meet its due time is
-/// accepted only while the backlog is small. This handles load where a queue
-/// demands several times the capacity of its pool.
+/// miss its due time. Open jobs that are overdue get only the capacity that is
+/// left over, and do not count. A job that is submitted too late to meet its
+/// due time is accepted only while the backlog is small. This handles load
+/// where a queue demands several times the capacity of its pool.
 ///
 /// Work is modelled as a fluid that is served earliest due date first. Source
 /// of the test: the processor demand criterion, Baruah, Rosier and Howell,
--- a/include/almondgate/policy/job_timing.hpp
+++ b/include/almondgate/policy/job_timing.hpp
@@ -10,12 +10,6 @@
 /// Predicts the run time of a step's tasks, in milliseconds.
 using PredictStep = std::function<int64_t(const jobs::StepSpec &)>;
 
-/// Expected time until a run in progress ends, in milliseconds, by its
-/// predicted run time and the time that it has taken so far. A run that exceeds
-/// its prediction tells that the prediction is wrong: it is then expected to
-/// take about as long again, as nothing more is known about it.
-int64_t remainingRunMs(int64_t predicted_ms, int64_t elapsed_ms);
-
 /// Predicted run time of the longest chain of dependent steps, in milliseconds.
 int64_t longestChainMs(const jobs::JobSpec &spec, const PredictStep &predict);
 
--- a/src/almondgate/policy/job_admission.cpp
+++ b/src/almondgate/policy/job_admission.cpp
@@ -1,9 +1,6 @@
 #include "almondgate/policy/job_admission.hpp"
 
 #include <algorithm>
-#include <functional>
-#include <queue>
-#include <utility>
 
 namespace almondgate::policy {
 
@@ -20,49 +17,16 @@
 constexpr int64_t SmallBacklogMs = 200;
 constexpr int64_t Hundred = 100;
 
-// Whether the waiting tasks of an open job are served before a job with this
-// due time. Those of overdue jobs are served after all jobs that can still meet
-// their due time.
-bool isServedBefore(const JobDemand &job, int64_t due_ms) {
-  return job.DueInMs > 0 && job.DueInMs <= due_ms;
+int64_t totalWork(const JobDemand &job) {
+  return job.ReadyWork + job.LaterWork;
 }
 
-// Capacity that the runs of an open job take from the other jobs. What is left
-// of the pool beside the runs of overdue jobs can be used by UsablePercent too.
-int64_t occupiedMilliCpus(const JobDemand &job) {
-  return job.DueInMs > 0 ? job.RunningMilliCpus
-                         : job.RunningMilliCpus * UsablePercent / Hundred;
+// Whether an open job is served before a job with this due time. Overdue jobs
+// are served after all jobs that can still meet their due time.
+bool isServedBefore(const JobDemand &job, int64_t due_ms) {
+  return job.DueInMs > 0 && job.DueInMs <= due_ms;
 }
 
-// Work of runs in progress up to times that are asked for in ascending order.
-class RunningWork {
-public:
-  void add(const JobDemand &job) {
-    const int64_t milli_cpus = occupiedMilliCpus(job);
-    Running.emplace(job.RunningMs, milli_cpus);
-    RunningMilliCpus += milli_cpus;
-  }
-
-  int64_t until(int64_t ms) {
-    while (!Running.empty() && Running.top().first <= ms) {
-      const auto [ends_in_ms, milli_cpus] = Running.top();
-      Running.pop();
-      RunningMilliCpus -= milli_cpus;
-      EndedWork += ends_in_ms * milli_cpus;
-    }
-    return EndedWork + RunningMilliCpus * ms;
-  }
-
-private:
-  using EndAndMilliCpus = std::pair<int64_t, int64_t>;
-  std::priority_queue<EndAndMilliCpus, std::vector<EndAndMilliCpus>,
-                      std::greater<>>
-      Running;
-  int64_t RunningMilliCpus = 0;
-  /// Work of the runs that end by the last time asked for.
-  int64_t EndedWork = 0;
-};
-
 // Work that exceeds the supply up to some time.
 struct Excess {
   int64_t Work = 0;
@@ -73,37 +37,28 @@
 // that is served before them.
 Excess excessAtStart(const JobAdmissionInput &input) {
   const int64_t until = input.SlackMs + input.FirstStepMs;
-  int64_t demand = input.FirstStepWork;
-  for (const auto &job : input.OpenJobs) {
-    const bool before = isServedBefore(job, input.DueInMs);
-    if (before)
-      demand += job.ReadyWork;
-    if (before || job.DueInMs <= 0)
-      demand +=
-          occupiedMilliCpus(job) * std::clamp<int64_t>(until, 0, job.RunningMs);
-  }
-  return {demand - supplyUntil(input, until), until};
+  int64_t ready = input.FirstStepWork;
+  for (const auto &job : input.OpenJobs)
+    if (isServedBefore(job, input.DueInMs))
+      ready += job.ReadyWork;
+  return {ready - supplyUntil(input, until), until};
 }
 
 // Largest excess up to the job's own due time and all later ones.
 Excess excessAtDueTimes(const JobAdmissionInput &input) {
   std::vector<JobDemand> by_due_time = input.OpenJobs;
-  by_due_time.push_back({.DueInMs = input.DueInMs, .ReadyWork = input.Work});
+  by_due_time.push_back({input.DueInMs, input.Work, 0});
   std::sort(by_due_time.begin(), by_due_time.end(),
             [](const auto &a, const auto &b) { return a.DueInMs < b.DueInMs; });
   Excess worst;
-  int64_t waiting = 0;
-  RunningWork running;
+  int64_t demand = 0;
   for (const auto &job : by_due_time) {
-    waiting += job.DueInMs > 0 ? job.ReadyWork + job.LaterWork : 0;
-    running.add(job);
+    demand += job.DueInMs > 0 ? totalWork(job) : 0;
     if (job.DueInMs < input.DueInMs)
       continue;
-    const int64_t excess = waiting +
-                           running.until(std::max<int64_t>(job.DueInMs, 0)) -
-                           supplyUntil(input, job.DueInMs);
-    if (excess > worst.Work)
-      worst = {excess, job.DueInMs};
+    const int64_t supply = supplyUntil(input, job.DueInMs);
+    if (demand - supply > worst.Work)
+      worst = {demand - supply, job.DueInMs};
   }
   return worst;
 }
@@ -112,7 +67,7 @@
 bool isBacklogSmall(const JobAdmissionInput &input) {
   int64_t ready = 0;
   for (const auto &job : input.OpenJobs)
-    ready += job.ReadyWork + job.runningWork();
+    ready += job.ReadyWork;
   return ready <= supplyUntil(input, SmallBacklogMs);
 }
 
--- a/src/almondgate/policy/job_timing.cpp
+++ b/src/almondgate/policy/job_timing.cpp
@@ -5,12 +5,6 @@
 
 namespace almondgate::policy {
 
-int64_t remainingRunMs(int64_t predicted_ms, int64_t elapsed_ms) {
-  // On average, a run that keeps to its prediction is half done. Continuous
-  // where the prediction is exceeded.
-  return std::max(predicted_ms / 2, elapsed_ms - predicted_ms / 2);
-}
-
 int64_t longestChainMs(const jobs::JobSpec &spec, const PredictStep &predict) {
   std::vector<int64_t> ends;
   int64_t longest = 0;
