--- a/include/almondgate/protocol/config_answer_codec.hpp
+++ b/include/almondgate/protocol/config_answer_codec.hpp
@@ -11,8 +11,8 @@
 
 /// Encodes the reply of Method::ReadConfigAnswer: the length of the encoded
 /// fields but the source (4 bytes, big-endian), these fields, and the source
-/// as it is. A CBOR reader would take the source byte by byte, which costs
-/// milliseconds for a large configuration.
+/// as it is. An encoder would copy the source several times on each side, and
+/// it may have hundreds of kilobytes.
 std::string encodeConfigAnswer(const jobs::ConfigAnswer &answer);
 
 /// Decodes the format of encodeConfigAnswer(). Errors: Corrupt.
