--- a/include/almondgate/policy/job_timing.hpp
+++ b/include/almondgate/policy/job_timing.hpp
@@ -22,6 +22,9 @@
 /// long-running steps.
 int64_t workOf(const jobs::JobSpec &spec, const PredictStep &predict);
 
+/// Whether a step of the job is long-running.
+bool hasLongRunning(const jobs::JobSpec &spec);
+
 } // namespace almondgate::policy
 
 #endif
--- a/src/almondgate/dispatch/dispatcher_calls.cpp
+++ b/src/almondgate/dispatch/dispatcher_calls.cpp
@@ -42,6 +42,14 @@
   return out;
 }
 
+// The work of one task of a step, in millicores times milliseconds, that makes
+// others wait: long-running tasks have VMs of their own, fill work gives way.
+int64_t taskLoad(const jobs::StepSpec &step,
+                 const policy::PredictStep &expect) {
+  const bool counts = !step.LongRunning && !step.Fills;
+  return counts ? step.Need.MilliCpus * expect(step) : 0;
+}
+
 std::string lastSegment(const std::string &path) {
   return path.substr(path.rfind('/') + 1);
 }
@@ -207,8 +215,7 @@
   const auto &steps = job.Record->Spec->Steps;
   for (size_t s = 0; s < steps.size(); ++s) {
     const auto &step = steps[s];
-    const bool counts = !step.LongRunning && !step.Fills;
-    const int64_t work = counts ? step.Need.MilliCpus * expect(step) : 0;
+    const int64_t work = taskLoad(step, expect);
     const StepTasks &tasks = job.Steps[s];
     // On average, a run is half done.
     load.ReadyWork += tasks.Placed * (work / 2);
@@ -222,12 +229,9 @@
                                             const core::QueueId &queue) const {
   policy::JobDemand load;
   const auto expect = runTimeEstimator(queue);
-  for (const auto &step : spec.Steps) {
-    if (step.LongRunning || step.Fills)
-      continue;
+  for (const auto &step : spec.Steps)
     (step.After.empty() ? load.ReadyWork : load.LaterWork) +=
-        step.Count * step.Need.MilliCpus * expect(step);
-  }
+        step.Count * taskLoad(step, expect);
   return load;
 }
 
@@ -264,9 +268,7 @@
   input.DueInMs =
       int64_t(double(chain) * queue.Stretch) + queue.TargetMs - waited;
   input.SlackMs = input.DueInMs - chain;
-  input.LongRunning =
-      std::any_of(spec.Steps.begin(), spec.Steps.end(),
-                  [](const jobs::StepSpec &step) { return step.LongRunning; });
+  input.LongRunning = policy::hasLongRunning(spec);
   return input;
 }
 
--- a/src/almondgate/dispatch/dispatcher_moves.cpp
+++ b/src/almondgate/dispatch/dispatcher_moves.cpp
@@ -23,12 +23,6 @@
 constexpr DurationMs DemandLogInterval{1000};
 constexpr int64_t MilliCpusPerCore = 1000;
 
-bool hasLongRunning(const OpenJob &job) {
-  const auto &steps = job.Record->Spec->Steps;
-  return std::any_of(steps.begin(), steps.end(),
-                     [](const auto &step) { return step.LongRunning; });
-}
-
 } // namespace
 
 void Dispatcher::recordArrival(const PoolId &pool, int64_t work) {
@@ -128,8 +122,8 @@
     return 0;
   int64_t late = 0;
   for (const auto &[id, job] : load->Open)
-    late +=
-        job->Due < Hooks.Now() && !hasLongRunning(*job) ? demandOf(*job) : 0;
+    if (job->Due < Hooks.Now() && !policy::hasLongRunning(*job->Record->Spec))
+      late += demandOf(*job);
   return late;
 }
 
--- a/src/almondgate/dispatch/test_fleet_test.cpp
+++ b/src/almondgate/dispatch/test_fleet_test.cpp
@@ -456,21 +456,22 @@
                }));
   };
   // Sends an order after its wait, unless it is no longer permitted.
-  const auto enqueue = [this, guard](auto may_send, auto done, auto send) {
-    if (OrderQueueMs == 0) {
+  const auto enqueue = [this, guard](int64_t queue_ms, auto may_send,
+                                     auto refuse, auto send) {
+    if (queue_ms == 0) {
       send();
       return;
     }
-    scheduleAt(Now + OrderQueueMs, [this, may_send, done, send, guard,
-                                    generation = Generation] {
-      // The queue ends with its leader.
-      if (generation != Generation)
-        return;
-      if (may_send())
-        send();
-      else
-        guard([done] { done(OrderReply{OrderResult::NotSent, {}}); })();
-    });
+    // The queue ends with its leader.
+    scheduleAt(Now + queue_ms, guard([may_send, refuse, send] {
+                 if (may_send())
+                   send();
+                 else
+                   refuse();
+               }));
+  };
+  const auto not_sent = [](auto done) {
+    return [done] { done(OrderReply{OrderResult::NotSent, {}}); };
   };
   const auto count_waiting = [this](int64_t &waiting, int64_t &most) {
     most = std::max(most, ++waiting);
@@ -480,47 +481,44 @@
     return WaitingStarts + int64_t(n) <= StartRoom;
   };
   hooks.HasRoomForStop = [this] { return WaitingStops < StopRoom; };
-  hooks.Start = [this, guard, enqueue,
+  hooks.Start = [this, guard, enqueue, not_sent,
                  count_waiting](const auto &to, const auto &order,
                                 auto may_send, auto done) {
     count_waiting(WaitingStarts, MostWaitingStarts);
-    enqueue(may_send, done, [this, guard, done, id = to.Id, order] {
-      checkSentStart(id, order);
-      onStart(id, order, [guard, done](const OrderReply &reply) {
-        guard([done, reply] { done(reply); })();
-      });
-    });
+    enqueue(OrderQueueMs, may_send, not_sent(done),
+            [this, guard, done, id = to.Id, order] {
+              checkSentStart(id, order);
+              onStart(id, order, [guard, done](const OrderReply &reply) {
+                guard([done, reply] { done(reply); })();
+              });
+            });
   };
-  hooks.Stop = [this, guard, enqueue, count_waiting](const auto &to,
-                                                     const auto &order,
-                                                     auto may_send, auto done) {
+  hooks.Stop = [this, guard, enqueue, not_sent,
+                count_waiting](const auto &to, const auto &order, auto may_send,
+                               auto done) {
     count_waiting(WaitingStops, MostWaitingStops);
-    enqueue(may_send, done, [this, guard, done, id = to.Id, order] {
-      onStop(id, order, [guard, done](const OrderReply &reply) {
-        guard([done, reply] { done(reply); })();
-      });
-    });
+    enqueue(OrderQueueMs, may_send, not_sent(done),
+            [this, guard, done, id = to.Id, order] {
+              onStop(id, order, [guard, done](const OrderReply &reply) {
+                guard([done, reply] { done(reply); })();
+              });
+            });
   };
   hooks.RoomForWaitingRenewals = [this] { return RenewalRoom; };
-  hooks.Renew = [this, guard](const auto &to, const auto &request,
-                              auto may_send, auto done) {
-    const auto send = [this, guard, to, request, done] {
-      ++RenewalCount;
-      checkSentRenewal(to, request);
-      onRenew(to.Id, request, [guard, done](const RenewReply &reply) {
-        guard([done, reply] { done(reply); })();
-      });
-    };
-    if (RenewalQueueMs == 0) {
-      send();
-      return;
-    }
-    scheduleAt(Now + RenewalQueueMs, guard([may_send, done, send] {
-                 if (may_send())
-                   send();
-                 else
-                   done(RenewReply{OrderResult::NotSent, {}});
-               }));
+  hooks.Renew = [this, guard, enqueue](const auto &to, const auto &request,
+                                       auto may_send, auto done) {
+    enqueue(
+        RenewalQueueMs, may_send,
+        [done] {
+          done(RenewReply{OrderResult::NotSent, {}});
+        },
+        [this, guard, to, request, done] {
+          ++RenewalCount;
+          checkSentRenewal(to, request);
+          onRenew(to.Id, request, [guard, done](const RenewReply &reply) {
+            guard([done, reply] { done(reply); })();
+          });
+        });
   };
   hooks.Advise = [this, guard](const auto &request, auto done) {
     ++AdviceRequests;
--- a/src/almondgate/policy/job_timing.cpp
+++ b/src/almondgate/policy/job_timing.cpp
@@ -37,4 +37,9 @@
   return work;
 }
 
+bool hasLongRunning(const jobs::JobSpec &spec) {
+  return std::any_of(spec.Steps.begin(), spec.Steps.end(),
+                     [](const auto &step) { return step.LongRunning; });
+}
+
 } // namespace almondgate::policy
