Tests: one way to ask a deployment's member whether it leads

config_cost.py, config_play.py and config_faults_test.py each looked for the metric, two of them at a port written as a number. Node.leads() does it now; config_play.py keeps its time-out of 0.3 s. config_faults_test and config_play_test pass (10 tests, one run); config_cost.py was not run again.

--- a/tests/config_cost.py
+++ b/tests/config_cost.py
@@ -36,8 +36,7 @@
 
     def leader(self):
         for node in self.deployment.of("control"):
-            if b"almondgate_control_leads 1" in node.call(
-                    7001, "GET", "/metrics")[1]:
+            if node.leads():
                 return node
         raise AssertionError("no member leads")
 
--- a/tests/config_faults_test.py
+++ b/tests/config_faults_test.py
@@ -10,8 +10,7 @@
 
 from config_play import Play
 from fleet import wait_until
-from platform_deployment import (CALLERS_PORT, OPERATORS_PORT, STATUS_PORT,
-                                 Deployment)
+from platform_deployment import CALLERS_PORT, OPERATORS_PORT, Deployment
 from platform_fleet import HOST, KEY
 
 PLAY_SECONDS = 20
@@ -42,11 +41,6 @@
     played(3, PLAY_SECONDS, LARGE_ROUTES, pause=0.6)
 
 
-def leads(node):
-    return b"almondgate_control_leads 1" in node.call(
-        STATUS_PORT, "GET", "/metrics")[1]
-
-
 def end_with_open_request(deployment, method):
     """Stops a follower while the leader is suspended and it has a request.
 
@@ -54,8 +48,8 @@
     that the request had a leader to answer it.
     """
     members = deployment.of("control")
-    wait_until(lambda: sum(leads(n) for n in members) == 1, 10, "a leader")
-    leader = next(n for n in members if leads(n))
+    wait_until(lambda: sum(n.leads() for n in members) == 1, 10, "a leader")
+    leader = next(n for n in members if n.leads())
     follower = next(n for n in members if n is not leader)
     outcome = []
 
@@ -77,7 +71,7 @@
         time.sleep(ARRIVAL_SECONDS)
         if outcome:
             others = [n for n in members if n is not leader]
-            led = [n.name for n in others if leads(n)]
+            led = [n.name for n in others if n.leads()]
             thread.join()
             assert led, f"{outcome} while {leader.name} led and was suspended"
             print(outcome, "given by", led, "instead of", leader.name)
--- a/tests/config_play.py
+++ b/tests/config_play.py
@@ -351,8 +351,7 @@
     def leader(self):
         for node in self.deployment.of("control"):
             try:
-                if b"almondgate_control_leads 1" in node.call(
-                        7001, "GET", "/metrics", timeout=0.3)[1]:
+                if node.leads(timeout=0.3):
                     return node
             except (OSError, http.client.HTTPException):
                 pass
--- a/tests/platform_deployment.py
+++ b/tests/platform_deployment.py
@@ -122,6 +122,11 @@
         finally:
             conn.close()
 
+    def leads(self, timeout=10):
+        """Whether this control member says that it leads."""
+        return b"almondgate_control_leads 1" in self.call(
+            STATUS_PORT, "GET", "/metrics", timeout=timeout)[1]
+
 
 class Deployment:
     """The deploy file's roles on control VMs of all zones and entry VMs."""
