Tests: deployments look for a network among all of them

What was seen: first_start_test.py failed in five cases with "no free loopback network" (-n 3, right after other runs). The run before it had failed in three cases, one of them not in KNOWN-RED (test_members_whose_first_format_was_interrupted_found_the_group); its messages were not kept, so that it was the same is suspected.

Cause: free_net() began at a number from the process id and ended at 249, so a process with a high one had as few as 31 networks, and those used within the last minute still had connections in TIME_WAIT ("Address already in use" at 127.249). The ids of the processes were not recorded. Now the search goes on from the start of the range.

Run: first_start_test.py and config_play_test.py: 12 passed, 2 failed, which are the two cases of KNOWN-RED.

--- a/tests/platform_deployment.py
+++ b/tests/platform_deployment.py
@@ -23,6 +23,8 @@
 ZONES = ["brussel-a", "antwerpen-b", "luik-c"]
 CALLERS_PORT, OPERATORS_PORT, READY_PORT = 8340, 8345, 8343
 INNER_PORT, STATUS_PORT = 7000, 7001
+# Second numbers of the loopback networks 127.N that deployments take.
+NETWORKS = range(20, 250)
 MEMORY_MB = 260
 RESTART_SECONDS = 0.5
 WATCH_SECONDS = 0.02
@@ -172,7 +174,8 @@
         The claim is held from before the processes listen, since deployments
         of tests in parallel look for a network at the same time.
         """
-        for second in range(20 + os.getpid() % 200, 250):
+        first = os.getpid() % len(NETWORKS)
+        for second in [*NETWORKS[first:], *NETWORKS[:first]]:
             claim = socket.socket()
             try:
                 claim.bind((f"127.{second}.251.1", INNER_PORT))
