--- a/review/common-2/stand_ins.py
+++ b/review/common-2/stand_ins.py
@@ -637,12 +637,14 @@
     async def main():
         fleet = Fleet(folder)
         code = 2
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel)
         try:
             await fleet.start()
             held = await asyncio.wait_for(case(fleet, trouble), 110)
             if held is not None:
                 code = 0 if held else 1
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
             print("the case couldn't run:", repr(error), file=sys.stderr)
         finally:
             fleet.stop()
@@ -654,5 +656,4 @@
         sys.stdout.flush()
         os._exit(code)
 
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     asyncio.run(main())
