Dispatch: never replace an endpoint's record by an older incarnation's

What callers saw: a task ran twice at a time. An endpoint started anew under its id; while the record of its new incarnation was being made durable, a delayed heartbeat of the one before it arrived.

Cause: writers of EndpointRegistered compared births with the incarnation in the dispatcher's view, which lags behind by a commit, and nothing compared them where the record takes effect.

Change: - The ledger ignores a record of an older incarnation than the one it holds. An endpoint that doesn't report its birth counts as born at 0, as in handleHeartbeat(). - The dispatcher follows the ledger: a record that the ledger ignores leaves the view as it is. - Registrations whose record isn't durable yet are remembered, and all writers of EndpointRegistered go through recordRegistration(), which compares with them: heartbeats and the return of a lost endpoint to use. Sequence numbers are compared as well, and kept once an incarnation is registered. A heartbeat that is ignored for this reason is acknowledged once what it was compared with is durable. - A heartbeat of another endpoint on the same VM or address ends an endpoint only if that one's newest incarnation is older, durable or not. Otherwise late starts there were taken to be over (by reading; no test of its own).

Upgrade: the log doesn't tell which version wrote a record, and the new rule is applied to all of it. Members of an earlier version apply the old rule: given an older record after a newer one, they hold the older incarnation and members of this version the newer one, until the next record of that endpoint. Only leaders of an earlier version write such a pair. Nothing else in the ledger depends on the difference; a leader that holds the older incarnation registers the newer one at its next heartbeat, as after a crash that no heartbeat reported. Not tried with processes of two versions.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -89,7 +89,8 @@
 
   /// Registers or updates an endpoint that sent a heartbeat. A heartbeat is
   /// ignored if its incarnation has ended or is older than the known one, or if
-  /// it is the known one and `sequence` is not newer; also if its pool is not
+  /// it is the known one and `sequence` is not newer; known is also one whose
+  /// record is not durable yet. It is ignored as well if its pool is not
   /// configured or it contradicts what is known of its incarnation, as
   /// heartbeats of other writers may. Errors: NotLeader;
   /// Unavailable where it is not known whether the change is durable.
@@ -199,6 +200,13 @@
   /// Records the newest pending configuration unless one is being recorded.
   void recordNextConfig();
   jobs::Event makeConfigEvent(const jobs::FleetConfig &config);
+  /// The facts of the endpoint's newest incarnation, durable or not; null if
+  /// none is known.
+  const jobs::EndpointFacts *findNewestFacts(const jobs::EndpointId &id) const;
+  /// Records the facts of an incarnation unless a newer one is known, durable
+  /// or not. `sequence` is that of the heartbeat that they come from.
+  void recordRegistration(const jobs::EndpointFacts &facts, int64_t sequence,
+                          std::function<void(bool)> done);
   /// False for a heartbeat that can't come from an endpoint of the fleet.
   bool isPlausible(const jobs::EndpointFacts &facts) const;
   /// Calls an incarnation that was heard of, and is not registered yet, with a
@@ -593,6 +601,16 @@
   /// The unanswered starts that the ledger holds once all events are durable;
   /// each task with LateStarts has a row.
   std::map<TaskKey, std::set<jobs::EndpointId>> RecordedStarts;
+  /// Facts of an endpoint whose record is not durable yet.
+  struct PendingRegistration {
+    /// Distinguishes the records of one endpoint.
+    uint64_t Number = 0;
+    jobs::EndpointFacts Facts;
+    int64_t Sequence = 0;
+  };
+  /// The newest of each endpoint.
+  std::map<jobs::EndpointId, PendingRegistration> PendingRegistrations;
+  uint64_t LastRegistration = 0;
   /// Endpoints that another one has replaced, and when that was seen.
   std::map<jobs::EndpointId, core::TimeMs> Replaced;
   /// A planned change of leader is being prepared; no starts are given.
--- a/include/almondgate/jobs/event.hpp
+++ b/include/almondgate/jobs/event.hpp
@@ -62,7 +62,8 @@
   bool operator==(const ConfigRevised &) const = default;
 };
 
-/// An endpoint registered for the first time, or again.
+/// An endpoint registered for the first time, or again. Ignored if a later
+/// incarnation of it is known. Earlier versions applied it even then.
 struct EndpointRegistered {
   EndpointFacts Facts;
   bool operator==(const EndpointRegistered &) const = default;
--- a/include/almondgate/jobs/ledger.hpp
+++ b/include/almondgate/jobs/ledger.hpp
@@ -41,6 +41,10 @@
 /// Whether this incarnation of the endpoint, or a later one, has ended.
 bool isGone(const Ledger &ledger, const EndpointId &id, int64_t born_ms);
 
+/// Whether this incarnation of the endpoint has ended, or a later one is known.
+/// Endpoints that don't report their birth count as born at 0.
+bool isSuperseded(const Ledger &ledger, const EndpointId &id, int64_t born_ms);
+
 /// The job with this id, or null.
 const JobRecord *findJob(const Ledger &ledger, const JobId &id);
 
--- a/src/almondgate/dispatch/dispatcher.cpp
+++ b/src/almondgate/dispatch/dispatcher.cpp
@@ -113,6 +113,7 @@
   OnHandOver = {};
   RecordedStarts.clear();
   Replaced.clear();
+  PendingRegistrations.clear();
   for (const auto &done : std::exchange(RecordingCallbacks, {}))
     done(false);
   for (const auto &done : std::exchange(OutboxCallbacks, {}))
--- a/src/almondgate/dispatch/dispatcher_endpoints.cpp
+++ b/src/almondgate/dispatch/dispatcher_endpoints.cpp
@@ -25,7 +25,7 @@
 // --- endpoints
 
 void Dispatcher::onEndpointRegistered(const EndpointFacts &facts) {
-  if (jobs::isGone(Ledger, facts.Id, facts.BornMs))
+  if (jobs::isSuperseded(Ledger, facts.Id, facts.BornMs))
     return;
   const auto it = Endpoints.find(facts.Id);
   if (it != Endpoints.end() && it->second.Facts.BornMs == facts.BornMs) {
@@ -61,6 +61,10 @@
     Endpoints.erase(it);
   }
   view.Facts = facts;
+  const auto pending = PendingRegistrations.find(facts.Id);
+  if (pending != PendingRegistrations.end() &&
+      pending->second.Facts.BornMs == facts.BornMs)
+    view.HeartbeatSequence = pending->second.Sequence;
   view.Fence = Fences.next();
   view.DeclaredLost = facts.Idle;
   view.MayHoldEarlierRuns = EarlierEndpoints.contains(facts.Id);
@@ -160,13 +164,44 @@
   Endpoints.erase(it);
 }
 
+const EndpointFacts *
+Dispatcher::findNewestFacts(const jobs::EndpointId &id) const {
+  const auto pending = PendingRegistrations.find(id);
+  if (pending != PendingRegistrations.end())
+    return &pending->second.Facts;
+  const auto it = Endpoints.find(id);
+  return it == Endpoints.end() ? nullptr : &it->second.Facts;
+}
+
+void Dispatcher::recordRegistration(const EndpointFacts &facts,
+                                    int64_t sequence,
+                                    std::function<void(bool)> done) {
+  const auto *newest = findNewestFacts(facts.Id);
+  if (newest && facts.BornMs < newest->BornMs) {
+    afterRecorded(std::move(done));
+    return;
+  }
+  const uint64_t number = ++LastRegistration;
+  PendingRegistrations.insert_or_assign(
+      facts.Id, PendingRegistration{number, facts, sequence});
+  recordEvent(jobs::EndpointRegistered{facts},
+              [this, id = facts.Id, number, generation = Generation,
+               done = std::move(done)](bool durable) {
+                const auto it = PendingRegistrations.find(id);
+                if (generation == Generation &&
+                    it != PendingRegistrations.end() &&
+                    it->second.Number == number)
+                  PendingRegistrations.erase(it);
+                done(durable);
+              });
+}
+
 // Heartbeats also come from other writers. Those must not end or redirect an
 // endpoint: an incarnation keeps its address, VM and pool, and a new one
 // belongs to a pool of the configuration. Endpoints that don't report their
 // birth can't be told apart by incarnation.
 bool Dispatcher::isPlausible(const EndpointFacts &facts) const {
-  const auto it = Endpoints.find(facts.Id);
-  const auto *known = it == Endpoints.end() ? nullptr : &it->second.Facts;
+  const auto *known = findNewestFacts(facts.Id);
   const bool same_pool =
       known && known->BornMs == facts.BornMs && known->Pool == facts.Pool;
   if (known && known->BornMs == facts.BornMs && facts.BornMs != 0)
@@ -195,6 +230,16 @@
     done(core::ok());
     return;
   }
+  // The record of a newer incarnation, or of a newer heartbeat of this one, may
+  // not be durable yet.
+  const auto pending = PendingRegistrations.find(facts.Id);
+  if (pending != PendingRegistrations.end() &&
+      (facts.BornMs < pending->second.Facts.BornMs ||
+       (facts.BornMs == pending->second.Facts.BornMs &&
+        sequence <= pending->second.Sequence))) {
+    afterRecorded(replyWhenDurable(done));
+    return;
+  }
   const auto it = Endpoints.find(facts.Id);
   if (it != Endpoints.end() && facts == it->second.Facts) {
     it->second.HeartbeatSequence =
@@ -239,14 +284,14 @@
     for (const auto *other : endpointsOf(facts.Vm))
       replaced.emplace(other->Facts.Id, other->Facts.BornMs);
   for (const auto &[id, born_ms] : replaced)
-    if (id != facts.Id && born_ms < facts.BornMs)
+    if (id != facts.Id && findNewestFacts(id)->BornMs < facts.BornMs)
       recordReplaced(id, born_ms);
   if (it != Endpoints.end() && facts.BornMs > it->second.Facts.BornMs)
     fenceSuccessor(it->second, next);
   Hooks.Log("endpoint " + facts.Id.str() + " at " + core::toString(facts.At) +
             " pool " + facts.Pool.str() + " vm " + facts.Vm.str() +
             (next.Draining ? " drains" : " registers"));
-  recordEvent(jobs::EndpointRegistered{next}, replyWhenDurable(done));
+  recordRegistration(next, sequence, replyWhenDurable(done));
 }
 
 void Dispatcher::reportColdTime(const EndpointFacts &facts,
--- a/src/almondgate/dispatch/dispatcher_renewals.cpp
+++ b/src/almondgate/dispatch/dispatcher_renewals.cpp
@@ -250,7 +250,7 @@
   facts.Idle = false;
   endpoint.DeclaredLost = false;
   Pools.update(endpoint);
-  recordEvent(jobs::EndpointRegistered{facts});
+  recordRegistration(facts, endpoint.HeartbeatSequence, [](bool) {});
 }
 
 // An endpoint rejects a start that arrives after the stop of its run.
--- a/src/almondgate/dispatch/heartbeat_test.cpp
+++ b/src/almondgate/dispatch/heartbeat_test.cpp
@@ -103,3 +103,114 @@
   const auto &known = fleet.dispatcher().endpoints();
   CHECK(known.at(fleet.factsOf(0).Id).Facts.Draining);
 }
+
+namespace {
+
+/// A fleet of one endpoint and slow commits. Heartbeats are delivered by the
+/// test.
+struct SlowCommitFleet : Fleet {
+  static constexpr int64_t SlowCommitMs = 500;
+
+  SlowCommitFleet() : Fleet(1) {
+    advance(1000);
+    CommitMs = SlowCommitMs;
+  }
+
+  const core::VmId &vm() const { return VmIds[0]; }
+  EndpointFacts facts() { return endpointOf(vm()).Facts; }
+
+  /// Delivers a heartbeat, which may have been delayed.
+  void deliver(const EndpointFacts &facts, int64_t sequence) {
+    dispatcher().handleHeartbeat(facts, sequence, [](const core::Status &) {});
+  }
+
+  /// Starts the endpoint again under its id. It sends no heartbeat of its own
+  /// during the test.
+  void restartSilently() {
+    constexpr int64_t SilentMs = 20000;
+    restartWithSameId(vm(), {.DownMs = 1, .HeartbeatDelayMs = SilentMs});
+    advance(20);
+  }
+
+  int64_t knownBirth() { return known().Facts.BornMs; }
+  const EndpointView &known() {
+    return dispatcher().endpoints().at(facts().Id);
+  }
+  int64_t recordedBirth() { return ledger().Endpoints.at(facts().Id).BornMs; }
+};
+
+} // namespace
+
+// Guards against tasks that ran twice: a delayed heartbeat of an older
+// incarnation arrived while the record of a newer one was being made durable,
+// and displaced it. The runs of the newer one were taken for lost.
+TEST_CASE("a delayed heartbeat displaces no incarnation that is recorded") {
+  SlowCommitFleet fleet;
+  fleet.restartSilently();
+  const auto older = fleet.facts();
+  fleet.restartSilently();
+  const auto newer = fleet.facts();
+  REQUIRE(older.BornMs < newer.BornMs);
+  int64_t after_ms = 0;
+  SUBCASE("in the same batch") {}
+  SUBCASE("while the record is made durable") {
+    after_ms = SlowCommitFleet::SlowCommitMs / 2;
+  }
+  const int64_t registrations = fleet.Registrations;
+  fleet.deliver(newer, 1);
+  fleet.advance(after_ms);
+  fleet.deliver(older, 1);
+  for (int64_t ms = 0; ms < 3 * SlowCommitFleet::SlowCommitMs; ms += 10) {
+    fleet.advance(10);
+    CHECK(fleet.knownBirth() != older.BornMs);
+    CHECK(fleet.recordedBirth() != older.BornMs);
+  }
+  CHECK(fleet.knownBirth() == newer.BornMs);
+  CHECK(fleet.Registrations == registrations + 1);
+}
+
+// As above, for the record with which an endpoint that was declared lost is
+// used again.
+TEST_CASE("a return to use displaces no incarnation that is recorded") {
+  SlowCommitFleet fleet;
+  const auto older = fleet.facts();
+  fleet.endpointOf(fleet.vm()).Unreachable = true;
+  const auto is_idle = [&] { return fleet.known().Facts.Idle; };
+  for (int64_t ms = 0; ms < 20000 && !is_idle(); ms += 10)
+    fleet.advance(10);
+  REQUIRE(is_idle());
+  constexpr int64_t LongCommitMs = 3000;
+  fleet.CommitMs = LongCommitMs;
+  auto newer = older;
+  newer.BornMs = fleet.now();
+  const int64_t registrations = fleet.Registrations;
+  fleet.deliver(newer, 1);
+  fleet.endpointOf(fleet.vm()).Unreachable = false;
+  const auto returns = [&] { return !fleet.known().DeclaredLost; };
+  for (int64_t ms = 0; ms < LongCommitMs && !returns(); ++ms)
+    fleet.advance(1);
+  REQUIRE(returns());
+  REQUIRE(fleet.knownBirth() == older.BornMs);
+  fleet.advance(3 * LongCommitMs);
+  CHECK(fleet.recordedBirth() == newer.BornMs);
+  CHECK(fleet.knownBirth() == newer.BornMs);
+  CHECK(fleet.Registrations == registrations + 1);
+}
+
+// Guards against an outdated heartbeat of an incarnation that is taken because
+// the newer one's record is not durable yet.
+TEST_CASE("an outdated heartbeat of a new incarnation changes nothing") {
+  SlowCommitFleet fleet;
+  fleet.restartSilently();
+  auto newer = fleet.facts();
+  auto outdated = newer;
+  newer.Capacity.MilliCpus /= 2;
+  int64_t after_ms = 0;
+  SUBCASE("while the record is made durable") {}
+  SUBCASE("once it is") { after_ms = 2 * SlowCommitFleet::SlowCommitMs; }
+  fleet.deliver(newer, 2);
+  fleet.advance(after_ms);
+  fleet.deliver(outdated, 1);
+  fleet.advance(3 * SlowCommitFleet::SlowCommitMs);
+  CHECK(fleet.known().Facts.Capacity == newer.Capacity);
+}
--- a/src/almondgate/jobs/ledger.cpp
+++ b/src/almondgate/jobs/ledger.cpp
@@ -138,8 +138,10 @@
   updateTerms(ledger);
 }
 
+// The writer may not have known of a newer incarnation whose record was not
+// durable yet.
 void on(Ledger &ledger, const EndpointRegistered &event) {
-  if (!isGone(ledger, event.Facts.Id, event.Facts.BornMs))
+  if (!isSuperseded(ledger, event.Facts.Id, event.Facts.BornMs))
     ledger.Endpoints.insert_or_assign(event.Facts.Id, event.Facts);
 }
 
@@ -225,6 +227,12 @@
   return it != ledger.Gone.end() && born_ms <= it->second;
 }
 
+bool isSuperseded(const Ledger &ledger, const EndpointId &id, int64_t born_ms) {
+  const auto it = ledger.Endpoints.find(id);
+  return isGone(ledger, id, born_ms) ||
+         (it != ledger.Endpoints.end() && born_ms < it->second.BornMs);
+}
+
 const JobRecord *findJob(const Ledger &ledger, const JobId &id) {
   const auto it = ledger.Jobs.find(id);
   return it == ledger.Jobs.end() ? nullptr : &it->second;
--- a/src/almondgate/jobs/ledger_test.cpp
+++ b/src/almondgate/jobs/ledger_test.cpp
@@ -105,6 +105,38 @@
   CHECK(ledger.Config.Queues.empty());
 }
 
+// Guards against a record of an older incarnation that displaces a newer one:
+// the runs of the newer one were taken for lost while they went on.
+TEST_CASE("an older incarnation doesn't replace a newer one") {
+  struct Case {
+    std::string Name;
+    int64_t KnownBornMs;
+    int64_t BornMs;
+    bool IsApplied;
+  };
+  const Case cases[] = {
+      {"older", 6, 5, false},
+      {"the same", 6, 6, true},
+      {"newer", 6, 7, true},
+      {"without a birth, after one with", 6, 0, false},
+      {"with a birth, after one without", 0, 6, true},
+      {"without a birth, after one without", 0, 0, true},
+  };
+  for (const auto &c : cases) {
+    CAPTURE(c.Name);
+    Ledger ledger;
+    EndpointFacts facts;
+    facts.Id = EndpointId("e");
+    facts.BornMs = c.KnownBornMs;
+    apply(ledger, EndpointRegistered{facts});
+    EndpointFacts later = facts;
+    later.BornMs = c.BornMs;
+    later.Draining = true;
+    apply(ledger, EndpointRegistered{later});
+    CHECK(ledger.Endpoints.at(facts.Id) == (c.IsApplied ? later : facts));
+  }
+}
+
 TEST_CASE("an ended incarnation can't register again, a later one can") {
   Ledger ledger;
   EndpointFacts facts;
