Dispatch: keep outdated records from undoing a loss or a drain

The facts in a record of an endpoint are as old as its writer's view, and other records of the same incarnation may be on their way: - A drain that was recorded while the loss of the endpoint was being made durable took the loss back. The endpoint could get a lease again before the stops of its unresolved starts were acknowledged. - A drain from before the loss did so in the leader's view until the loss was durable. - The record with which a lost endpoint returned to use took a later drain back until the drain was durable, so that starts could be sent there. The drain's record then made the endpoint idle again.

DeclaredLost is the state once all records are durable: a heartbeat now records that one, and a record that becomes durable no longer changes it. An incarnation that drains is never taken for one that does not.

Each of the three tests failed before: Idle and DeclaredLost false in the first, DeclaredLost false in the second, Draining false in the third.

--- a/src/almondgate/dispatch/dispatcher_endpoints.cpp
+++ b/src/almondgate/dispatch/dispatcher_endpoints.cpp
@@ -29,9 +29,11 @@
     return;
   const auto it = Endpoints.find(facts.Id);
   if (it != Endpoints.end() && it->second.Facts.BornMs == facts.BornMs) {
+    // The record may be older than a drain, or than a loss, that is known here.
+    const bool drains = facts.Draining || it->second.Facts.Draining;
     unlink(it->second);
     it->second.Facts = facts;
-    it->second.DeclaredLost = facts.Idle;
+    it->second.Facts.Draining = drains;
     link(it->second);
     return;
   }
@@ -260,7 +262,7 @@
     if (facts.BornMs == known.Facts.BornMs) {
       known.HeartbeatSequence = sequence;
       next.Draining = next.Draining || known.Facts.Draining;
-      next.Idle = known.Facts.Idle;
+      next.Idle = known.DeclaredLost;
       // A heartbeat of another writer must not take the endpoint out of a zone
       // under evacuation.
       if (facts.BornMs != 0 && !known.Facts.Zone.empty())
--- a/src/almondgate/dispatch/heartbeat_test.cpp
+++ b/src/almondgate/dispatch/heartbeat_test.cpp
@@ -197,6 +197,72 @@
   CHECK(fleet.Registrations == registrations + 1);
 }
 
+// Guards against a drain that takes back the loss of its endpoint, whose record
+// was not durable yet: late starts could then get a lease before their stops.
+TEST_CASE("a drain doesn't take back that its endpoint is lost") {
+  SlowCommitFleet fleet;
+  fleet.endpointOf(fleet.vm()).Unreachable = true;
+  const auto is_lost = [&] { return fleet.known().DeclaredLost; };
+  for (int64_t ms = 0; ms < 20000 && !is_lost(); ++ms)
+    fleet.advance(1);
+  REQUIRE(is_lost());
+  REQUIRE_FALSE(fleet.known().Facts.Idle);
+  auto drains = fleet.facts();
+  drains.Draining = true;
+  constexpr int64_t LateSequence = 1000000;
+  fleet.deliver(drains, LateSequence);
+  fleet.advance(SlowCommitFleet::SlowCommitMs + 10);
+  for (int64_t ms = 0; ms < 3 * SlowCommitFleet::SlowCommitMs; ms += 10) {
+    CHECK(fleet.known().Facts.Idle);
+    CHECK(fleet.known().DeclaredLost);
+    fleet.advance(10);
+  }
+  CHECK(fleet.known().Facts.Draining);
+}
+
+// As above, for a drain whose record becomes durable after the loss was found.
+TEST_CASE("a drain of before doesn't take back that its endpoint is lost") {
+  SlowCommitFleet fleet;
+  constexpr int64_t LongCommitMs = 10000;
+  fleet.CommitMs = LongCommitMs;
+  fleet.endpointOf(fleet.vm()).Unreachable = true;
+  auto drains = fleet.facts();
+  drains.Draining = true;
+  constexpr int64_t LateSequence = 1000000;
+  fleet.deliver(drains, LateSequence);
+  const auto is_lost = [&] { return fleet.known().DeclaredLost; };
+  for (int64_t ms = 0; ms < LongCommitMs && !is_lost(); ++ms)
+    fleet.advance(1);
+  REQUIRE(is_lost());
+  for (int64_t ms = 0; ms < LongCommitMs; ms += 10) {
+    CHECK(fleet.known().DeclaredLost);
+    fleet.advance(10);
+  }
+}
+
+// Guards against starts at an endpoint that drains: the record with which it
+// returned to use was older than the drain, and took it back for a while.
+TEST_CASE("a return to use doesn't take back a drain") {
+  SlowCommitFleet fleet;
+  fleet.endpointOf(fleet.vm()).Unreachable = true;
+  const auto is_idle = [&] { return fleet.known().Facts.Idle; };
+  for (int64_t ms = 0; ms < 20000 && !is_idle(); ms += 10)
+    fleet.advance(10);
+  REQUIRE(is_idle());
+  fleet.endpointOf(fleet.vm()).Unreachable = false;
+  for (int64_t ms = 0; ms < 20000 && fleet.known().DeclaredLost; ++ms)
+    fleet.advance(1);
+  REQUIRE_FALSE(fleet.known().DeclaredLost);
+  REQUIRE(fleet.known().Facts.Idle);
+  fleet.advance(SlowCommitFleet::SlowCommitMs / 2);
+  fleet.drain(fleet.vm());
+  for (int64_t ms = 0; ms < 3 * SlowCommitFleet::SlowCommitMs; ms += 10) {
+    CHECK(fleet.known().Facts.Draining);
+    fleet.advance(10);
+  }
+  CHECK_FALSE(fleet.known().Facts.Idle);
+}
+
 // Guards against an outdated heartbeat of an incarnation that is taken because
 // the newer one's record is not durable yet.
 TEST_CASE("an outdated heartbeat of a new incarnation changes nothing") {
