Log which incarnation lost runs, why, and the times that decided

Seen: "endpoint E: N runs lost" named neither the incarnation nor the reason, and a run that left the inventory took a line of its own, so that a record of the users can't tell an expired lease, a next incarnation and an endpoint that has ended apart.

Change: each of these decisions writes one line an endpoint: id, incarnation, how many runs, the reason, and where runs are given up without an inventory the lease by the endpoint's clock, the last call that extended it, the last unanswered start and the last complete read with its token. No logic changes.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -353,7 +353,10 @@
   void applyEnd(EndpointView &endpoint, const EndReport &report);
   void releaseMissingRuns(EndpointView &endpoint, core::TimeMs sent);
   void resolveUnansweredStart(const TaskKey &task_key, TaskState &state);
-  void releaseLostRuns(EndpointView &endpoint);
+  /// Releases all runs of the endpoint; the reason is for the log.
+  void releaseLostRuns(EndpointView &endpoint, const std::string &reason);
+  static std::string describeIncarnation(const EndpointView &endpoint);
+  std::string describeContact(const EndpointView &endpoint) const;
   void releaseOrphan(const EndpointView::RunKey &key,
                      const OrphanedRun &orphan);
   /// Releases the runs that ended when the endpoint's lease expired.
--- a/src/almondgate/dispatch/dispatcher_endpoints.cpp
+++ b/src/almondgate/dispatch/dispatcher_endpoints.cpp
@@ -56,7 +56,8 @@
     view.LastUnanswered = it->second.LastUnanswered;
     view.Lease.assumeValidUntil(
         LeaseClock::latestExpiry(view.LastLeaseCall, Options.MaxLease));
-    releaseLostRuns(it->second);
+    releaseLostRuns(it->second, "incarnation " + std::to_string(facts.BornMs) +
+                                    " has registered");
     unlink(it->second);
     Endpoints.erase(it);
   }
@@ -147,7 +148,7 @@
   it->second.Facts.Idle = true;
   Pools.update(it->second);
   recordUnresolvedStarts(it->second);
-  releaseLostRuns(it->second);
+  releaseLostRuns(it->second, "declared lost");
 }
 
 void Dispatcher::onEndpointGone(const jobs::EndpointId &id, int64_t born_ms) {
@@ -155,7 +156,8 @@
   if (it == Endpoints.end() || it->second.Facts.BornMs > born_ms)
     return;
   keepLeaseCalls(it->second);
-  releaseLostRuns(it->second);
+  releaseLostRuns(it->second,
+                  "incarnation " + std::to_string(born_ms) + " has ended");
   unlink(it->second);
   Endpoints.erase(it);
 }
--- a/src/almondgate/dispatch/dispatcher_inventory.cpp
+++ b/src/almondgate/dispatch/dispatcher_inventory.cpp
@@ -173,6 +173,8 @@
     if (state.ListedIn != Inventories && state.Since < sent)
       missing.push_back(task_key);
   }
+  size_t released = 0;
+  std::string first;
   for (const auto &task_key : missing) {
     TaskState &state = *findTaskState(task_key);
     if (state.Phase == TaskPhase::Unanswered) {
@@ -185,12 +187,18 @@
         (state.Phase == TaskPhase::Stopping && state.StopAcknowledged);
     if (!answered)
       continue;
-    Hooks.Log("task " + task_key.first.str() + "#" +
+    if (released++ == 0)
+      first = "task " + task_key.first.str() + "#" +
               std::to_string(task_key.second) + " run " +
-              std::to_string(state.Run) + " is no longer in the inventory of " +
-              endpoint.Facts.Id.str());
+              std::to_string(state.Run) + " of " +
+              std::to_string((Hooks.Now() - state.Since).Count) + " ms ago";
     releaseTask(task_key, TaskPhase::Waiting);
   }
+  if (released > 0)
+    Hooks.Log(describeIncarnation(endpoint) + ": " + std::to_string(released) +
+              " runs not in the inventory requested " +
+              std::to_string((Hooks.Now() - sent).Count) + " ms ago, such as " +
+              first);
 }
 
 // The incarnation that answered does not have the run, and its fencing token
@@ -213,7 +221,8 @@
   sendStart(task_key);
 }
 
-void Dispatcher::releaseLostRuns(EndpointView &endpoint) {
+void Dispatcher::releaseLostRuns(EndpointView &endpoint,
+                                 const std::string &reason) {
   const auto task_keys = endpoint.Runs;
   for (const auto &task_key : task_keys) {
     if (findTaskState(task_key)->Phase == TaskPhase::Ordered)
@@ -228,8 +237,29 @@
   for (size_t i = 0; i < task_keys.size(); ++i)
     Hooks.IncrementCounter("run_ends", "how", "lost");
   if (!task_keys.empty())
-    Hooks.Log("endpoint " + endpoint.Facts.Id.str() + ": " +
-              std::to_string(task_keys.size()) + " runs lost");
+    Hooks.Log(describeIncarnation(endpoint) + ": " +
+              std::to_string(task_keys.size()) + " runs lost (" + reason +
+              "); " + describeContact(endpoint));
+}
+
+std::string Dispatcher::describeIncarnation(const EndpointView &endpoint) {
+  return "endpoint " + endpoint.Facts.Id.str() + " incarnation " +
+         std::to_string(endpoint.Facts.BornMs);
+}
+
+// The times that decide whether a run may still be in progress there.
+std::string Dispatcher::describeContact(const EndpointView &endpoint) const {
+  const auto now = Hooks.Now();
+  const auto ago = [now](TimeMs at) {
+    return at == TimeMs{INT64_MIN / 2}
+               ? std::string("never")
+               : std::to_string((now - at).Count) + " ms ago";
+  };
+  return endpoint.Lease.describe(now) + "; last lease call " +
+         ago(endpoint.LastLeaseCall) + ", last unanswered start " +
+         ago(endpoint.LastUnanswered) + ", last complete read " +
+         ago(endpoint.LastCompleteRead) + " with token " +
+         std::to_string(endpoint.CompleteReadFence);
 }
 
 void Dispatcher::releaseOrphan(const EndpointView::RunKey &key,
@@ -258,11 +288,11 @@
     ++released;
   }
   if (released > 0)
-    Hooks.Log("endpoint " + endpoint.Facts.Id.str() + " incarnation " +
-              std::to_string(endpoint.Facts.BornMs) + ": " +
-              std::to_string(released) + " runs lost with its lease, " +
+    Hooks.Log(describeIncarnation(endpoint) + ": " + std::to_string(released) +
+              " runs lost with its lease, " +
               std::to_string(endpoint.Runs.size()) +
-              " may be in progress in a next incarnation");
+              " may be in progress in a next incarnation; " +
+              describeContact(endpoint));
 }
 
 } // namespace almondgate::dispatch
--- a/src/almondgate/dispatch/dispatcher_renewals.cpp
+++ b/src/almondgate/dispatch/dispatcher_renewals.cpp
@@ -340,8 +340,9 @@
   }
   if (expired > 0)
     Hooks.Log(std::to_string(expired) +
-              " endpoints not read since the change of leader; the leases of "
-              "before have expired");
+              " endpoints not read since the change of leader " +
+              std::to_string((Hooks.Now() - LeadingSince).Count) +
+              " ms ago; the leases of before have expired");
 }
 
 bool Dispatcher::mayRunIn(const OpenJob &job, const core::PoolId &pool) {
