Count an unanswered call for 12 s after it was given up

A worker was back under its id, took the start that was meant for its former life, was cut off, and carried it out 7.5 s later; the leader had waited 6.4 s.

Cause: all bounds counted the longest lease from the moment at which a call was given up, as if no incarnation received it once its connection was reset. What has reached the endpoint before the reset is still read, by whichever incarnation finds it, and may be carried out seconds later. A deadline by the former incarnation's clock then gives that one a full lease from there on. This held for starts, and for renewals, which extend the lease of a run that such an incarnation has.

Change: LateStart::LastExecution and EndpointView::lastLeaseCallExecution() say when a start and any call that extends the lease is carried out at the latest: when it was given up, and MaxExecutionDelay (12 s) later if it had no answer, until a complete read with a higher token settles it. latestEnd() alone derives from them until when a run may be in progress, and mayBeInProgress(), which every start passes, asks it. What a former incarnation, a removed endpoint and an earlier leader left behind passes on the same two values. A run whose start was answered, but that no inventory has listed, gets a LateStart when its endpoint is replaced or declared lost. An unanswered renewal makes the next one raise the token, so that one read settles it. When an endpoint is declared lost does not change.

Open: long-running tasks whose start is carried out after their wait; the starts of a leader's last 0.6 s or so, which are not in the ledger yet when it is killed, carried out after the next leader's 6.3 s (waiting longer would hold all inherited jobs of a pool).

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -294,7 +294,13 @@
   void removeLateStart(TaskState &state, const jobs::EndpointId &at,
                        int64_t run);
   core::TimeMs lastLeaseCallEnd(const EndpointView &endpoint) const;
-  void keepLeaseCalls(const EndpointView &removed);
+  void keepLeaseCalls(EndpointView &removed);
+  /// Calls that extend the lease and are still open end without an answer.
+  void closeLeaseCalls(EndpointView &endpoint);
+  /// Holds the task of a run back whose start was answered, if an unknown
+  /// incarnation of the endpoint may have it.
+  void holdUnlistedRun(const TaskKey &task_key, const jobs::EndpointId &at);
+  bool isLongRunning(const TaskKey &task_key) const;
   void expireLateStarts();
   /// The endpoint was read, with a higher fencing token, after the order was
   /// given up: it is carried out no more, and the inventory shows the run if it
@@ -302,13 +308,13 @@
   bool isSettled(const LateStart &late) const;
   /// Until when a run of the order may be in progress at an endpoint that does
   /// not answer.
-  core::TimeMs latestEnd(const LateStart &late) const;
+  core::TimeMs latestEnd(const TaskKey &task_key, const LateStart &late) const;
   void recordReplaced(const jobs::EndpointId &id, int64_t born_ms);
   /// An order for the run may be carried out late at the endpoint.
   static bool isLateStart(const TaskState &state, const jobs::EndpointId &at,
                           int64_t run);
   /// No run of the order can be in progress unseen, or begin.
-  bool isOver(const LateStart &late) const;
+  bool isOver(const TaskKey &task_key, const LateStart &late) const;
   /// Takes over the starts of earlier leaders that may be carried out late.
   void inheritLateStarts(const jobs::JobRecord &record, OpenJob &job);
   void handOverIfReady();
--- a/include/almondgate/dispatch/endpoint_view.hpp
+++ b/include/almondgate/dispatch/endpoint_view.hpp
@@ -2,11 +2,13 @@
 #define ALMONDGATE_DISPATCH_ENDPOINT_VIEW_HPP
 
 #include "almondgate/dispatch/expected_run.hpp"
+#include "almondgate/dispatch/late_start.hpp"
 #include "almondgate/dispatch/lease_clock.hpp"
 #include "almondgate/dispatch/pool_share.hpp"
 #include "almondgate/jobs/endpoint_facts.hpp"
 #include "almondgate/jobs/task_ref.hpp"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
@@ -67,6 +69,10 @@
   core::TimeMs LastLeaseCall{INT64_MIN / 2};
   /// When the last call that extends the lease has been given up at the latest.
   core::TimeMs LeaseCallsEnd{INT64_MIN / 2};
+  /// When a call that extends the lease was last given up without an answer, at
+  /// the latest, and the highest fencing token of these calls.
+  core::TimeMs LastUnansweredCall{INT64_MIN / 2};
+  uint64_t UnansweredFence = 0;
   /// When it last left a start unanswered.
   core::TimeMs LastUnanswered{INT64_MIN / 2};
   /// The last request to the endpoint failed.
@@ -135,6 +141,23 @@
     LeaseCallsEnd = now + MaxLeaseCallTime;
   }
 
+  /// Such a call ended, or ends, without an answer.
+  void recordUnansweredCall(core::TimeMs ended, uint64_t fence) {
+    LastUnansweredCall = std::max(LastUnansweredCall, ended);
+    UnansweredFence = std::max(UnansweredFence, fence);
+  }
+
+  /// When the last call that extends the lease is carried out at the latest.
+  /// Unanswered ones count for MaxExecutionDelay longer, unless a read with a
+  /// higher token has ruled them out.
+  core::TimeMs lastLeaseCallExecution() const {
+    const bool settled = LastCompleteRead > LastUnansweredCall &&
+                         CompleteReadFence > UnansweredFence;
+    return settled ? LastLeaseCall
+                   : std::max(LastLeaseCall, LastUnansweredCall +
+                                                 LateStart::MaxExecutionDelay);
+  }
+
   bool hasRuns() const { return !Runs.empty() || !OrphanedRuns.empty(); }
 
   /// The endpoint counts towards the capacity of its pool.
--- a/src/almondgate/dispatch/dispatcher_endpoints.cpp
+++ b/src/almondgate/dispatch/dispatcher_endpoints.cpp
@@ -40,8 +40,7 @@
   std::set<TaskKey> open;
   EndpointView view;
   if (it != Endpoints.end()) {
-    const auto last_lease_call =
-        std::max(lastLeaseCallEnd(it->second), LeadingSince);
+    closeLeaseCalls(it->second);
     open = takeUnresolvedStarts(it->second);
     Hooks.Log("endpoint " + facts.Id.str() + " incarnation " +
               std::to_string(facts.BornMs) + " follows incarnation " +
@@ -49,8 +48,10 @@
               it->second.Lease.describe(Hooks.Now()) + "); " +
               std::to_string(open.size()) + " runs may be in progress there");
     // Calls for former incarnations, of earlier leaders as well, may have given
-    // the new one runs and a lease until they were given up.
-    view.LastLeaseCall = last_lease_call;
+    // the new one runs and a lease until they were given up, or later.
+    view.LastLeaseCall = std::max(it->second.LastLeaseCall, LeadingSince);
+    view.LastUnansweredCall = it->second.LastUnansweredCall;
+    view.UnansweredFence = it->second.UnansweredFence;
     view.LastCompleteRead = it->second.LastCompleteRead;
     view.CompleteReadFence = it->second.CompleteReadFence;
     view.LastUnanswered = it->second.LastUnanswered;
@@ -126,6 +127,7 @@
     const bool outstanding = state.Phase == TaskPhase::Ordered;
     if (outstanding)
       addLateStart(task_key, old_incarnation.Facts.Id);
+    holdUnlistedRun(task_key, old_incarnation.Facts.Id);
     if (state.Phase != TaskPhase::Stopping)
       setPhase(task_key, TaskPhase::Unanswered);
     state.StopAcknowledged = false;
@@ -148,6 +150,8 @@
   it->second.Facts.Idle = true;
   Pools.update(it->second);
   recordUnresolvedStarts(it->second);
+  for (const auto &task_key : it->second.Runs)
+    holdUnlistedRun(task_key, event.Id);
   releaseLostRuns(it->second, "declared lost");
 }
 
--- a/src/almondgate/dispatch/dispatcher_late_starts.cpp
+++ b/src/almondgate/dispatch/dispatcher_late_starts.cpp
@@ -39,39 +39,64 @@
   return end;
 }
 
+void Dispatcher::closeLeaseCalls(EndpointView &endpoint) {
+  const TimeMs end = lastLeaseCallEnd(endpoint);
+  if (end > endpoint.LastLeaseCall || endpoint.RenewingLease)
+    endpoint.recordUnansweredCall(end, endpoint.Fence);
+  endpoint.LastLeaseCall = end;
+}
+
 // A view that is removed takes with it what the leases of its calls were.
-void Dispatcher::keepLeaseCalls(const EndpointView &removed) {
-  const TimeMs until = lastLeaseCallEnd(removed);
+void Dispatcher::keepLeaseCalls(EndpointView &removed) {
+  closeLeaseCalls(removed);
   for (const auto &row : RecordedStarts) {
     TaskState *state = findTaskState(row.first);
     if (!state)
       continue;
     const auto it = findLateStart(state->LateStarts, removed.Facts.Id);
-    if (it != state->LateStarts.end() && !isSettled(*it))
-      it->Since = std::max(it->Since, until);
+    if (it == state->LateStarts.end() || isSettled(*it))
+      continue;
+    it->Since = std::max(it->Since, removed.LastLeaseCall);
+    it->LastExecution =
+        std::max(it->LastExecution, isLongRunning(row.first)
+                                        ? removed.LastLeaseCall
+                                        : removed.lastLeaseCallExecution());
   }
 }
 
-// An incarnation that is not known here may have received the order until it
-// was given up, and a lease until the last call that could extend one ended.
-TimeMs Dispatcher::latestEnd(const LateStart &late) const {
+bool Dispatcher::isLongRunning(const TaskKey &task_key) const {
+  const auto *step = findStep(task_key);
+  return step && step->LongRunning;
+}
+
+// An incarnation that is not known here may carry the order out, and then any
+// call that extends the lease. Long-running tasks may be missing for a few
+// seconds only: they don't wait for calls that are carried out after they were
+// given up.
+TimeMs Dispatcher::latestEnd(const TaskKey &task_key,
+                             const LateStart &late) const {
+  TimeMs leased = late.LastExecution;
   const auto it = Endpoints.find(late.Endpoint);
-  const TimeMs leased = it == Endpoints.end()
-                            ? late.Since
-                            : std::max(late.Since, it->second.LastLeaseCall);
+  if (it != Endpoints.end())
+    leased = std::max(leased, isLongRunning(task_key)
+                                  ? it->second.LastLeaseCall
+                                  : it->second.lastLeaseCallExecution());
   return LeaseClock::latestExpiry(leased, Options.MaxLease);
 }
 
-bool Dispatcher::isOver(const LateStart &late) const {
-  return isSettled(late) || Hooks.Now() >= latestEnd(late);
+bool Dispatcher::isOver(const TaskKey &task_key, const LateStart &late) const {
+  return isSettled(late) || Hooks.Now() >= latestEnd(task_key, late);
 }
 
 // When they were sent is not known, as clocks of members may differ.
 void Dispatcher::inheritLateStarts(const jobs::JobRecord &record,
                                    OpenJob &job) {
+  const auto now = Hooks.Now();
   for (const auto &[index, endpoints] : record.UnansweredStarts) {
+    const bool lasts = job.stepOf(index).LongRunning;
+    const TimeMs last = lasts ? now : now + LateStart::MaxExecutionDelay;
     for (const auto &id : endpoints)
-      job.Tasks[index].LateStarts.push_back({id, 0, 0, Hooks.Now()});
+      job.Tasks[index].LateStarts.push_back({id, 0, 0, now, last});
     RecordedStarts[{record.Id, index}] = endpoints;
   }
 }
@@ -113,7 +138,7 @@
     recordEvent(jobs::StartUnanswered{task_key.first, task_key.second, at});
   auto it = findLateStart(state.LateStarts, at);
   if (it == state.LateStarts.end())
-    it = state.LateStarts.insert(it, {at, 0, 0, Hooks.Now()});
+    it = state.LateStarts.insert(it, {at, 0, 0, Hooks.Now(), Hooks.Now()});
   // An earlier order for the task may be outstanding longer than this one.
   it->Run = std::max(it->Run, state.Run);
   it->Fence = std::max(it->Fence, state.Fence);
@@ -121,6 +146,10 @@
   it->Since = std::max(it->Since,
                        Hooks.Now() + (outstanding ? EndpointView::MaxOrderTime
                                                   : core::DurationMs{0}));
+  it->LastExecution = std::max(it->LastExecution,
+                               isLongRunning(task_key)
+                                   ? it->Since
+                                   : it->Since + LateStart::MaxExecutionDelay);
   const auto endpoint = Endpoints.find(at);
   if (endpoint == Endpoints.end())
     return;
@@ -131,6 +160,22 @@
   Pools.update(endpoint->second);
 }
 
+// The order was answered, by this incarnation or by one that is not known.
+void Dispatcher::holdUnlistedRun(const TaskKey &task_key,
+                                 const EndpointId &at) {
+  TaskState &state = *findTaskState(task_key);
+  const bool answered =
+      state.Phase == TaskPhase::Running || state.Phase == TaskPhase::Stopping;
+  if (!answered || !state.mayRunInNextIncarnation() ||
+      findStep(task_key)->AllowDuplicates ||
+      findLateStart(state.LateStarts, at) != state.LateStarts.end())
+    return;
+  if (RecordedStarts[task_key].insert(at).second)
+    recordEvent(jobs::StartUnanswered{task_key.first, task_key.second, at});
+  state.LateStarts.push_back(
+      {at, state.Run, state.Fence, state.Since, state.Since});
+}
+
 // The endpoint has the run. That shows that the order was carried out unless
 // another one for the run was sent, or it is still outstanding.
 void Dispatcher::removeLateStart(TaskState &state, const EndpointId &at,
@@ -149,7 +194,7 @@
     if (!state)
       continue;
     std::erase_if(state->LateStarts, [&](const LateStart &late) {
-      if (!isOver(late))
+      if (!isOver(task_key, late))
         return false;
       logLateStartOver(task_key, late);
       return true;
@@ -166,8 +211,8 @@
     return row.second.empty() || !findTaskState(row.first);
   });
   std::erase_if(Replaced, [this](const auto &row) {
-    return LeaseClock::latestExpiry(row.second, Options.MaxLease) <=
-           Hooks.Now();
+    return LeaseClock::latestExpiry(row.second + LateStart::MaxExecutionDelay,
+                                    Options.MaxLease) <= Hooks.Now();
   });
 }
 
@@ -188,7 +233,9 @@
             " was read with token " +
             std::to_string(it->second.CompleteReadFence);
   else
-    line += "not read since, and the longest lease has expired";
+    line += "not read since, carried out " +
+            std::to_string((Hooks.Now() - late.LastExecution).Count) +
+            " ms ago at the latest, and the longest lease has expired";
   Hooks.Log(line);
 }
 
@@ -216,8 +263,8 @@
       OrphanCounts.contains(task))
     return true;
   return std::any_of(state.LateStarts.begin(), state.LateStarts.end(),
-                     [this](const LateStart &late) {
-                       return !isOver(late) &&
+                     [&](const LateStart &late) {
+                       return !isOver(task_key, late) &&
                               !Replaced.contains(late.Endpoint);
                      });
 }
--- a/src/almondgate/dispatch/dispatcher_orders.cpp
+++ b/src/almondgate/dispatch/dispatcher_orders.cpp
@@ -162,8 +162,12 @@
   Hooks.IncrementCounter("start_orders", "result",
                          orderResultName(reply.Result));
   TaskState *state = findTaskState(task_key);
-  if (!state || state->Endpoint != at || state->Run != run ||
-      !state->isPlaced())
+  const bool is_current =
+      state && state->Endpoint == at && state->Run == run && state->isPlaced();
+  if (reply.Result == OrderResult::NoAnswer)
+    endpoint.recordUnansweredCall(now,
+                                  is_current ? state->Fence : endpoint.Fence);
+  if (!is_current)
     return;
   if (reply.Result != OrderResult::Accepted)
     Hooks.Log("start of " + taskName(task_key) + " run " + std::to_string(run) +
--- a/src/almondgate/dispatch/dispatcher_renewals.cpp
+++ b/src/almondgate/dispatch/dispatcher_renewals.cpp
@@ -147,8 +147,14 @@
   endpoint.RenewingLease = false;
   const PoolUpdate update(Pools, endpoint);
   const auto now = Hooks.Now();
-  if (request.DeadlineMs > 0)
+  if (request.DeadlineMs > 0) {
     endpoint.LastLeaseCall = now;
+    // The next renewal raises the token, and so rules this one out.
+    if (reply.Result == OrderResult::NoAnswer) {
+      endpoint.recordUnansweredCall(now, request.Epoch);
+      endpoint.FenceUsed = true;
+    }
+  }
   endpoint.RenewDue = now + Options.RetryInterval;
   if (!isActive())
     return;
@@ -323,6 +329,9 @@
 }
 
 // An endpoint that has answered, but still has ends to list, has a new lease.
+// MaxExecutionDelay does not count: one unreachable endpoint would hold back
+// all inherited jobs of its pool. Unanswered starts of before are in the ledger
+// and hold their own tasks.
 void Dispatcher::expireEarlierRuns() {
   if (EarlierEndpoints.empty() ||
       Hooks.Now() < LeaseClock::latestExpiry(LeadingSince, Options.MaxLease))
--- a/src/almondgate/dispatch/test_call_fault.hpp
+++ b/src/almondgate/dispatch/test_call_fault.hpp
@@ -17,6 +17,11 @@
   /// out by whichever incarnation is there, unless the caller has given it up
   /// before.
   int64_t InTransitMs = 0;
+  /// Above 0, the call gets no answer and is carried out this much later, also
+  /// after the caller has given it up, by the incarnation that finds it in its
+  /// socket: the one that is there, the next one, or the one that is reached
+  /// again. It dies with that incarnation.
+  int64_t HeldMs = 0;
   /// The call is carried out at once, but its answer is lost.
   bool LosesAnswer = false;
   /// How long the answer takes in addition; it counts as lost if that is too
--- a/src/almondgate/dispatch/test_fleet.hpp
+++ b/src/almondgate/dispatch/test_fleet.hpp
@@ -189,6 +189,20 @@
     bool Answered = false;
   };
 
+  /// See CallFault::HeldMs.
+  struct HeldCall {
+    jobs::EndpointId Endpoint;
+    int64_t Sent = 0;
+    int64_t Due = 0;
+    /// It has reached the VM, where the next incarnation finds it.
+    bool HasArrived = false;
+    /// The birth of the incarnation that has found it; none has if empty.
+    std::optional<int64_t> FoundBy;
+    std::function<void(TestEndpoint &)> Execute;
+  };
+  /// Lets endpoints find the calls that they hold, and carries out those due.
+  void runHeldCalls();
+
   CallFault takeFault(const jobs::EndpointId &id, CallKind kind);
   /// Carries a call out when its fault says, and passes the reply on.
   template <class Reply>
@@ -265,6 +279,7 @@
   /// When an end as done of each task was first acknowledged to its endpoint.
   std::map<jobs::TaskRef, int64_t> AcknowledgedDone;
   std::map<std::pair<jobs::EndpointId, CallKind>, std::deque<CallFault>> Faults;
+  std::vector<HeldCall> HeldCalls;
   int64_t LastDisturbedCall = 0;
   int64_t StartedEndpoints = 0;
   int64_t WaitingStarts = 0;
--- a/src/almondgate/http/endpoint_client.cpp
+++ b/src/almondgate/http/endpoint_client.cpp
@@ -108,7 +108,8 @@
 }
 
 // The connection of a failed call is reset, so that a partition that ends later
-// doesn't deliver the call after it has been given up.
+// doesn't deliver the call after it has been given up. What the peer's kernel
+// has received before is still read there.
 void EndpointClient::State::reset(std::unique_ptr<Connection> connection) {
   if (connection->Socket)
     connection->Socket->reset();
