--- a/src/almondgate/dispatch/dispatcher_endpoints.cpp
+++ b/src/almondgate/dispatch/dispatcher_endpoints.cpp
@@ -42,8 +42,7 @@
   std::set<TaskKey> open;
   EndpointView view;
   if (it != Endpoints.end()) {
-    const auto last_lease_call =
-        std::max(lastLeaseCallEnd(it->second), LeadingSince);
+    closeLeaseCalls(it->second);
     open = takeUnresolvedStarts(it->second);
     Hooks.Log("endpoint " + facts.Id.str() + " incarnation " +
               std::to_string(facts.BornMs) + " follows incarnation " +
@@ -51,14 +50,17 @@
               it->second.Lease.describe(Hooks.Now()) + "); " +
               std::to_string(open.size()) + " runs may be in progress there");
     // Calls for former incarnations, of earlier leaders as well, may have given
-    // the new one runs and a lease until they were given up.
-    view.LastLeaseCall = last_lease_call;
+    // the new one runs and a lease until they were given up, or later.
+    view.LastLeaseCall = std::max(it->second.LastLeaseCall, LeadingSince);
+    view.LastUnansweredCall = it->second.LastUnansweredCall;
+    view.UnansweredFence = it->second.UnansweredFence;
     view.LastCompleteRead = it->second.LastCompleteRead;
     view.CompleteReadFence = it->second.CompleteReadFence;
     view.LastUnanswered = it->second.LastUnanswered;
     view.Lease.assumeValidUntil(
         LeaseClock::latestExpiry(view.LastLeaseCall, Options.MaxLease));
-    releaseLostRuns(it->second);
+    releaseLostRuns(it->second, "incarnation " + std::to_string(facts.BornMs) +
+                                    " has registered");
     unlink(it->second);
     Endpoints.erase(it);
   }
@@ -131,6 +133,7 @@
     const bool outstanding = state.Phase == TaskPhase::Ordered;
     if (outstanding)
       addLateStart(task_key, old_incarnation.Facts.Id);
+    holdUnlistedRun(task_key, old_incarnation.Facts.Id);
     if (state.Phase != TaskPhase::Stopping)
       setPhase(task_key, TaskPhase::Unanswered);
     state.StopAcknowledged = false;
@@ -153,7 +156,9 @@
   it->second.Facts.Idle = true;
   Pools.update(it->second);
   recordUnresolvedStarts(it->second);
-  releaseLostRuns(it->second);
+  for (const auto &task_key : it->second.Runs)
+    holdUnlistedRun(task_key, event.Id);
+  releaseLostRuns(it->second, "declared lost");
 }
 
 void Dispatcher::onEndpointGone(const jobs::EndpointId &id, int64_t born_ms) {
@@ -161,7 +166,8 @@
   if (it == Endpoints.end() || it->second.Facts.BornMs > born_ms)
     return;
   keepLeaseCalls(it->second);
-  releaseLostRuns(it->second);
+  releaseLostRuns(it->second,
+                  "incarnation " + std::to_string(born_ms) + " has ended");
   unlink(it->second);
   Endpoints.erase(it);
 }
