--- a/src/almondgate/dispatch/test_call_fault.hpp
+++ b/src/almondgate/dispatch/test_call_fault.hpp
@@ -17,6 +17,11 @@
   /// out by whichever incarnation is there, unless the caller has given it up
   /// before.
   int64_t InTransitMs = 0;
+  /// Above 0, the call gets no answer and is carried out this much later by
+  /// whichever incarnation is there, or else by the next one at its start, even
+  /// if the caller has given it up or the endpoint has been cut off since: a
+  /// kernel keeps what it has received.
+  int64_t KeptMs = 0;
   /// The call is carried out at once, but its answer is lost.
   bool LosesAnswer = false;
   /// How long the answer takes in addition; it counts as lost if that is too
--- a/src/almondgate/dispatch/test_endpoint.hpp
+++ b/src/almondgate/dispatch/test_endpoint.hpp
@@ -37,6 +37,10 @@
   jobs::EndpointFacts Facts;
   /// Receives no call and answers none; its runs continue.
   bool Unreachable = false;
+  /// Its calls are lost on their way, though its heartbeats arrive.
+  bool CallsLost = false;
+  /// It carries calls out, but its answers and heartbeats are lost.
+  bool AnswersLost = false;
   /// How many of the next starts are carried out StartDelayMs later, without an
   /// answer.
   int64_t DelayedStarts = 0;
@@ -81,6 +85,11 @@
   /// The longest lease that it grants, whatever is requested.
   static constexpr int64_t MaxLeaseMs = 6000;
 
+  /// Calls reach it.
+  bool receives() const { return !Unreachable && !CallsLost; }
+  /// What it sends arrives.
+  bool isHeard() const { return !Unreachable && !AnswersLost; }
+
   int64_t clock(int64_t now) const {
     constexpr int64_t Thousand = 1000;
     return now + ClockOffset -
--- a/src/almondgate/dispatch/test_fleet.hpp
+++ b/src/almondgate/dispatch/test_fleet.hpp
@@ -151,6 +151,9 @@
   bool MayAct = true;
   /// Above 0, orders for VMs get no answer and are carried out this much later.
   int64_t VmOrderDelayMs = 0;
+  /// The endpoints of VMs that were moved or maintained come back under their
+  /// ids.
+  bool KeepsIds = false;
   /// How long a long-running task takes to become ready.
   int64_t StartupMs = 0;
   /// How long orders to endpoints wait behind others before they are sent.
@@ -178,6 +181,11 @@
   std::function<void(const std::string &)> OnLogLine;
   /// Calls that a later incarnation than the one they were sent to carried out.
   int64_t CallsOfFormerIncarnations = 0;
+  /// Calls that were carried out late, by any incarnation.
+  int64_t LateCalls = 0;
+  /// Passes over the times at which nothing is due, which makes long spans
+  /// quick. What a test reads of the fleet between its steps stays the same.
+  bool SkipsIdleTime = false;
 
 private:
   DispatcherHooks hooks();
@@ -228,6 +236,8 @@
                int64_t cold_ms = 0);
   void announce(const TestEndpoint &endpoint);
   void step();
+  /// The next time after Now at which step() has anything to do.
+  int64_t nextStep() const;
   void runGangs();
   /// How long a run takes there, with RemoteFactor where it is away from the
   /// rack of its data, and longer while the endpoint is cold.
@@ -248,8 +258,12 @@
   static constexpr int64_t StartMs = 1000000;
   int64_t Now = StartMs;
   std::multimap<int64_t, std::function<void()>> Scheduled;
+  /// Calls that the next incarnation of an endpoint carries out at its start.
+  std::map<jobs::EndpointId, std::vector<std::function<void()>>> KeptCalls;
   std::map<jobs::EndpointId, TestEndpoint> Endpoints;
   std::map<core::VmId, VmListing> Vms;
+  /// The last endpoint of each VM.
+  std::map<core::VmId, jobs::EndpointFacts> LastFacts;
   std::map<core::VmId, std::string> Racks;
   std::map<core::VmId, std::string> Zones;
   std::map<core::VmId, std::set<int64_t>> MaintainedInWaves;
--- a/src/almondgate/dispatch/test_fleet_test.cpp
+++ b/src/almondgate/dispatch/test_fleet_test.cpp
@@ -164,9 +164,18 @@
   facts.Labels = {"kind", Racks[vm]};
   facts.Capacity = {0, CoresOfVm * Thousand, 1 << 20, 0};
   endpoint.ClockOffset = -Now + 5000;
+  if (const auto last = LastFacts.find(vm);
+      KeepsIds && last != LastFacts.end()) {
+    facts.Id = last->second.Id;
+    facts.At = last->second.At;
+    endpoint.ClockOffset = -Now;
+  }
+  LastFacts[vm] = facts;
   endpoint.ColdUntil = Now + cold_ms;
   listing.Endpoint = facts.Id;
   Endpoints[facts.Id] = endpoint;
+  for (const auto &call : std::exchange(KeptCalls[facts.Id], {}))
+    call();
   if (Core)
     announce(endpoint);
 }
@@ -243,6 +252,8 @@
   next.Facts = endpointOf(vm).Facts;
   next.MaxListedEnds = endpointOf(vm).MaxListedEnds;
   next.Unreachable = endpointOf(vm).Unreachable;
+  next.CallsLost = endpointOf(vm).CallsLost;
+  next.AnswersLost = endpointOf(vm).AnswersLost;
   removeEndpoint(next.Facts.Id);
   scheduleAt(Now + as.DownMs, [this, vm, as, next]() mutable {
     const auto &listing = Vms.at(vm);
@@ -254,6 +265,8 @@
     next.ClockLagPerMille = as.ClockLagPerMille;
     next.FirstHeartbeat = Now + as.HeartbeatDelayMs;
     Endpoints[next.Facts.Id] = next;
+    for (const auto &call : std::exchange(KeptCalls[next.Facts.Id], {}))
+      call();
     scheduleAt(next.FirstHeartbeat, [this] {
       if (Core)
         sendHeartbeats();
@@ -291,11 +304,37 @@
 void TestFleet::advance(int64_t ms) {
   const int64_t until = Now + ms;
   while (Now < until) {
-    ++Now;
+    Now = SkipsIdleTime ? std::min(nextStep(), until) : Now + 1;
     step();
   }
 }
 
+int64_t TestFleet::nextStep() const {
+  // Ticks and heartbeats are due at whole multiples of TickMs.
+  int64_t next = (Now / TickMs + 1) * TickMs;
+  const auto include = [&](int64_t time) {
+    if (time > Now)
+      next = std::min(next, time);
+  };
+  if (!Scheduled.empty())
+    include(std::max(Scheduled.begin()->first, Now + 1));
+  for (const auto &[id, endpoint] : Endpoints) {
+    // A slow clock shows the deadline later; the time is met by steps of 1 ms.
+    const int64_t left = endpoint.Deadline - endpoint.clock(Now);
+    if (!endpoint.Runs.empty() && left > 0)
+      include(Now + left);
+    for (const auto &[task, run] : endpoint.Runs) {
+      include(run.EndsAt);
+      include(run.GangDue);
+      if (run.StopsAt)
+        include(*run.StopsAt);
+    }
+    for (const auto &renewal : endpoint.Renewals)
+      include(renewal.Until);
+  }
+  return next;
+}
+
 void TestFleet::step() {
   while (!Scheduled.empty() && Scheduled.begin()->first <= Now) {
     const auto fn = Scheduled.begin()->second;
@@ -380,7 +419,7 @@
 void TestFleet::answerRenewals(TestEndpoint &endpoint) {
   std::vector<TestEndpoint::PendingRenewal> later;
   for (auto &renewal : std::exchange(endpoint.Renewals, {})) {
-    if (endpoint.Unreachable) {
+    if (!endpoint.isHeard()) {
       scheduleAt(Now + TimeoutMs,
                  [done = renewal.Done] { done(RenewReply{}); });
       continue;
@@ -399,7 +438,7 @@
 
 void TestFleet::sendHeartbeats() {
   for (const auto &[id, endpoint] : Endpoints)
-    if (!endpoint.Unreachable && Now >= endpoint.FirstHeartbeat)
+    if (endpoint.isHeard() && Now >= endpoint.FirstHeartbeat)
       announce(endpoint);
 }
 
@@ -626,28 +665,43 @@
   const int64_t fails_after =
       fault.FailsAfterMs > 0 ? fault.FailsAfterMs : timeout_ms;
   const int64_t born = it == Endpoints.end() ? 0 : it->second.Facts.BornMs;
+  const auto carry_out = [this, id, born, execute] {
+    const auto late = Endpoints.find(id);
+    if (std::getenv("ALMONDGATE_TEST_LOG"))
+      std::cerr << sinceStart() << " a call of " << born - StartMs
+                << " is carried out late at " << id.str() << " incarnation "
+                << late->second.Facts.BornMs - StartMs << ", token "
+                << late->second.Epoch << "\n";
+    CallsOfFormerIncarnations += late->second.Facts.BornMs != born ? 1 : 0;
+    ++LateCalls;
+    execute(late->second);
+  };
   const auto execute_at = [&](int64_t after_ms, bool by_any) {
-    scheduleAt(Now + after_ms, [this, id, born, execute, by_any] {
+    scheduleAt(Now + after_ms, [this, id, born, carry_out, by_any] {
       const auto late = Endpoints.find(id);
-      if (late == Endpoints.end() || (by_any && late->second.Unreachable) ||
-          (!by_any && late->second.Facts.BornMs != born))
-        return;
-      if (std::getenv("ALMONDGATE_TEST_LOG"))
-        std::cerr << sinceStart() << " a call of " << born - StartMs
-                  << " is carried out late at " << id.str() << " incarnation "
-                  << late->second.Facts.BornMs - StartMs << ", token "
-                  << late->second.Epoch << "\n";
-      CallsOfFormerIncarnations += late->second.Facts.BornMs != born ? 1 : 0;
-      execute(late->second);
+      if (late != Endpoints.end() &&
+          (by_any ? late->second.receives()
+                  : late->second.Facts.BornMs == born))
+        carry_out();
     });
   };
+  if (fault.KeptMs > 0) {
+    scheduleAt(Now + fault.KeptMs, [this, id, carry_out] {
+      if (Endpoints.contains(id))
+        carry_out();
+      else
+        KeptCalls[id].push_back(carry_out);
+    });
+    fail(fails_after);
+    return;
+  }
   if (fault.InTransitMs > 0) {
     if (fault.InTransitMs < fails_after)
       execute_at(fault.InTransitMs, true);
     fail(fails_after);
     return;
   }
-  if (it == Endpoints.end() || it->second.Unreachable) {
+  if (it == Endpoints.end() || !it->second.receives()) {
     fail(timeout_ms);
     return;
   }
@@ -657,7 +711,8 @@
     return;
   }
   const Reply reply = execute(it->second);
-  if (fault.LosesAnswer || fault.AnswerDelayMs >= TimeoutMs) {
+  if (fault.LosesAnswer || fault.AnswerDelayMs >= TimeoutMs ||
+      !it->second.isHeard()) {
     fail(fails_after);
     return;
   }
@@ -670,7 +725,7 @@
                         const std::function<void(OrderReply)> &done) {
   CallFault fault = takeFault(id, CallKind::Start);
   const auto it = Endpoints.find(id);
-  if (it != Endpoints.end() && !it->second.Unreachable) {
+  if (it != Endpoints.end() && it->second.receives()) {
     if (it->second.DelayedStarts > 0) {
       --it->second.DelayedStarts;
       fault.LateMs = it->second.StartDelayMs;
@@ -746,10 +801,10 @@
                         const std::function<void(RenewReply)> &done) {
   const CallFault fault = takeFault(id, CallKind::Renew);
   const auto it = Endpoints.find(id);
-  const bool arrives = it != Endpoints.end() && !it->second.Unreachable;
+  const bool arrives = it != Endpoints.end() && it->second.receives();
   const bool answered = arrives && fault.LateMs == 0 &&
-                        fault.InTransitMs == 0 && !fault.LosesAnswer &&
-                        fault.AnswerDelayMs < TimeoutMs;
+                        fault.InTransitMs == 0 && fault.KeptMs == 0 &&
+                        !fault.LosesAnswer && fault.AnswerDelayMs < TimeoutMs;
   if (!answered || request.Epoch < it->second.Epoch) {
     deliver<RenewReply>(
         id, fault, request.WaitMs + TimeoutMs,
