--- a/tests/recut_fleet.py
+++ b/tests/recut_fleet.py
@@ -60,6 +60,8 @@
         "dark": draw.choice([0.6, 0.6, 1.5]),
         "cut_seconds": draw.choice(["9", "9", "3-9"]),
         "leader_stops": True,
+        # Tasks of a step, None for those of the site.
+        "tasks": draw.choice([None, None, 2]),
         "load": draw.choice([0.4, 0.7, 1]),
         "completion": 30,
         "kill": draw.choice([0, 0, 0.5]),
--- a/tests/recut_soak.py
+++ b/tests/recut_soak.py
@@ -55,6 +55,7 @@
     def job(self, queue, lasts):
         draw, traits = self.random, self.fleet.traits
         _, steps, count, ms, cpu = QUEUES[queue]
+        count = traits["tasks"] or count
         step = {"count": count, "cpu": cpu, "memory-request-mb": 2000,
                 "estimated-ms": ms}
         if lasts:
