--- a/src/almondgate/dispatch/test_fleet_test.cpp
+++ b/src/almondgate/dispatch/test_fleet_test.cpp
@@ -739,8 +739,7 @@
   std::erase_if(HeldCalls, [this](HeldCall &call) {
     const auto it = Endpoints.find(call.Endpoint);
     const bool is_there = it != Endpoints.end();
-    if (!call.FoundBy && is_there &&
-        (call.HasArrived || it->second.receives()))
+    if (!call.FoundBy && is_there && (call.HasArrived || it->second.receives()))
       call.FoundBy = it->second.Facts.BornMs;
     if (!call.FoundBy)
       return Now - call.Sent > LongestHoldMs;
