--- a/src/almondgate/dispatch/incarnation_model_test.cpp
+++ b/src/almondgate/dispatch/incarnation_model_test.cpp
@@ -160,17 +160,17 @@
 };
 std::vector<CutChoice> makeCuts() {
   std::vector<CutChoice> out = {{"no cut", CutKind::None, 2000, 9000}};
-  static std::vector<std::string> Names;
-  Names.reserve(64);
+  static std::vector<std::string> names;
+  names.reserve(64);
   const std::pair<CutKind, const char *> kinds[] = {
       {CutKind::Both, "both ways"},
       {CutKind::Calls, "calls only"},
       {CutKind::Answers, "answers only"}};
   const auto add = [&](const auto &kind, int64_t at, int64_t ms) {
-    Names.push_back(std::string("cut ") + kind.second + " " +
+    names.push_back(std::string("cut ") + kind.second + " " +
                     std::to_string(at) + " ms after the return for " +
                     std::to_string(ms));
-    out.push_back({Names.back().c_str(), kind.first, at, ms});
+    out.push_back({names.back().c_str(), kind.first, at, ms});
   };
   for (const auto &kind : kinds)
     for (const int64_t at : {2000, 500, 50, 0})
@@ -233,8 +233,8 @@
 };
 std::vector<LeaderChoice> makeLeaders() {
   std::vector<LeaderChoice> out = {{"one leader", LeaderChange::None, {}}};
-  static std::vector<std::string> Names;
-  Names.reserve(64);
+  static std::vector<std::string> names;
+  names.reserve(64);
   const std::pair<LeaderChange, const char *> kinds[] = {
       {LeaderChange::Planned, "planned stop"},
       {LeaderChange::Kill, "kill"},
@@ -251,8 +251,8 @@
       {{Since::Heal, 10}, "10 ms after the heal"}};
   for (const auto &[kind, name] : kinds)
     for (const auto &[at, when] : moments) {
-      Names.push_back(std::string(name) + " of the leader " + when);
-      out.push_back({Names.back().c_str(), kind, at});
+      names.push_back(std::string(name) + " of the leader " + when);
+      out.push_back({names.back().c_str(), kind, at});
     }
   return out;
 }
@@ -260,8 +260,8 @@
 std::vector<HeldChoice> makeHeld() {
   std::vector<HeldChoice> out = {
       {"no call is late", false, CallKind::Start, {}, false, 0}};
-  static std::vector<std::string> Names;
-  Names.reserve(512);
+  static std::vector<std::string> names;
+  names.reserve(512);
   const std::pair<CallKind, const char *> kinds[] = {
       {CallKind::Start, "start"},
       {CallKind::Renew, "renewal"},
@@ -279,11 +279,11 @@
         for (const int64_t ms : {1, 300, 1200, 3000, 5000, 7500, 9500, 11500}) {
           if (same && ms == 1)
             continue;
-          Names.push_back(std::string(name) + " (" + when +
+          names.push_back(std::string(name) + " (" + when +
                           ") carried out after " + std::to_string(ms) +
                           (same ? " by the life that received it"
                                 : " by whichever life is there"));
-          out.push_back({Names.back().c_str(), true, kind, from, same, ms});
+          out.push_back({names.back().c_str(), true, kind, from, same, ms});
         }
   return out;
 }
@@ -295,8 +295,8 @@
 };
 std::vector<UpkeepChoice> makeUpkeeps() {
   std::vector<UpkeepChoice> out = {{"no upkeep", false, {}, 0, false}};
-  static std::vector<std::string> Names;
-  Names.reserve(64);
+  static std::vector<std::string> names;
+  names.reserve(64);
   const std::pair<Moment, const char *> moments[] = {
       {{Since::Crash, -1500}, "1500 ms before the crash"},
       {{Since::Return, 50}, "50 ms after the return"},
@@ -306,12 +306,12 @@
   for (const auto &[at, when] : moments)
     for (const int64_t ms : {0, 1, 2000, 5000})
       for (const bool keeps : {true, false}) {
-        Names.push_back(
+        names.push_back(
             std::string("upkeep requested ") + when +
             (ms == 0 ? ", answered"
                      : ", no answer, carried out after " + std::to_string(ms)) +
             (keeps ? ", back under its id" : ", back under another id"));
-        out.push_back({Names.back().c_str(), true, at, ms, keeps});
+        out.push_back({names.back().c_str(), true, at, ms, keeps});
       }
   return out;
 }
