--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -321,11 +321,8 @@
   /// An order for the run may be carried out late at the endpoint.
   static bool isLateStart(const TaskState &state, const jobs::EndpointId &at,
                           int64_t run);
-  /// No run of the order can be in progress unseen, or begin, unless the
-  /// endpoint starts again.
+  /// No run of the order can be in progress unseen, or begin.
   bool isOver(const TaskKey &task_key, const LateStart &late) const;
-  /// The same, whatever happens to the endpoint.
-  bool isExpired(const TaskKey &task_key, const LateStart &late) const;
   /// Takes over the starts of earlier leaders that may be carried out late.
   void inheritLateStarts(const jobs::JobRecord &record, OpenJob &job);
   void handOverIfReady();
--- a/src/almondgate/dispatch/dispatcher_endpoints.cpp
+++ b/src/almondgate/dispatch/dispatcher_endpoints.cpp
@@ -54,6 +54,8 @@
     view.LastLeaseCall = std::max(it->second.LastLeaseCall, LeadingSince);
     view.LastUnansweredCall = it->second.LastUnansweredCall;
     view.UnansweredFence = it->second.UnansweredFence;
+    view.LastCompleteRead = it->second.LastCompleteRead;
+    view.CompleteReadFence = it->second.CompleteReadFence;
     view.LastUnanswered = it->second.LastUnanswered;
     view.Lease.assumeValidUntil(
         LeaseClock::latestExpiry(view.LastLeaseCall, Options.MaxLease));
--- a/src/almondgate/dispatch/dispatcher_late_starts.cpp
+++ b/src/almondgate/dispatch/dispatcher_late_starts.cpp
@@ -17,11 +17,9 @@
 
 } // namespace
 
-// Once the incarnation that was read is lost, the next one may find the order.
 bool Dispatcher::isSettled(const LateStart &late) const {
   const auto it = Endpoints.find(late.Endpoint);
-  return it != Endpoints.end() && !it->second.Suspect &&
-         it->second.LastCompleteRead > late.Since &&
+  return it != Endpoints.end() && it->second.LastCompleteRead > late.Since &&
          it->second.CompleteReadFence > late.Fence;
 }
 
@@ -90,13 +88,6 @@
   return isSettled(late) || Hooks.Now() >= latestEnd(task_key, late);
 }
 
-bool Dispatcher::isExpired(const TaskKey &task_key,
-                           const LateStart &late) const {
-  const auto now = Hooks.Now();
-  return isSettled(late) ? now >= late.LastExecution
-                         : now >= latestEnd(task_key, late);
-}
-
 // When they were sent is not known, as clocks of members may differ.
 void Dispatcher::inheritLateStarts(const jobs::JobRecord &record,
                                    OpenJob &job) {
@@ -195,8 +186,7 @@
     state.LateStarts.erase(it);
 }
 
-// Forgets the orders that no incarnation carries out any more, here and in the
-// ledger.
+// Forgets the orders that are over, here and in the ledger.
 void Dispatcher::expireLateStarts() {
   for (auto &row : RecordedStarts) {
     const TaskKey &task_key = row.first;
@@ -204,7 +194,7 @@
     if (!state)
       continue;
     std::erase_if(state->LateStarts, [&](const LateStart &late) {
-      if (!isExpired(task_key, late))
+      if (!isOver(task_key, late))
         return false;
       logLateStartOver(task_key, late);
       return true;
