A lasting start waits for late calls while its endpoint is heard

A start that an endpoint's next incarnation received is carried out seconds after it was given up, while no call reaches it; its heartbeats arrive. Long-running tasks waited for one longest lease from the giving up, whatever was known of the endpoint.

Cause: how long an unanswered start holds its task was decided by the kind of the task (isLongRunning in four places), not by what is known. The short wait is there because a lasting task may be missing for some seconds only in calm; an endpoint that is heard, but that no call reaches, is not calm.

Change: a start is kept with its latest execution for all kinds. A lasting task waits for it as long as heartbeats of that incarnation or a later one arrive, and for one longest lease after the last one. Silence both ways can't be told from a loss; there the short wait stays.

--- a/include/almondgate/dispatch/endpoint_view.hpp
+++ b/include/almondgate/dispatch/endpoint_view.hpp
@@ -73,6 +73,9 @@
   /// the latest, and the highest fencing token of these calls.
   core::TimeMs LastUnansweredCall{INT64_MIN / 2};
   uint64_t UnansweredFence = 0;
+  /// When the newest heartbeat of this incarnation, or of one that has not
+  /// registered yet, arrived.
+  core::TimeMs LastHeard{INT64_MIN / 2};
   /// When it last left a start unanswered.
   core::TimeMs LastUnanswered{INT64_MIN / 2};
   /// The last request to the endpoint failed.
@@ -135,6 +138,13 @@
     return MayHoldEarlierRuns && !InventoryRead && !Facts.Idle;
   }
 
+  /// A heartbeat of the incarnation with this birth and sequence number was
+  /// sent after all that have been heard.
+  bool isNewer(int64_t born_ms, int64_t sequence) const {
+    return born_ms > Facts.BornMs ||
+           (born_ms == Facts.BornMs && sequence > HeartbeatSequence);
+  }
+
   /// A call that extends the lease is given now.
   void recordLeaseCall(core::TimeMs now) {
     LastLeaseCall = now;
--- a/src/almondgate/dispatch/dispatcher_endpoints.cpp
+++ b/src/almondgate/dispatch/dispatcher_endpoints.cpp
@@ -67,8 +67,10 @@
   view.Facts = facts;
   const auto pending = PendingRegistrations.find(facts.Id);
   if (pending != PendingRegistrations.end() &&
-      pending->second.Facts.BornMs == facts.BornMs)
+      pending->second.Facts.BornMs == facts.BornMs) {
     view.HeartbeatSequence = pending->second.Sequence;
+    view.LastHeard = Hooks.Now();
+  }
   view.Fence = Fences.next();
   view.DeclaredLost = facts.Idle;
   view.MayHoldEarlierRuns = EarlierEndpoints.contains(facts.Id);
@@ -249,6 +251,8 @@
     return;
   }
   const auto it = Endpoints.find(facts.Id);
+  if (it != Endpoints.end() && it->second.isNewer(facts.BornMs, sequence))
+    it->second.LastHeard = Hooks.Now();
   if (it != Endpoints.end() && facts == it->second.Facts) {
     it->second.HeartbeatSequence =
         std::max(it->second.HeartbeatSequence, sequence);
@@ -258,10 +262,7 @@
   EndpointFacts next = facts;
   if (it != Endpoints.end()) {
     EndpointView &known = it->second;
-    const bool older = facts.BornMs < known.Facts.BornMs ||
-                       (facts.BornMs == known.Facts.BornMs &&
-                        sequence <= known.HeartbeatSequence);
-    if (older) {
+    if (!known.isNewer(facts.BornMs, sequence)) {
       done(core::ok());
       return;
     }
--- a/src/almondgate/dispatch/dispatcher_late_starts.cpp
+++ b/src/almondgate/dispatch/dispatcher_late_starts.cpp
@@ -58,9 +58,7 @@
       continue;
     it->Since = std::max(it->Since, removed.LastLeaseCall);
     it->LastExecution =
-        std::max(it->LastExecution, isLongRunning(row.first)
-                                        ? removed.LastLeaseCall
-                                        : removed.lastLeaseCallExecution());
+        std::max(it->LastExecution, removed.lastLeaseCallExecution());
   }
 }
 
@@ -71,17 +69,21 @@
 
 // An incarnation that is not known here may carry the order out, and then any
 // call that extends the lease. Long-running tasks may be missing for a few
-// seconds only: they don't wait for calls that are carried out after they were
-// given up.
+// seconds only: they wait for calls that are carried out after they were given
+// up only while heartbeats show that the endpoint is there.
 TimeMs Dispatcher::latestEnd(const TaskKey &task_key,
                              const LateStart &late) const {
-  TimeMs leased = late.LastExecution;
   const auto it = Endpoints.find(late.Endpoint);
-  if (it != Endpoints.end())
-    leased = std::max(leased, isLongRunning(task_key)
-                                  ? it->second.LastLeaseCall
-                                  : it->second.lastLeaseCallExecution());
-  return LeaseClock::latestExpiry(leased, Options.MaxLease);
+  const bool known = it != Endpoints.end();
+  const TimeMs executed =
+      known ? std::max(late.LastExecution, it->second.lastLeaseCallExecution())
+            : late.LastExecution;
+  const TimeMs contact = known ? std::max({late.Since, it->second.LastLeaseCall,
+                                           it->second.LastHeard})
+                               : late.Since;
+  return LeaseClock::latestExpiry(
+      isLongRunning(task_key) ? std::min(executed, contact) : executed,
+      Options.MaxLease);
 }
 
 bool Dispatcher::isOver(const TaskKey &task_key, const LateStart &late) const {
@@ -93,10 +95,9 @@
                                    OpenJob &job) {
   const auto now = Hooks.Now();
   for (const auto &[index, endpoints] : record.UnansweredStarts) {
-    const bool lasts = job.stepOf(index).LongRunning;
-    const TimeMs last = lasts ? now : now + LateStart::MaxExecutionDelay;
     for (const auto &id : endpoints)
-      job.Tasks[index].LateStarts.push_back({id, 0, 0, now, last});
+      job.Tasks[index].LateStarts.push_back(
+          {id, 0, 0, now, now + LateStart::MaxExecutionDelay});
     RecordedStarts[{record.Id, index}] = endpoints;
   }
 }
@@ -146,10 +147,8 @@
   it->Since = std::max(it->Since,
                        Hooks.Now() + (outstanding ? EndpointView::MaxOrderTime
                                                   : core::DurationMs{0}));
-  it->LastExecution = std::max(it->LastExecution,
-                               isLongRunning(task_key)
-                                   ? it->Since
-                                   : it->Since + LateStart::MaxExecutionDelay);
+  it->LastExecution =
+      std::max(it->LastExecution, it->Since + LateStart::MaxExecutionDelay);
   const auto endpoint = Endpoints.find(at);
   if (endpoint == Endpoints.end())
     return;
--- a/src/almondgate/dispatch/held_call_test.cpp
+++ b/src/almondgate/dispatch/held_call_test.cpp
@@ -103,6 +103,36 @@
     }
 }
 
+// As above, for a long-running task, which waits for late calls only while the
+// endpoint is heard.
+TEST_CASE("a heard incarnation carries out a lasting start that was given up") {
+  for (const int64_t held_ms : {500, 5000, 7500, 9000, 11900}) {
+    CAPTURE(held_ms);
+    HeldFleet fleet;
+    fleet.OrderQueueMs = 50;
+    fleet.submitAsync(jobId(2), longRunning(1, 1));
+    fleet.advance(20);
+    fleet.hold(CallKind::Start, held_ms);
+    fleet.restart();
+    fleet.advance(100);
+    fleet.endpointOf(fleet.Chosen).CallsLost = true;
+    const jobs::TaskRef task{jobs::JobId(jobId(2)), 0, 0, 0};
+    int64_t at_once = 0;
+    for (int64_t ms = 0; ms < held_ms + 4 * Second; ++ms) {
+      fleet.advance(1);
+      int64_t runs = 0;
+      for (const auto &vm : fleet.VmIds)
+        runs += int64_t(fleet.endpointOf(vm).Runs.contains(task));
+      at_once = std::max(at_once, runs);
+    }
+    CHECK(at_once < 2);
+    fleet.endpointOf(fleet.Chosen).CallsLost = false;
+    fleet.advance(3 * Second);
+    CHECK(fleet.running() == 1);
+    fleet.checkViolations();
+  }
+}
+
 // As above: the next incarnation runs the task from the start, and a renewal
 // for the former one extends its lease seconds after it was given up.
 TEST_CASE("the next incarnation carries out a renewal that was given up") {
@@ -135,7 +165,8 @@
 
 // Guards against waits that are longer than a call can be carried out (rule
 // LOST): for a task that may wait, after the start or the renewal was given up;
-// long-running tasks wait for the longest lease only.
+// long-running tasks wait for the longest lease only, from the last heartbeat
+// on.
 TEST_CASE("a task leaves an endpoint that holds calls") {
   for (const bool lasts : {false, true})
     for (const auto fate : {Fate::CutOff, Fate::CutOffRegistered}) {
--- a/src/almondgate/dispatch/incarnation_model_test.cpp
+++ b/src/almondgate/dispatch/incarnation_model_test.cpp
@@ -730,6 +730,14 @@
   return out;
 }
 
+std::vector<size_t> cutsOf(CutKind kind) {
+  std::vector<size_t> out = {0};
+  for (size_t i = 1; i < Cuts.size(); ++i)
+    if (Cuts[i].Kind == kind)
+      out.push_back(i);
+  return out;
+}
+
 void enumerate(const Space &space,
                const std::function<void(const Schedule &)> &visit) {
   Schedule at = space.Base;
@@ -923,6 +931,19 @@
             {PartHeld, lateCalls(CallKind::Start, true)}}});
 }
 
+// As above, for a long-running task, whose start an incarnation carries out
+// that no call reaches while its heartbeats arrive.
+TEST_CASE("incarnation model: a lasting start that a heard life carries out") {
+  Schedule base{};
+  base[PartSubmit] = 4;
+  base[PartTask] = 4;
+  playAll({base,
+           2,
+           {{PartReturn, {0, 1, 3, 4}},
+            {PartCut, cutsOf(CutKind::Calls)},
+            {PartHeld, lateCalls(CallKind::Start, true)}}});
+}
+
 // As above, for renewals.
 TEST_CASE("incarnation model: a renewal that is carried out late") {
   for (const bool same_life : {true, false})
