A read settles a start for the incarnation that was read only

Cause: a read was taken to rule a start out for good. It does so at the incarnation that answered.

The fault was ours: an incarnation whose VM was restarted or switched off by an order carries nothing out, nor does the next one, as no socket outlives the VM.

Left: a leave doesn't end the wait, as it may come late, after the next incarnation; a task whose start got no answer less than 12 s before waits.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -317,12 +317,15 @@
   /// Until when a run of the order may be in progress at an endpoint that does
   /// not answer.
   core::TimeMs latestEnd(const TaskKey &task_key, const LateStart &late) const;
-  void recordReplaced(const jobs::EndpointId &id, int64_t born_ms);
+  void recordEnded(const jobs::EndpointId &id, int64_t born_ms);
   /// An order for the run may be carried out late at the endpoint.
   static bool isLateStart(const TaskState &state, const jobs::EndpointId &at,
                           int64_t run);
-  /// No run of the order can be in progress unseen, or begin.
+  /// No run of the order can be in progress unseen, or begin, unless the
+  /// endpoint starts again.
   bool isOver(const TaskKey &task_key, const LateStart &late) const;
+  /// The same, whatever happens to the endpoint.
+  bool isExpired(const TaskKey &task_key, const LateStart &late) const;
   /// Takes over the starts of earlier leaders that may be carried out late.
   void inheritLateStarts(const jobs::JobRecord &record, OpenJob &job);
   void handOverIfReady();
@@ -620,8 +623,9 @@
   /// The newest of each endpoint.
   std::map<jobs::EndpointId, PendingRegistration> PendingRegistrations;
   uint64_t LastRegistration = 0;
-  /// Endpoints that another one has replaced, and when that was seen.
-  std::map<jobs::EndpointId, core::TimeMs> Replaced;
+  /// Endpoints whose VM was restarted or which another one has replaced, and
+  /// when that was seen: calls for them are carried out nowhere.
+  std::map<jobs::EndpointId, core::TimeMs> Ended;
   /// A planned change of leader is being prepared; no starts are given.
   bool HandingOver = false;
   /// To be called once it is prepared.
--- a/include/almondgate/dispatch/endpoint_view.hpp
+++ b/include/almondgate/dispatch/endpoint_view.hpp
@@ -158,10 +158,10 @@
   }
 
   /// When the last call that extends the lease is carried out at the latest.
-  /// Unanswered ones count for MaxExecutionDelay longer, unless a read with a
-  /// higher token has ruled them out.
+  /// Unanswered ones count for MaxExecutionDelay longer, unless a read of this
+  /// incarnation with a higher token has ruled them out.
   core::TimeMs lastLeaseCallExecution() const {
-    const bool settled = LastCompleteRead > LastUnansweredCall &&
+    const bool settled = !Suspect && LastCompleteRead > LastUnansweredCall &&
                          CompleteReadFence > UnansweredFence;
     return settled ? LastLeaseCall
                    : std::max(LastLeaseCall, LastUnansweredCall +
--- a/include/almondgate/dispatch/vm_operation_hooks.hpp
+++ b/include/almondgate/dispatch/vm_operation_hooks.hpp
@@ -45,6 +45,8 @@
   /// whether they are.
   std::function<void(std::vector<jobs::Event>, std::function<void(bool)>)>
       Record;
+  /// Records that an order has ended the incarnation, with its VM.
+  std::function<void(const jobs::EndpointIncarnation &)> RecordEnded;
   std::function<void(const VmOrder &, std::function<void(VmOrderResult)>)>
       OrderVm;
   /// False while an earlier leader's order for the VM may be within its lease.
--- a/src/almondgate/dispatch/dispatcher.cpp
+++ b/src/almondgate/dispatch/dispatcher.cpp
@@ -112,7 +112,7 @@
   EvacuationPending = false;
   OnHandOver = {};
   RecordedStarts.clear();
-  Replaced.clear();
+  Ended.clear();
   PendingRegistrations.clear();
   for (const auto &done : std::exchange(RecordingCallbacks, {}))
     done(false);
--- a/src/almondgate/dispatch/dispatcher_endpoints.cpp
+++ b/src/almondgate/dispatch/dispatcher_endpoints.cpp
@@ -37,7 +37,7 @@
     link(it->second);
     return;
   }
-  Replaced.erase(facts.Id);
+  Ended.erase(facts.Id);
   // A new incarnation of the endpoint: the runs of the old one ended with it.
   std::set<TaskKey> open;
   EndpointView view;
@@ -54,8 +54,6 @@
     view.LastLeaseCall = std::max(it->second.LastLeaseCall, LeadingSince);
     view.LastUnansweredCall = it->second.LastUnansweredCall;
     view.UnansweredFence = it->second.UnansweredFence;
-    view.LastCompleteRead = it->second.LastCompleteRead;
-    view.CompleteReadFence = it->second.CompleteReadFence;
     view.LastUnanswered = it->second.LastUnanswered;
     view.Lease.assumeValidUntil(
         LeaseClock::latestExpiry(view.LastLeaseCall, Options.MaxLease));
@@ -294,7 +292,7 @@
       replaced.emplace(other->Facts.Id, other->Facts.BornMs);
   for (const auto &[id, born_ms] : replaced)
     if (id != facts.Id && findNewestFacts(id)->BornMs < facts.BornMs)
-      recordReplaced(id, born_ms);
+      recordEnded(id, born_ms);
   if (it != Endpoints.end() && facts.BornMs > it->second.Facts.BornMs)
     fenceSuccessor(it->second, next);
   Hooks.Log("endpoint " + facts.Id.str() + " at " + core::toString(facts.At) +
--- a/src/almondgate/dispatch/dispatcher_late_starts.cpp
+++ b/src/almondgate/dispatch/dispatcher_late_starts.cpp
@@ -17,9 +17,11 @@
 
 } // namespace
 
+// Once the incarnation that was read is lost, the next one may find the order.
 bool Dispatcher::isSettled(const LateStart &late) const {
   const auto it = Endpoints.find(late.Endpoint);
-  return it != Endpoints.end() && it->second.LastCompleteRead > late.Since &&
+  return it != Endpoints.end() && !it->second.Suspect &&
+         it->second.LastCompleteRead > late.Since &&
          it->second.CompleteReadFence > late.Fence;
 }
 
@@ -90,6 +92,13 @@
   return isSettled(late) || Hooks.Now() >= latestEnd(task_key, late);
 }
 
+bool Dispatcher::isExpired(const TaskKey &task_key,
+                           const LateStart &late) const {
+  const auto now = Hooks.Now();
+  return isSettled(late) ? now >= late.LastExecution
+                         : now >= latestEnd(task_key, late);
+}
+
 // When they were sent is not known, as clocks of members may differ.
 void Dispatcher::inheritLateStarts(const jobs::JobRecord &record,
                                    OpenJob &job) {
@@ -185,7 +194,8 @@
     state.LateStarts.erase(it);
 }
 
-// Forgets the orders that are over, here and in the ledger.
+// Forgets the orders that no incarnation carries out any more, here and in the
+// ledger, so that the next leader does not wait for them.
 void Dispatcher::expireLateStarts() {
   for (auto &row : RecordedStarts) {
     const TaskKey &task_key = row.first;
@@ -193,7 +203,7 @@
     if (!state)
       continue;
     std::erase_if(state->LateStarts, [&](const LateStart &late) {
-      if (!isOver(task_key, late))
+      if (!isExpired(task_key, late) && !Ended.contains(late.Endpoint))
         return false;
       logLateStartOver(task_key, late);
       return true;
@@ -209,7 +219,7 @@
   std::erase_if(RecordedStarts, [this](const auto &row) {
     return row.second.empty() || !findTaskState(row.first);
   });
-  std::erase_if(Replaced, [this](const auto &row) {
+  std::erase_if(Ended, [this](const auto &row) {
     return LeaseClock::latestExpiry(row.second + LateStart::MaxExecutionDelay,
                                     Options.MaxLease) <= Hooks.Now();
   });
@@ -227,7 +237,10 @@
                      " is over after " +
                      std::to_string((Hooks.Now() - late.Since).Count) + " ms: ";
   const auto it = Endpoints.find(late.Endpoint);
-  if (settled)
+  if (Ended.contains(late.Endpoint))
+    line += "the endpoint's VM was restarted, or another one has its VM or its "
+            "address";
+  else if (settled)
     line += "incarnation " + std::to_string(it->second.Facts.BornMs) +
             " was read with token " +
             std::to_string(it->second.CompleteReadFence);
@@ -238,9 +251,10 @@
   Hooks.Log(line);
 }
 
-// Another endpoint has its VM or its address, and rejects what is meant for it.
-void Dispatcher::recordReplaced(const EndpointId &id, int64_t born_ms) {
-  Replaced.insert_or_assign(id, Hooks.Now());
+// Its VM was restarted, or another endpoint has its VM or its address and
+// rejects what is meant for it: no call is carried out there any more.
+void Dispatcher::recordEnded(const EndpointId &id, int64_t born_ms) {
+  Ended.insert_or_assign(id, Hooks.Now());
   recordEvent(jobs::EndpointGone{id, born_ms});
 }
 
@@ -264,7 +278,7 @@
   return std::any_of(state.LateStarts.begin(), state.LateStarts.end(),
                      [&](const LateStart &late) {
                        return !isOver(task_key, late) &&
-                              !Replaced.contains(late.Endpoint);
+                              !Ended.contains(late.Endpoint);
                      });
 }
 
--- a/src/almondgate/dispatch/dispatcher_maintenance.cpp
+++ b/src/almondgate/dispatch/dispatcher_maintenance.cpp
@@ -36,6 +36,9 @@
                         std::function<void(bool)> done) {
     recordEvents(std::move(events), std::move(done));
   };
+  hooks.RecordEnded = [this](const jobs::EndpointIncarnation &at) {
+    recordEnded(at.Id, at.BornMs);
+  };
   hooks.OrderVm = [this](const VmOrder &order, auto done) {
     VmOrders.order(order, done);
   };
--- a/src/almondgate/dispatch/dispatcher_orders.cpp
+++ b/src/almondgate/dispatch/dispatcher_orders.cpp
@@ -230,7 +230,7 @@
     release_for_retry({});
     return;
   case OrderResult::WrongIncarnation:
-    recordReplaced(at, born_ms);
+    recordEnded(at, born_ms);
     endpoint.Suspect = true;
     return;
   case OrderResult::Outdated:
@@ -343,7 +343,7 @@
   Hooks.Log("stop of " + taskName(task_key) + " run " + std::to_string(run) +
             " at " + at.str() + ": " + orderResultName(reply.Result));
   if (reply.Result == OrderResult::WrongIncarnation) {
-    recordReplaced(at, born_ms);
+    recordEnded(at, born_ms);
     return;
   }
   Agenda.retryStop(endpoint, task_key);
--- a/src/almondgate/dispatch/dispatcher_renewals.cpp
+++ b/src/almondgate/dispatch/dispatcher_renewals.cpp
@@ -162,7 +162,7 @@
                                  born_ms != 0 && reply.Inventory.BornMs != 0 &&
                                  reply.Inventory.BornMs != born_ms;
   if (reply.Result == OrderResult::WrongIncarnation) {
-    recordReplaced(id, born_ms);
+    recordEnded(id, born_ms);
     endpoint.Suspect = true;
     return;
   }
--- a/src/almondgate/dispatch/late_start_test.cpp
+++ b/src/almondgate/dispatch/late_start_test.cpp
@@ -647,6 +647,26 @@
     }
 }
 
+// As above: the start was settled by a read, and then the endpoint's VM was
+// restarted or switched off, after which nothing carries it out.
+TEST_CASE("a task does not wait for a start at a VM that an order has ended") {
+  for (const bool changes_leader : {false, true}) {
+    CAPTURE(changes_leader);
+    LateFleet fleet(2, 1, LongestDelayMs, oneStep(1, Cores, LongMs));
+    // Sent again after the read, and started.
+    fleet.advance(Second);
+    REQUIRE(fleet.running() == 1);
+    fleet.startWave(1, {fleet.Chosen}, 1, Second);
+    fleet.schedule(Second, [&fleet, changes_leader] {
+      if (changes_leader)
+        fleet.changeLeader();
+    });
+    CHECK(longestIdle(fleet, LongMs) < MaxIdleMs);
+    CHECK(fleet.MaintenanceCounts[fleet.Chosen] == 1);
+    fleet.checkViolations();
+  }
+}
+
 // Guards against waits that add up: two endpoints that left starts of one task
 // unanswered; one has been read since, the other one can't be.
 TEST_CASE("unanswered starts at two endpoints are settled one by one") {
--- a/src/almondgate/dispatch/maintenance_scheduler.cpp
+++ b/src/almondgate/dispatch/maintenance_scheduler.cpp
@@ -308,9 +308,7 @@
     // A later incarnation may not be affected: the maintenance may have been
     // over when this order was sent.
     if (!outage.AtStart.Id.empty() && outage.AtStart == outage.AtLastOrder)
-      Hooks.Record(
-          {jobs::EndpointGone{outage.AtStart.Id, outage.AtStart.BornMs}},
-          [](bool) {});
+      Hooks.RecordEnded(outage.AtStart);
     return;
   case VmOrderResult::Busy:
     Hooks.Log("maintenance of vm " + vm.str() + " for wave " +
--- a/src/almondgate/dispatch/vm_mover.cpp
+++ b/src/almondgate/dispatch/vm_mover.cpp
@@ -225,9 +225,7 @@
     move.Since = Hooks.Now();
     List.recordMove(vm, move.To);
     if (!move.AtLastOrder.Id.empty())
-      Hooks.Record(
-          {jobs::EndpointGone{move.AtLastOrder.Id, move.AtLastOrder.BornMs}},
-          [](bool) {});
+      Hooks.RecordEnded(move.AtLastOrder);
     return;
   case VmOrderResult::Refused:
     RefusedMoves.emplace(move.From, move.To);
