A step that can't be placed keeps out those only that need as much of all

Cause: a step that found no room noted its processors, and all later steps of the pass with as many were left out, though it had been refused for its memory or its accelerators.

Change: what fits nowhere is kept as whole sizes (UnplacedNeeds), apart for lasting and short tasks, which don't see the same room on a cold endpoint. A step is left out only if it needs at least as much of each resource as one of them. Whether all endpoints may run a step is asked of its own tickets, not of the job's.

Looked for elsewhere: placeNearData compares whole sizes already; the filters by processors (collectReadySteps, usableWithFree, LargestFreeElsewhere) are bounds.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -414,6 +414,7 @@
   void placeReadySteps();
   void collectReadySteps(OpenJob &job, int64_t largest_free,
                          std::vector<ReadyStep> &out);
+  static bool isConstrained(const ReadyStep &ready);
   /// Returns false if a task fits on no endpoint.
   bool placeStep(const ReadyStep &ready,
                  const std::vector<EndpointView *> &pool);
--- a/src/almondgate/dispatch/dispatcher_placing.cpp
+++ b/src/almondgate/dispatch/dispatcher_placing.cpp
@@ -46,8 +46,8 @@
   std::sort(ready.begin(), ready.end());
   for (const auto &step : ready) {
     PoolCapacity &capacity = pools.at(step.Job->pool());
-    const int64_t need = requiredCapacity(*step.Spec).MilliCpus;
-    if (need >= capacity.SmallestUnplacedMilliCpus)
+    const core::Size need = requiredCapacity(*step.Spec);
+    if (capacity.unplaced(*step.Spec).covers(need))
       continue;
     if (step.Job->Inherited && !areEndpointsRead(*step.Job))
       continue;
@@ -58,19 +58,25 @@
       continue;
     }
     // Where a nearby place may come free is seen from the full endpoints too.
-    const bool placed = placeStep(
-        step, prefersPlace(*step.Spec)
-                  ? *capacity.Endpoints
-                  : Pools.usableWithFree(step.Job->pool(), need, now));
-    const bool unconstrained =
-        step.Spec->Affinity.empty() && step.Spec->Label.empty() &&
-        step.Spec->AntiAffinity == 0 && step.Job->Tickets.empty();
-    if (!placed && unconstrained)
-      capacity.SmallestUnplacedMilliCpus =
-          std::min(capacity.SmallestUnplacedMilliCpus, need);
+    const bool placed =
+        placeStep(step, prefersPlace(*step.Spec)
+                            ? *capacity.Endpoints
+                            : Pools.usableWithFree(step.Job->pool(),
+                                                   need.MilliCpus, now));
+    if (!placed && !isConstrained(step))
+      capacity.unplaced(*step.Spec).add(need);
   }
 }
 
+// Not all endpoints of the pool may run the step's tasks, or not all of them
+// are looked at.
+bool Dispatcher::isConstrained(const ReadyStep &ready) {
+  const auto &step = *ready.Spec;
+  return !step.Affinity.empty() || !step.Label.empty() ||
+         step.AntiAffinity > 0 ||
+         ready.Job->Tickets.contains({ready.Occurrence, ready.Step});
+}
+
 // Leaves out steps whose tasks need more than `largest_free` millicores.
 void Dispatcher::collectReadySteps(OpenJob &job, int64_t largest_free,
                                    std::vector<ReadyStep> &out) {
--- a/src/almondgate/dispatch/pool_capacity.hpp
+++ b/src/almondgate/dispatch/pool_capacity.hpp
@@ -3,6 +3,8 @@
 
 #include "almondgate/dispatch/dispatcher.hpp"
 
+#include "unplaced_needs.hpp"
+
 namespace almondgate::dispatch {
 
 /// The endpoints of a pool that accept starts, in one placement pass.
@@ -10,9 +12,14 @@
   const EndpointPools::Endpoints *Endpoints = nullptr;
   /// The most processor time that is free on one endpoint.
   int64_t LargestFreeMilliCpus = 0;
-  /// Smallest processor time for which no endpoint had capacity in this pass;
-  /// only from steps that may run on any endpoint.
-  int64_t SmallestUnplacedMilliCpus = INT64_MAX;
+  /// The tasks for which no endpoint had room in this pass. A cold endpoint has
+  /// less room for short ones.
+  UnplacedNeeds Short;
+  UnplacedNeeds LongRunning;
+
+  UnplacedNeeds &unplaced(const jobs::StepSpec &step) {
+    return step.LongRunning ? LongRunning : Short;
+  }
 };
 
 } // namespace almondgate::dispatch
