A large task on a cold VM leaves the memory of others alone

On a VM whose tasks use no processor time (0 cores, or fill work), a task that is larger than the usable part of a cold VM was placed by the VM's whole capacity, whatever memory and accelerators the others held (rule LIMIT).

Cause: "may run alone" asked for no processor time in use only.

Change: it must fit what the others leave.

Measured: "a large task leaves the memory of others alone" fails before (two runs with more than the VM's memory), passes now.

--- a/src/almondgate/dispatch/cold_start_fleet_test.cpp
+++ b/src/almondgate/dispatch/cold_start_fleet_test.cpp
@@ -52,6 +52,26 @@
   fleet.checkViolations();
 }
 
+// Guards against memory that is occupied twice: tasks without processor time
+// run on a cold VM.
+TEST_CASE("cold start: a large task leaves the memory of others alone") {
+  Fleet fleet(1);
+  const int64_t memory =
+      fleet.endpointOf(fleet.VmIds[0]).Facts.Capacity.MemoryMb;
+  fleet.restartCold(fleet.VmIds[0], ColdMs);
+  fleet.advance(100);
+  auto idle = oneStep(1, 0, 2 * ColdMs);
+  idle.Steps[0].Need.MemoryMb = memory / 2;
+  fleet.submit(jobId(1), idle);
+  fleet.advance(100);
+  auto large = oneStep(1, 32, 300);
+  large.Steps[0].Need.MemoryMb = memory / 2 + 1;
+  fleet.submit(jobId(2), large);
+  fleet.advance(ColdMs / 2);
+  CHECK(fleet.running() == 1);
+  fleet.checkViolations();
+}
+
 TEST_CASE("cold start: a task larger than the usable part runs alone") {
   Fleet fleet(1);
   fleet.restartCold(fleet.VmIds[0], ColdMs);
--- a/src/almondgate/dispatch/step_candidates.cpp
+++ b/src/almondgate/dispatch/step_candidates.cpp
@@ -40,9 +40,9 @@
   if (!endpoint.Cold || Step->LongRunning)
     return endpoint.Facts.Capacity - endpoint.Used;
   const core::Size usable = freeCapacity(endpoint);
-  const bool alone = endpoint.Used.MilliCpus == 0 &&
-                     !core::fits(Need.Need, usable) &&
-                     core::fits(Need.Need, endpoint.Facts.Capacity);
+  const bool alone =
+      endpoint.Used.MilliCpus == 0 && !core::fits(Need.Need, usable) &&
+      core::fits(Need.Need, endpoint.Facts.Capacity - endpoint.Used);
   return alone ? Need.Need : usable;
 }
 
