Work that fits no VM counts neither as load nor as demand

Seen: a job of 300 tasks that need more memory or processors than any VM has is accepted and waits for good. Other jobs of its pool were refused meanwhile ("the pool would need 36981 ms more"), and its pool asked for all spare VMs.

Cause: waiting work counts in admission and in the pool's demand, whether or not any VM could run it.

Change: the most of each resource that any VM seen so far has is known as soon as its endpoint is; steps beyond that count in neither.

Left: a step that fits some VM elsewhere, or is bound by a label or a policy that no VM meets, still counts; so does the spread of its lasting steps (JobsByMinVms).

--- a/include/almondgate/core/size.hpp
+++ b/include/almondgate/core/size.hpp
@@ -36,6 +36,13 @@
           std::min(a.Accelerators, b.Accelerators)};
 }
 
+/// The larger amount of each resource.
+constexpr Size larger(const Size &a, const Size &b) {
+  return {std::max(a.Slots, b.Slots), std::max(a.MilliCpus, b.MilliCpus),
+          std::max(a.MemoryMb, b.MemoryMb),
+          std::max(a.Accelerators, b.Accelerators)};
+}
+
 /// Tells whether each resource of `need` is at most that of `room`.
 constexpr bool fits(const Size &need, const Size &room) {
   return need.Slots <= room.Slots && need.MilliCpus <= room.MilliCpus &&
--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -236,6 +236,8 @@
   decideAdmission(const jobs::QueueSpec &queue,
                   const policy::JobAdmissionInput &input) const;
   policy::JobDemand remainingLoadOf(const OpenJob &job) const;
+  /// A VM could run a task of the step, as far as its size is concerned.
+  bool fitsAnyVm(const jobs::StepSpec &step) const;
   policy::JobDemand initialLoadOf(const jobs::JobSpec &spec,
                                   const core::QueueId &queue) const;
   void refuseJob(const jobs::JobCall &call, const jobs::JobId &id,
@@ -569,6 +571,8 @@
   std::string describeDemand(const PoolDemand &demand) const;
   core::DurationMs longestWait(const core::PoolId &pool) const;
   int64_t lateDemand(const core::PoolId &pool) const;
+  /// The demand of the job's tasks that no VM could run.
+  int64_t unplaceableDemand(const OpenJob &job) const;
   void logDemands(const std::vector<PoolDemand> &demands);
   void balancePools();
 
@@ -672,8 +676,8 @@
   bool EvacuationPending = false;
   /// As EvacuationBasis::Confirmations.
   uint64_t EvacuationConfirmations = 0;
-  /// Capacity of the largest VM seen so far, in millicores.
-  int64_t LargestVmMilliCpus = 0;
+  /// The most of each resource that any VM seen so far has.
+  core::Size LargestVm;
   VmListCache Vms;
   VmOrderSender VmOrders;
   MaintenanceScheduler Maintenance;
--- a/include/almondgate/dispatch/job_loads.hpp
+++ b/include/almondgate/dispatch/job_loads.hpp
@@ -12,6 +12,8 @@
 
 /// What a job adds to PoolLoad::DemandMilliCpus.
 int64_t demandOf(const OpenJob &job);
+/// The same for one of its steps, by its index in OpenJob::Steps.
+int64_t demandOf(const OpenJob &job, size_t step);
 
 /// Changes the phases of tasks and keeps the counts of each job and the load of
 /// each pool up to date, so that neither a placement pass nor a submission has
--- a/src/almondgate/dispatch/dispatcher_calls.cpp
+++ b/src/almondgate/dispatch/dispatcher_calls.cpp
@@ -3,6 +3,7 @@
 #include "almondgate/policy/job_timing.hpp"
 
 #include "dispatch_errors.hpp"
+#include "run_accounting.hpp"
 
 #include <algorithm>
 
@@ -215,6 +216,8 @@
   const auto &steps = job.Record->Spec->Steps;
   for (size_t s = 0; s < steps.size(); ++s) {
     const auto &step = steps[s];
+    if (!fitsAnyVm(step))
+      continue;
     const int64_t work = taskLoad(step, expect);
     const StepTasks &tasks = job.Steps[s];
     // On average, a run is half done.
@@ -224,14 +227,20 @@
   return load;
 }
 
+bool Dispatcher::fitsAnyVm(const jobs::StepSpec &step) const {
+  return LargestVm.MilliCpus == 0 ||
+         core::fits(requiredCapacity(step), LargestVm);
+}
+
 // The same for a job of which nothing has been started.
 policy::JobDemand Dispatcher::initialLoadOf(const jobs::JobSpec &spec,
                                             const core::QueueId &queue) const {
   policy::JobDemand load;
   const auto expect = runTimeEstimator(queue);
   for (const auto &step : spec.Steps)
-    (step.After.empty() ? load.ReadyWork : load.LaterWork) +=
-        step.Count * taskLoad(step, expect);
+    if (fitsAnyVm(step))
+      (step.After.empty() ? load.ReadyWork : load.LaterWork) +=
+          step.Count * taskLoad(step, expect);
   return load;
 }
 
@@ -254,7 +263,7 @@
   // VMs that are moving to the pool, and spare VMs that could be moved to it,
   // are available within the duration of a move.
   input.IncomingMilliCpus =
-      (Mover.incoming(queue.Pool) + Mover.spare()) * LargestVmMilliCpus;
+      (Mover.incoming(queue.Pool) + Mover.spare()) * LargestVm.MilliCpus;
   input.IncomingInMs = Options.MoveDuration.Count;
   const auto expect = runTimeEstimator(queue.Id);
   input.Work = policy::workOf(spec, expect);
--- a/src/almondgate/dispatch/dispatcher_endpoints.cpp
+++ b/src/almondgate/dispatch/dispatcher_endpoints.cpp
@@ -86,6 +86,7 @@
   Pools.add(endpoint);
   Agenda.add(endpoint);
   EndpointsByVm[endpoint.Facts.Vm].emplace(endpoint.Facts.Id, &endpoint);
+  LargestVm = core::larger(LargestVm, endpoint.Facts.Capacity);
 }
 
 void Dispatcher::unlink(EndpointView &endpoint) {
--- a/src/almondgate/dispatch/dispatcher_moves.cpp
+++ b/src/almondgate/dispatch/dispatcher_moves.cpp
@@ -83,7 +83,6 @@
     if (endpoint->LongRunningCount == 0 && !endpoint->Facts.Vm.empty())
       movable.push_back(endpoint);
   }
-  LargestVmMilliCpus = std::max(LargestVmMilliCpus, balance.PerVm);
   return movable;
 }
 
@@ -97,8 +96,11 @@
   for (auto &[id, demand] : pools) {
     auto vms = countServing(id, demand.Balance);
     const auto *load = Loads.find(id);
-    demand.Balance.Wanted =
-        forecastDemand(id, load ? load->DemandMilliCpus : 0);
+    int64_t wanted = load ? load->DemandMilliCpus : 0;
+    if (load)
+      for (const auto &[job_id, job] : load->Waiting)
+        wanted -= unplaceableDemand(*job);
+    demand.Balance.Wanted = forecastDemand(id, wanted);
     demand.Balance.Late = std::min(lateDemand(id), demand.Balance.Wanted);
     demand.Balance.MinVms = std::max(MinVmsPerPool, load ? load->minVms() : 0);
     demand.Balance.DemandKnown = Arrivals.contains(id);
@@ -123,10 +125,18 @@
   int64_t late = 0;
   for (const auto &[id, job] : load->Open)
     if (job->Due < Hooks.Now() && !policy::hasLongRunning(*job->Record->Spec))
-      late += demandOf(*job);
+      late += demandOf(*job) - unplaceableDemand(*job);
   return late;
 }
 
+int64_t Dispatcher::unplaceableDemand(const OpenJob &job) const {
+  int64_t demand = 0;
+  for (size_t step = 0; step < job.Steps.size(); ++step)
+    if (!fitsAnyVm(job.stepOf(job.Steps[step].First)))
+      demand += demandOf(job, step);
+  return demand;
+}
+
 // How long the oldest job waits of which no task has been started.
 DurationMs Dispatcher::longestWait(const PoolId &pool) const {
   DurationMs longest;
--- a/src/almondgate/dispatch/job_loads.cpp
+++ b/src/almondgate/dispatch/job_loads.cpp
@@ -16,6 +16,8 @@
   return job.Record->Spec->Repetitions > 0;
 }
 
+} // namespace
+
 int64_t demandOf(const OpenJob &job, size_t step) {
   const auto &spec = specOf(job, step);
   const StepTasks &tasks = job.Steps[step];
@@ -25,8 +27,6 @@
   return (tasks.Waiting + placed) * spec.Need.MilliCpus;
 }
 
-} // namespace
-
 int64_t demandOf(const OpenJob &job) {
   int64_t demand = 0;
   for (size_t step = 0; step < job.Steps.size(); ++step)
--- a/src/almondgate/dispatch/unplaceable_work_test.cpp
+++ b/src/almondgate/dispatch/unplaceable_work_test.cpp
@@ -224,6 +224,32 @@
   }
 }
 
+// Guards against refusals, and VMs taken from other pools, for a job that can
+// never run.
+TEST_CASE("a job that fits no VM counts neither as load nor as demand") {
+  for (const bool memory : {false, true}) {
+    CAPTURE(memory);
+    constexpr int VmCount = 4;
+    constexpr int64_t Tasks = 300;
+    MixedFleet fleet(VmCount);
+    for (int i = 0; i < VmCount; ++i)
+      fleet.addVm("spare");
+    fleet.advance(Second);
+    auto spec = unplaceable(memory ? Obstacle::Memory : Obstacle::Processors,
+                            VmCount, ShortCores);
+    spec.Steps[0].Count = Tasks;
+    fleet.add(Obstacle::Memory, spec);
+    for (int64_t i = 0; i < 20; ++i) {
+      const auto reply =
+          fleet.submit(jobId(i), oneStep(2, ShortCores, ShortMs));
+      CHECK(reply.Outcome == jobs::JobOutcome::Done);
+      fleet.advance(100);
+    }
+    CHECK(fleet.OrderedMoves == 0);
+    fleet.checkViolations();
+  }
+}
+
 TEST_CASE("a size that fits nowhere rules out those that need as much") {
   UnplacedNeeds needs;
   CHECK_FALSE(needs.covers({0, 1000, 1, 0}));
