A heard endpoint holds what a killed leader may have left in flight there

Seen: incarnation model, a leader that is killed while a start is open: 36 of 32,972 schedules run a task twice; the endpoint has restarted under its id, takes the start, is cut off and carries it out later than one longest lease after the change of leader.

Cause: the next leader held the inherited jobs of a pool for one longest lease at most, since an endpoint that can't be read must not hold them back for longer; a start that is not in the ledger yet may be carried out 12 s late.

Change: as for unanswered starts, what is heard decides. While heartbeats arrive of an endpoint that has not been read since, the jobs wait for late calls too, 18.3 s at most, and one longest lease after the last heartbeat. Until then the endpoint is not declared lost, which would have ended the wait.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -357,6 +357,7 @@
   void clearEarlierRuns(EndpointView &endpoint);
   /// Does so for all endpoints that have not answered, once the leases of
   /// before have expired.
+  core::TimeMs earlierRunsEnd(const EndpointView &endpoint) const;
   void expireEarlierRuns();
   /// Tasks of the job may be in progress at endpoints of the pool.
   static bool mayRunIn(const OpenJob &job, const core::PoolId &pool);
--- a/src/almondgate/dispatch/dispatcher_renewals.cpp
+++ b/src/almondgate/dispatch/dispatcher_renewals.cpp
@@ -301,6 +301,8 @@
   if (!endpoint.Runs.empty() &&
       now < LeaseClock::latestExpiry(endpoint.LastLeaseCall, Options.MaxLease))
     return;
+  if (endpoint.isUnread() && now < earlierRunsEnd(endpoint))
+    return;
   endpoint.DeclaredLost = true;
   Pools.update(endpoint);
   Hooks.Log("endpoint " + endpoint.Facts.Id.str() + " incarnation " +
@@ -328,13 +330,24 @@
   Pools.update(endpoint);
 }
 
+// Until when runs of the earlier leader may be in progress at an endpoint that
+// has not been read since. A call that this leader left open may be carried out
+// late, but an endpoint that is silent must not hold back all inherited jobs of
+// its pool for as long: that counts only while heartbeats show that it is
+// there. Unanswered starts of before are in the ledger and hold their own
+// tasks.
+TimeMs Dispatcher::earlierRunsEnd(const EndpointView &endpoint) const {
+  const TimeMs contact = std::max(LeadingSince, endpoint.LastHeard);
+  return LeaseClock::latestExpiry(
+      std::min(contact, LeadingSince + LateStart::MaxExecutionDelay),
+      Options.MaxLease);
+}
+
 // An endpoint that has answered, but still has ends to list, has a new lease.
-// MaxExecutionDelay does not count: one unreachable endpoint would hold back
-// all inherited jobs of its pool. Unanswered starts of before are in the ledger
-// and hold their own tasks.
 void Dispatcher::expireEarlierRuns() {
+  const auto now = Hooks.Now();
   if (EarlierEndpoints.empty() ||
-      Hooks.Now() < LeaseClock::latestExpiry(LeadingSince, Options.MaxLease))
+      now < LeaseClock::latestExpiry(LeadingSince, Options.MaxLease))
     return;
   size_t expired = 0;
   const auto ids = EarlierEndpoints;
@@ -342,7 +355,8 @@
     const auto it = Endpoints.find(id);
     if (it == Endpoints.end()) {
       EarlierEndpoints.erase(id);
-    } else if (!it->second.FirstReadClockMs) {
+    } else if (!it->second.FirstReadClockMs &&
+               now >= earlierRunsEnd(it->second)) {
       clearEarlierRuns(it->second);
       ++expired;
     }
--- a/src/almondgate/dispatch/incarnation_model_test.cpp
+++ b/src/almondgate/dispatch/incarnation_model_test.cpp
@@ -944,6 +944,22 @@
             {PartHeld, lateCalls(CallKind::Start, true)}}});
 }
 
+// As above, with a leader that is killed while the start is open.
+TEST_CASE("incarnation model: a start of a killed leader at a heard life") {
+  Schedule base{};
+  base[PartSubmit] = 4;
+  std::vector<size_t> kills = {0};
+  for (size_t i = 1; i < Leaders.size(); ++i)
+    if (Leaders[i].Kind == LeaderChange::Kill)
+      kills.push_back(i);
+  playAll({base,
+           3,
+           {{PartReturn, {3}},
+            {PartCut, {13, 15, 26}},
+            {PartLeader, kills},
+            {PartHeld, lateCalls(CallKind::Start, true)}}});
+}
+
 // As above, for renewals.
 TEST_CASE("incarnation model: a renewal that is carried out late") {
   for (const bool same_life : {true, false})
