Keep later incarnations out of what is known of ended endpoints

Found by reading the diff: an accepted move or upkeep may be answered after the VM is back under its id.

Change: an endpoint counts as ended only if no later incarnation of it is known. Also, a request for tickets that is refused at once no longer counts as quick, which would have made the next one larger.

--- a/src/almondgate/dispatch/dispatcher_late_starts.cpp
+++ b/src/almondgate/dispatch/dispatcher_late_starts.cpp
@@ -254,7 +254,10 @@
 // Its VM was restarted, or another endpoint has its VM or its address and
 // rejects what is meant for it: no call is carried out there any more.
 void Dispatcher::recordEnded(const EndpointId &id, int64_t born_ms) {
-  Ended.insert_or_assign(id, Hooks.Now());
+  // A later incarnation under the id is not affected.
+  const auto *newest = findNewestFacts(id);
+  if (!newest || newest->BornMs <= born_ms)
+    Ended.insert_or_assign(id, Hooks.Now());
   recordEvent(jobs::EndpointGone{id, born_ms});
 }
 
--- a/src/almondgate/dispatch/dispatcher_tickets.cpp
+++ b/src/almondgate/dispatch/dispatcher_tickets.cpp
@@ -131,7 +131,8 @@
               std::to_string((now - sent).Count) +
               " ms: " + answer.error().Text);
     Hooks.IncrementCounter("advice", "result", "failed");
-    resizeAdviceRequests(now - sent, MaxAdviceTime);
+    if (now - sent > MaxAdviceTime)
+      resizeAdviceRequests(now - sent, MaxAdviceTime);
     if (tickets)
       tickets->RetryAt = now + AdviceRetryDelay;
   } else if (tickets) {
