Look tickets up once for a step, and ask one place whether a start is over

Cause and change: - candidatesFor() and eligibleFor() looked a step's tickets up, and read the clock, once for each endpoint of the pool, in each pass; before, once. They do so once again. OpenJob::findTickets() serves the five places that each searched the map. - ensureTickets() built and sorted the whole list of endpoints to ask about to see whether it was empty. It asks mustAsk(), as that list does. - placeNearData() had its own copy of isConstrained(). - whether an endpoint has ended was asked beside isExpired() and isOver() in both their callers; it belongs to isExpired(), and isOver() uses that. - resizeAdviceRequests() took a ticket's life also where there was none. - two comments stood at the wrong function; a test used a second's length for millicores, and had its own submitAsync().

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -236,10 +236,10 @@
   decideAdmission(const jobs::QueueSpec &queue,
                   const policy::JobAdmissionInput &input) const;
   policy::JobDemand remainingLoadOf(const OpenJob &job) const;
-  /// A VM could run a task of the step, as far as its size is concerned.
-  bool fitsAnyVm(const jobs::StepSpec &step) const;
   policy::JobDemand initialLoadOf(const jobs::JobSpec &spec,
                                   const core::QueueId &queue) const;
+  /// A VM could run a task of the step, as far as its size is concerned.
+  bool fitsAnyVm(const jobs::StepSpec &step) const;
   void refuseJob(const jobs::JobCall &call, const jobs::JobId &id,
                  const jobs::QueueSpec &queue,
                  const policy::JobAdmissionDecision &verdict,
@@ -357,8 +357,8 @@
   void clearEarlierRuns(EndpointView &endpoint);
   /// Does so for all endpoints that have not answered, once the leases of
   /// before have expired.
-  core::TimeMs earlierRunsEnd(const EndpointView &endpoint) const;
   void expireEarlierRuns();
+  core::TimeMs earlierRunsEnd(const EndpointView &endpoint) const;
   /// Tasks of the job may be in progress at endpoints of the pool.
   static bool mayRunIn(const OpenJob &job, const core::PoolId &pool);
   /// All endpoints have been read, or the time limit for reading them passed.
@@ -417,6 +417,8 @@
   void placeReadySteps();
   void collectReadySteps(OpenJob &job, int64_t largest_free,
                          std::vector<ReadyStep> &out);
+  /// Not all endpoints of the pool may run the step's tasks, whatever room they
+  /// have.
   static bool isConstrained(const ReadyStep &ready);
   /// Returns false if a task fits on no endpoint.
   bool placeStep(const ReadyStep &ready,
@@ -508,12 +510,10 @@
                 const std::map<jobs::EndpointId, int64_t> &asked,
                 core::TimeMs sent,
                 const core::Result<std::vector<Ticket>> &answer);
-  /// Adapts the number of endpoints in a request to how long one took.
-  void resizeAdviceRequests(core::DurationMs elapsed, core::DurationMs life);
-  StepTickets *findTickets(const StepKey &step);
-  /// The endpoint has a ticket for the step, or needs none.
-  bool hasTicket(const ReadyStep &ready, const EndpointView &endpoint,
-                 TicketUse use) const;
+  /// Adapts the number of endpoints in a request to how long one took and may
+  /// take.
+  void resizeAdviceRequests(core::DurationMs elapsed, core::DurationMs longest);
+  StepTickets *findTickets(const StepKey &step) const;
   /// The endpoint has rejected the ticket.
   void forgetTicket(const TaskKey &task_key, const jobs::EndpointId &at);
 
--- a/include/almondgate/dispatch/open_job.hpp
+++ b/include/almondgate/dispatch/open_job.hpp
@@ -50,6 +50,12 @@
     return steps[Tasks[task].Step % steps.size()];
   }
 
+  /// Null if the service was not asked about the step.
+  StepTickets *findTickets(int64_t occurrence, int64_t step) {
+    const auto it = Tickets.find({occurrence, step});
+    return it == Tickets.end() ? nullptr : &it->second;
+  }
+
   /// Where its tasks run; empty while that is not known.
   const core::PoolId &pool() const { return Record->Terms.Pool; }
 };
--- a/include/almondgate/dispatch/step_tickets.hpp
+++ b/include/almondgate/dispatch/step_tickets.hpp
@@ -49,10 +49,12 @@
                ? &it->second
                : nullptr;
   }
-  /// The endpoint may run the step's tasks now.
-  bool permits(const jobs::EndpointFacts &facts, core::TimeMs now) const {
+  /// The endpoint has a ticket.
+  bool permits(const jobs::EndpointFacts &facts, TicketUse use,
+               core::TimeMs now) const {
     const TicketAnswer *answer = find(facts);
-    return answer && answer->Ticket && now < answer->ValidUntil;
+    return answer && answer->Ticket &&
+           (use == TicketUse::Plan || now < answer->ValidUntil);
   }
   /// The service need not be asked about the endpoint.
   bool covers(const jobs::EndpointFacts &facts, core::TimeMs now) const {
--- a/src/almondgate/dispatch/dispatcher_calls.cpp
+++ b/src/almondgate/dispatch/dispatcher_calls.cpp
@@ -227,11 +227,6 @@
   return load;
 }
 
-bool Dispatcher::fitsAnyVm(const jobs::StepSpec &step) const {
-  return LargestVm.MilliCpus == 0 ||
-         core::fits(requiredCapacity(step), LargestVm);
-}
-
 // The same for a job of which nothing has been started.
 policy::JobDemand Dispatcher::initialLoadOf(const jobs::JobSpec &spec,
                                             const core::QueueId &queue) const {
@@ -244,6 +239,11 @@
   return load;
 }
 
+bool Dispatcher::fitsAnyVm(const jobs::StepSpec &step) const {
+  return LargestVm.MilliCpus == 0 ||
+         core::fits(requiredCapacity(step), LargestVm);
+}
+
 policy::JobAdmissionInput
 Dispatcher::admissionInput(const jobs::JobSpec &spec,
                            const jobs::QueueSpec &queue,
--- a/src/almondgate/dispatch/dispatcher_explain.cpp
+++ b/src/almondgate/dispatch/dispatcher_explain.cpp
@@ -93,8 +93,8 @@
     out.WaitReason = "steps that it depends on have not ended";
     return out;
   }
-  const auto tickets = ready.Job->Tickets.find({ready.Occurrence, ready.Step});
-  if (ready.Record->Terms.NeedsTicket && tickets == ready.Job->Tickets.end()) {
+  if (ready.Record->Terms.NeedsTicket &&
+      !ready.Job->findTickets(ready.Occurrence, ready.Step)) {
     out.WaitReason = "the placement policy has not granted tickets yet";
     return out;
   }
--- a/src/almondgate/dispatch/dispatcher_late_starts.cpp
+++ b/src/almondgate/dispatch/dispatcher_late_starts.cpp
@@ -89,11 +89,13 @@
 }
 
 bool Dispatcher::isOver(const TaskKey &task_key, const LateStart &late) const {
-  return isSettled(late) || Hooks.Now() >= latestEnd(task_key, late);
+  return isSettled(late) || isExpired(task_key, late);
 }
 
 bool Dispatcher::isExpired(const TaskKey &task_key,
                            const LateStart &late) const {
+  if (Ended.contains(late.Endpoint))
+    return true;
   const auto now = Hooks.Now();
   return isSettled(late) ? now >= late.LastExecution
                          : now >= latestEnd(task_key, late);
@@ -203,7 +205,7 @@
     if (!state)
       continue;
     std::erase_if(state->LateStarts, [&](const LateStart &late) {
-      if (!isExpired(task_key, late) && !Ended.contains(late.Endpoint))
+      if (!isExpired(task_key, late))
         return false;
       logLateStartOver(task_key, late);
       return true;
@@ -278,11 +280,9 @@
   if (!record->Spec->Steps[task.Step].AllowDuplicates &&
       OrphanCounts.contains(task))
     return true;
-  return std::any_of(state.LateStarts.begin(), state.LateStarts.end(),
-                     [&](const LateStart &late) {
-                       return !isOver(task_key, late) &&
-                              !Ended.contains(late.Endpoint);
-                     });
+  return std::any_of(
+      state.LateStarts.begin(), state.LateStarts.end(),
+      [&](const LateStart &late) { return !isOver(task_key, late); });
 }
 
 } // namespace almondgate::dispatch
--- a/src/almondgate/dispatch/dispatcher_near_wait.cpp
+++ b/src/almondgate/dispatch/dispatcher_near_wait.cpp
@@ -129,8 +129,7 @@
                                const std::vector<size_t> &tasks) {
   const jobs::StepSpec &step = *ready.Spec;
   const core::Size need = requiredCapacity(step);
-  const bool constrained = !step.Label.empty() || step.AntiAffinity > 0 ||
-                           !ready.Job->Tickets.empty();
+  const bool constrained = isConstrained(ready);
   NearGroup &group = nearGroupOf(ready, pool);
   NearWait &wait = nearWaitOf(ready);
   const auto name = [&ready] {
@@ -195,10 +194,12 @@
 std::vector<EndpointView *>
 Dispatcher::eligibleFor(const ReadyStep &ready,
                         const std::vector<EndpointView *> &endpoints) const {
+  const auto *tickets = ready.Job->findTickets(ready.Occurrence, ready.Step);
+  const auto now = Hooks.Now();
   std::vector<EndpointView *> out;
   for (auto *endpoint : endpoints)
     if (hasLabel(*endpoint, ready.Spec->Label) &&
-        hasTicket(ready, *endpoint, TicketUse::Plan))
+        (!tickets || tickets->permits(endpoint->Facts, TicketUse::Plan, now)))
       out.push_back(endpoint);
   return out;
 }
--- a/src/almondgate/dispatch/dispatcher_orders.cpp
+++ b/src/almondgate/dispatch/dispatcher_orders.cpp
@@ -127,10 +127,9 @@
   at.FenceUsed = true;
   at.recordLeaseCall(Hooks.Now());
   order.Checkpoint = state.Checkpoint;
-  const auto tickets =
-      job.Tickets.find({order.Task.Occurrence, order.Task.Step});
-  if (tickets != job.Tickets.end())
-    if (const auto *answer = tickets->second.find(at.Facts))
+  if (const auto *tickets =
+          job.findTickets(order.Task.Occurrence, order.Task.Step))
+    if (const auto *answer = tickets->find(at.Facts))
       order.Ticket = answer->Ticket.value_or("");
   const auto &facts = at.Facts;
   const auto withheld = std::make_shared<bool>(false);
--- a/src/almondgate/dispatch/dispatcher_placing.cpp
+++ b/src/almondgate/dispatch/dispatcher_placing.cpp
@@ -58,23 +58,19 @@
       continue;
     }
     // Where a nearby place may come free is seen from the full endpoints too.
+    const bool near = prefersPlace(*step.Spec);
     const bool placed =
-        placeStep(step, prefersPlace(*step.Spec)
-                            ? *capacity.Endpoints
-                            : Pools.usableWithFree(step.Job->pool(),
-                                                   need.MilliCpus, now));
-    if (!placed && !isConstrained(step))
+        placeStep(step, near ? *capacity.Endpoints
+                             : Pools.usableWithFree(step.Job->pool(),
+                                                    need.MilliCpus, now));
+    if (!placed && !near && !isConstrained(step))
       capacity.unplaced(*step.Spec).add(need);
   }
 }
 
-// Not all endpoints of the pool may run the step's tasks, or not all of them
-// are looked at.
 bool Dispatcher::isConstrained(const ReadyStep &ready) {
-  const auto &step = *ready.Spec;
-  return !step.Affinity.empty() || !step.Label.empty() ||
-         step.AntiAffinity > 0 ||
-         ready.Job->Tickets.contains({ready.Occurrence, ready.Step});
+  return !ready.Spec->Label.empty() || ready.Spec->AntiAffinity > 0 ||
+         ready.Job->findTickets(ready.Occurrence, ready.Step);
 }
 
 // Leaves out steps whose tasks need more than `largest_free` millicores.
@@ -136,8 +132,10 @@
         if (at != Endpoints.end())
           out.recordRunningTask(at->second);
       }
+  const auto *tickets = ready.Job->findTickets(ready.Occurrence, ready.Step);
+  const auto now = Hooks.Now();
   for (auto *endpoint : pool)
-    if (hasTicket(ready, *endpoint, use))
+    if (!tickets || tickets->permits(endpoint->Facts, use, now))
       out.addIfEligible(*endpoint);
   return out;
 }
--- a/src/almondgate/dispatch/dispatcher_tickets.cpp
+++ b/src/almondgate/dispatch/dispatcher_tickets.cpp
@@ -22,6 +22,14 @@
 // A request that takes this part of that time or less may be twice as large.
 constexpr int64_t GrowthMargin = 4;
 
+// An endpoint that can never run a task of the step is not asked about.
+bool mustAsk(const StepTickets &tickets, const jobs::StepSpec &step,
+             const EndpointView &endpoint, TimeMs now) {
+  return !tickets.covers(endpoint.Facts, now) &&
+         core::fits(requiredCapacity(step), endpoint.Facts.Capacity) &&
+         hasLabel(endpoint, step.Label);
+}
+
 } // namespace
 
 // Endpoints that joined the pool or started anew are asked about in addition,
@@ -33,14 +41,18 @@
   const auto now = Hooks.Now();
   const StepKey step{ready.Record->Id, ready.Occurrence, ready.Step};
   StepTickets &tickets = ready.Job->Tickets[{ready.Occurrence, ready.Step}];
-  if (!tickets.Requested && now >= tickets.RetryAt &&
-      !endpointsToAsk(step).empty()) {
+  const bool lacks_answer =
+      !tickets.Requested && now >= tickets.RetryAt &&
+      std::any_of(pool.begin(), pool.end(), [&](const auto *endpoint) {
+        return mustAsk(tickets, *ready.Spec, *endpoint, now);
+      });
+  if (lacks_answer) {
     tickets.Requested = true;
     AdviceWaiting.push_back(step);
     sendAdviceRequests();
   }
   return std::any_of(pool.begin(), pool.end(), [&](const auto *endpoint) {
-    return tickets.permits(endpoint->Facts, now);
+    return tickets.permits(endpoint->Facts, TicketUse::Start, now);
   });
 }
 
@@ -61,7 +73,7 @@
 }
 
 // Endpoints with room for a task come first, and among them those that were not
-// asked about before. One that can never run a task is not asked about.
+// asked about before.
 std::vector<const EndpointView *>
 Dispatcher::endpointsToAsk(const StepKey &step) {
   const auto &[id, occurrence, number] = step;
@@ -77,10 +89,9 @@
   const auto now = Hooks.Now();
   std::vector<std::pair<int, const EndpointView *>> ranked;
   for (const auto *endpoint : Pools.usable(job.pool(), now)) {
-    const auto &facts = endpoint->Facts;
-    if (tickets.covers(facts, now) || !core::fits(need, facts.Capacity) ||
-        !hasLabel(*endpoint, spec.Label))
+    if (!mustAsk(tickets, spec, *endpoint, now))
       continue;
+    const auto &facts = endpoint->Facts;
     const bool has_room = core::fits(need, facts.Capacity - endpoint->Used);
     ranked.emplace_back((has_room ? 0 : 2) + (tickets.find(facts) ? 1 : 0),
                         endpoint);
@@ -131,6 +142,7 @@
               std::to_string((now - sent).Count) +
               " ms: " + answer.error().Text);
     Hooks.IncrementCounter("advice", "result", "failed");
+    // One that is refused at once says nothing of its size.
     if (now - sent > MaxAdviceTime)
       resizeAdviceRequests(now - sent, MaxAdviceTime);
     if (tickets)
@@ -138,7 +150,8 @@
   } else if (tickets) {
     const DurationMs life{findOpenJob(request.Job)->Record->Terms.TicketLifeMs};
     Hooks.IncrementCounter("advice", "result", "answered");
-    resizeAdviceRequests(now - sent, life);
+    resizeAdviceRequests(now - sent,
+                         std::min(MaxAdviceTime, DurationMs{life.Count / 2}));
     for (const auto &[id, born_ms] : asked)
       tickets->Answers.insert_or_assign(id, TicketAnswer{born_ms, {}, {}});
     for (const auto &ticket : answer.value())
@@ -151,32 +164,17 @@
   schedulePass();
 }
 
-void Dispatcher::resizeAdviceRequests(DurationMs elapsed, DurationMs life) {
-  const int64_t most = std::min(MaxAdviceTime.Count, life.Count / 2);
-  if (elapsed.Count > most)
+void Dispatcher::resizeAdviceRequests(DurationMs elapsed, DurationMs longest) {
+  if (elapsed > longest)
     AdvisedAtOnce = std::max<size_t>(AdvisedAtOnce / 2, 1);
-  else if (elapsed.Count * GrowthMargin <= most)
+  else if (elapsed.Count * GrowthMargin <= longest.Count)
     AdvisedAtOnce = std::min(AdvisedAtOnce * 2, AdviceRequest::MaxEndpoints);
 }
 
-StepTickets *Dispatcher::findTickets(const StepKey &step) {
+StepTickets *Dispatcher::findTickets(const StepKey &step) const {
   const auto &[id, occurrence, number] = step;
   OpenJob *job = findOpenJob(id);
-  if (!job)
-    return nullptr;
-  const auto it = job->Tickets.find({occurrence, number});
-  return it == job->Tickets.end() ? nullptr : &it->second;
-}
-
-bool Dispatcher::hasTicket(const ReadyStep &ready, const EndpointView &endpoint,
-                           TicketUse use) const {
-  const auto it = ready.Job->Tickets.find({ready.Occurrence, ready.Step});
-  if (it == ready.Job->Tickets.end())
-    return true;
-  if (use == TicketUse::Start)
-    return it->second.permits(endpoint.Facts, Hooks.Now());
-  const TicketAnswer *answer = it->second.find(endpoint.Facts);
-  return answer && answer->Ticket;
+  return job ? job->findTickets(occurrence, number) : nullptr;
 }
 
 void Dispatcher::forgetTicket(const TaskKey &task_key,
@@ -184,9 +182,8 @@
   OpenJob &job = OpenJobs.at(task_key.first);
   const auto task =
       jobs::taskAt(task_key.first, *job.Record->Spec, task_key.second);
-  const auto it = job.Tickets.find({task.Occurrence, task.Step});
-  if (it != job.Tickets.end())
-    it->second.Answers.erase(at);
+  if (auto *tickets = job.findTickets(task.Occurrence, task.Step))
+    tickets->Answers.erase(at);
 }
 
 } // namespace almondgate::dispatch
--- a/src/almondgate/dispatch/test_jobs.hpp
+++ b/src/almondgate/dispatch/test_jobs.hpp
@@ -47,8 +47,9 @@
   }
 
   /// Submits a job without waiting for the answer.
-  void submitAsync(const std::string &id, const jobs::JobSpec &spec) {
-    auto call = testCall(jobs::JobVerb::Submit, id);
+  void submitAsync(const std::string &id, const jobs::JobSpec &spec,
+                   const std::string &queue = "q") {
+    auto call = testCall(jobs::JobVerb::Submit, id, queue);
     call.Spec = spec;
     dispatcher().handleCall(call, [](const auto &) {});
   }
--- a/src/almondgate/dispatch/unplaceable_work_test.cpp
+++ b/src/almondgate/dispatch/unplaceable_work_test.cpp
@@ -13,6 +13,7 @@
 
 constexpr int64_t Second = 1000;
 constexpr int64_t Cores = 64;
+constexpr int64_t MilliCpus = 1000;
 constexpr int64_t MemoryMb = 1 << 20;
 constexpr int64_t Accelerators = 8;
 constexpr int64_t ShortMs = 500;
@@ -48,7 +49,7 @@
   auto &step = spec.Steps[0];
   switch (obstacle) {
   case Obstacle::Processors:
-    step.Need.MilliCpus = (Cores + 1) * Second;
+    step.Need.MilliCpus = (Cores + 1) * MilliCpus;
     break;
   case Obstacle::Memory:
     step.Need.MemoryMb = MemoryMb + 1;
@@ -97,22 +98,16 @@
       return job != jobs::JobId(Unplaceable);
     };
     for (const auto &vm : VmIds) {
-      endpointOf(vm).Facts.Capacity = {0, Cores * Second, MemoryMb,
+      endpointOf(vm).Facts.Capacity = {0, Cores * MilliCpus, MemoryMb,
                                        Accelerators};
       sendHeartbeat(vm);
     }
     advance(200);
   }
 
-  void submitTo(const std::string &queue, const std::string &id,
-                const jobs::JobSpec &spec) {
-    auto call = testCall(jobs::JobVerb::Submit, id, queue);
-    call.Spec = spec;
-    dispatcher().handleCall(call, [](const auto &) {});
-  }
-
   void add(Obstacle obstacle, const jobs::JobSpec &spec) {
-    submitTo(obstacle == Obstacle::Policy ? "policy" : "q", Unplaceable, spec);
+    submitAsync(Unplaceable, spec,
+                obstacle == Obstacle::Policy ? "policy" : "q");
     advance(Second);
   }
 };
@@ -131,7 +126,7 @@
       const std::string id = jobId(int64_t(i));
       const auto *record = jobs::findJob(fleet.ledger(), jobs::JobId(id));
       if (jobs[i].first >= ms && jobs[i].first < ms + SampleMs)
-        fleet.submitTo(i % 3 == 2 ? "policy" : "q", id, jobs[i].second);
+        fleet.submitAsync(id, jobs[i].second, i % 3 == 2 ? "policy" : "q");
       else if (record && record->Remaining == 0)
         out[i] = std::min(out[i], ms - jobs[i].first);
     }
