Check in virtual time that no run is taken for over that goes on

The rigs show that only when a second start happens to meet the first run. TestFleet now compares at each step what the dispatcher takes to be in progress (Dispatcher::mayBeInProgressAt) with all runs that there are, and measures by how much a release was early and the least time from a lapse to a release.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -150,6 +150,11 @@
   /// Describes each sum that differs from one computed anew, for tests.
   std::vector<std::string> checkSums();
 
+  /// Whether a run of the task may be in progress at the endpoint, as far as is
+  /// known here; true as well for tasks that start no more. For tests.
+  bool mayBeInProgressAt(const jobs::TaskRef &task,
+                         const jobs::EndpointId &at) const;
+
   /// All known endpoints, as the leader sees them.
   const std::map<jobs::EndpointId, EndpointView> &endpoints() const {
     return Endpoints;
--- a/src/almondgate/dispatch/dispatcher_late_starts.cpp
+++ b/src/almondgate/dispatch/dispatcher_late_starts.cpp
@@ -285,4 +285,19 @@
       [&](const LateStart &late) { return !isOver(task_key, late); });
 }
 
+bool Dispatcher::mayBeInProgressAt(const jobs::TaskRef &task,
+                                   const EndpointId &at) const {
+  const OpenJob *job = findOpenJob(task.Job);
+  const auto index =
+      job ? jobs::indexOf(*job->Record->Spec, task) : std::nullopt;
+  if (!index || !job->Record->isOpen() || job->Record->Tasks[*index].Done)
+    return true;
+  const TaskState &state = job->Tasks[*index];
+  if (state.isPlaced() ? state.Endpoint == at
+                       : state.Phase != TaskPhase::Waiting ||
+                             (job->Inherited && !areEndpointsRead(*job)))
+    return true;
+  return mayBeInProgress({task.Job, *index}, state);
+}
+
 } // namespace almondgate::dispatch
--- a/src/almondgate/dispatch/test_endpoint.hpp
+++ b/src/almondgate/dispatch/test_endpoint.hpp
@@ -22,6 +22,8 @@
   bool Fails = false;
   /// When the stop that was ordered ends the run; none was ordered if empty.
   std::optional<int64_t> StopsAt;
+  /// When the run ends because the lease has expired; it has not if empty.
+  std::optional<int64_t> LapsesAt;
   /// For a member of a gang, how long the gang works once all members of one
   /// run are present, and when it waits for them no longer; 0 for other tasks.
   int64_t GangMs = 0;
@@ -68,6 +70,8 @@
   int64_t EndCount = 0;
   /// The most ends that one inventory lists.
   size_t MaxListedEnds = 500;
+  /// Runs that it is ending are not listed.
+  bool HidesEndingRuns = false;
   /// When each run in Ended ended, by EndReport::Number.
   std::map<int64_t, int64_t> EndedAt;
   /// When the lease was last found to have expired.
--- a/src/almondgate/dispatch/test_fleet.hpp
+++ b/src/almondgate/dispatch/test_fleet.hpp
@@ -189,6 +189,31 @@
   int64_t CallsOfFormerIncarnations = 0;
   /// Calls that were carried out late, by any incarnation.
   int64_t LateCalls = 0;
+  /// A run that the leader took for over while it went on.
+  struct PrematureRelease {
+    jobs::TaskRef Task;
+    jobs::EndpointId Endpoint;
+    int64_t At = 0;
+    /// The run ended this much later; -1 if it still goes on.
+    int64_t ShortMs = -1;
+    /// The last log line that tells of lost or missing runs.
+    std::string Reason;
+  };
+  std::vector<PrematureRelease> PrematureReleases;
+  /// The shortest time after which a run that had ended this way was taken for
+  /// over without an end report.
+  std::map<RunEnd, int64_t> LeastMarginMs;
+  /// Endpoints take this long to end their runs once a lease has expired. A run
+  /// that succeeds meanwhile ends as done.
+  int64_t LapseMs = 0;
+  /// Endpoints don't list runs that they are ending.
+  bool HidesEndingRuns = false;
+  /// Calls to an endpoint that is down are carried out by its next incarnation
+  /// as soon as it is there, also if they were given up.
+  bool KeepsCallsWhileDown = false;
+  /// Calls to an endpoint that is cut off are carried out this much after the
+  /// end of the cut; lost if negative.
+  int64_t CutCallDelayMs = -1;
   /// Passes over the times at which nothing is due, which makes long spans
   /// quick. What a test reads of the fleet between its steps stays the same.
   bool SkipsIdleTime = false;
@@ -275,6 +300,10 @@
   void sendHeartbeats();
   void checkLimits();
   void checkSums();
+  /// Compares what the leader takes to be in progress with all runs there are.
+  void checkReleases();
+  void noteEnd(const jobs::TaskRef &task, const jobs::EndpointId &at,
+               RunEnd how);
 
   DispatchPolicies Policies;
   jobs::Ledger Ledger;
@@ -304,6 +333,13 @@
   std::map<jobs::TaskRef, int64_t> AcknowledgedDone;
   std::map<std::pair<jobs::EndpointId, CallKind>, std::deque<CallFault>> Faults;
   std::vector<HeldCall> HeldCalls;
+  std::string LastRelease;
+  /// The runs in PrematureReleases that still go on, by task and endpoint.
+  std::map<std::pair<jobs::TaskRef, jobs::EndpointId>, size_t> OpenReleases;
+  /// Runs whose end the leader doesn't know yet, when and how they ended.
+  std::map<std::pair<jobs::TaskRef, jobs::EndpointId>,
+           std::pair<int64_t, RunEnd>>
+      UnknownEnds;
   int64_t LastDisturbedCall = 0;
   /// When the placement policy service is done with the requests so far.
   int64_t AdviceBusyUntil = 0;
--- a/src/almondgate/dispatch/test_fleet_test.cpp
+++ b/src/almondgate/dispatch/test_fleet_test.cpp
@@ -71,7 +71,9 @@
   out.ClockMs = clock(now);
   out.BornMs = Facts.BornMs;
   for (const auto &[task, run] : Runs)
-    out.Running.push_back({task, run.Run, "", now >= run.ReadyAt ? 100 : 0, 0});
+    if (!HidesEndingRuns || (!run.StopsAt && !run.LapsesAt))
+      out.Running.push_back(
+          {task, run.Run, "", now >= run.ReadyAt ? 100 : 0, 0});
   for (const auto &end : Ended) {
     if (end.Number <= last_seen)
       continue;
@@ -112,6 +114,52 @@
   jobs::apply(Ledger, jobs::ConfigReplaced{config});
 }
 
+void TestFleet::noteEnd(const TaskRef &task, const EndpointId &at, RunEnd how) {
+  if (const auto it = OpenReleases.find({task, at}); it != OpenReleases.end()) {
+    PrematureReleases[it->second].ShortMs =
+        Now - PrematureReleases[it->second].At;
+    OpenReleases.erase(it);
+  }
+  UnknownEnds[{task, at}] = {Now, how};
+}
+
+void TestFleet::checkReleases() {
+  if (!MayAct)
+    return;
+  for (const auto &[id, endpoint] : Endpoints)
+    for (const auto &[task, run] : endpoint.Runs) {
+      const auto *job = jobs::findJob(Ledger, task.Job);
+      if (!job || job->Spec->Steps[task.Step].AllowDuplicates ||
+          OpenReleases.contains({task, id}) ||
+          Core->mayBeInProgressAt(task, id))
+        continue;
+      OpenReleases[{task, id}] = PrematureReleases.size();
+      PrematureReleases.push_back({task, id, Now, -1, LastRelease});
+      if (std::getenv("ALMONDGATE_TEST_LOG"))
+        std::cerr << sinceStart() << " PREMATURE " << nameOf(task) << " at "
+                  << id.str() << "\n";
+    }
+  std::erase_if(UnknownEnds, [this](const auto &row) {
+    const auto &[task, at] = row.first;
+    const auto *job = jobs::findJob(Ledger, task.Job);
+    if (!job || !job->isOpen() ||
+        job->Tasks[*jobs::indexOf(*job->Spec, task)].Done)
+      return true;
+    if (Core->mayBeInProgressAt(task, at))
+      return false;
+    const auto endpoint = Endpoints.find(at);
+    const bool reported = endpoint != Endpoints.end() &&
+                          endpoint->second.isHeard() &&
+                          endpoint->second.receives();
+    const auto &[ended, how] = row.second;
+    if (!reported) {
+      const auto it = LeastMarginMs.try_emplace(how, Now - ended).first;
+      it->second = std::min(it->second, Now - ended);
+    }
+    return true;
+  });
+}
+
 void TestFleet::violate(const std::string &text) {
   Violations.push_back(text);
   if (std::getenv("ALMONDGATE_TEST_LOG"))
@@ -209,6 +257,8 @@
     return;
   for (const auto &renewal : it->second.Renewals)
     scheduleAt(Now + LatencyMs, [done = renewal.Done] { done(RenewReply{}); });
+  for (const auto &[task, run] : it->second.Runs)
+    noteEnd(task, id, RunEnd::Failed);
   Endpoints.erase(it);
 }
 
@@ -330,6 +380,8 @@
       include(run.GangDue);
       if (run.StopsAt)
         include(*run.StopsAt);
+      if (run.LapsesAt)
+        include(*run.LapsesAt);
     }
     for (const auto &renewal : endpoint.Renewals)
       include(renewal.Until);
@@ -348,9 +400,12 @@
   for (auto &[id, endpoint] : Endpoints) {
     if (endpoint.clock(Now) >= endpoint.Deadline)
       endpoint.LapsedAt = Now;
+    endpoint.HidesEndingRuns = HidesEndingRuns;
     std::vector<std::pair<TaskRef, RunEnd>> ends;
-    for (const auto &[task, run] : endpoint.Runs) {
-      if (endpoint.clock(Now) >= endpoint.Deadline)
+    for (auto &[task, run] : endpoint.Runs) {
+      if (endpoint.clock(Now) >= endpoint.Deadline && !run.LapsesAt)
+        run.LapsesAt = Now + LapseMs;
+      if (run.LapsesAt && Now >= *run.LapsesAt)
         ends.emplace_back(task, RunEnd::LeaseExpired);
       else if (run.StopsAt && Now >= *run.StopsAt)
         ends.emplace_back(task, RunEnd::Stopped);
@@ -359,6 +414,7 @@
     }
     for (const auto &[task, how] : ends) {
       endpoint.end(task, how, Now);
+      noteEnd(task, id, how);
       Lapsed += how == RunEnd::LeaseExpired ? 1 : 0;
     }
     answerRenewals(endpoint);
@@ -370,6 +426,7 @@
     Core->tick();
   if (Now % HeartbeatMs == 0)
     sendHeartbeats();
+  checkReleases();
   for (const auto &[id, accepted] : AcceptedAt) {
     const auto *job = jobs::findJob(Ledger, jobs::JobId(id));
     if (job && job->Remaining == 0)
@@ -588,6 +645,11 @@
                              nullptr](const std::string &line) {
     if (print)
       std::cerr << Now - StartMs << " " << line << "\n";
+    if (line.find(" lost") != std::string::npos ||
+        line.find("not in the inventory") != std::string::npos ||
+        line.find("have expired") != std::string::npos ||
+        line.find("is over after") != std::string::npos)
+      LastRelease = std::to_string(Now - StartMs) + " " + line;
     if (OnLogLine)
       OnLogLine(line);
   };
@@ -747,6 +809,11 @@
     return;
   }
   if (it == Endpoints.end() || !it->second.receives()) {
+    if (it == Endpoints.end() && KeepsCallsWhileDown)
+      KeptCalls[id].push_back(carry_out);
+    else if (it != Endpoints.end() && CutCallDelayMs >= 0)
+      HeldCalls.push_back({id, Now, Now + CutCallDelayMs, false, std::nullopt,
+                           [execute](TestEndpoint &by) { execute(by); }});
     fail(timeout_ms);
     return;
   }
