Count a lease by a stray call until its runs have been ended

The leader allowed for that from its first read on: 6.27 s, of which the endpoint's clock may take 6.12, and nothing for ending the runs. The sooner after the return the read comes, the less is left: about 0.15 s against 0.9.

After the first read of an incarnation, its runs count until a lease of the longest has expired and they have had time to end. The bounds of endpoints that were not read keep the bare lease: work that they hold back may stand still for 7 s only (rule LOST).

--- a/include/almondgate/dispatch/lease_clock.hpp
+++ b/include/almondgate/dispatch/lease_clock.hpp
@@ -38,11 +38,10 @@
   /// The latest deadline granted, by the endpoint's clock; 0 before the first.
   int64_t granted() const { return Granted; }
 
-  /// A lease may have begun at `began` that was not granted here, but by an
-  /// earlier leader or with a deadline by the clock of a former incarnation.
-  void assumeLease(core::TimeMs began) {
-    AssumedUntil = Terms.latestExpiry(began);
-  }
+  /// Until this time, the endpoint may hold runs whose lease was not granted
+  /// here, but by an earlier leader or with a deadline by the clock of a former
+  /// incarnation.
+  void assumeRunsUntil(core::TimeMs until) { AssumedUntil = until; }
 
   /// False once all runs on the endpoint have certainly ended with their
   /// leases, even if its clock is `behind` the one observed.
--- a/include/almondgate/dispatch/lease_terms.hpp
+++ b/include/almondgate/dispatch/lease_terms.hpp
@@ -28,6 +28,11 @@
   /// The latest time by the local clock at which a lease of unknown length
   /// expires that began at `began`.
   core::TimeMs latestExpiry(core::TimeMs began) const;
+
+  /// The latest time at which the runs of such a lease have ended.
+  core::TimeMs latestEnd(core::TimeMs began) const {
+    return latestExpiry(began) + RunEnd;
+  }
 };
 
 } // namespace almondgate::dispatch
--- a/src/almondgate/dispatch/dispatcher.cpp
+++ b/src/almondgate/dispatch/dispatcher.cpp
@@ -63,7 +63,7 @@
   for (const auto &[id, facts] : Ledger.Endpoints)
     onEndpointRegistered(facts);
   for (auto &[id, endpoint] : Endpoints)
-    endpoint.Lease.assumeLease(LeadingSince);
+    endpoint.Lease.assumeRunsUntil(Terms.latestExpiry(LeadingSince));
   for (const auto &[id, record] : Ledger.Jobs)
     if (record.isOpen())
       openJob(record, true);
--- a/src/almondgate/dispatch/dispatcher_endpoints.cpp
+++ b/src/almondgate/dispatch/dispatcher_endpoints.cpp
@@ -56,7 +56,7 @@
     view.LastUnansweredCall = it->second.LastUnansweredCall;
     view.UnansweredFence = it->second.UnansweredFence;
     view.LastUnanswered = it->second.LastUnanswered;
-    view.Lease.assumeLease(view.LastLeaseCall);
+    view.Lease.assumeRunsUntil(Terms.latestExpiry(view.LastLeaseCall));
     releaseLostRuns(it->second, "incarnation " + std::to_string(facts.BornMs) +
                                     " has registered");
     unlink(it->second);
--- a/src/almondgate/dispatch/dispatcher_renewals.cpp
+++ b/src/almondgate/dispatch/dispatcher_renewals.cpp
@@ -216,7 +216,7 @@
   // for a former incarnation; its fencing token rules them out from here on.
   if (!endpoint.FirstReadClockMs) {
     endpoint.FirstReadClockMs = reply.Inventory.ClockMs;
-    endpoint.Lease.assumeLease(now);
+    endpoint.Lease.assumeRunsUntil(Terms.latestEnd(now));
   }
   endpoint.LastReadClockMs = reply.Inventory.ClockMs;
   if (!reply.Inventory.MoreEnds) {
--- a/src/almondgate/dispatch/recut_days_test.cpp
+++ b/src/almondgate/dispatch/recut_days_test.cpp
@@ -86,6 +86,7 @@
     Fl.SkipsIdleTime = true;
     Fl.LapseMs = Fl.StopMs = day.EndMs;
     Fl.HidesEndingRuns = day.HidesEndingRuns;
+    Fl.EndsSilently = true;
     Fl.KeepsCallsWhileDown = day.KeepsCallsWhileDown;
     Fl.CutCallDelayMs = day.CutCallDelayMs;
     Fl.configure([](jobs::FleetConfig &config) {
@@ -309,6 +310,23 @@
   results.report();
 }
 
+// As above: calls that were meant for their former incarnations had given
+// endpoints a lease of the longest at their return.
+TEST_CASE("a lease by a stray call counts until its runs have been ended") {
+  Results results;
+  for (const int64_t end_ms : {200, 900})
+    for (const int64_t spread_ms : {0, 100, 400, 1500})
+      for (const int64_t cut_ms : {500, 1000, 2000}) {
+        RecutDay day;
+        day.EndMs = end_ms;
+        day.KeepsCallsWhileDown = true;
+        day.HeartbeatSpreadMs = spread_ms;
+        day.CutAfterReturnMs = cut_ms;
+        results.play(day);
+      }
+  results.report();
+}
+
 // Guards against tasks that ran twice because a leader took runs of the one
 // before for over.
 TEST_CASE("a change of leader at any moment around a cut starts no run twice") {
--- a/src/almondgate/dispatch/test_fleet.hpp
+++ b/src/almondgate/dispatch/test_fleet.hpp
@@ -208,6 +208,9 @@
   int64_t LapseMs = 0;
   /// Endpoints don't list runs that they are ending.
   bool HidesEndingRuns = false;
+  /// An endpoint that ends breaks no connection: renewals that wait there get
+  /// no answer in time.
+  bool EndsSilently = false;
   /// Calls to an endpoint that is down are carried out by its next incarnation
   /// as soon as it is there, also if they were given up.
   bool KeepsCallsWhileDown = false;
