Hold a run back that an endpoint may be ending without listing it

Callers would see two runs of one task, or a VM above its capacity: a run that an inventory lists neither as running nor as ended was released at once.

Such a run, wanted or orphaned, now counts until inventories requested over RunStopTimeout have lacked it, or its end is reported, whichever comes first. The next renewal waits no longer than that. Unanswered starts keep their own path.

Open: a new leader that reads an endpoint while that hides a run that it is ending knows nothing of it.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -376,6 +376,8 @@
   /// is known at the endpoint.
   bool applyRunning(EndpointView &endpoint, const RunReport &report);
   void applyEnd(EndpointView &endpoint, const EndReport &report);
+  bool mayBeEnding(EndpointView &endpoint, std::optional<core::TimeMs> &since,
+                   core::TimeMs sent) const;
   void releaseMissingRuns(EndpointView &endpoint, core::TimeMs sent);
   void resolveUnansweredStart(const TaskKey &task_key, TaskState &state);
   /// Releases all runs of the endpoint; the reason is for the log.
--- a/include/almondgate/dispatch/endpoint_view.hpp
+++ b/include/almondgate/dispatch/endpoint_view.hpp
@@ -24,6 +24,10 @@
   core::TimeMs StopSent{INT64_MIN / 2};
   /// The latest inventory lists the run.
   bool Listed = true;
+  /// The endpoint has reported its end.
+  bool Ended = false;
+  /// As TaskState::MissingSince.
+  std::optional<core::TimeMs> MissingSince;
 
   bool operator==(const OrphanedRun &) const = default;
 };
@@ -84,6 +88,8 @@
   bool Renewing = false;
   bool RenewingLease = false;
   core::TimeMs RenewDue{INT64_MIN / 2};
+  /// Runs that its latest inventory lacks may be in progress until this time.
+  core::TimeMs MissingUntil{INT64_MIN / 2};
   /// The next renewal is sent at RenewDue because there is no room for one that
   /// waits.
   bool Polled = false;
--- a/include/almondgate/dispatch/task_state.hpp
+++ b/include/almondgate/dispatch/task_state.hpp
@@ -4,6 +4,7 @@
 #include "almondgate/dispatch/late_start.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -59,6 +60,9 @@
   /// Number of the last inventory that listed the current run; see
   /// Dispatcher::Inventories.
   uint64_t ListedIn = 0;
+  /// When the first of the latest inventories was requested that list the run
+  /// neither as running nor as ended; they all list it if empty.
+  std::optional<core::TimeMs> MissingSince;
   /// The start got no answer and was sent a second time, after a read of the
   /// endpoint had ruled the first one out.
   bool StartResent = false;
--- a/src/almondgate/dispatch/dispatcher_inventory.cpp
+++ b/src/almondgate/dispatch/dispatcher_inventory.cpp
@@ -21,6 +21,7 @@
                                 const RunInventory &inventory) {
   for (auto &[key, orphan] : endpoint.OrphanedRuns)
     orphan.Listed = false;
+  endpoint.MissingUntil = {INT64_MIN / 2};
   for (const auto &report : inventory.Ended)
     if (report.Number > endpoint.LastReadEnd) {
       applyEnd(endpoint, report);
@@ -37,7 +38,11 @@
     releaseMissingRuns(endpoint, sent);
   for (auto it = endpoint.OrphanedRuns.begin();
        it != endpoint.OrphanedRuns.end();) {
-    if (it->second.Listed || it->second.StopSent >= sent) {
+    OrphanedRun &orphan = it->second;
+    const bool stops =
+        orphan.Listed || orphan.StopSent >= sent ||
+        (!orphan.Ended && mayBeEnding(endpoint, orphan.MissingSince, sent));
+    if (stops) {
       ++it;
       continue;
     }
@@ -78,6 +83,7 @@
     if (is_current || adopt) {
       removeLateStart(state, endpoint.Facts.Id, report.Run);
       state.Listed = true;
+      state.MissingSince.reset();
       if (state.Phase == TaskPhase::Ordered ||
           state.Phase == TaskPhase::Unanswered) {
         Loads.setPhase(*open, *task_index, TaskPhase::Running);
@@ -93,6 +99,7 @@
   const EndpointView::RunKey key{report.Task, report.Run};
   const auto [it, added] = endpoint.OrphanedRuns.try_emplace(key);
   it->second.Listed = true;
+  it->second.MissingSince.reset();
   if (added)
     ++OrphanCounts[report.Task];
   if (added && task_index) {
@@ -114,6 +121,9 @@
       record ? jobs::indexOf(*record->Spec, report.Task) : std::nullopt;
   if (!task_index)
     return;
+  const auto orphan = endpoint.OrphanedRuns.find({report.Task, report.Run});
+  if (orphan != endpoint.OrphanedRuns.end())
+    orphan->second.Ended = true;
   const TaskKey task_key{report.Task.Job, *task_index};
   TaskState *state = findTaskState(task_key);
   const bool is_current = state && state->isPlaced() &&
@@ -162,6 +172,18 @@
                                       Hooks.WallClock()});
 }
 
+// An endpoint may not list a run that it is ending. Returns whether a run may
+// be such a one that the inventory requested at `sent` lacks, and `since`
+// others before it.
+bool Dispatcher::mayBeEnding(EndpointView &endpoint,
+                             std::optional<TimeMs> &since, TimeMs sent) const {
+  if (!since)
+    since = sent;
+  const TimeMs until = *since + Options.RunStopTimeout;
+  endpoint.MissingUntil = std::max(endpoint.MissingUntil, until);
+  return sent < until;
+}
+
 // Releases the runs that the endpoint no longer has: the last order for each
 // was answered before the inventory was requested, and the inventory lists it
 // neither as running nor as ended. The inventory must list all ends. A run
@@ -185,7 +207,7 @@
     const bool answered =
         state.Phase == TaskPhase::Running ||
         (state.Phase == TaskPhase::Stopping && state.StopAcknowledged);
-    if (!answered)
+    if (!answered || mayBeEnding(endpoint, state.MissingSince, sent))
       continue;
     if (released++ == 0)
       first = "task " + task_key.first.str() + "#" +
--- a/src/almondgate/dispatch/dispatcher_orders.cpp
+++ b/src/almondgate/dispatch/dispatcher_orders.cpp
@@ -89,6 +89,7 @@
   state.StartResent = false;
   state.Confirmed = false;
   state.Listed = false;
+  state.MissingSince.reset();
   state.Inherited = false;
   state.Percent = 0;
   if (!std::exchange(job.Started, true))
--- a/src/almondgate/dispatch/dispatcher_renewals.cpp
+++ b/src/almondgate/dispatch/dispatcher_renewals.cpp
@@ -108,6 +108,9 @@
   const DurationMs left = remainingInheritedStopTime(endpoint);
   if (endpoint.LongRunningCount > 0 && left.Count > 0)
     wait = std::min(wait, left);
+  const DurationMs missing = endpoint.MissingUntil - Hooks.Now();
+  if (missing.Count > 0)
+    wait = std::min(wait, missing);
   const DurationMs outstanding = outstandingStartTime(endpoint);
   return outstanding.Count > 0 ? std::min(wait, outstanding) : wait;
 }
--- a/src/almondgate/dispatch/inventory_test.cpp
+++ b/src/almondgate/dispatch/inventory_test.cpp
@@ -116,3 +116,30 @@
     CHECK(fleet.running() == 0);
   }
 }
+
+// Guards against tasks that ran twice: an endpoint that was ending a run didn't
+// list it any more, and not yet as ended.
+TEST_CASE("a run that is being stopped and isn't listed keeps its task back") {
+  constexpr int64_t StopMs = 900;
+  constexpr int64_t RenewalMs = 1000;
+  for (int64_t phase_ms = 0; phase_ms < RenewalMs; phase_ms += 100) {
+    CAPTURE(phase_ms);
+    // The last VM is in another zone.
+    Fleet fleet(5);
+    fleet.StopMs = StopMs;
+    fleet.HidesEndingRuns = true;
+    fleet.submit(jobId(1), longRunning(1, 1));
+    fleet.advance(2 * TaskMs);
+    REQUIRE(fleet.runningIn("z0") == 1);
+    // An inventory follows each end.
+    for (int64_t n = 2; n < 12; ++n)
+      fleet.submit(jobId(n), oneStep(2, 2, 150 * n));
+    fleet.advance(phase_ms);
+    REQUIRE(fleet.setEvacuation("z0", true));
+    fleet.advance(6 * TaskMs);
+    CHECK(fleet.runningIn("z0") == 0);
+    CHECK(fleet.running() == 1);
+    CHECK(fleet.PrematureReleases.empty());
+    fleet.checkViolations();
+  }
+}
