Let a leave that names no incarnation end only one that drains

Callers would see two runs of one task: DELETE /instances/ID carries no birth, so that one of a former incarnation, delayed by a cut or sent again, ended the one that had registered since. Its runs were released at once and went on until their lease lapsed, as its heartbeats were ignored from then on.

An endpoint reports that it drains before it shuts down. A leave without a birth for one that doesn't drain is acknowledged and changes nothing; an endpoint that did shut down is found by its lease.

The new test failed before ('task runs twice at a time'); it passes, and all dispatch tests but the random ones and the model, which run with the landing.

--- a/src/almondgate/dispatch/dispatcher_endpoints.cpp
+++ b/src/almondgate/dispatch/dispatcher_endpoints.cpp
@@ -334,8 +334,17 @@
     return;
   }
   const auto it = Endpoints.find(id);
+  EndpointView *known = it == Endpoints.end() ? nullptr : &it->second;
   const int64_t ended_born_ms =
-      born_ms == 0 && it != Endpoints.end() ? it->second.Facts.BornMs : born_ms;
+      born_ms == 0 && known ? known->Facts.BornMs : born_ms;
+  // An endpoint drains before it shuts down.
+  if (born_ms == 0 && known && !known->Facts.Draining) {
+    Hooks.Log("endpoint " + id.str() + " incarnation " +
+              std::to_string(ended_born_ms) +
+              " goes on: it doesn't drain, a former one has shut down");
+    done(core::ok());
+    return;
+  }
   Hooks.Log("endpoint " + id.str() + " shuts down");
   recordEvent(jobs::EndpointGone{id, ended_born_ms}, replyWhenDurable(done));
 }
--- a/src/almondgate/dispatch/incarnation_test.cpp
+++ b/src/almondgate/dispatch/incarnation_test.cpp
@@ -371,3 +371,23 @@
   for (const auto &[id, job] : fleet.ledger().Jobs)
     CHECK_FALSE(job.isOpen());
 }
+
+// Guards against tasks that ran twice: the leave of a former incarnation, which
+// doesn't name it, came late and was taken for the next one's.
+TEST_CASE("a leave of a former incarnation ends no other one") {
+  Fleet fleet(2);
+  const auto vm = fleet.VmIds[0];
+  fleet.restartWithSameId(vm, {.DownMs = 600, .HeartbeatDelayMs = 10});
+  fleet.advance(Second);
+  fleet.submit(jobId(1), oneStep(2, Cores, LongMs));
+  fleet.advance(Second);
+  REQUIRE(fleet.endpointOf(vm).Runs.size() == 1);
+  fleet.addVm("p");
+  fleet.dispatcher().handleLeave(fleet.endpointOf(vm).Facts.Id, 0,
+                                 [](const core::Status &) {});
+  fleet.advance(2 * LongMs);
+  CHECK(fleet.stateOf(jobId(1)) == JobState::Completed);
+  CHECK(fleet.endpointOf(vm).Starts == 1);
+  CHECK(fleet.PrematureReleases.empty());
+  fleet.checkViolations();
+}
