Count the runs of an endpoint that shuts down until its lease has expired

Callers would see two runs of one task: an endpoint sends DELETE and ends once that is acknowledged, or some seconds later if it isn't. Its runs were released as soon as the leave was durable, which a next leader took over as well.

An endpoint that leaves with runs is recorded as draining, gets no lease any more and is read on; its runs count until they are reported as ended or the lease has expired. One without runs is removed at once, as before.

--- a/src/almondgate/dispatch/dispatcher_endpoints.cpp
+++ b/src/almondgate/dispatch/dispatcher_endpoints.cpp
@@ -345,6 +345,18 @@
     done(core::ok());
     return;
   }
+  if (known && known->Facts.BornMs == ended_born_ms && known->hasRuns()) {
+    known->HasLeft = true;
+    auto facts = known->Facts;
+    facts.Draining = known->Facts.Draining = true;
+    Pools.update(*known);
+    Hooks.Log("endpoint " + id.str() + " incarnation " +
+              std::to_string(ended_born_ms) + " shuts down with " +
+              std::to_string(known->Runs.size()) +
+              " runs, which count until its lease has expired");
+    recordRegistration(facts, known->HeartbeatSequence, replyWhenDurable(done));
+    return;
+  }
   Hooks.Log("endpoint " + id.str() + " shuts down");
   recordEvent(jobs::EndpointGone{id, ended_born_ms}, replyWhenDurable(done));
 }
--- a/src/almondgate/dispatch/dispatcher_renewals.cpp
+++ b/src/almondgate/dispatch/dispatcher_renewals.cpp
@@ -46,7 +46,7 @@
   // that of one that is being declared lost: a lease granted now would let the
   // endpoint carry out orders that are about to be considered expired.
   if (endpoint.Lease.isClockKnown() && !facts.Idle && !endpoint.DeclaredLost &&
-      !endpoint.Suspect) {
+      !endpoint.Suspect && !endpoint.HasLeft) {
     request.DeadlineMs = endpoint.Lease.grant(now, Options.Lease);
     endpoint.recordLeaseCall(now);
   }
--- a/src/almondgate/dispatch/incarnation_test.cpp
+++ b/src/almondgate/dispatch/incarnation_test.cpp
@@ -372,6 +372,30 @@
     CHECK_FALSE(job.isOpen());
 }
 
+// Guards against tasks that ran twice: an endpoint that had said that it shuts
+// down went on for a while, as the acknowledgement was lost.
+TEST_CASE("runs of an endpoint that shuts down count until it has ended") {
+  for (const int64_t goes_on_ms : {0, 100, 2000}) {
+    CAPTURE(goes_on_ms);
+    Fleet fleet(2);
+    fleet.submit(jobId(1), oneStep(2, Cores, LongMs));
+    fleet.advance(Second);
+    const auto vm = fleet.VmIds[0];
+    REQUIRE(fleet.endpointOf(vm).Runs.size() == 1);
+    fleet.addVm("p");
+    fleet.drain(vm);
+    fleet.advance(2 * Second);
+    fleet.dispatcher().handleLeave(fleet.endpointOf(vm).Facts.Id, 0,
+                                   [](const core::Status &) {});
+    fleet.advance(goes_on_ms);
+    fleet.restartWithSameId(vm, {.DownMs = 2 * LongMs});
+    fleet.advance(6 * Second);
+    CHECK(fleet.running() == 2);
+    CHECK(fleet.PrematureReleases.empty());
+    fleet.checkViolations();
+  }
+}
+
 // Guards against tasks that ran twice: the leave of a former incarnation, which
 // doesn't name it, came late and was taken for the next one's.
 TEST_CASE("a leave of a former incarnation ends no other one") {
