Soak of zones that are cut off: endpoints take a while to end lapsed runs

Two traits more: the longest that an endpoint takes to end a run whose lease has expired, and the share of the endpoints that don't restart before their cut.

--- a/tests/recut_fleet.py
+++ b/tests/recut_fleet.py
@@ -69,6 +69,10 @@
         "delayed_heartbeats": draw.random() < 0.5,
         "whole_zone": draw.choice([0, 0.3, 1]),
         "reset_on_crash": draw.choice([0, 0, 0.3]),
+        # The longest that an endpoint takes to end a run whose lease expired.
+        "lapse_seconds": draw.choice([0, STOP_SECONDS]),
+        # Of the endpoints that are cut off, those that don't restart before.
+        "unrestarted": draw.choice([0, 0.3]),
     }
 
 
@@ -78,6 +82,8 @@
     saved_ms = 0
     begins_with_ms = 0
     stopped = None
+    # When it ends because its lease has expired.
+    lapses = None
 
     def text(self, began):
         call = self.call
@@ -144,6 +150,24 @@
         run.saved_ms = max(run.saved_ms, whole)
         return f"{run.saved_ms:08x}{run.task[:8]}" if run.saved_ms else ""
 
+    def expire(self):
+        """Ends what is due; what a lease ends goes on for a while."""
+        now, longest = time.monotonic(), self.traits["lapse_seconds"]
+        if self.lease <= now:
+            for run in self.runs.values():
+                if run.lapses is None:
+                    run.lapses = max(self.lease, run.begin) + \
+                        longest * self.endpoint.random.uniform(0.1, 1)
+        for run in sorted(self.runs.values(), key=lambda r: r.due):
+            lapses = math.inf if run.lapses is None else run.lapses
+            if run.due <= min(now, lapses):
+                self.end(run, run.due, run.how_due)
+            elif lapses <= now:
+                self.end(run, lapses, "lapsed")
+        if self.lease <= now:
+            for run in self.ends:
+                run.lapsed = True
+
     def end(self, run, at, how):
         super().end(run, at, how)
         self.log(f"ends {run.task} run {run.run} {how} number {run.number}")
@@ -166,7 +190,7 @@
         answer["running"] = [
             [r.task, r.run, self.saved(r),
              100 if now - r.begin > STARTUP_SECONDS else 0, 10]
-            for r in self.runs.values() if not (hides and r.stopped)]
+            for r in self.runs.values() if not (hides and (r.stopped or r.lapses))]
         listed = {r.number: r for r in self.ends}
         answer["ended"] = [[n, t, run, how, self.saved(listed[n])]
                            for n, t, run, how, _ in answer["ended"]]
--- a/tests/recut_soak.py
+++ b/tests/recut_soak.py
@@ -171,7 +171,9 @@
             direction = draw.choice(["in", "out"])
         behind = draw.random() < traits["behind_cut"]
         kills = draw.random() < traits["kill"]
-        await self.restart(group, traits["dark"])
+        await self.restart([e for e in group if not traits["unrestarted"]
+                            or draw.random() >= traits["unrestarted"]],
+                           traits["dark"])
         if kills:
             self.fleet.spawn(self.fault_of_leader("kill"))
         await asyncio.sleep(gap)
