--- a/include/almondgate/dispatch/endpoint_view.hpp
+++ b/include/almondgate/dispatch/endpoint_view.hpp
@@ -111,8 +111,8 @@
   /// An order that ends all runs of the endpoint is about to be sent, or may
   /// still be carried out.
   bool TerminationPending = false;
-  /// It shuts down, and may go on until it knows that this was acknowledged. Its
-  /// lease is not renewed any more.
+  /// It shuts down, and may go on until it knows that this was acknowledged.
+  /// Its lease is not renewed any more.
   bool HasLeft = false;
   /// The loss of the endpoint (EndpointIdled) was recorded, durable or not.
   bool DeclaredLost = false;
