Don't repeat an order for maintenance whose end is being recorded

Cause: while the end of the maintenance was being made durable, the scheduler took it for unconfirmed and sent the order again; the record forgot the VM, and the answer then found nothing of it (map::at).

A VM whose end is being recorded gets no order. The new test threw map::at before; it passes.

--- a/src/almondgate/dispatch/maintenance_scheduler.cpp
+++ b/src/almondgate/dispatch/maintenance_scheduler.cpp
@@ -127,7 +127,9 @@
                                                .AtStart = wave.Begun.at(vm),
                                                .OutcomeUnknown = true})
                        .first->second;
-  if (outage.Wave != wave.Number || outage.CallPending)
+  // Its end is being recorded.
+  const bool ends = Recording.contains(vm);
+  if (ends || outage.Wave != wave.Number || outage.CallPending)
     return;
   const VmLoad load = Hooks.LoadOf(vm);
   if (!outage.Accepted) {
--- a/src/almondgate/dispatch/test_fleet.hpp
+++ b/src/almondgate/dispatch/test_fleet.hpp
@@ -151,6 +151,8 @@
   int64_t LoopDelayMs = 0;
   /// The VM service does not answer.
   bool VmServiceUnresponsive = false;
+  /// It refuses orders for these VMs.
+  std::set<core::VmId> RefusedVms;
   /// How long it takes to reach the VM service.
   int64_t VmConnectMs = 0;
   /// False while another member may lead.
--- a/src/almondgate/dispatch/test_fleet_test.cpp
+++ b/src/almondgate/dispatch/test_fleet_test.cpp
@@ -1166,6 +1166,8 @@
     return VmOrderResult::Accepted;
   if (!maintenance && vm.Pool == order.To)
     return VmOrderResult::Accepted;
+  if (RefusedVms.contains(order.Vm))
+    return VmOrderResult::Refused;
   if (vm.State != VmState::Up)
     return VmOrderResult::Busy;
   if (const auto at = Endpoints.find(vm.Endpoint); at != Endpoints.end())
--- a/src/almondgate/dispatch/wave_limit_test.cpp
+++ b/src/almondgate/dispatch/wave_limit_test.cpp
@@ -102,3 +102,19 @@
   checkWave(fleet, 1);
   CHECK(fleet.MaintenanceCounts[fleet.VmIds[0]] == 1);
 }
+
+// Guards against the end of the leader's process: it repeated an order that the
+// VM service had refused, and the record of that came before the answer.
+TEST_CASE("maintenance that the VM service refuses late is not ordered again") {
+  Fleet fleet(2);
+  fleet.RefusedVms = {fleet.VmIds[0]};
+  fleet.VmConnectMs = 700;
+  fleet.CommitMs = 1200;
+  fleet.startWave(1, fleet.VmIds, 1, WaveMs);
+  fleet.advance(WaveMs);
+  fleet.CommitMs = 5;
+  fleet.advance(WaveMs);
+  checkWave(fleet, 1);
+  CHECK(fleet.MaintenanceCounts[fleet.VmIds[0]] == 0);
+  CHECK(fleet.MaintenanceCounts[fleet.VmIds[1]] == 1);
+}
