Count a job as pending until one of its tasks has begun

It now begins with an accepted start, or a run or an end that an inventory lists. The histogram job_wait ends there too.

--- a/include/almondgate/dispatch/dispatcher.hpp
+++ b/include/almondgate/dispatch/dispatcher.hpp
@@ -262,6 +262,8 @@
                                          int64_t born_ms, core::TimeMs given,
                                          OrderReply &reply);
   void startTask(const TaskKey &task_key, EndpointView &at, int64_t run);
+  /// A task of the job has begun.
+  void recordStarted(OpenJob &job);
   void sendStart(const TaskKey &task_key);
   void onStartReply(const TaskKey &task_key, int64_t run,
                     const jobs::EndpointId &at, int64_t born_ms,
--- a/src/almondgate/dispatch/dispatcher_inventory.cpp
+++ b/src/almondgate/dispatch/dispatcher_inventory.cpp
@@ -75,12 +75,12 @@
       state.Run = report.Run;
       state.Since = Hooks.Now();
       state.Inherited = true;
-      open->Started = true;
       addRun(endpoint, {report.Task.Job, *task_index}, step);
       Pools.update(endpoint);
       TeamUsage[record->Team] = TeamUsage[record->Team] + step.Need;
     }
     if (is_current || adopt) {
+      recordStarted(*open);
       removeLateStart(state, endpoint.Facts.Id, report.Run);
       state.Listed = true;
       state.MissingSince.reset();
@@ -151,6 +151,7 @@
     RemoteShares[record->Queue].observe(state->Remote);
   }
   if (state) {
+    recordStarted(*findOpenJob(task_key.first));
     state->Run = std::max(state->Run, report.Run);
     removeLateStart(*state, endpoint.Facts.Id, report.Run);
   }
--- a/src/almondgate/dispatch/dispatcher_orders.cpp
+++ b/src/almondgate/dispatch/dispatcher_orders.cpp
@@ -92,8 +92,6 @@
   state.MissingSince.reset();
   state.Inherited = false;
   state.Percent = 0;
-  if (!std::exchange(job.Started, true))
-    Hooks.RecordDuration("job_wait", (state.Since - job.SentAt).Count);
   addRun(at, task_key, *step);
   Pools.update(at);
   TeamUsage[record->Team] = TeamUsage[record->Team] + step->Need;
@@ -113,6 +111,12 @@
   sendStart(task_key);
 }
 
+// An order is no start: the endpoint may reject it.
+void Dispatcher::recordStarted(OpenJob &job) {
+  if (!std::exchange(job.Started, true))
+    Hooks.RecordDuration("job_wait", (Hooks.Now() - job.SentAt).Count);
+}
+
 void Dispatcher::sendStart(const TaskKey &task_key) {
   OpenJob &job = *findOpenJob(task_key.first);
   TaskState &state = job.Tasks[task_key.second];
@@ -193,6 +197,7 @@
   };
   switch (reply.Result) {
   case OrderResult::Accepted:
+    recordStarted(*findOpenJob(task_key.first));
     setPhase(task_key, TaskPhase::Running);
     state->Since = now;
     state->Confirmed = reply.ClockMs.has_value();
--- a/src/almondgate/dispatch/dispatcher_test.cpp
+++ b/src/almondgate/dispatch/dispatcher_test.cpp
@@ -782,3 +782,26 @@
       FAIL_CHECK(violation);
   }
 }
+
+// Guards against a queue that looked empty: jobs whose starts an endpoint
+// rejected counted as begun.
+TEST_CASE("a job whose starts are rejected is pending") {
+  Fleet fleet(1);
+  fleet.endpointOf(fleet.VmIds[0]).RejectsStarts = true;
+  const auto pending = [&fleet] {
+    int64_t out = -1;
+    fleet.dispatcher().handleCall(
+        testCall(jobs::JobVerb::Query, ""),
+        [&out](const auto &reply) { out = reply.value().Pending; });
+    return out;
+  };
+  for (int64_t n = 1; n <= 3; ++n)
+    fleet.submit(jobId(n), oneStep(1, 2, 100));
+  fleet.advance(5000);
+  CHECK(pending() == 3);
+  CHECK(fleet.stateOf(jobId(1)) == JobState::Queued);
+  fleet.endpointOf(fleet.VmIds[0]).RejectsStarts = false;
+  fleet.advance(5000);
+  CHECK(pending() == 0);
+  CHECK(fleet.stateOf(jobId(1)) == JobState::Completed);
+}
--- a/src/almondgate/dispatch/test_endpoint.hpp
+++ b/src/almondgate/dispatch/test_endpoint.hpp
@@ -47,6 +47,8 @@
   /// answer.
   int64_t DelayedStarts = 0;
   int64_t StartDelayMs = 0;
+  /// It rejects starts, as an unhealthy endpoint does.
+  bool RejectsStarts = false;
   /// How many of the next starts are carried out, but the answer is lost.
   int64_t LostReplies = 0;
   /// Offset of its clock from the virtual time, in milliseconds.
--- a/src/almondgate/dispatch/test_fleet_test.cpp
+++ b/src/almondgate/dispatch/test_fleet_test.cpp
@@ -987,6 +987,8 @@
 OrderReply TestFleet::execute(TestEndpoint &endpoint, const StartOrder &order,
                               int64_t sent) {
   const int64_t clock = endpoint.clock(Now);
+  if (endpoint.RejectsStarts)
+    return {OrderResult::Unavailable, {}};
   if (order.Epoch < endpoint.Epoch)
     return {OrderResult::Fenced, clock};
   endpoint.Epoch = order.Epoch;
