Remove an endpoint that shut down with runs once its lease has expired

Since its runs count until then, such an endpoint stayed known as lost, and was called every 300 ms for good. It is now recorded as gone, as one without runs is.

--- a/src/almondgate/dispatch/dispatcher_renewals.cpp
+++ b/src/almondgate/dispatch/dispatcher_renewals.cpp
@@ -311,7 +311,10 @@
             std::to_string(endpoint.Facts.BornMs) +
             " declared lost: unreachable until its lease expired, " +
             endpoint.Lease.describe(Hooks.Now()));
-  recordEvent(jobs::EndpointIdled{endpoint.Facts.Id, endpoint.Facts.BornMs});
+  if (endpoint.HasLeft)
+    recordEvent(jobs::EndpointGone{endpoint.Facts.Id, endpoint.Facts.BornMs});
+  else
+    recordEvent(jobs::EndpointIdled{endpoint.Facts.Id, endpoint.Facts.BornMs});
 }
 
 bool Dispatcher::isFleetRead() const {
--- a/src/almondgate/dispatch/incarnation_test.cpp
+++ b/src/almondgate/dispatch/incarnation_test.cpp
@@ -388,9 +388,12 @@
     fleet.dispatcher().handleLeave(fleet.endpointOf(vm).Facts.Id, 0,
                                    [](const core::Status &) {});
     fleet.advance(goes_on_ms);
+    const auto id = fleet.endpointOf(vm).Facts.Id;
     fleet.restartWithSameId(vm, {.DownMs = 2 * LongMs});
     fleet.advance(6 * Second);
     CHECK(fleet.running() == 2);
+    // It is not called any more.
+    CHECK_FALSE(fleet.dispatcher().endpoints().contains(id));
     CHECK(fleet.PrematureReleases.empty());
     fleet.checkViolations();
   }
