Count the runs of an unread endpoint that shuts down as well

A new leader that had not read an endpoint took it for empty when it said that it shuts down, and started the tasks of before elsewhere.

--- a/src/almondgate/dispatch/dispatcher_endpoints.cpp
+++ b/src/almondgate/dispatch/dispatcher_endpoints.cpp
@@ -345,7 +345,8 @@
     done(core::ok());
     return;
   }
-  if (known && known->Facts.BornMs == ended_born_ms && known->hasRuns()) {
+  if (known && known->Facts.BornMs == ended_born_ms &&
+      (known->hasRuns() || known->isUnread())) {
     known->HasLeft = true;
     auto facts = known->Facts;
     facts.Draining = known->Facts.Draining = true;
--- a/src/almondgate/dispatch/dispatcher_inventory.cpp
+++ b/src/almondgate/dispatch/dispatcher_inventory.cpp
@@ -39,10 +39,10 @@
   for (auto it = endpoint.OrphanedRuns.begin();
        it != endpoint.OrphanedRuns.end();) {
     OrphanedRun &orphan = it->second;
-    const bool stops =
+    const bool stays =
         orphan.Listed || orphan.StopSent >= sent ||
         (!orphan.Ended && mayBeEnding(endpoint, orphan.MissingSince, sent));
-    if (stops) {
+    if (stays) {
       ++it;
       continue;
     }
@@ -173,9 +173,9 @@
                                       Hooks.WallClock()});
 }
 
-// An endpoint may not list a run that it is ending. Returns whether a run may
-// be such a one that the inventory requested at `sent` lacks, and `since`
-// others before it.
+// An endpoint may leave a run out of its inventory while it is ending it.
+// Returns whether one may still be ending that is missing from the inventory
+// requested at `sent` and from all others since `since`.
 bool Dispatcher::mayBeEnding(EndpointView &endpoint,
                              std::optional<TimeMs> &since, TimeMs sent) const {
   if (!since)
--- a/src/almondgate/dispatch/incarnation_test.cpp
+++ b/src/almondgate/dispatch/incarnation_test.cpp
@@ -375,28 +375,35 @@
 // Guards against tasks that ran twice: an endpoint that had said that it shuts
 // down went on for a while, as the acknowledgement was lost.
 TEST_CASE("runs of an endpoint that shuts down count until it has ended") {
-  for (const int64_t goes_on_ms : {0, 100, 2000}) {
-    CAPTURE(goes_on_ms);
-    Fleet fleet(2);
-    fleet.submit(jobId(1), oneStep(2, Cores, LongMs));
-    fleet.advance(Second);
-    const auto vm = fleet.VmIds[0];
-    REQUIRE(fleet.endpointOf(vm).Runs.size() == 1);
-    fleet.addVm("p");
-    fleet.drain(vm);
-    fleet.advance(2 * Second);
-    fleet.dispatcher().handleLeave(fleet.endpointOf(vm).Facts.Id, 0,
-                                   [](const core::Status &) {});
-    fleet.advance(goes_on_ms);
-    const auto id = fleet.endpointOf(vm).Facts.Id;
-    fleet.restartWithSameId(vm, {.DownMs = 2 * LongMs});
-    fleet.advance(6 * Second);
-    CHECK(fleet.running() == 2);
-    // It is not called any more.
-    CHECK_FALSE(fleet.dispatcher().endpoints().contains(id));
-    CHECK(fleet.PrematureReleases.empty());
-    fleet.checkViolations();
-  }
+  for (const bool unread : {false, true})
+    for (const int64_t goes_on_ms : {0, 100, 2000}) {
+      CAPTURE(unread);
+      CAPTURE(goes_on_ms);
+      Fleet fleet(2);
+      fleet.submit(jobId(1), oneStep(2, Cores, LongMs));
+      fleet.advance(Second);
+      const auto vm = fleet.VmIds[0];
+      REQUIRE(fleet.endpointOf(vm).Runs.size() == 1);
+      fleet.addVm("p");
+      fleet.drain(vm);
+      fleet.advance(2 * Second);
+      if (unread) {
+        fleet.endpointOf(vm).CallsLost = true;
+        fleet.changeLeader();
+        fleet.advance(100);
+      }
+      fleet.dispatcher().handleLeave(fleet.endpointOf(vm).Facts.Id, 0,
+                                     [](const core::Status &) {});
+      fleet.advance(goes_on_ms);
+      const auto id = fleet.endpointOf(vm).Facts.Id;
+      fleet.restartWithSameId(vm, {.DownMs = 2 * LongMs});
+      fleet.advance(8 * Second);
+      CHECK(fleet.running() == 2);
+      // It is not called any more.
+      CHECK_FALSE(fleet.dispatcher().endpoints().contains(id));
+      CHECK(fleet.PrematureReleases.empty());
+      fleet.checkViolations();
+    }
 }
 
 // Guards against tasks that ran twice: the leave of a former incarnation, which
