Let lasting tasks wait for a silent endpoint to end its runs

Starts that were meant for a former incarnation were carried out, and answered, by the next one 5 ms after its return; it was cut off 162 ms later, before its first read. Lasting tasks wait for the longest lease from the last contact in such a case (6.27 s), and the endpoint took up to 0.9 s to end the runs after it.

They now wait a stop timeout longer. Rule LOST allows them 9 s from their last run.

--- a/src/almondgate/dispatch/dispatcher_late_starts.cpp
+++ b/src/almondgate/dispatch/dispatcher_late_starts.cpp
@@ -83,8 +83,9 @@
   const TimeMs contact = known ? std::max({late.Since, it->second.LastLeaseCall,
                                            it->second.LastHeard})
                                : late.Since;
-  return Terms.latestExpiry(
-      isLongRunning(task_key) ? std::min(executed, contact) : executed);
+  const TimeMs end = Terms.latestExpiry(executed);
+  return isLongRunning(task_key) ? std::min(end, Terms.latestEnd(contact))
+                                 : end;
 }
 
 bool Dispatcher::isOver(const TaskKey &task_key, const LateStart &late) const {
